Fix the interfaces: messages, configuration, errors, links, process start

Cause: the processes and their decision cores are built side by side and need agreed types first. Ruled out: json5 (pure Python) for JSON with comments; pyjson5 is compiled.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The project's commands. `make demo` and `make test` need only python3.
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := mustardwood spec
+
+.PHONY: demo test format lint types check-model measure measure-path measure-capacity clean
+
+$(VENV)/.ready: pyproject.toml requirements.txt
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m mustardwood.demo
+
+lint: $(VENV)/.ready
+	$(BIN)/yapf --parallel --recursive --diff $(SOURCES)
+	$(BIN)/pylint $(SOURCES)
+
+types: $(VENV)/.ready
+	$(BIN)/mypy mustardwood
+
+check-model: $(VENV)/.ready
+	$(BIN)/python -m spec
+
+test: lint types check-model
+	$(BIN)/python -m pytest
+
+format: $(VENV)/.ready
+	$(BIN)/yapf --parallel --recursive --in-place $(SOURCES)
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/mustardwood/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The process that speaks with the platform and the operators."""
--- /dev/null
+++ b/mustardwood/cells/partition.py
@@ -0,0 +1,39 @@
+"""The partition of a configuration's endpoints into cells."""
+
+import itertools
+
+from mustardwood import configuration
+from mustardwood.cells import cell
+
+CELL_SIZE = 16
+"""Largest number of endpoints in a cell."""
+
+
+def build_cells(document: configuration.Document) -> tuple[cell.Cell, ...]:
+    """Splits the endpoints of each model and region into cells.
+
+    Args:
+        document: The configuration.
+
+    Returns:
+        The cells, by model or service, region and index. All VMs with the
+        same configuration get the same cells.
+    """
+    ordered = sorted(document.endpoints,
+                     key=lambda each: (each.serves, each.region, each.name))
+    cells: list[cell.Cell] = []
+    for (serves,
+         region), group in itertools.groupby(ordered,
+                                             key=lambda each:
+                                             (each.serves, each.region)):
+        cells.extend(_split_group(serves, region, list(group)))
+    return tuple(cells)
+
+
+def _split_group(serves: str, region: str,
+                 endpoints: list[configuration.Endpoint]) -> list[cell.Cell]:
+    count = -(-len(endpoints) // CELL_SIZE)
+    return [
+        cell.Cell(f"{serves}/{region}/{index}", serves, region,
+                  tuple(endpoints[index::count])) for index in range(count)
+    ]
--- /dev/null
+++ b/mustardwood/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of non-idempotent requests."""
--- /dev/null
+++ b/mustardwood/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/mustardwood/configuration/model.py
@@ -0,0 +1,15 @@
+"""A language model that callers can name."""
+
+import msgspec
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model served by one or more endpoints.
+
+    Attributes:
+        name: Name that callers send.
+        max_output_tokens: Bound on an answer's length.
+    """
+
+    name: str
+    max_output_tokens: int = 4096
--- /dev/null
+++ b/mustardwood/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of endpoints."""
--- /dev/null
+++ b/mustardwood/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that serves callers."""
--- /dev/null
+++ b/mustardwood/errors/__init__.py
@@ -0,0 +1,35 @@
+"""The exception hierarchy of mustardwood.
+
+Every error derives from `MustardwoodError`, carries a stable code, and names
+the remedy in its message.
+"""
+
+from mustardwood.errors.configuration_error import ConfigurationError
+from mustardwood.errors.key_value_error import ConflictError
+from mustardwood.errors.key_value_error import KeyValueError
+from mustardwood.errors.key_value_error import LeaseLostError
+from mustardwood.errors.key_value_error import RateLimitedError
+from mustardwood.errors.key_value_error import UnavailableError
+from mustardwood.errors.key_value_error import UncertainWriteError
+from mustardwood.errors.link_error import LinkError
+from mustardwood.errors.mustardwood_error import MustardwoodError
+from mustardwood.errors.request_code import RequestCode
+from mustardwood.errors.request_error import RequestError
+from mustardwood.errors.run_state import RunState
+from mustardwood.errors.settings_error import SettingsError
+
+__all__ = [
+    "ConfigurationError",
+    "ConflictError",
+    "KeyValueError",
+    "LeaseLostError",
+    "LinkError",
+    "MustardwoodError",
+    "RateLimitedError",
+    "RequestCode",
+    "RequestError",
+    "RunState",
+    "SettingsError",
+    "UnavailableError",
+    "UncertainWriteError",
+]
--- /dev/null
+++ b/mustardwood/errors/configuration_error.py
@@ -0,0 +1,24 @@
+"""An unusable configuration document."""
+
+from mustardwood.errors import mustardwood_error
+
+
+class ConfigurationError(mustardwood_error.MustardwoodError):
+    """A configuration document is malformed or contradicts itself.
+
+    Attributes:
+        line: Line of the offending value, from 1; None when unknown.
+        key: Path of the offending value, as in ``$.endpoints[3].zone``.
+    """
+
+    code = "bad_configuration"
+
+    def __init__(self,
+                 message: str,
+                 remedy: str,
+                 *,
+                 line: int | None = None,
+                 key: str = "$") -> None:
+        super().__init__(message, remedy)
+        self.line = line
+        self.key = key
--- /dev/null
+++ b/mustardwood/keyvalue/lease.py
@@ -0,0 +1,19 @@
+"""A lease of the key-value service."""
+
+import datetime
+
+import msgspec
+
+
+class Lease(msgspec.Struct, frozen=True):
+    """A right that ends by itself.
+
+    Attributes:
+        lease_id: Id given by the service.
+        fencing_number: Grows with each lease that the service grants.
+        time_to_live: Time from the grant or the last renewal to the end.
+    """
+
+    lease_id: str
+    fencing_number: int
+    time_to_live: datetime.timedelta
--- /dev/null
+++ b/mustardwood/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's membership."""
--- /dev/null
+++ b/mustardwood/messages/__init__.py
@@ -0,0 +1,67 @@
+"""Messages between the processes of the fleet."""
+
+from mustardwood.messages.ask import Ask
+from mustardwood.messages.attempt_report import AttemptReport
+from mustardwood.messages.configuration_pull import ConfigurationPull
+from mustardwood.messages.configuration_push import ConfigurationPush
+from mustardwood.messages.conviction import Conviction
+from mustardwood.messages.conviction_notice import ConvictionNotice
+from mustardwood.messages.envelope import Envelope
+from mustardwood.messages.envelope import decode_envelope
+from mustardwood.messages.envelope import encode_envelope
+from mustardwood.messages.grant import Grant
+from mustardwood.messages.member import Member
+from mustardwood.messages.member_state import MemberState
+from mustardwood.messages.open_work import OpenWork
+from mustardwood.messages.open_work_reply import OpenWorkReply
+from mustardwood.messages.outcome import Outcome
+from mustardwood.messages.peer import Peer
+from mustardwood.messages.ping import Ping
+from mustardwood.messages.ping_ack import PingAck
+from mustardwood.messages.query import Query
+from mustardwood.messages.query import QueryKind
+from mustardwood.messages.query_reply import QueryReply
+from mustardwood.messages.refusal import Refusal
+from mustardwood.messages.refusal_reason import RefusalReason
+from mustardwood.messages.role import Role
+from mustardwood.messages.running_attempt import RunningAttempt
+from mustardwood.messages.silence import Silence
+from mustardwood.messages.suspicion import Suspicion
+from mustardwood.messages.union import Message
+from mustardwood.messages.view import View
+from mustardwood.messages.view_ack import ViewAck
+from mustardwood.messages.withdrawal import Withdrawal
+
+__all__ = [
+    "Ask",
+    "AttemptReport",
+    "ConfigurationPull",
+    "ConfigurationPush",
+    "Conviction",
+    "ConvictionNotice",
+    "Envelope",
+    "Grant",
+    "Member",
+    "MemberState",
+    "Message",
+    "OpenWork",
+    "OpenWorkReply",
+    "Outcome",
+    "Peer",
+    "Ping",
+    "PingAck",
+    "Query",
+    "QueryKind",
+    "QueryReply",
+    "Refusal",
+    "RefusalReason",
+    "Role",
+    "RunningAttempt",
+    "Silence",
+    "Suspicion",
+    "View",
+    "ViewAck",
+    "Withdrawal",
+    "decode_envelope",
+    "encode_envelope",
+]
--- /dev/null
+++ b/mustardwood/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The agreement on the configuration's version."""
--- /dev/null
+++ b/mustardwood/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on service-level burn."""
--- /dev/null
+++ b/mustardwood/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of an entry about one request."""
--- /dev/null
+++ b/mustardwood/runtime/listener.py
@@ -0,0 +1,30 @@
+"""Listening for HTTP."""
+
+import typing
+
+from twisted.internet import endpoints
+from twisted.internet import interfaces
+from twisted.internet import ssl
+from twisted.web import server
+
+from mustardwood import settings as settings_module
+
+
+async def listen_http(
+        reactor: typing.Any,
+        site: server.Site,
+        ip: str,
+        port: int,
+        tls: settings_module.TlsFiles | None = None
+) -> interfaces.IListeningPort:
+    """Listens on an address, with TLS when `tls` is given."""
+    endpoint: interfaces.IStreamServerEndpoint
+    if tls is None:
+        endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
+    else:
+        context = ssl.DefaultOpenSSLContextFactory(tls.key, tls.certificate)
+        endpoint = endpoints.SSL4ServerEndpoint(reactor,
+                                                port,
+                                                context,
+                                                interface=ip)
+    return await endpoint.listen(site)
--- /dev/null
+++ b/mustardwood/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions inside a cell."""
--- /dev/null
+++ b/mustardwood/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for tests and the demo."""
--- /dev/null
+++ b/mustardwood/timing/__init__.py
@@ -0,0 +1,7 @@
+"""Clocks: the interface, the machine's clock, and one moved by hand."""
+
+from mustardwood.timing.clock import Clock
+from mustardwood.timing.manual_clock import ManualClock
+from mustardwood.timing.system_clock import SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/mustardwood/vmlist/vm_record.py
@@ -0,0 +1,23 @@
+"""A VM in the platform's list."""
+
+import msgspec
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """A VM as the platform lists it, possibly late.
+
+    Attributes:
+        vm: Name.
+        ip: IP address.
+        zone: Availability zone.
+        region: Region.
+        kind: ``entry`` for a VM of this system, ``endpoint`` otherwise.
+        leaving: Whether the platform is about to take it away.
+    """
+
+    vm: str
+    ip: str
+    zone: str
+    region: str
+    kind: str = "entry"
+    leaving: bool = False
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, for the model checker."""
--- /dev/null
+++ b/spec/__main__.py
@@ -0,0 +1,1 @@
+"""Runs the model checks."""
