Add the configuration's loader and the operators' command line

Cause: operators need a checked document and a way to apply it. Change: loader with checks across parts, line and key of each problem (tree-sitter finds the line, only when there is a problem); commands validate, apply, show, status, explain, hash-key with exit codes. Ruled out: an own parser for positions.

--- /dev/null
+++ b/mustardwood/cli/main.py
@@ -0,0 +1,201 @@
+"""The operators' command line."""
+
+import datetime
+import hashlib
+import http
+import json
+import pathlib
+import secrets
+import typing
+
+import typer
+
+import mustardwood
+from mustardwood import configuration
+from mustardwood import errors
+from mustardwood import runtime
+from mustardwood import timing
+from mustardwood.cli import agent_client
+from mustardwood.cli import application
+from mustardwood.cli import command_error
+from mustardwood.cli import session
+from mustardwood.cli import status_text
+
+app = typer.Typer(no_args_is_help=True,
+                  add_completion=False,
+                  help="Operates a mustardwood fleet.")
+
+_File = typing.Annotated[
+    pathlib.Path,
+    typer.Argument(help="Configuration document, JSON with comments.")]
+_Json = typing.Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(mustardwood.__version__)
+        raise typer.Exit()
+
+
+@app.callback()
+def set_options(
+    version: typing.Annotated[
+        bool,
+        typer.Option("--version",
+                     callback=_print_version,
+                     is_eager=True,
+                     help="Print the version and exit.")] = False
+) -> None:
+    """Operates a mustardwood fleet."""
+    del version
+
+
+@app.command()
+def validate(file: _File) -> None:
+    """Checks a configuration document and lists every problem."""
+    _load_file(file)
+    typer.echo(f"{file}: the document is right")
+
+
+@app.command()
+def apply(
+    file: _File,
+    agent: session.AgentOption = None,
+    token_file: session.TokenOption = None,
+    base: typing.Annotated[
+        int | None,
+        typer.Option(
+            help="Version that the document was written against.")] = None,
+    wait: typing.Annotated[
+        bool,
+        typer.Option("--wait", help="Return once it is in force on every VM."
+                    )] = False,
+    timeout: typing.Annotated[float,
+                              typer.Option(
+                                  help="Bound on --wait, in seconds.")] = 30.0,
+) -> None:
+    """Applies a configuration document as a whole."""
+    text = configuration.dump_document(_load_file(file))
+
+    async def run(client: agent_client.AgentClient,
+                  reactor: typing.Any) -> None:
+        one = application.Application(client, reactor, timing.SystemClock())
+        version = await one.apply(text, base)
+        if wait:
+            await one.wait(version, datetime.timedelta(seconds=timeout))
+        application.echo_version(version, wait)
+
+    session.run_session(agent, token_file, run)
+
+
+@app.command()
+def show(
+    agent: session.AgentOption = None,
+    token_file: session.TokenOption = None,
+) -> None:
+    """Prints the configuration in force."""
+
+    async def run(client: agent_client.AgentClient, _: typing.Any) -> None:
+        stored = await _read(client, "/v1/configuration")
+        document = json.loads(stored["text"])
+        typer.echo(f"// Version {stored['version']}, applied by "
+                   f"{stored['author']} at {stored['applied_at']}.")
+        typer.echo(json.dumps(document, indent=2))
+
+    session.run_session(agent, token_file, run)
+
+
+@app.command()
+def status(
+    agent: session.AgentOption = None,
+    token_file: session.TokenOption = None,
+    as_json: _Json = False,
+) -> None:
+    """Shows VMs, cells with their owners, endpoints and versions."""
+
+    async def run(client: agent_client.AgentClient, _: typing.Any) -> None:
+        body = await _read(client, "/v1/status")
+        typer.echo(
+            json.dumps(body, indent=2) if as_json else status_text.
+            format_status(body))
+
+    session.run_session(agent, token_file, run)
+
+
+@app.command()
+def explain(
+    request_id: typing.Annotated[str,
+                                 typer.Argument(
+                                     help="Id from the x-request-id header.")],
+    agent: session.AgentOption = None,
+    token_file: session.TokenOption = None,
+    as_json: _Json = False,
+) -> None:
+    """Tells why a request waited, went where it went, or was refused."""
+
+    async def run(client: agent_client.AgentClient, _: typing.Any) -> None:
+        body = await _read(client, f"/v1/explain/{request_id}")
+        typer.echo(
+            json.dumps(body, indent=2) if as_json else status_text.
+            format_explanation(body))
+
+    session.run_session(agent, token_file, run)
+
+
+@app.command("hash-key")
+def hash_key(
+    new: typing.Annotated[
+        bool, typer.Option("--new", help="Make a new random key.")] = False
+) -> None:
+    """Prints the digest of an API key or operators' token for the files."""
+    key = (secrets.token_urlsafe(32)
+           if new else typer.prompt("key", hide_input=True, err=True))
+    if new:
+        typer.echo(f"key: {key}")
+    typer.echo(f"sha256: {hashlib.sha256(key.encode()).hexdigest()}")
+
+
+async def _read(client: agent_client.AgentClient, path: str) -> typing.Any:
+    reply = await client.get(path)
+    if reply.status == http.HTTPStatus.OK:
+        return reply.parse()
+    if reply.status == http.HTTPStatus.UNAUTHORIZED:
+        raise command_error.CommandError(
+            "the operators' token is missing or wrong.",
+            "Give it with --token-file.", runtime.ExitCode.USAGE)
+    if reply.status == http.HTTPStatus.NOT_FOUND:
+        raise command_error.CommandError(
+            "there is nothing under that name.",
+            "Check it; a fleet without a configuration needs an apply first.")
+    raise command_error.CommandError(f"the agent answered {reply.status}.",
+                                     "Look at the agent's log.")
+
+
+def _load_file(path: pathlib.Path) -> configuration.Document:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        typer.echo(
+            f"{path}: can't be read: {error}. Give the path of a UTF-8 file.",
+            err=True)
+        raise typer.Exit(runtime.ExitCode.USAGE) from error
+    problems = configuration.list_document_problems(text)
+    for problem in problems:
+        _echo_problem(path, problem)
+    if problems:
+        raise typer.Exit(runtime.ExitCode.FAILED)
+    return configuration.load_document(text)
+
+
+def _echo_problem(path: pathlib.Path,
+                  problem: errors.ConfigurationError) -> None:
+    typer.echo(f"{path}:{problem.line or 1}: {problem}", err=True)
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/mustardwood/configuration/__init__.py
+++ b/mustardwood/configuration/__init__.py
@@ -4,6 +4,9 @@
 from mustardwood.configuration.document import Document
 from mustardwood.configuration.endpoint import Endpoint
 from mustardwood.configuration.endpoint_state import EndpointState
+from mustardwood.configuration.loader import dump_document
+from mustardwood.configuration.loader import list_document_problems
+from mustardwood.configuration.loader import load_document
 from mustardwood.configuration.model import Model
 from mustardwood.configuration.organisation import Organisation
 from mustardwood.configuration.request_class import RequestClass
@@ -20,4 +23,7 @@
     "RequestClass",
     "Service",
     "VersionedDocument",
+    "dump_document",
+    "list_document_problems",
+    "load_document",
 ]
--- /dev/null
+++ b/mustardwood/configuration/locator.py
@@ -0,0 +1,64 @@
+"""The place of a value in a document's text."""
+
+import re
+
+import tree_sitter
+import tree_sitter_json
+
+_LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
+_STEP = re.compile(r"\.([A-Za-z_][A-Za-z0-9_]*)|\[(\d+)\]")
+
+
+def find_line(text: str, key: str) -> int | None:
+    """Finds the line of the value that a key path names.
+
+    Args:
+        text: A document of JSON with comments.
+        key: Path of the value, as in ``$.endpoints[3].zone``.
+
+    Returns:
+        The line, from 1, of the value or of its nearest parent that is in the
+        text; None when the text has no value at all.
+
+    Examples:
+        >>> find_line('{\\n  "models": [\\n    {"name": 1}]}', "$.models[0]")
+        3
+    """
+    tree = tree_sitter.Parser(_LANGUAGE).parse(text.encode())
+    node = _find_value(tree.root_node)
+    if node is None:
+        return None
+    for name, index in _STEP.findall(key):
+        child = _find_member(node, name) if name else _find_item(
+            node, int(index))
+        if child is None:
+            break
+        node = child
+    return node.start_point.row + 1
+
+
+def _find_value(node: tree_sitter.Node) -> tree_sitter.Node | None:
+    values = _list_values(node)
+    return values[0] if values else None
+
+
+def _list_values(node: tree_sitter.Node) -> list[tree_sitter.Node]:
+    skipped = ("comment", "ERROR")
+    return [each for each in node.named_children if each.type not in skipped]
+
+
+def _find_member(node: tree_sitter.Node, name: str) -> tree_sitter.Node | None:
+    for pair in _list_values(node):
+        key = pair.child_by_field_name("key")
+        if key is not None and _read_name(key) == name:
+            return pair.child_by_field_name("value")
+    return None
+
+
+def _read_name(key: tree_sitter.Node) -> str:
+    return (key.text or b"").decode().strip("\"'")
+
+
+def _find_item(node: tree_sitter.Node, index: int) -> tree_sitter.Node | None:
+    items = _list_values(node)
+    return items[index] if index < len(items) else None
--- a/mustardwood/runtime/listener.py
+++ b/mustardwood/runtime/listener.py
@@ -18,7 +18,7 @@
         tls: settings_module.TlsFiles | None = None
 ) -> interfaces.IListeningPort:
     """Listens on an address, with TLS when `tls` is given."""
-    endpoint: interfaces.IStreamServerEndpoint
+    endpoint: typing.Any
     if tls is None:
         endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
     else:
