--- /dev/null
+++ b/mustardwood/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of decisions in virtual time."""
--- /dev/null
+++ b/mustardwood/benchmarks/tests/test_engine.py
@@ -0,0 +1,55 @@
+"""Tests of the modelled engine."""
+
+import pytest
+
+from mustardwood.benchmarks import engine
+from mustardwood.benchmarks import engine_settings
+from mustardwood.benchmarks import sequence
+from mustardwood.benchmarks import timeline
+
+_SETTINGS = engine_settings.EngineSettings(base_seconds=0.01,
+                                           slope_seconds=0.0,
+                                           chunk_tokens=100,
+                                           chunk_seconds=0.01,
+                                           batch_limit=2)
+
+
+def _run(sequences, end=100.0, crash_at=None):
+    clock = timeline.Timeline()
+    model = engine.Engine("e", _SETTINGS, clock)
+    events = []
+    for name, prompt, output, priority in sequences:
+        model.submit(
+            sequence.Sequence(name,
+                              priority,
+                              prompt,
+                              output,
+                              0,
+                              lambda name=name: events.append(
+                                  (name, "first", clock.seconds)),
+                              lambda whole, name=name: events.append(
+                                  (name, whole, clock.seconds))))
+    if crash_at is not None:
+        clock.call_at(crash_at, model.crash)
+    clock.run_until(end)
+    return model, {event[:2]: event[2] for event in events}
+
+
+def test_prefill_then_tokens_take_the_modelled_time():
+    model, events = _run([("a", 200, 11, 0)])
+    assert events["a", "first"] == pytest.approx(2 * 0.02)
+    assert events["a", True] == pytest.approx(2 * 0.02 + 10 * 0.01)
+    assert model.tokens_made == pytest.approx(11)
+
+
+def test_third_sequence_waits_for_the_batch_by_priority():
+    _, events = _run([("a", 1, 50, 1), ("b", 1, 100, 1), ("c", 1, 10, 2),
+                      ("d", 1, 10, 0)])
+    assert events["d", "first"] < events["c", "first"]
+    assert events["d", "first"] >= events["a", True]
+
+
+def test_crash_cuts_what_runs():
+    model, events = _run([("a", 100, 1000, 0)], crash_at=1.0)
+    assert events["a", False] == 1.0
+    assert model.running == 0
