--- a/mustardwood/benchmarks/engine.py
+++ b/mustardwood/benchmarks/engine.py
@@ -1,6 +1,7 @@
 """A model of an engine with continuous batching."""
 
 import collections
+import functools
 
 from mustardwood.benchmarks import engine_settings
 from mustardwood.benchmarks import sequence
@@ -119,7 +120,7 @@
         for one in sorted(done, key=lambda each: each.attempt_id):
             self._decoding.discard(one)
             self.tokens_whole += one.output_tokens
-            self._timeline.call_later(0.0, lambda one=one: one.on_end(True))
+            self._timeline.call_later(0.0, functools.partial(one.on_end, True))
 
     def _finish_prefill(self) -> None:
         if not self._prefilling or self._prefilling[0].prefill_left > _EPSILON:
--- /dev/null
+++ b/mustardwood/benchmarks/recorder.py
@@ -0,0 +1,62 @@
+"""The log of a measurement."""
+
+import collections
+
+from mustardwood.benchmarks import bench_request
+from mustardwood.benchmarks import request_record
+from mustardwood.benchmarks import timeline as timeline_module
+
+
+class Recorder:
+    """Collects what happens to requests, and counts tier inversions.
+
+    A tier inversion is the refusal of a request while one of a lower tier
+    waits for its first send.
+    """
+
+    def __init__(self, timeline: timeline_module.Timeline) -> None:
+        self.records: dict[str, request_record.RequestRecord] = {}
+        self.inversions = 0
+        self._timeline = timeline
+        self._waiting: collections.Counter[int] = collections.Counter()
+
+    def note_arrival(self, request: bench_request.BenchRequest) -> None:
+        """Notes the arrival of a request at its entry."""
+        self.records[request.request_id] = request_record.RequestRecord(request)
+        self._waiting[request.request_class.tier] += 1
+
+    def note_start(self, request: bench_request.BenchRequest) -> None:
+        """Notes that a request is sent to an engine, perhaps again."""
+        record = self.records[request.request_id]
+        if record.started is None and record.end is None:
+            record.started = self._timeline.seconds
+            self._waiting[request.request_class.tier] -= 1
+
+    def note_first(self, request: bench_request.BenchRequest) -> None:
+        """Notes a token at the caller; only the first counts."""
+        record = self.records[request.request_id]
+        if record.first is None and record.end is None:
+            record.first = self._timeline.seconds
+
+    def note_whole(self, request: bench_request.BenchRequest) -> None:
+        """Notes that the caller has the whole answer."""
+        record = self.records[request.request_id]
+        if record.end is None:
+            record.end = self._timeline.seconds
+            record.whole = True
+
+    def note_refusal(self, request: bench_request.BenchRequest) -> None:
+        """Notes the final answer that a request is not answered in full."""
+        record = self.records[request.request_id]
+        if record.end is not None:
+            return
+        record.end = self._timeline.seconds
+        if record.started is not None:
+            return
+        record.refused = True
+        tier = request.request_class.tier
+        self._waiting[tier] -= 1
+        lower = sum(
+            count for other, count in self._waiting.items() if other > tier)
+        if lower:
+            self.inversions += 1
