--- /dev/null
+++ b/mustardwood/reports/burn_window.py
@@ -0,0 +1,47 @@
+"""The burn of an error budget over one window."""
+
+import msgspec
+
+
+class BurnWindow(msgspec.Struct, frozen=True):
+    """How fast a class uses up its error budget.
+
+    Attributes:
+        name: Length of the window, as in ``1h``.
+        asked: Requests that ended in it.
+        attainment: Share of them that met their targets; 1 of none.
+        burn_rate: Share of misses over the share that the objective allows;
+            1 uses up the budget exactly.
+    """
+
+    name: str
+    asked: int
+    attainment: float
+    burn_rate: float
+
+
+def compute_window(name: str, asked: int, met: int,
+                   objective: float) -> BurnWindow:
+    """Computes the burn rate of a window [1]_.
+
+    Args:
+        name: Length of the window.
+        asked: Requests that ended in it.
+        met: Requests among them that met their targets.
+        objective: Share of requests that should.
+
+    Returns:
+        The window.
+
+    References:
+        .. [1] B. Beyer et al., "The Site Reliability Workbook", chapter 5,
+           O'Reilly, 2018.
+
+    Examples:
+        >>> window = compute_window("1h", asked=100, met=90, objective=0.95)
+        >>> round(window.burn_rate, 6)
+        2.0
+    """
+    attainment = met / asked if asked else 1.0
+    return BurnWindow(name, asked, attainment,
+                      (1.0 - attainment) / (1.0 - objective))
--- /dev/null
+++ b/mustardwood/reports/level_row.py
@@ -0,0 +1,31 @@
+"""Counts of ended requests."""
+
+import msgspec
+
+
+class LevelRow(msgspec.Struct, frozen=True):
+    """Counts of one minute, class, organisation and endpoint.
+
+    Attributes:
+        minute: Start of the minute, in minutes since 1970.
+        class_name: Request class.
+        organisation: Caller's organisation.
+        endpoint: Endpoint of the last attempt; empty when none was used.
+        asked: Requests that ended.
+        whole: Whole answers.
+        met: Whole answers that met their targets.
+        useful_tokens: Tokens of whole answers.
+        refused: Requests that ended in an error, by code.
+        wasted_tokens: Tokens that no caller got in a whole answer, by cause.
+    """
+
+    minute: int
+    class_name: str
+    organisation: str
+    endpoint: str = ""
+    asked: int = 0
+    whole: int = 0
+    met: int = 0
+    useful_tokens: int = 0
+    refused: dict[str, int] = {}
+    wasted_tokens: dict[str, int] = {}
