Add the decisions of a cell and the scheduler process

Cause: entries need one place that orders, grants and refuses the asks of a cell, and a process that runs it.

Change: the package scheduling holds the decisions as plain objects in virtual time: tiers with a floor for each class, start-time fair queueing between organisations, adaptive limits, straggler cuts, back-off, prefix affinity, suspects kept apart, and state rebuilt from heartbeats. The package scheduler connects them to the link, a timer that runs only while there is work, load reports and operators' HTTP. The operators' site imports klein late, since klein installs a reactor on import and the launcher then failed with ReactorAlreadyInstalledError.

Ruled out: installing the reactor on import of runtime, since decision cores import runtime for logs.

Result: the process test (view, grant, explain, health, planned stop) passes; it failed before the change of the operators' site.

--- a/mustardwood/runtime/operators_site.py
+++ b/mustardwood/runtime/operators_site.py
@@ -6,7 +6,6 @@
 import http
 import json
 
-import klein
 import prometheus_client
 from twisted.web import server
 
@@ -26,6 +25,8 @@
     def __init__(self, settings: settings_module.Settings,
                  registry: prometheus_client.CollectorRegistry,
                  is_ready: collections.abc.Callable[[], bool]) -> None:
+        # Importing klein installs a reactor, which the launcher must choose.
+        import klein
         self.app = klein.Klein()
         self._token_hash = settings.operators_token_hash
         self._registry = registry
--- /dev/null
+++ b/mustardwood/scheduler/daemon.py
@@ -0,0 +1,126 @@
+"""The scheduler as a process."""
+
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import server
+
+from mustardwood import messages
+from mustardwood import runtime
+from mustardwood import scheduling
+from mustardwood import settings as settings_module
+from mustardwood import timing
+from mustardwood.links import pynng_link
+from mustardwood.scheduler import cell_table
+from mustardwood.scheduler import load_poller
+from mustardwood.scheduler import message_handler
+from mustardwood.scheduler import metrics
+
+_TICK_SECONDS = 0.05
+_POLL_SECONDS = 1.0
+_STOP_SECONDS = 0.5
+"""How long late asks are still refused during a planned stop."""
+
+
+class SchedulerDaemon:
+    """Connects the decisions to the link, timers and operators' HTTP.
+
+    The timer runs only while a cell has work.
+    """
+
+    def __init__(self, settings: settings_module.Settings, reactor: typing.Any,
+                 clock: timing.Clock) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._registry = runtime.make_registry()
+        self._metrics = metrics.SchedulerMetrics(self._registry)
+        self._table = cell_table.CellTable(self._metrics)
+        self._handler = message_handler.MessageHandler(settings, clock,
+                                                       self._table)
+        self._link = pynng_link.PynngLink.from_settings(settings,
+                                                        messages.Role.SCHEDULER,
+                                                        clock)
+        self._poller = load_poller.LoadPoller(reactor, self._accept_load)
+        self._timer: typing.Any = None
+        self._next_poll = clock.monotonic().total_seconds()
+        self._port: typing.Any = None
+        self._idle_check = task.LoopingCall(self._link.close_idle)
+        self._idle_check.clock = reactor
+
+    @classmethod
+    def from_settings(cls, settings: settings_module.Settings,
+                      reactor: typing.Any,
+                      clock: timing.Clock) -> "SchedulerDaemon":
+        """Makes the process of a VM."""
+        return cls(settings, reactor, clock)
+
+    async def start(self) -> None:
+        """Starts to listen for messages and operators."""
+        site = runtime.OperatorsSite(self._settings, self._registry,
+                                     self._is_ready)
+        self._port = await runtime.listen_http(
+            self._reactor, server.Site(site.app.resource()), self._settings.ip,
+            self._settings.scheduler_operators_port)
+        self._link.set_handler(self._handle)
+        self._link.open()
+        self._idle_check.start(60.0, now=False)
+
+    async def stop(self) -> None:
+        """Hands its cells over: refuses what waits and what still comes."""
+        self._send(self._handler.stop())
+        await task.deferLater(self._reactor, _STOP_SECONDS)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._idle_check.stop()
+        self._link.close()
+        await self._poller.stop()
+        if self._port is not None:
+            await defer.maybeDeferred(self._port.stopListening)
+
+    def _is_ready(self) -> bool:
+        return self._table.version > 0
+
+    def _handle(self, envelope: messages.Envelope) -> None:
+        self._send(self._handler.handle(envelope))
+        self._schedule_tick()
+
+    def _send(self, answers: tuple[scheduling.Addressed, ...]) -> None:
+        for answer in answers:
+            self._link.send(answer.peer, answer.message)
+
+    def _schedule_tick(self) -> None:
+        if self._timer is None and any(each.has_work for each in self._table):
+            self._timer = self._reactor.callLater(_TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._send(self._handler.tick())
+        self._poll_load()
+        self._update_gauges()
+        self._schedule_tick()
+
+    def _poll_load(self) -> None:
+        now = self._clock.monotonic().total_seconds()
+        if now < self._next_poll:
+            return
+        self._next_poll = now + _POLL_SECONDS
+        for cell in self._table:
+            if not cell.has_work:
+                continue
+            for endpoint in cell.cell.endpoints:
+                if self._table.is_model_endpoint(endpoint):
+                    self._poller.poll(endpoint)
+
+    def _accept_load(self, name: str, report: scheduling.LoadReport) -> None:
+        now = self._clock.monotonic()
+        for cell in self._table:
+            if any(each.name == name for each in cell.cell.endpoints):
+                self._send(cell.accept_load(name, report, now))
+
+    def _update_gauges(self) -> None:
+        for cell in self._table:
+            self._metrics.queued.labels(cell.cell.name).set(cell.queued)
+        self._metrics.dropped.set(self._link.dropped)
--- /dev/null
+++ b/mustardwood/scheduler/load_poller.py
@@ -0,0 +1,86 @@
+"""Reading of the endpoints' load reports."""
+
+import collections.abc
+import datetime
+import typing
+
+import msgspec
+import treq
+from twisted.internet import defer
+from twisted.internet import error as internet_error
+from twisted.web import client
+
+from mustardwood import configuration
+from mustardwood import runtime
+from mustardwood import scheduling
+
+_TIMEOUT_SECONDS = 1.0
+_OK = 200
+_log = runtime.make_logger("scheduler")
+
+AcceptLoad = collections.abc.Callable[[str, scheduling.LoadReport], None]
+"""Is called with an endpoint's name and its report."""
+
+
+class _LoadBody(msgspec.Struct, frozen=True):
+    """Body of ``GET /load``.
+
+    Attributes:
+        running: Requests running there.
+        queued: Requests in its queue.
+        cached_tokens: Prompt tokens in its cache.
+        age_seconds: Age of the figures.
+    """
+
+    running: int
+    queued: int
+    cached_tokens: int = 0
+    age_seconds: float = 0.0
+
+
+class LoadPoller:
+    """Asks endpoints for their load, each at most once at a time."""
+
+    def __init__(self, reactor: typing.Any, accept: AcceptLoad) -> None:
+        self._reactor = reactor
+        self._accept = accept
+        self._pool = client.HTTPConnectionPool(reactor)
+        self._outstanding: set[str] = set()
+
+    def poll(self, endpoint: configuration.Endpoint) -> None:
+        """Starts to ask one endpoint, unless that is under way."""
+        if endpoint.name in self._outstanding:
+            return
+        self._outstanding.add(endpoint.name)
+        defer.ensureDeferred(self._poll(endpoint))
+
+    async def stop(self) -> None:
+        """Closes the connections."""
+        await self._pool.closeCachedConnections()
+
+    async def _poll(self, endpoint: configuration.Endpoint) -> None:
+        try:
+            self._accept(endpoint.name, await self._fetch(endpoint))
+        except (msgspec.MsgspecError, client.ResponseFailed,
+                client.RequestNotSent, internet_error.ConnectError,
+                internet_error.ConnectionClosed, defer.CancelledError,
+                OverflowError, ValueError) as error:
+            _log.debug("no load of endpoint %s: %s", endpoint.name, error)
+        finally:
+            self._outstanding.discard(endpoint.name)
+
+    async def _fetch(self,
+                     endpoint: configuration.Endpoint) -> scheduling.LoadReport:
+        response = await treq.get(f"{endpoint.url}/load",
+                                  timeout=_TIMEOUT_SECONDS,
+                                  pool=self._pool,
+                                  reactor=self._reactor)
+        content = treq.content(response)
+        content.addTimeout(_TIMEOUT_SECONDS, self._reactor)
+        data = await content
+        if response.code != _OK:
+            raise ValueError(f"status {response.code}")
+        body = msgspec.json.decode(data, type=_LoadBody)
+        return scheduling.LoadReport(
+            body.running, body.queued, body.cached_tokens,
+            datetime.timedelta(seconds=max(0.0, body.age_seconds)))
--- /dev/null
+++ b/mustardwood/scheduler/main.py
@@ -0,0 +1,13 @@
+"""Entry point of ``mustardwood-scheduler``."""
+
+from mustardwood import runtime
+from mustardwood.scheduler import daemon
+
+
+def main() -> None:
+    """Runs the command line."""
+    runtime.run_command("scheduler", daemon.SchedulerDaemon.from_settings)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mustardwood/scheduler/message_handler.py
@@ -0,0 +1,174 @@
+"""What a scheduler does with each message."""
+
+import datetime
+
+import msgspec
+
+from mustardwood import messages
+from mustardwood import runtime
+from mustardwood import scheduling
+from mustardwood import settings as settings_module
+from mustardwood import timing
+from mustardwood.scheduler import cell_table
+from mustardwood.scheduler import query_bodies
+
+_RETRY_AT_NEXT_OWNER = datetime.timedelta()
+_RETRY_UNKNOWN_CELL = datetime.timedelta(seconds=1)
+_EXPLANATIONS = {
+    messages.RefusalReason.STOPPING:
+        "Refused, since this scheduler stops; another VM takes over.",
+    messages.RefusalReason.UNKNOWN_CELL:
+        "Refused, since this scheduler's configuration has no such cell.",
+}
+
+_Answers = tuple[scheduling.Addressed, ...]
+_log = runtime.make_logger("scheduler")
+
+
+class MessageHandler:
+    """Passes messages to the cells that they are about; does no I/O."""
+
+    def __init__(self, settings: settings_module.Settings, clock: timing.Clock,
+                 table: cell_table.CellTable) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._table = table
+        self._incarnations: dict[messages.Peer, int] = {}
+        self._stopping = False
+
+    def handle(self, envelope: messages.Envelope) -> _Answers:
+        """Returns the answers to a message.
+
+        Messages of an earlier incarnation of their sender are passed over.
+        """
+        now = self._clock.monotonic()
+        if not self._check_incarnation(envelope, now):
+            return ()
+        sender = envelope.sender
+        match envelope.body:
+            case messages.View() as view:
+                return self._accept_view(sender, view, now)
+            case messages.Query() as query:
+                return self._answer_query(sender, query, now)
+            case messages.Ask() as ask:
+                return self._accept_ask(sender, ask, now)
+            case messages.OpenWork() as open_work:
+                return self._accept_open_work(sender, open_work, now)
+            case other:
+                return self._accept_progress(sender, other, now)
+
+    def tick(self) -> _Answers:
+        """Does what is due by time alone in the cells with work."""
+        now = self._clock.monotonic()
+        answers: _Answers = ()
+        for cell in self._table:
+            if cell.has_work:
+                answers += cell.tick(now)
+        return answers
+
+    def stop(self) -> _Answers:
+        """Refuses all that waits, and every ask from now on."""
+        self._stopping = True
+        now = self._clock.monotonic()
+        answers: _Answers = ()
+        for cell in self._table:
+            answers += cell.stop(now)
+        return answers
+
+    def _check_incarnation(self, envelope: messages.Envelope,
+                           now: datetime.timedelta) -> bool:
+        sender = envelope.sender
+        known = self._incarnations.get(sender)
+        if known is not None and envelope.incarnation < known:
+            return False
+        if known is not None and envelope.incarnation > known:
+            for cell in self._table:
+                cell.forget_entry(sender, now)
+        self._incarnations[sender] = envelope.incarnation
+        return True
+
+    def _accept_view(self, sender: messages.Peer, view: messages.View,
+                     now: datetime.timedelta) -> _Answers:
+        agent = messages.Peer(self._settings.ip, messages.Role.AGENT)
+        if sender != agent:
+            return ()
+        before = self._table.version
+        try:
+            answers = self._table.accept_view(view, now)
+        except msgspec.MsgspecError as error:
+            _log.error("configuration %d can't be read: %s", view.version,
+                       error)
+            answers = ()
+        if self._table.version != before:
+            _log.info("configuration %d is in force", self._table.version)
+        ack = messages.ViewAck(view.sequence, self._table.version)
+        return answers + (scheduling.Addressed(sender, ack),)
+
+    def _accept_ask(self, sender: messages.Peer, ask: messages.Ask,
+                    now: datetime.timedelta) -> _Answers:
+        cell = self._table.find(ask.cell)
+        if self._stopping:
+            return (_refuse(sender, ask, messages.RefusalReason.STOPPING),)
+        if cell is None:
+            return (_refuse(sender, ask, messages.RefusalReason.UNKNOWN_CELL),)
+        return cell.accept_ask(sender, ask, now)
+
+    def _accept_open_work(self, sender: messages.Peer,
+                          open_work: messages.OpenWork,
+                          now: datetime.timedelta) -> _Answers:
+        cell = self._table.find(open_work.cell)
+        if self._stopping or cell is None:
+            reason = (messages.RefusalReason.STOPPING if self._stopping else
+                      messages.RefusalReason.UNKNOWN_CELL)
+            return tuple(
+                _refuse(sender, each, reason) for each in open_work.waiting)
+        return cell.accept_open_work(sender, open_work, now)
+
+    def _accept_progress(self, sender: messages.Peer, body: messages.Message,
+                         now: datetime.timedelta) -> _Answers:
+        if not isinstance(body, messages.Withdrawal | messages.AttemptReport):
+            return ()
+        cell = self._table.find(body.cell)
+        if cell is None:
+            return ()
+        if isinstance(body, messages.Withdrawal):
+            return cell.accept_withdrawal(sender, body, now)
+        return cell.accept_report(sender, body, now)
+
+    def _answer_query(self, sender: messages.Peer, query: messages.Query,
+                      now: datetime.timedelta) -> _Answers:
+        body: msgspec.Struct
+        match query.kind:
+            case messages.QueryKind.STATUS:
+                statuses = tuple(cell.describe(now) for cell in self._table)
+                body = query_bodies.StatusBody(statuses)
+            case messages.QueryKind.EXPLAIN:
+                body = query_bodies.ExplainBody(
+                    self._explain(query.subject, now))
+            case _:
+                return ()
+        reply = messages.QueryReply(query.query_id, self._settings.vm,
+                                    msgspec.json.encode(body))
+        return (scheduling.Addressed(sender, reply),)
+
+    def _explain(self, request_id: str,
+                 now: datetime.timedelta) -> tuple[query_bodies.EventBody, ...]:
+        origin = self._clock.now() - now
+        events = [
+            event for cell in self._table for event in cell.explain(request_id)
+        ]
+        events.sort(key=lambda each: each.at)
+        return tuple(
+            query_bodies.EventBody((
+                origin + each.at).isoformat(), "scheduler", each.text)
+            for each in events)
+
+
+def _refuse(sender: messages.Peer, ask: messages.Ask,
+            reason: messages.RefusalReason) -> scheduling.Addressed:
+    retry_after = (_RETRY_UNKNOWN_CELL
+                   if reason is messages.RefusalReason.UNKNOWN_CELL else
+                   _RETRY_AT_NEXT_OWNER)
+    refusal = messages.Refusal(ask.request_id, ask.attempt, ask.cell, reason,
+                               retry_after, _EXPLANATIONS[reason])
+    return scheduling.Addressed(sender, refusal)
--- a/mustardwood/scheduling/__init__.py
+++ b/mustardwood/scheduling/__init__.py
@@ -1,1 +1,25 @@
-"""The decisions inside a cell."""
+"""The decisions inside a cell: order, limits, shedding and grants."""
+
+from mustardwood.scheduling.addressed import Addressed
+from mustardwood.scheduling.cell_scheduler import CellScheduler
+from mustardwood.scheduling.cell_scheduler import LEARNING_TIME
+from mustardwood.scheduling.entry_ledger import ENTRY_TIMEOUT
+from mustardwood.scheduling.explanation_log import ExplanationEvent
+from mustardwood.scheduling.load_report import LoadReport
+from mustardwood.scheduling.observer import NullObserver
+from mustardwood.scheduling.observer import Observer
+from mustardwood.scheduling.status import CellStatus
+from mustardwood.scheduling.status import EndpointStatus
+
+__all__ = [
+    "Addressed",
+    "CellScheduler",
+    "CellStatus",
+    "ENTRY_TIMEOUT",
+    "EndpointStatus",
+    "ExplanationEvent",
+    "LEARNING_TIME",
+    "LoadReport",
+    "NullObserver",
+    "Observer",
+]
--- /dev/null
+++ b/mustardwood/scheduling/admission.py
@@ -0,0 +1,126 @@
+"""Admission to a cell's queue, and what is shed for it."""
+
+import datetime
+
+from mustardwood import messages
+from mustardwood.scheduling import addressed
+from mustardwood.scheduling import cell_state
+from mustardwood.scheduling import refusals
+from mustardwood.scheduling import waiting_request
+
+_Waiting = waiting_request.WaitingRequest
+_Reason = messages.RefusalReason
+
+
+class Admission:
+    """Sheds the lowest tier that waits in the cell, newest first.
+
+    The queue is bounded by the sum of the classes' limits. A class over its own
+    limit takes places that lower tiers leave or hold; within a class, the
+    organisation with the longest weighted backlog gives way [1]_.
+
+    References:
+        .. [1] B. Suter, T. Lakshman, D. Stiliadis and A. Choudhury, "Buffer
+           management schemes for supporting TCP in gigabit routers with
+           per-flow queueing", IEEE JSAC 17(6), 1999.
+    """
+
+    def __init__(self, state: cell_state.CellState) -> None:
+        self._state = state
+
+    def admit(self, waiting: _Waiting,
+              now: datetime.timedelta) -> tuple[addressed.Addressed, ...]:
+        """Queues a request, or refuses it or another one.
+
+        Returns:
+            The refusals; the request is in the queue unless it is among them.
+        """
+        state = self._state
+        if not state.pool.has_usable(waiting.ask.excluded):
+            return (self._refuse(waiting, _Reason.NO_ENDPOINT, now),)
+        if self._is_too_late(waiting, now):
+            return (self._refuse(waiting, _Reason.DEADLINE, now),)
+        if self._has_place(waiting, now):
+            self._enqueue(waiting, now)
+            return ()
+        victim = self._find_victim(waiting)
+        if victim is None:
+            return (self._refuse(waiting, _Reason.QUEUE_FULL, now),)
+        state.queue.remove(victim)
+        refusal = self._refuse(victim, _Reason.DISPLACED, now)
+        self._enqueue(waiting, now)
+        return (refusal,)
+
+    def _enqueue(self, waiting: _Waiting, now: datetime.timedelta) -> None:
+        state = self._state
+        state.queue.add(waiting)
+        state.floor.record_demand(waiting.request_class.name, now)
+        state.log.record(
+            waiting.ask.request_id, now,
+            f"Queued in cell {state.cell.name} as class "
+            f"{waiting.request_class.name}, {len(state.queue)} waiting.")
+
+    def _refuse(self, waiting: _Waiting, reason: messages.RefusalReason,
+                now: datetime.timedelta) -> addressed.Addressed:
+        return refusals.refuse_request(self._state, waiting, reason, now)
+
+    def _is_too_late(self, waiting: _Waiting, now: datetime.timedelta) -> bool:
+        if waiting.deadline_at <= now:
+            return True
+        if self._has_lower_waiting(waiting.tier):
+            return False
+        delay = self._state.estimate_delay(waiting.tier, now)
+        return now + delay >= waiting.deadline_at
+
+    def _has_lower_waiting(self, tier: int) -> bool:
+        lowest = self._state.queue.find_lowest_tier()
+        return lowest is not None and lowest > tier
+
+    def _has_place(self, waiting: _Waiting, now: datetime.timedelta) -> bool:
+        state = self._state
+        name = waiting.request_class.name
+        own = state.queue.find_class(name)
+        if not own and state.floor.is_due(name, now):
+            return True
+        if len(state.queue) >= self._find_bound():
+            return False
+        if len(own) < max(1, waiting.request_class.queue_limit):
+            return True
+        return self._has_lower_waiting(waiting.tier)
+
+    def _find_bound(self) -> int:
+        return sum(
+            max(1, each.queue_limit) for each in self._state.classes.values())
+
+    def _find_victim(self, waiting: _Waiting) -> _Waiting | None:
+        queue = self._state.queue
+        lowest = queue.find_lowest_tier()
+        if lowest is None or lowest < waiting.tier:
+            return None
+        if lowest > waiting.tier:
+            return queue.find_newest(lowest)
+        return self._find_in_class(waiting) or self._find_in_tier(waiting)
+
+    def _find_in_class(self, waiting: _Waiting) -> _Waiting | None:
+        own = self._state.queue.find_class(waiting.request_class.name)
+        if not own:
+            return None
+        longest, newest = own.find_longest_backlog()
+        backlog = own.measure_backlog_with(waiting.ask.organisation,
+                                           waiting.weight)
+        return newest if longest > backlog else None
+
+    def _find_in_tier(self, waiting: _Waiting) -> _Waiting | None:
+        queue = self._state.queue
+        own = queue.find_class(waiting.request_class.name)
+        if len(own) >= max(1, waiting.request_class.queue_limit):
+            return None
+        over = [
+            queue.find_class(name).newest for name in queue.list_backlogged() if
+            queue.get_tier(name) == waiting.tier and self._is_over_limit(name)
+        ]
+        return max(over, key=lambda each: each.order, default=None)
+
+    def _is_over_limit(self, name: str) -> bool:
+        limit = self._state.find_class(name).queue_limit
+        return len(self._state.queue.find_class(name)) > limit
--- /dev/null
+++ b/mustardwood/scheduling/attempt_ends.py
@@ -0,0 +1,80 @@
+"""What is learnt from the reports of attempts."""
+
+import datetime
+
+from mustardwood import messages
+from mustardwood.scheduling import cell_state
+from mustardwood.scheduling import endpoint_record
+from mustardwood.scheduling import running_request
+from mustardwood.scheduling import waiting_request
+
+_FAILURES = (messages.Outcome.UNREACHABLE, messages.Outcome.BROKEN)
+_OVERLOADS = (messages.Outcome.REFUSED, messages.Outcome.TIMED_OUT)
+
+
+def record_first_token(state: cell_state.CellState,
+                       running: running_request.RunningRequest,
+                       report: messages.AttemptReport) -> None:
+    """Takes in the first token of an attempt."""
+    record = state.pool.find(running.endpoint)
+    if record is None or running.started:
+        return
+    running.started = True
+    record.backoff.record_success()
+    if report.first_token is not None:
+        record.first_token.record(report.first_token.total_seconds())
+
+
+def record_end(state: cell_state.CellState,
+               running: running_request.RunningRequest,
+               report: messages.AttemptReport, now: datetime.timedelta) -> None:
+    """Takes in the end of an attempt that is no longer counted."""
+    if report.outcome is messages.Outcome.WHOLE:
+        _record_length(state, running, report.output_tokens)
+    record = state.pool.find(running.endpoint)
+    if record is None:
+        return
+    if report.outcome in _FAILURES:
+        record.backoff.record_failure(now)
+    elif report.outcome in _OVERLOADS:
+        record.limit.record_over_target(now)
+    elif report.outcome is messages.Outcome.WHOLE:
+        _record_times(state, record, running, report, now)
+
+
+def end_attempt(state: cell_state.CellState, key: waiting_request.AttemptKey,
+                now: datetime.timedelta) -> running_request.RunningRequest:
+    """Ends the count of a running attempt."""
+    running = state.pool.remove(key, now)
+    state.suspects.end(running)
+    return running
+
+
+def _record_length(state: cell_state.CellState,
+                   running: running_request.RunningRequest,
+                   tokens: int) -> None:
+    state.lengths.record(running.class_name, running.organisation, tokens)
+    queue = state.queue.find_class(running.class_name)
+    queue.correct(running.organisation, tokens - running.output_tokens,
+                  running.weight)
+
+
+def _record_times(state: cell_state.CellState,
+                  record: endpoint_record.EndpointRecord,
+                  running: running_request.RunningRequest,
+                  report: messages.AttemptReport,
+                  now: datetime.timedelta) -> None:
+    record_first_token(state, running, report)
+    record.backoff.record_success()
+    request_class = state.find_class(running.class_name)
+    within = True
+    if report.first_token is not None:
+        within = report.first_token <= request_class.first_token_target
+    if report.inter_token is not None:
+        record.inter_token.record(report.inter_token.total_seconds())
+        within = within and (report.inter_token
+                             <= request_class.inter_token_target)
+    if within:
+        record.limit.record_within_target()
+    else:
+        record.limit.record_over_target(now)
--- /dev/null
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -0,0 +1,294 @@
+"""The decisions of one cell."""
+
+import collections.abc
+import datetime
+
+from mustardwood import cells
+from mustardwood import configuration
+from mustardwood import messages
+from mustardwood.scheduling import addressed
+from mustardwood.scheduling import admission
+from mustardwood.scheduling import attempt_ends
+from mustardwood.scheduling import cell_state
+from mustardwood.scheduling import dispatcher
+from mustardwood.scheduling import entry_ledger
+from mustardwood.scheduling import explanation_log
+from mustardwood.scheduling import load_report
+from mustardwood.scheduling import observer as observer_module
+from mustardwood.scheduling import refusals
+from mustardwood.scheduling import status
+from mustardwood.scheduling import straggler_detection
+from mustardwood.scheduling import takeover
+from mustardwood.scheduling import waiting_request
+
+LEARNING_TIME = datetime.timedelta(seconds=0.5)
+"""Time in which a new owner rebuilds its state and grants little."""
+
+_Answers = tuple[addressed.Addressed, ...]
+
+
+class CellScheduler:
+    """Orders, grants and refuses the asks of a cell.
+
+    It does no input or output: each method takes an event and the monotonic
+    time `now`, and returns the messages to send. Every event may come late,
+    repeated or out of order.
+    """
+
+    def __init__(self, state: cell_state.CellState) -> None:
+        self._state = state
+        self._admission = admission.Admission(state)
+        self._dispatcher = dispatcher.Dispatcher(state)
+        self._ledger = entry_ledger.EntryLedger()
+        self._stragglers = straggler_detection.StragglerDetection()
+        self._learning_until: datetime.timedelta | None = None
+        self._endpoints_changed = False
+
+    @classmethod
+    def from_config(
+            cls,
+            cell: cells.Cell,
+            document: configuration.Document,
+            observer: observer_module.Observer | None = None
+    ) -> "CellScheduler":
+        """Makes the scheduler of a cell.
+
+        Args:
+            cell: The cell.
+            document: Configuration in force.
+            observer: Counts decisions; None for no counts.
+        """
+        return cls(
+            cell_state.CellState(cell, document, observer or
+                                 observer_module.NullObserver()))
+
+    @property
+    def has_work(self) -> bool:
+        """Whether requests wait or run, so that ticks are needed."""
+        return bool(self._state.queue) or bool(self._state.pool.running)
+
+    @property
+    def queued(self) -> int:
+        """How many requests wait."""
+        return len(self._state.queue)
+
+    @property
+    def cell(self) -> cells.Cell:
+        """The cell."""
+        return self._state.cell
+
+    def accept_ask(self, sender: messages.Peer, ask: messages.Ask,
+                   now: datetime.timedelta) -> _Answers:
+        """Takes an ask in; a repeated one gets the same answer again."""
+        self._learn(now)
+        answers = self._take_ask(sender, ask, now)
+        return answers + self._dispatcher.dispatch(now)
+
+    def accept_withdrawal(self, sender: messages.Peer,
+                          withdrawal: messages.Withdrawal,
+                          now: datetime.timedelta) -> _Answers:
+        """Ends an ask or an unused grant, known or not."""
+        key = (withdrawal.request_id, withdrawal.attempt)
+        self._forget_attempt(sender, key, now)
+        self._state.memory.record(key, now)
+        return self._dispatcher.dispatch(now)
+
+    def accept_report(self, sender: messages.Peer,
+                      report: messages.AttemptReport,
+                      now: datetime.timedelta) -> _Answers:
+        """Takes in an attempt's first token or its end."""
+        key = (report.request_id, report.attempt)
+        running = self._state.pool.running.get(key)
+        if report.outcome is None:
+            if running is not None:
+                attempt_ends.record_first_token(self._state, running, report)
+            return ()
+        self._forget_attempt(sender, key, now)
+        self._state.memory.record(key, now)
+        if running is not None:
+            attempt_ends.record_end(self._state, running, report, now)
+        return self._dispatcher.dispatch(now)
+
+    def accept_open_work(self, sender: messages.Peer,
+                         open_work: messages.OpenWork,
+                         now: datetime.timedelta) -> _Answers:
+        """Reconciles the state with an entry's heartbeat, and answers it."""
+        self._learn(now)
+        answers: _Answers = ()
+        if self._ledger.accept_heartbeat(sender, open_work.sequence, now):
+            self._forget_missing(sender, open_work, now)
+            for attempt in open_work.running:
+                self._take_running(sender, attempt, now)
+            for ask in open_work.waiting:
+                answers += self._take_ask(sender, ask, now)
+        self._learn(now)
+        answers += self._dispatcher.dispatch(now)
+        reply = messages.OpenWorkReply(self._state.cell.name,
+                                       open_work.sequence,
+                                       self._state.estimate_queue_delay(now),
+                                       self._state.pool.learning)
+        return answers + (addressed.Addressed(sender, reply),)
+
+    def accept_load(self, endpoint_name: str, load: load_report.LoadReport,
+                    now: datetime.timedelta) -> _Answers:
+        """Takes in an endpoint's own report of its load."""
+        record = self._state.pool.find(endpoint_name)
+        if record is not None:
+            record.foreign.record_report(load, now)
+        return self._dispatcher.dispatch(now)
+
+    def update_cell(self, cell: cells.Cell, document: configuration.Document,
+                    now: datetime.timedelta) -> _Answers:
+        """Puts a changed configuration in force."""
+        self._state.update(cell, document)
+        self._endpoints_changed = True
+        return self._refuse_stranded(now) + self._dispatcher.dispatch(now)
+
+    def set_leaving(self,
+                    endpoint_names: collections.abc.Iterable[str]) -> _Answers:
+        """Stops grants to the endpoints that the platform lists as leaving."""
+        self._state.pool.set_leaving(endpoint_names)
+        self._endpoints_changed = True
+        return ()
+
+    def set_suspects(self,
+                     fingerprints: collections.abc.Iterable[str]) -> _Answers:
+        """Sets the fingerprints that may crash endpoints."""
+        self._state.suspects.set_named(fingerprints)
+        return ()
+
+    def tick(self, now: datetime.timedelta) -> _Answers:
+        """Does what is due by time alone; call it 20 times a second."""
+        self._learn(now)
+        for sender in self._ledger.find_silent(now):
+            self.forget_entry(sender, now)
+        self._stragglers.check(self._state.pool, now)
+        answers = self._expire(now) + self._refuse_stranded(now)
+        return answers + self._dispatcher.dispatch(now)
+
+    def forget_entry(self, sender: messages.Peer,
+                     now: datetime.timedelta) -> None:
+        """Forgets all work of an entry that is gone or was restarted."""
+        for key in self._ledger.forget(sender):
+            self._forget_attempt(sender, key, now)
+
+    def stop(self, now: datetime.timedelta) -> _Answers:
+        """Refuses all that waits, so that entries ask the next owner."""
+        return tuple(
+            self._refuse_waiting(each, messages.RefusalReason.STOPPING, now)
+            for each in self._state.queue)
+
+    def describe(self, now: datetime.timedelta) -> status.CellStatus:
+        """Returns the status of the cell."""
+        state = self._state
+        endpoints = tuple(
+            status.EndpointStatus(each.name, len(
+                each.running), each.find_limit(now), each.describe_state(now))
+            for each in state.pool)
+        delay = state.estimate_queue_delay(now).total_seconds()
+        return status.CellStatus(state.cell.name, len(state.queue),
+                                 len(state.pool.running), delay, endpoints)
+
+    def explain(
+            self,
+            request_id: str) -> tuple[explanation_log.ExplanationEvent, ...]:
+        """Returns the decisions about a request, oldest first."""
+        return self._state.log.find(request_id)
+
+    def _learn(self, now: datetime.timedelta) -> None:
+        if self._learning_until is None:
+            self._learning_until = now + LEARNING_TIME
+        self._state.pool.learning = now < self._learning_until
+
+    def _take_ask(self, sender: messages.Peer, ask: messages.Ask,
+                  now: datetime.timedelta) -> _Answers:
+        state = self._state
+        key = (ask.request_id, ask.attempt)
+        running = state.pool.running.get(key)
+        if running is not None:
+            if running.grant is None:
+                return ()
+            return (addressed.Addressed(sender, running.grant),)
+        if state.queue.find(key) is not None:
+            return ()
+        if key in state.memory:
+            refusal = state.memory.find_refusal(key)
+            if refusal is None:
+                return ()
+            return (addressed.Addressed(sender, refusal),)
+        waiting = state.make_waiting(sender, ask, now)
+        state.reserve.record_arrival(waiting.request_class.name, now)
+        if ask.suspect:
+            state.suspects.record(ask.fingerprint, now)
+        self._ledger.record_work(sender, key, now)
+        refused = self._admission.admit(waiting, now)
+        for each in refused:
+            self._ledger.end_work(each.peer, _get_key(each))
+        return refused
+
+    def _take_running(self, sender: messages.Peer,
+                      attempt: messages.RunningAttempt,
+                      now: datetime.timedelta) -> None:
+        state = self._state
+        key = (attempt.request_id, attempt.attempt)
+        if key in state.pool.running or key in state.memory:
+            return
+        waiting = state.queue.find(key)
+        if waiting is not None:
+            state.queue.remove(waiting)
+        else:
+            self._learning_until = now + LEARNING_TIME
+        takeover.take_over_attempt(state, sender, attempt, now)
+        self._ledger.record_work(sender, key, now)
+
+    def _forget_missing(self, sender: messages.Peer,
+                        open_work: messages.OpenWork,
+                        now: datetime.timedelta) -> None:
+        listed = {(each.request_id, each.attempt)
+                  for each in open_work.waiting + open_work.running}
+        for key in self._ledger.find_missing(sender, listed, now):
+            self._forget_attempt(sender, key, now)
+            self._state.memory.record(key, now)
+
+    def _forget_attempt(self, sender: messages.Peer,
+                        key: waiting_request.AttemptKey,
+                        now: datetime.timedelta) -> None:
+        state = self._state
+        waiting = state.queue.find(key)
+        if waiting is not None:
+            state.queue.remove(waiting)
+        if key in state.pool.running:
+            attempt_ends.end_attempt(state, key, now)
+        self._ledger.end_work(sender, key)
+
+    def _refuse_waiting(self, waiting: waiting_request.WaitingRequest,
+                        reason: messages.RefusalReason,
+                        now: datetime.timedelta) -> addressed.Addressed:
+        self._state.queue.remove(waiting)
+        self._ledger.end_work(waiting.sender, waiting.key)
+        return refusals.refuse_request(self._state, waiting, reason, now)
+
+    def _expire(self, now: datetime.timedelta) -> _Answers:
+        answers: list[addressed.Addressed] = []
+        while (waiting := self._state.queue.find_expired(now)) is not None:
+            answers.append(
+                self._refuse_waiting(waiting, messages.RefusalReason.DEADLINE,
+                                     now))
+        return tuple(answers)
+
+    def _refuse_stranded(self, now: datetime.timedelta) -> _Answers:
+        if not self._endpoints_changed:
+            return ()
+        self._endpoints_changed = False
+        stranded = [
+            each for each in self._state.queue
+            if not self._state.pool.has_usable(each.ask.excluded)
+        ]
+        return tuple(
+            self._refuse_waiting(each, messages.RefusalReason.NO_ENDPOINT, now)
+            for each in stranded)
+
+
+def _get_key(answer: addressed.Addressed) -> waiting_request.AttemptKey:
+    assert isinstance(answer.message, messages.Refusal)
+    return answer.message.request_id, answer.message.attempt
--- /dev/null
+++ b/mustardwood/scheduling/class_floor.py
@@ -0,0 +1,128 @@
+"""The share of grants that every class is sure of."""
+
+import collections.abc
+import dataclasses
+import datetime
+
+from mustardwood import configuration
+
+_LARGEST_SUM = 0.5
+"""Largest share of all grants that the floors may take together."""
+_LARGEST_CREDIT = 2.0
+"""Grants that a class can be owed at most."""
+_STARVATION_SHARE = 0.5
+"""Share of the bound on waiting after which a class goes first."""
+_DEMAND_MEMORY = datetime.timedelta(seconds=5)
+"""How long a refused arrival counts as demand."""
+
+
+@dataclasses.dataclass
+class _Account:
+    """What a class is owed.
+
+    Attributes:
+        floor: Share of the grants.
+        max_wait: Bound on the time without a grant.
+        credit: Grants owed.
+        since: Start of the demand that was not served; None without demand.
+        refused_at: When an arrival of the class was last turned away.
+    """
+
+    floor: float
+    max_wait: datetime.timedelta
+    credit: float = 0.0
+    since: datetime.timedelta | None = None
+    refused_at: datetime.timedelta | None = None
+
+
+class ClassFloor:
+    """Keeps the floor and the bound on waiting of each class.
+
+    A class earns its floor with each grant of the cell while it has demand:
+    requests that wait, or that were turned away a moment ago.
+    """
+
+    def __init__(
+            self, classes: collections.abc.Iterable[configuration.RequestClass]
+    ) -> None:
+        self._accounts: dict[str, _Account] = {}
+        self.update(classes)
+
+    def update(
+            self, classes: collections.abc.Iterable[configuration.RequestClass]
+    ) -> None:
+        """Puts changed classes in force."""
+        classes = tuple(classes)
+        total = sum(each.floor for each in classes)
+        scale = min(1.0, _LARGEST_SUM / total) if total > 0 else 1.0
+        previous = self._accounts
+        self._accounts = {}
+        for each in classes:
+            account = previous.get(each.name)
+            if account is None:
+                account = _Account(0.0, each.max_wait)
+            account.floor = each.floor * scale
+            account.max_wait = each.max_wait
+            self._accounts[each.name] = account
+
+    def record_demand(self, name: str, now: datetime.timedelta) -> None:
+        """Notes that a request of the class waits."""
+        account = self._accounts.get(name)
+        if account is not None and account.since is None:
+            account.since = now
+
+    def record_refusal(self, name: str, now: datetime.timedelta) -> None:
+        """Notes that a request of the class was turned away."""
+        self.record_demand(name, now)
+        if name in self._accounts:
+            self._accounts[name].refused_at = now
+
+    def record_grant(self, name: str, now: datetime.timedelta,
+                     backlogged: collections.abc.Container[str]) -> None:
+        """Accounts for a grant to a class.
+
+        Args:
+            name: The class.
+            now: The time.
+            backlogged: The classes that have waiting requests after it.
+        """
+        for other, account in self._accounts.items():
+            if other in backlogged or self._was_refused(account, now):
+                account.credit = min(account.credit + account.floor,
+                                     _LARGEST_CREDIT)
+            elif other != name:
+                account.since = None
+        own = self._accounts.get(name)
+        if own is not None:
+            own.credit = max(0.0, own.credit - 1.0)
+            own.since = now if name in backlogged else None
+            own.refused_at = None
+
+    def is_due(self, name: str, now: datetime.timedelta) -> bool:
+        """Returns whether a class goes before the order of tiers."""
+        account = self._accounts.get(name)
+        if account is None or account.since is None:
+            return False
+        if account.credit >= 1.0:
+            return True
+        return now - account.since >= account.max_wait * _STARVATION_SHARE
+
+    def find_held(self, now: datetime.timedelta,
+                  backlogged: collections.abc.Container[str]) -> str | None:
+        """Returns a due class that was turned away and has none waiting.
+
+        A free slot is held for its next request, which then never has to wait
+        in a queue that is full of higher tiers.
+        """
+        held = [
+            (account.since, name)
+            for name, account in self._accounts.items()
+            if name not in backlogged and self._was_refused(account, now) and
+            account.since is not None and self.is_due(name, now)
+        ]
+        return min(held)[1] if held else None
+
+    def _was_refused(self, account: _Account, now: datetime.timedelta) -> bool:
+        if account.refused_at is None:
+            return False
+        return now - account.refused_at <= _DEMAND_MEMORY
--- /dev/null
+++ b/mustardwood/scheduling/endpoint_pool.py
@@ -0,0 +1,94 @@
+"""The endpoints of a cell and the attempts that run on them."""
+
+import collections.abc
+import datetime
+
+from mustardwood import cells
+from mustardwood import configuration
+from mustardwood.scheduling import endpoint_record
+from mustardwood.scheduling import running_request
+from mustardwood.scheduling import waiting_request
+
+_Record = endpoint_record.EndpointRecord
+
+
+class EndpointPool:
+    """Finds attempts by key and endpoints by name."""
+
+    def __init__(self, cell: cells.Cell) -> None:
+        self._records: dict[str, _Record] = {}
+        self._running: dict[waiting_request.AttemptKey,
+                            running_request.RunningRequest] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self.learning = False
+        self.update(cell)
+
+    def __iter__(self) -> collections.abc.Iterator[_Record]:
+        return iter(self._records.values())
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def running(
+        self
+    ) -> collections.abc.Mapping[waiting_request.AttemptKey,
+                                 running_request.RunningRequest]:
+        """All attempts that run, by key."""
+        return self._running
+
+    def find(self, name: str) -> _Record | None:
+        """Returns the record of an endpoint."""
+        return self._records.get(name)
+
+    def update(self, cell: cells.Cell) -> None:
+        """Puts changed endpoints in force; attempts stay counted."""
+        previous = self._records
+        self._records = {}
+        for endpoint in cell.endpoints:
+            record = previous.get(endpoint.name)
+            if record is None:
+                record = _Record(endpoint)
+            record.endpoint = endpoint
+            record.limit.set_bound(endpoint.concurrency)
+            self._records[endpoint.name] = record
+        self._mark_leaving()
+
+    def set_leaving(self, names: collections.abc.Iterable[str]) -> None:
+        """Marks the endpoints that the platform lists as leaving."""
+        self._leaving = frozenset(names)
+        self._mark_leaving()
+
+    def add(self, request: running_request.RunningRequest,
+            now: datetime.timedelta) -> None:
+        """Counts an attempt."""
+        self._running[request.key] = request
+        record = self._records.get(request.endpoint)
+        if record is not None:
+            record.add(request, now)
+
+    def remove(self, key: waiting_request.AttemptKey,
+               now: datetime.timedelta) -> running_request.RunningRequest:
+        """Ends the count of an attempt."""
+        request = self._running.pop(key)
+        record = self._records.get(request.endpoint)
+        if record is not None and key in record.running:
+            record.remove(request, now)
+        return request
+
+    def count_free(self, now: datetime.timedelta) -> int:
+        """Returns how many more attempts may start in the cell."""
+        return sum(
+            each.count_free(now, learning=self.learning)
+            for each in self._records.values())
+
+    def has_usable(self, excluded: collections.abc.Container[str]) -> bool:
+        """Returns whether an endpoint stays that is not leaving."""
+        return any(not each.leaving and each.name not in excluded
+                   for each in self._records.values())
+
+    def _mark_leaving(self) -> None:
+        for name, record in self._records.items():
+            state = record.endpoint.state
+            record.leaving = (name in self._leaving or
+                              state is configuration.EndpointState.LEAVING)
--- /dev/null
+++ b/mustardwood/scheduling/explanation_log.py
@@ -0,0 +1,45 @@
+"""What was decided about recent requests."""
+
+import collections
+import datetime
+
+import msgspec
+
+_REQUESTS = 2000
+_EVENTS = 20
+
+
+class ExplanationEvent(msgspec.Struct, frozen=True):
+    """One decision.
+
+    Attributes:
+        at: Monotonic time of the decision.
+        text: One sentence.
+    """
+
+    at: datetime.timedelta
+    text: str
+
+
+class ExplanationLog:
+    """Keeps the last decisions about the most recent requests."""
+
+    def __init__(self) -> None:
+        self._events: collections.OrderedDict[
+            str,
+            collections.deque[ExplanationEvent]] = collections.OrderedDict()
+
+    def record(self, request_id: str, now: datetime.timedelta,
+               text: str) -> None:
+        """Adds a decision about a request."""
+        events = self._events.get(request_id)
+        if events is None:
+            events = collections.deque(maxlen=_EVENTS)
+            self._events[request_id] = events
+            if len(self._events) > _REQUESTS:
+                self._events.popitem(last=False)
+        events.append(ExplanationEvent(now, text))
+
+    def find(self, request_id: str) -> tuple[ExplanationEvent, ...]:
+        """Returns the decisions about a request, oldest first."""
+        return tuple(self._events.get(request_id, ()))
--- /dev/null
+++ b/mustardwood/scheduling/fair_share.py
@@ -0,0 +1,44 @@
+"""Weighted shares of organisations within a class."""
+
+
+class FairShare:
+    """Start-time fair queueing over organisations, in tokens [1]_.
+
+    The tag of an organisation is the virtual start time of its next request.
+
+    Examples:
+        >>> share = FairShare()
+        >>> share.charge("a", cost=100.0, weight=1.0)
+        >>> share.activate("b")
+        >>> share.tag("b") < share.tag("a")
+        True
+
+    References:
+        .. [1] P. Goyal, H. Vin and H. Cheng, "Start-time fair queueing: a
+           scheduling algorithm for integrated services packet switching
+           networks", IEEE/ACM Transactions on Networking 5(5), 1997.
+    """
+
+    def __init__(self) -> None:
+        self._virtual_time = 0.0
+        self._tags: dict[str, float] = {}
+
+    def tag(self, organisation: str) -> float:
+        """Returns the virtual start time of the organisation's next request."""
+        return self._tags.get(organisation, self._virtual_time)
+
+    def activate(self, organisation: str) -> None:
+        """Starts a backlog: time without one earns no credit."""
+        self._tags[organisation] = max(self.tag(organisation),
+                                       self._virtual_time)
+
+    def charge(self, organisation: str, cost: float, weight: float) -> None:
+        """Accounts for a grant of `cost` tokens."""
+        start = self.tag(organisation)
+        self._virtual_time = max(self._virtual_time, start)
+        self._tags[organisation] = start + cost / weight
+
+    def correct(self, organisation: str, difference: float,
+                weight: float) -> None:
+        """Adds actual minus expected tokens of a finished request."""
+        self._tags[organisation] = self.tag(organisation) + difference / weight
--- /dev/null
+++ b/mustardwood/scheduling/length_estimate.py
@@ -0,0 +1,43 @@
+"""Estimates of the length of answers."""
+
+from mustardwood import configuration
+
+_SMOOTHING = 0.1
+"""Weight of a new sample in the moving average."""
+
+
+class LengthEstimate:
+    """Exponentially weighted mean length by class and organisation.
+
+    A class's own mean stands in until an organisation has finished work.
+    """
+
+    def __init__(self) -> None:
+        self._means: dict[tuple[str, str], float] = {}
+
+    def record(self, class_name: str, organisation: str, tokens: int) -> None:
+        """Takes in the length of a whole answer, in tokens."""
+        for key in ((class_name, organisation), (class_name, "")):
+            mean = self._means.get(key, float(tokens))
+            self._means[key] = mean + _SMOOTHING * (tokens - mean)
+
+    def estimate(self,
+                 request_class: configuration.RequestClass,
+                 organisation: str = "",
+                 max_tokens: int | None = None) -> float:
+        """Returns the expected length of an answer, in tokens.
+
+        Args:
+            request_class: Class of the request.
+            organisation: Organisation; empty for the class's mean.
+            max_tokens: Bound on the length, if there is one.
+        """
+        name = request_class.name
+        mean = self._means.get((name, organisation))
+        if mean is None:
+            mean = self._means.get((name, ""))
+        if mean is None:
+            mean = float(request_class.expected_output_tokens)
+        if max_tokens is None or max_tokens <= 0:
+            return mean
+        return min(mean, float(max_tokens))
--- /dev/null
+++ b/mustardwood/scheduling/refusals.py
@@ -0,0 +1,42 @@
+"""The making of refusals."""
+
+import datetime
+
+from mustardwood import messages
+from mustardwood.scheduling import addressed
+from mustardwood.scheduling import cell_state
+from mustardwood.scheduling import waiting_request
+
+_EXPLANATIONS = {
+    messages.RefusalReason.QUEUE_FULL:
+        "the queue of cell {cell} is full of requests of tier {tier} or a "
+        "higher one",
+    messages.RefusalReason.DISPLACED:
+        "a request that goes first took its place in the full queue of cell "
+        "{cell}",
+    messages.RefusalReason.DEADLINE:
+        "cell {cell} can't serve it before its deadline",
+    messages.RefusalReason.NO_ENDPOINT:
+        "no endpoint of cell {cell} is left that may run it",
+    messages.RefusalReason.STOPPING:
+        "the scheduler of cell {cell} stops; another VM takes over",
+}
+
+
+def refuse_request(state: cell_state.CellState,
+                   waiting: waiting_request.WaitingRequest,
+                   reason: messages.RefusalReason,
+                   now: datetime.timedelta) -> addressed.Addressed:
+    """Makes, remembers and counts the refusal of a request not queued."""
+    ask = waiting.ask
+    sentence = _EXPLANATIONS[reason].format(cell=state.cell.name,
+                                            tier=waiting.tier)
+    ahead = max(1, state.queue.count_ahead(waiting.tier))
+    refusal = messages.Refusal(ask.request_id, ask.attempt, ask.cell, reason,
+                               state.drain.estimate_retry(ahead, now),
+                               f"Refused, since {sentence}.")
+    state.memory.record(waiting.key, now, refusal)
+    state.log.record(ask.request_id, now, refusal.explanation)
+    state.observer.record_refusal(waiting.request_class.name, reason)
+    state.floor.record_refusal(waiting.request_class.name, now)
+    return addressed.Addressed(waiting.sender, refusal)
--- /dev/null
+++ b/mustardwood/scheduling/takeover.py
@@ -0,0 +1,33 @@
+"""Attempts taken over from an earlier owner."""
+
+import datetime
+
+from mustardwood import messages
+from mustardwood.scheduling import cell_state
+from mustardwood.scheduling import running_request
+
+
+def take_over_attempt(state: cell_state.CellState, sender: messages.Peer,
+                      attempt: messages.RunningAttempt,
+                      now: datetime.timedelta) -> None:
+    """Counts an attempt that somebody else granted."""
+    request_class = state.find_class(attempt.class_name)
+    tokens = state.lengths.estimate(request_class, attempt.organisation)
+    running = running_request.RunningRequest(
+        key=(attempt.request_id, attempt.attempt),
+        sender=sender,
+        endpoint=attempt.endpoint,
+        class_name=request_class.name,
+        organisation=attempt.organisation,
+        weight=state.find_weight(attempt.organisation),
+        output_tokens=max(1.0, tokens - attempt.output_tokens),
+        granted_at=now,
+        fingerprint=attempt.fingerprint,
+        suspect=attempt.suspect,
+        started=attempt.output_tokens > 0)
+    state.pool.add(running, now)
+    state.suspects.start(running)
+    if attempt.suspect:
+        state.suspects.record(attempt.fingerprint, now)
+    state.log.record(attempt.request_id, now,
+                     f"Taken over while running on {attempt.endpoint}.")
