--- a/mustardwood/benchmarks/engine.py
+++ b/mustardwood/benchmarks/engine.py
@@ -72,6 +72,7 @@
         self._prefixes.clear()
         self._generation += 1
         for one in cut:
+            self._count_tokens(one)
             one.on_end(False)
 
     def slow_down(self, factor: float) -> None:
@@ -160,6 +161,10 @@
             return None
         return max(min(steps), 0.0) * self._step_seconds()
 
+    def _count_tokens(self, one: sequence.Sequence) -> None:
+        if one.is_decoding:
+            one.tokens_done = 1 + int(self._mark - one.start_mark)
+
     def _drop(self, one: sequence.Sequence) -> None:
         self._decoding.discard(one)
         for group in (self._prefilling, self._waiting):
--- a/mustardwood/benchmarks/sequence.py
+++ b/mustardwood/benchmarks/sequence.py
@@ -20,6 +20,7 @@
         finish_mark: Engine's token counter at which the answer is whole.
         start_mark: Engine's token counter at the first token.
         is_decoding: Whether the first token has come.
+        tokens_done: Tokens generated when the attempt was cut.
     """
 
     attempt_id: str
@@ -33,3 +34,4 @@
     finish_mark: float = 0.0
     start_mark: float = 0.0
     is_decoding: bool = False
+    tokens_done: int = 0
