--- a/mustardwood/scheduling/admission.py
+++ b/mustardwood/scheduling/admission.py
@@ -69,6 +69,8 @@
             return True
         if self._has_lower_waiting(waiting.tier):
             return False
+        if self._is_owed(waiting, now):
+            return False
         delay = self._state.estimate_delay(waiting.tier, now)
         return now + delay >= waiting.deadline_at
 
@@ -76,14 +78,19 @@
         lowest = self._state.queue.find_lowest_tier()
         return lowest is not None and lowest > tier
 
-    def _has_place(self, waiting: _Waiting, now: datetime.timedelta) -> bool:
+    def _is_owed(self, waiting: _Waiting, now: datetime.timedelta) -> bool:
         state = self._state
         name = waiting.request_class.name
-        own = state.queue.find_class(name)
-        if not own and state.floor.is_due(name, now):
+        return (not state.queue.find_class(name) and
+                state.floor.is_due(name, now))
+
+    def _has_place(self, waiting: _Waiting, now: datetime.timedelta) -> bool:
+        if self._is_owed(waiting, now):
             return True
-        if len(state.queue) >= self._find_bound():
+        queue = self._state.queue
+        if len(queue) >= self._find_bound():
             return False
+        own = queue.find_class(waiting.request_class.name)
         if len(own) < max(1, waiting.request_class.queue_limit):
             return True
         return self._has_lower_waiting(waiting.tier)
