Judge stragglers and limits by the pace of tokens at the endpoint's load

The time to the first token was compared between endpoints, but it follows the prompts, and each miss of any target lowered the limit. Change: a line through the time between tokens over running attempts tells what is usual in the cell; a straggler is slow against that. The limit follows the time between tokens only. Short and long-lasting answers weigh less.

--- a/mustardwood/benchmarks/bench_entry.py
+++ b/mustardwood/benchmarks/bench_entry.py
@@ -131,8 +131,7 @@
             return
         assert one.sequence is not None
         if whole:
-            self._send(self._vm,
-                       self._make_report(one, messages.Outcome.WHOLE))
+            self._send(self._vm, self._make_report(one, messages.Outcome.WHOLE))
             self._finish(one)
             self._world.recorder.note_whole(one.request)
             return
@@ -167,9 +166,8 @@
         self._world.recorder.note_refusal(one.request)
         if one.sequence is None:
             request_id = one.request.request_id
-            self._send(
-                self._vm,
-                messages.Withdrawal(request_id, one.attempt, self._cell))
+            self._send(self._vm,
+                       messages.Withdrawal(request_id, one.attempt, self._cell))
         else:
             self._world.engines[one.endpoint].cancel(one.sequence)
             self._send(self._vm,
--- a/mustardwood/scheduling/attempt_ends.py
+++ b/mustardwood/scheduling/attempt_ends.py
@@ -5,6 +5,7 @@
 from mustardwood import messages
 from mustardwood.scheduling import cell_state
 from mustardwood.scheduling import endpoint_record
+from mustardwood.scheduling import pace_sample
 from mustardwood.scheduling import running_request
 from mustardwood.scheduling import waiting_request
 
@@ -14,15 +15,14 @@
 
 def record_first_token(state: cell_state.CellState,
                        running: running_request.RunningRequest,
-                       report: messages.AttemptReport) -> None:
+                       now: datetime.timedelta) -> None:
     """Takes in the first token of an attempt."""
     record = state.pool.find(running.endpoint)
     if record is None or running.started:
         return
     running.started = True
     record.backoff.record_success()
-    if report.first_token is not None:
-        record.first_token.record(report.first_token.total_seconds())
+    record.started_at = now
 
 
 def record_end(state: cell_state.CellState,
@@ -37,7 +37,7 @@
     if report.outcome in _FAILURES:
         record.backoff.record_failure(now)
     elif report.outcome in _OVERLOADS:
-        record.limit.record_over_target(now)
+        record.limit.record_overload(now)
     elif report.outcome is messages.Outcome.WHOLE:
         _record_times(state, record, running, report, now)
 
@@ -64,17 +64,16 @@
                   running: running_request.RunningRequest,
                   report: messages.AttemptReport,
                   now: datetime.timedelta) -> None:
-    record_first_token(state, running, report)
+    record_first_token(state, running, now)
     record.backoff.record_success()
+    if report.inter_token is None or report.output_tokens <= 0:
+        return
     request_class = state.find_class(running.class_name)
-    within = True
-    if report.first_token is not None:
-        within = report.first_token <= request_class.first_token_target
-    if report.inter_token is not None:
-        record.inter_token.record(report.inter_token.total_seconds())
-        within = within and (report.inter_token
-                             <= request_class.inter_token_target)
-    if within:
-        record.limit.record_within_target()
-    else:
-        record.limit.record_over_target(now)
+    sample = pace_sample.PaceSample(
+        seconds=report.inter_token.total_seconds(),
+        target_seconds=request_class.inter_token_seconds,
+        tokens=report.output_tokens,
+        running=len(record.running) + 1)
+    record.record_pace(sample, state.pool.pace.predict(sample.running))
+    record.limit.record_pace(sample, now)
+    state.pool.pace.record(sample)
--- a/mustardwood/scheduling/cell_scheduler.py
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -101,7 +101,7 @@
         running = self._state.pool.running.get(key)
         if report.outcome is None:
             if running is not None:
-                attempt_ends.record_first_token(self._state, running, report)
+                attempt_ends.record_first_token(self._state, running, now)
             return ()
         self._forget_attempt(sender, key, now)
         self._state.memory.record(key, now)
--- a/mustardwood/scheduling/endpoint_pool.py
+++ b/mustardwood/scheduling/endpoint_pool.py
@@ -6,6 +6,7 @@
 from mustardwood import cells
 from mustardwood import configuration
 from mustardwood.scheduling import endpoint_record
+from mustardwood.scheduling import pace_model
 from mustardwood.scheduling import running_request
 from mustardwood.scheduling import waiting_request
 
@@ -13,7 +14,12 @@
 
 
 class EndpointPool:
-    """Finds attempts by key and endpoints by name."""
+    """Finds attempts by key and endpoints by name.
+
+    Attributes:
+        learning: Whether the owner is still rebuilding its state.
+        pace: The usual time between tokens by load.
+    """
 
     def __init__(self, cell: cells.Cell) -> None:
         self._records: dict[str, _Record] = {}
@@ -21,6 +27,7 @@
                             running_request.RunningRequest] = {}
         self._leaving: frozenset[str] = frozenset()
         self.learning = False
+        self.pace = pace_model.PaceModel()
         self.update(cell)
 
     def __iter__(self) -> collections.abc.Iterator[_Record]:
--- a/mustardwood/scheduling/endpoint_record.py
+++ b/mustardwood/scheduling/endpoint_record.py
@@ -8,6 +8,7 @@
 from mustardwood.scheduling import concurrency_limit
 from mustardwood.scheduling import foreign_work
 from mustardwood.scheduling import moving_average
+from mustardwood.scheduling import pace_sample
 from mustardwood.scheduling import running_request
 from mustardwood.scheduling import waiting_request
 
@@ -23,7 +24,8 @@
         limit: Its adaptive concurrency limit.
         backoff: Its back-off after failures.
         foreign: Work there that this scheduler did not grant.
-        first_token: Mean seconds from the send to the first token.
+        slowness: Mean of its time between tokens over the usual one.
+        started_at: When an attempt's first token last came.
         inter_token: Mean seconds between tokens.
         leaving: Whether it gets no new work.
         straggling: Whether it is slow compared with the cell.
@@ -36,7 +38,8 @@
         self.limit = concurrency_limit.ConcurrencyLimit(endpoint.concurrency)
         self.backoff = backoff.Backoff()
         self.foreign = foreign_work.ForeignWork()
-        self.first_token = moving_average.MovingAverage(_SMOOTHING)
+        self.slowness = moving_average.MovingAverage(_SMOOTHING)
+        self.started_at = datetime.timedelta()
         self.inter_token = moving_average.MovingAverage(_SMOOTHING)
         self.leaving = False
         self.straggling = False
@@ -69,6 +72,19 @@
         self._tokens = max(0.0, self._tokens - request.output_tokens)
         self.foreign.record_own(len(self.running), now)
 
+    def record_pace(self, sample: pace_sample.PaceSample,
+                    usual_seconds: float | None) -> None:
+        """Takes in the pace of a whole answer.
+
+        Args:
+            sample: The pace.
+            usual_seconds: Usual time between tokens in this cell at the same
+                load; None while unknown.
+        """
+        self.inter_token.record(sample.seconds, sample.trust)
+        if usual_seconds:
+            self.slowness.record(sample.seconds / usual_seconds, sample.trust)
+
     def count_classes(self, names: frozenset[str]) -> int:
         """Returns how many attempts belong to some classes."""
         return sum(self._classes[name] for name in names)
--- a/mustardwood/scheduling/straggler_detection.py
+++ b/mustardwood/scheduling/straggler_detection.py
@@ -5,13 +5,11 @@
 
 from mustardwood.scheduling import endpoint_pool
 from mustardwood.scheduling import endpoint_record
-from mustardwood.scheduling import moving_average
 
-_SLOW_FACTOR = 2.0
-"""Times of the median from which on an endpoint is a straggler."""
-_STALL_FACTOR = 4.0
-"""Times of the median first token after which an attempt is stalled."""
-_SHORTEST_STALL = datetime.timedelta(seconds=1)
+_SLOW_FACTOR = 1.8
+"""Times of the median slowness from which on an endpoint is a straggler."""
+_STALL_TIME = datetime.timedelta(seconds=3)
+"""Time without any first token after which a waiting attempt is stalled."""
 _FEWEST_SAMPLES = 5
 _FEWEST_ENDPOINTS = 3
 _INTERVAL = datetime.timedelta(seconds=1)
@@ -20,7 +18,9 @@
 
 
 class StragglerDetection:
-    """Compares each endpoint's times with the median of the cell.
+    """Compares each endpoint's pace with the median of the cell.
+
+    The pace is taken relative to what is usual at the endpoint's load.
 
     A straggler's limit is cut; good answers raise it again, so the endpoint
     keeps being probed with little work.
@@ -37,12 +37,9 @@
         if last is not None and now - last < _INTERVAL:
             return
         self._checked_at = now
-        first_token = _find_median([each.first_token for each in pool])
-        inter_token = _find_median([each.inter_token for each in pool])
+        median = _find_median(pool)
         for record in pool:
-            slow = (_is_slow(record.first_token, first_token) or
-                    _is_slow(record.inter_token, inter_token) or
-                    _is_stalled(record, first_token, now))
+            slow = _is_slow(record, median) or _is_stalled(record, now)
             record.straggling = slow
             if slow:
                 self._cut(record, now)
@@ -56,25 +53,28 @@
         record.limit.cut(now)
 
 
-def _find_median(averages: list[moving_average.MovingAverage]) -> float | None:
-    means = [each.mean for each in averages if each.samples >= _FEWEST_SAMPLES]
+def _find_median(pool: endpoint_pool.EndpointPool) -> float | None:
+    means = [
+        each.slowness.mean
+        for each in pool
+        if each.slowness.samples >= _FEWEST_SAMPLES
+    ]
     if len(means) < _FEWEST_ENDPOINTS:
         return None
     return statistics.median(means)
 
 
-def _is_slow(average: moving_average.MovingAverage,
+def _is_slow(record: endpoint_record.EndpointRecord,
              median: float | None) -> bool:
-    if median is None or average.samples < _FEWEST_SAMPLES:
+    if median is None or record.slowness.samples < _FEWEST_SAMPLES:
         return False
-    return average.mean > _SLOW_FACTOR * median
+    return record.slowness.mean > _SLOW_FACTOR * median
 
 
-def _is_stalled(record: endpoint_record.EndpointRecord, median: float | None,
+def _is_stalled(record: endpoint_record.EndpointRecord,
                 now: datetime.timedelta) -> bool:
-    if median is None:
+    since = now - _STALL_TIME
+    if record.started_at > since:
         return False
-    bound = max(_SHORTEST_STALL,
-                datetime.timedelta(seconds=_STALL_FACTOR * median))
-    return any(not each.started and now - each.granted_at > bound
+    return any(not each.started and each.granted_at <= since
                for each in record.running.values())
