Claim non-idempotent requests over the key-value service

Cause: a request with an Idempotency-Key must run at most once, also when a write's answer is lost or its holder is paused or dead. Ruled out: a takeover after the deadline, and deletes for removal (a lease an hour costs one grant).

--- a/mustardwood/claims/__init__.py
+++ b/mustardwood/claims/__init__.py
@@ -1,1 +1,40 @@
-"""Claims of non-idempotent requests."""
+"""Claims of non-idempotent requests.
+
+A claim gives one attempt of a request with an Idempotency-Key the right to be
+sent, over the platform's key-value service. `Claim` decides, without I/O;
+`KeyValueClaimStore` drives it. See docs/design/claims.md.
+"""
+
+from mustardwood.claims.claim import Claim
+from mustardwood.claims.claim_answer import ClaimAnswer
+from mustardwood.claims.claim_command import Command
+from mustardwood.claims.claim_command import Create
+from mustardwood.claims.claim_command import Delete
+from mustardwood.claims.claim_command import Read
+from mustardwood.claims.claim_command import Replace
+from mustardwood.claims.claim_record import ClaimRecord
+from mustardwood.claims.claim_state import ClaimState
+from mustardwood.claims.claim_store import ClaimStore
+from mustardwood.claims.claim_verdict import ClaimVerdict
+from mustardwood.claims.hourly_lease import HourlyLease
+from mustardwood.claims.key_value_claim_store import KeyValueClaimStore
+from mustardwood.claims.stored_answer import StoredAnswer
+from mustardwood.claims.write_limit import WriteLimit
+
+__all__ = [
+    "Claim",
+    "ClaimAnswer",
+    "ClaimRecord",
+    "ClaimState",
+    "ClaimStore",
+    "ClaimVerdict",
+    "Command",
+    "Create",
+    "Delete",
+    "HourlyLease",
+    "KeyValueClaimStore",
+    "Read",
+    "Replace",
+    "StoredAnswer",
+    "WriteLimit",
+]
