Detect lost VMs and keep the configuration in step on every agent

Cause: no part told an entry or a scheduler which VMs are alive and which configuration is in force. Change: membership is a SWIM-style detector without I/O; the agent connects it with the link, the platform and the operators' HTTP, sends views, applies documents by compare-and-swap, and passes configurations, leaving endpoint VMs and convictions on. New message LeavingNotice. Ruled out: an election of the watchers (rendezvous order needs none); pushing to every VM that is heard with a lower version (each neighbour would send the whole document; the lower side pulls instead).

--- /dev/null
+++ b/mustardwood/agent/backoff.py
@@ -0,0 +1,34 @@
+"""Delays between retries."""
+
+import datetime
+import random
+
+FIRST_DELAY = datetime.timedelta(milliseconds=250)
+"""Mean delay before the first retry."""
+
+LONGEST_DELAY = datetime.timedelta(seconds=15)
+"""Bound on the delay."""
+
+
+class Backoff:
+    """Exponential delays with jitter, from half to one and a half of the mean.
+
+    Examples:
+        >>> backoff = Backoff(random.Random(1))
+        >>> backoff.next_delay() < backoff.next_delay() * 4
+        True
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._mean = FIRST_DELAY
+
+    def reset(self) -> None:
+        """Starts again from the first delay."""
+        self._mean = FIRST_DELAY
+
+    def next_delay(self) -> datetime.timedelta:
+        """Returns the delay before the next retry."""
+        mean = self._mean
+        self._mean = min(mean * 2, LONGEST_DELAY)
+        return mean * self._rng.uniform(0.5, 1.5)
--- /dev/null
+++ b/mustardwood/agent/configuration_keeper.py
@@ -0,0 +1,168 @@
+"""The configuration in force on this VM."""
+
+import collections.abc
+import datetime
+import typing
+
+from mustardwood import configuration
+from mustardwood import errors
+from mustardwood import keyvalue
+from mustardwood import runtime
+from mustardwood import timing
+from mustardwood.agent import backoff as backoff_module
+from mustardwood.agent import document_codec
+from mustardwood.agent import replica as replica_module
+from mustardwood.agent import sleeper as sleeper_module
+
+KEY = "mustardwood/configuration"
+"""Key of the configuration in the platform's service."""
+
+WATCH_TIMEOUT = datetime.timedelta(seconds=30)
+"""Longest wait of one watch; a read follows each that ends without news."""
+
+IDLE_PERIOD = datetime.timedelta(seconds=1)
+"""How often an agent that does not watch asks itself whether it should."""
+
+_log = runtime.make_logger("configuration")
+
+
+class ConfigurationKeeper:
+    """Keeps the configuration in step with the platform.
+
+    A watcher reads the platform's value, then waits for changes of it. The
+    others read it once at their start. After an error and after a watch
+    without news the value is read again, since the platform may have come back
+    with an older state, whose revision no watch would report.
+    """
+
+    def __init__(
+        self, service: keyvalue.KeyValueService, clock: timing.Clock,
+        sleeper: sleeper_module.Sleeper, backoff: backoff_module.Backoff,
+        is_watcher: collections.abc.Callable[[], bool],
+        on_adopt: collections.abc.Callable[[configuration.VersionedDocument],
+                                           None]
+    ) -> None:
+        self._replica: replica_module.Replica = (
+            replica_module.HighestVersionReplica())
+        self._service = service
+        self._clock = clock
+        self._sleeper = sleeper
+        self._backoff = backoff
+        self._is_watcher = is_watcher
+        self._on_adopt = on_adopt
+        self._document: configuration.Document | None = None
+        self._revision = 0
+        self._must_read = True
+        self._stopped = False
+
+    @property
+    def in_force(self) -> configuration.VersionedDocument | None:
+        """The document in force; None before the first."""
+        return self._replica.in_force
+
+    @property
+    def document(self) -> configuration.Document | None:
+        """The decoded document in force; None before the first."""
+        return self._document
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        held = self._replica.in_force
+        return 0 if held is None else held.version
+
+    def stop(self) -> None:
+        """Ends `run` after its present wait."""
+        self._stopped = True
+
+    async def run(self) -> None:
+        """Reads and watches the platform until stopped."""
+        while not self._stopped:
+            try:
+                await self._work_once()
+                self._backoff.reset()
+            except errors.KeyValueError as error:
+                self._must_read = True
+                _log.warning("%s", error)
+                await self._sleeper.sleep(self._backoff.next_delay())
+
+    def accept_neighbour(self,
+                         document: configuration.VersionedDocument) -> None:
+        """Takes what another VM has in force."""
+        if not self._is_usable(document):
+            return
+        now = self._clock.monotonic()
+        self._carry_out(self._replica.accept_neighbour(document, now))
+
+    async def accept_stored(self, stored: keyvalue.StoredValue | None) -> None:
+        """Takes what the platform holds; writes ours over an older state."""
+        document = self._decode(stored)
+        if stored is not None and document is None:
+            return
+        revision = 0 if stored is None else stored.revision
+        self._revision = revision
+        commands = self._replica.accept_platform(document, revision,
+                                                 self._clock.monotonic())
+        self._carry_out(commands)
+        for each in commands:
+            if type(each).__name__ == "Repair":
+                await self._repair(each)
+
+    async def _work_once(self) -> None:
+        if self._must_read:
+            stored = await self._service.get(KEY)
+            self._must_read = False
+            await self.accept_stored(stored)
+        elif self._is_watcher():
+            await self._watch()
+        else:
+            await self._sleeper.sleep(IDLE_PERIOD)
+
+    async def _watch(self) -> None:
+        stored = await self._service.watch(KEY, self._revision, WATCH_TIMEOUT)
+        if stored is None:
+            self._must_read = True
+            return
+        await self.accept_stored(stored)
+
+    async def _repair(self, command: typing.Any) -> None:
+        text = document_codec.encode_stored(command.document)
+        _log.warning("the platform holds an older state; writing version %d",
+                     command.document.version)
+        self._must_read = True
+        try:
+            await self._service.put(KEY,
+                                    text,
+                                    expected_revision=command.revision)
+        except errors.ConflictError:
+            _log.info("another VM wrote first")
+
+    def _carry_out(self, commands: tuple[typing.Any, ...]) -> None:
+        for each in commands:
+            if type(each).__name__ == "Adopt":
+                self._adopt(each.document)
+
+    def _adopt(self, document: configuration.VersionedDocument) -> None:
+        self._document = document_codec.check_text(document.text)
+        _log.info("version %d is in force", document.version)
+        self._on_adopt(document)
+
+    def _decode(
+        self, stored: keyvalue.StoredValue | None
+    ) -> configuration.VersionedDocument | None:
+        if stored is None:
+            return None
+        try:
+            document = document_codec.decode_stored(stored.value)
+        except errors.ConfigurationError as error:
+            _log.error("%s", error)
+            return None
+        return document if self._is_usable(document) else None
+
+    def _is_usable(self, document: configuration.VersionedDocument) -> bool:
+        try:
+            document_codec.check_text(document.text)
+            return True
+        except errors.ConfigurationError as error:
+            _log.error("version %d is refused: %s", document.version, error)
+            return False
--- /dev/null
+++ b/mustardwood/agent/document_codec.py
@@ -0,0 +1,91 @@
+"""The stored and sent forms of configuration documents."""
+
+import typing
+import zlib
+
+import msgspec
+
+from mustardwood import configuration
+from mustardwood import errors
+from mustardwood import messages
+
+TEXT_LIMIT = 1024 * 1024
+"""Largest text of a document, in bytes."""
+
+
+def check_text(text: str) -> configuration.Document:
+    """Reads a document's text.
+
+    Raises:
+        ConfigurationError: The text is no document.
+    """
+    load: typing.Any = getattr(configuration, "load_document", _read_plain)
+    return load(text)
+
+
+def compact_text(document: configuration.Document) -> str:
+    """Returns a document as compact JSON."""
+    dump: typing.Any = getattr(configuration, "dump_document", _write_plain)
+    return dump(document)
+
+
+def _read_plain(text: str) -> configuration.Document:
+    try:
+        return msgspec.json.decode(text, type=configuration.Document)
+    except msgspec.MsgspecError as error:
+        raise errors.ConfigurationError(
+            f"the document is malformed: {error}.",
+            "Correct it and apply it again.") from error
+
+
+def _write_plain(document: configuration.Document) -> str:
+    return msgspec.json.encode(document).decode()
+
+
+def encode_stored(document: configuration.VersionedDocument) -> str:
+    """Returns the value that the key-value service holds."""
+    return msgspec.json.encode(document).decode()
+
+
+def decode_stored(text: str) -> configuration.VersionedDocument:
+    """Reads the value that the key-value service holds.
+
+    Raises:
+        ConfigurationError: The value is no versioned document.
+    """
+    try:
+        return msgspec.json.decode(text, type=configuration.VersionedDocument)
+    except msgspec.MsgspecError as error:
+        raise errors.ConfigurationError(
+            f"the platform's value is malformed: {error}.",
+            "Find out what else writes that key; the value was ignored.",
+        ) from error
+
+
+def pack_document(
+        document: configuration.VersionedDocument
+) -> messages.ConfigurationPush:
+    """Makes the message that passes a document on."""
+    packed = zlib.compress(document.text.encode())
+    bare = msgspec.structs.replace(document, text="")
+    return messages.ConfigurationPush(bare, packed)
+
+
+def unpack_document(
+        push: messages.ConfigurationPush) -> configuration.VersionedDocument:
+    """Reads a document that another agent passed on.
+
+    Raises:
+        LinkError: The message holds no document of a bounded size.
+    """
+    try:
+        reader = zlib.decompressobj()
+        text = reader.decompress(push.packed, TEXT_LIMIT)
+        if not reader.eof:
+            raise ValueError("the text is too long or cut")
+        return msgspec.structs.replace(push.document, text=text.decode())
+    except (zlib.error, ValueError) as error:
+        raise errors.LinkError(
+            f"a configuration can't be unpacked: {error}.",
+            "Run the same release on all VMs; the message was dropped.",
+        ) from error
--- /dev/null
+++ b/mustardwood/agent/fleet_survey.py
@@ -0,0 +1,97 @@
+"""Questions to all VMs."""
+
+import collections.abc
+import datetime
+import typing
+
+import msgspec
+
+from mustardwood import messages
+from mustardwood import runtime
+from mustardwood.agent import question
+from mustardwood.agent import vm_report
+
+LOCAL_LIMIT = datetime.timedelta(seconds=1)
+"""Time for the processes of this VM to answer."""
+
+FLEET_LIMIT = datetime.timedelta(seconds=2)
+"""Time for all VMs to answer."""
+
+_log = runtime.make_logger("agent")
+
+
+class Survey(msgspec.Struct, frozen=True):
+    """The answers of the fleet.
+
+    Attributes:
+        reports: Reports by name of VM.
+        unanswered: Names of the VMs that did not answer, dead ones included.
+    """
+
+    reports: dict[str, vm_report.VmReport]
+    unanswered: tuple[str, ...]
+
+
+class FleetSurveyor:
+    """Asks every VM's agent, which asks its entry and scheduler."""
+
+    def __init__(
+        self, me: messages.Peer, desk: question.QuestionDesk,
+        list_members: collections.abc.Callable[[], tuple[messages.Member, ...]],
+        read_versions: collections.abc.Callable[[],
+                                                vm_report.Versions]) -> None:
+        self._me = me
+        self._desk = desk
+        self._list_members = list_members
+        self._read_versions = read_versions
+
+    async def ask_local(self, kind: messages.QueryKind,
+                        subject: str) -> vm_report.VmReport:
+        """Asks the processes of this VM."""
+        entry = messages.Peer(self._me.ip, messages.Role.ENTRY)
+        scheduler = messages.Peer(self._me.ip, messages.Role.SCHEDULER)
+        peers: tuple[messages.Peer, ...] = (entry, scheduler)
+        if kind is messages.QueryKind.BURN:
+            peers = (entry,)
+        answers = await self._desk.ask(peers, kind, subject, LOCAL_LIMIT)
+        return vm_report.VmReport(self._read_versions(),
+                                  _read_body(answers, entry),
+                                  _read_body(answers, scheduler))
+
+    async def ask_fleet(self, kind: messages.QueryKind, subject: str) -> Survey:
+        """Asks all VMs; dead ones are not waited for."""
+        names = {
+            messages.Peer(each.ip, messages.Role.AGENT): each.vm
+            for each in self._list_members()
+            if each.state is not messages.MemberState.DEAD
+        }
+        answers = await self._desk.ask(names, kind, subject, FLEET_LIMIT)
+        reports = {}
+        for peer, reply in answers.replies.items():
+            report = _decode_report(reply)
+            if report is not None:
+                reports[names[peer]] = report
+        missing = {each.vm for each in self._list_members()} - reports.keys()
+        return Survey(reports, tuple(sorted(missing)))
+
+
+def _read_body(answers: question.Answers,
+               peer: messages.Peer) -> dict[str, typing.Any] | None:
+    reply = answers.replies.get(peer)
+    if reply is None:
+        return None
+    try:
+        return msgspec.json.decode(reply.body, type=dict[str, typing.Any])
+    except msgspec.MsgspecError as error:
+        _log.warning("the %s answered with a malformed body: %s", peer.role,
+                     error)
+        return None
+
+
+def _decode_report(reply: messages.QueryReply) -> vm_report.VmReport | None:
+    try:
+        return msgspec.json.decode(reply.body, type=vm_report.VmReport)
+    except msgspec.MsgspecError as error:
+        _log.warning("VM %s answered with a malformed report: %s", reply.vm,
+                     error)
+        return None
--- /dev/null
+++ b/mustardwood/agent/list_poller.py
@@ -0,0 +1,63 @@
+"""Polling of the platform's list of VMs."""
+
+import collections.abc
+import datetime
+
+from mustardwood import errors
+from mustardwood import runtime
+from mustardwood import timing
+from mustardwood import vmlist
+from mustardwood.agent import backoff as backoff_module
+from mustardwood.agent import sleeper as sleeper_module
+
+WATCHER_PERIOD = datetime.timedelta(seconds=2)
+"""Time between the polls of an agent that watches the platform."""
+
+FALLBACK_PERIOD = datetime.timedelta(seconds=30)
+"""Time between the polls of the other agents."""
+
+_STEP = datetime.timedelta(seconds=1)
+_log = runtime.make_logger("vmlist")
+
+
+class ListPoller:
+    """Fetches the list often on a watcher and seldom elsewhere."""
+
+    def __init__(
+        self, vm_list: vmlist.VmList, clock: timing.Clock,
+        sleeper: sleeper_module.Sleeper, backoff: backoff_module.Backoff,
+        is_watcher: collections.abc.Callable[[], bool],
+        on_list: collections.abc.Callable[[tuple[vmlist.VmRecord, ...]], None]
+    ) -> None:
+        self._vm_list = vm_list
+        self._clock = clock
+        self._sleeper = sleeper
+        self._backoff = backoff
+        self._is_watcher = is_watcher
+        self._on_list = on_list
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Ends `run` after its present wait."""
+        self._stopped = True
+
+    async def run(self) -> None:
+        """Polls until stopped."""
+        while not self._stopped:
+            began = self._clock.monotonic()
+            try:
+                self._on_list(await self._vm_list.fetch())
+                self._backoff.reset()
+            except errors.MustardwoodError as error:
+                _log.warning("%s", error)
+                await self._sleeper.sleep(self._backoff.next_delay())
+                continue
+            await self._wait_since(began)
+
+    async def _wait_since(self, began: datetime.timedelta) -> None:
+        while not self._stopped:
+            period = WATCHER_PERIOD if self._is_watcher() else FALLBACK_PERIOD
+            left = began + period - self._clock.monotonic()
+            if left <= datetime.timedelta():
+                return
+            await self._sleeper.sleep(min(left, _STEP))
--- /dev/null
+++ b/mustardwood/agent/main.py
@@ -0,0 +1,35 @@
+"""Entry point of ``mustardwood-agent``."""
+# pylint: disable=no-name-in-module
+
+import random
+import typing
+
+from mustardwood import messages
+from mustardwood import runtime
+from mustardwood import settings as settings_module
+from mustardwood import timing
+from mustardwood.agent import agent
+from mustardwood.links import pynng_link
+
+
+def build_agent(settings: settings_module.Settings, reactor: typing.Any,
+                clock: timing.Clock) -> agent.Agent:
+    """Makes the agent with its adapters."""
+    from mustardwood.keyvalue import http_key_value_service  # type: ignore
+    from mustardwood.vmlist import http_vm_list  # type: ignore
+    link = pynng_link.PynngLink.from_settings(settings, messages.Role.AGENT,
+                                              clock)
+    service = http_key_value_service.HttpKeyValueService.from_settings(
+        settings, reactor, clock)
+    vm_list = http_vm_list.HttpVmList.from_settings(settings, reactor)
+    return agent.Agent(settings, reactor, clock, link, service, vm_list,
+                       random.SystemRandom())
+
+
+def main() -> None:
+    """Runs the agent."""
+    runtime.run_command("agent", build_agent)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mustardwood/agent/operators_pages.py
@@ -0,0 +1,165 @@
+"""The operators' HTTP of the agent."""
+
+import collections.abc
+import http
+import typing
+
+import msgspec
+from twisted.web import server
+
+from mustardwood import configuration
+from mustardwood import errors
+from mustardwood import messages
+from mustardwood import runtime
+from mustardwood.agent import applier as applier_module
+from mustardwood.agent import apply_request
+from mustardwood.agent import configuration_keeper
+from mustardwood.agent import document_codec
+from mustardwood.agent import fleet_survey
+from mustardwood.agent import status_page
+
+_RETRY_AFTER_SECONDS = "2"
+
+
+class OperatorsPages:
+    """Status, explanations, convergence, burn and the configuration."""
+
+    def __init__(
+            self, site: runtime.OperatorsSite,
+            keeper: configuration_keeper.ConfigurationKeeper,
+            applier: applier_module.Applier,
+            surveyor: fleet_survey.FleetSurveyor,
+            list_members: collections.abc.Callable[[], tuple[messages.Member,
+                                                             ...]],
+            list_leaving: collections.abc.Callable[[], tuple[str,
+                                                             ...]]) -> None:
+        self._site = site
+        self._keeper = keeper
+        self._applier = applier
+        self._surveyor = surveyor
+        self._list_members = list_members
+        self._list_leaving = list_leaving
+        route = site.app.route
+        route("/v1/status", methods=["GET"])(self.show_status)
+        route("/v1/explain/<request_id>", methods=["GET"])(self.explain)
+        route("/v1/convergence", methods=["GET"])(self.show_convergence)
+        route("/v1/burn", methods=["GET"])(self.show_burn)
+        route("/v1/configuration", methods=["GET"])(self.show_configuration)
+        route("/v1/configuration", methods=["PUT"])(self.apply)
+
+    def make_site(self) -> server.Site:
+        """Returns the site to listen with."""
+        return server.Site(self._site.app.resource())
+
+    async def show_status(self, request: server.Request) -> bytes:
+        """Answers ``GET /v1/status``."""
+        if not self._site.check_token(request):
+            return b""
+        survey = await self._surveyor.ask_fleet(messages.QueryKind.STATUS, "")
+        body = status_page.describe_status(survey, self._list_members(),
+                                           self._keeper.document,
+                                           self._keeper.version,
+                                           self._list_leaving())
+        return _answer(request, http.HTTPStatus.OK, body)
+
+    async def explain(self, request: server.Request, request_id: str) -> bytes:
+        """Answers ``GET /v1/explain/{request_id}``."""
+        if not self._site.check_token(request):
+            return b""
+        survey = await self._surveyor.ask_fleet(messages.QueryKind.EXPLAIN,
+                                                request_id)
+        body = status_page.describe_explanation(request_id, survey)
+        return _answer(request, http.HTTPStatus.OK, body)
+
+    async def show_convergence(self, request: server.Request) -> bytes:
+        """Answers ``GET /v1/convergence?version=N``."""
+        if not self._site.check_token(request):
+            return b""
+        values = request.args.get(b"version", [b""])
+        if not values[0].isdigit():
+            return _answer_error(request, http.HTTPStatus.BAD_REQUEST,
+                                 "bad_version", "Give ?version=N.")
+        survey = await self._surveyor.ask_fleet(messages.QueryKind.STATUS, "")
+        body = status_page.describe_convergence(int(values[0]), survey)
+        return _answer(request, http.HTTPStatus.OK, body)
+
+    async def show_burn(self, request: server.Request) -> bytes:
+        """Answers ``GET /v1/burn``."""
+        if not self._site.check_token(request):
+            return b""
+        survey = await self._surveyor.ask_fleet(messages.QueryKind.BURN, "")
+        body = status_page.describe_burn(survey)
+        return _answer(request, http.HTTPStatus.OK, body)
+
+    def show_configuration(self, request: server.Request) -> bytes:
+        """Answers ``GET /v1/configuration``."""
+        if not self._site.check_token(request):
+            return b""
+        held = self._keeper.in_force
+        if held is None:
+            return _answer_error(request, http.HTTPStatus.NOT_FOUND,
+                                 "no_configuration", "Apply a document first.")
+        return _answer(request, http.HTTPStatus.OK, held)
+
+    async def apply(self, request: server.Request) -> bytes:
+        """Answers ``PUT /v1/configuration``."""
+        if not self._site.check_token(request):
+            return b""
+        content: typing.Any = request.content
+        data = content.read(2 * document_codec.TEXT_LIMIT)
+        try:
+            wanted = msgspec.json.decode(data, type=apply_request.ApplyRequest)
+            outcome = await self._applier.apply(wanted)
+        except msgspec.MsgspecError as error:
+            return _answer_error(request, http.HTTPStatus.BAD_REQUEST,
+                                 "malformed_body", str(error))
+        except errors.ConfigurationError as error:
+            return _answer(
+                request, http.HTTPStatus.BAD_REQUEST, {
+                    "code": error.code,
+                    "message": str(error),
+                    "line": error.line,
+                    "key": error.key
+                })
+        return _answer_outcome(request, outcome)
+
+
+def _answer_outcome(request: server.Request,
+                    outcome: apply_request.ApplyOutcome) -> bytes:
+    if isinstance(outcome, apply_request.Applied):
+        return _answer(request, http.HTTPStatus.OK,
+                       {"version": outcome.version})
+    if isinstance(outcome, apply_request.Beaten):
+        return _answer(request, http.HTTPStatus.CONFLICT,
+                       _describe_winner(outcome.winner))
+    request.setHeader("retry-after", _RETRY_AFTER_SECONDS)
+    if isinstance(outcome, apply_request.NotWritten):
+        return _answer_error(request, http.HTTPStatus.SERVICE_UNAVAILABLE,
+                             "not_written", outcome.reason)
+    return _answer_error(request, http.HTTPStatus.GATEWAY_TIMEOUT,
+                         "outcome_unknown", outcome.reason)
+
+
+def _describe_winner(
+        winner: configuration.VersionedDocument | None
+) -> dict[str, typing.Any]:
+    if winner is None:
+        return {"version": 0, "author": "", "apply_id": "", "applied_at": ""}
+    return {
+        "version": winner.version,
+        "author": winner.author,
+        "apply_id": winner.apply_id,
+        "applied_at": winner.applied_at,
+    }
+
+
+def _answer(request: server.Request, status: http.HTTPStatus,
+            body: typing.Any) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/json")
+    return msgspec.json.encode(body)
+
+
+def _answer_error(request: server.Request, status: http.HTTPStatus, code: str,
+                  message: str) -> bytes:
+    return _answer(request, status, {"code": code, "message": message})
--- /dev/null
+++ b/mustardwood/membership/fanout.py
@@ -0,0 +1,46 @@
+"""The choice of receivers for news that must travel at once."""
+
+import collections.abc
+import math
+import random
+
+from mustardwood import messages
+
+SMALL_FLEET = 16
+"""Number of VMs up to which news goes to all of them directly."""
+
+_EXTRA_PEERS = 3
+
+_REACHABLE = (messages.MemberState.ALIVE, messages.MemberState.SUSPECT,
+              messages.MemberState.LEAVING)
+
+
+def choose_peers(members: collections.abc.Iterable[messages.Member],
+                 own_vm: str, rng: random.Random) -> tuple[messages.Peer, ...]:
+    """Chooses the agents that get a piece of news directly.
+
+    In a fleet of up to `SMALL_FLEET` VMs all get it. In a larger one,
+    ``log2(n) + 3`` random VMs get it and pass it on when it is new to them, so
+    that it reaches all VMs with high probability [1]_.
+
+    Args:
+        members: The VMs.
+        own_vm: Name of the sending VM, which is left out.
+        rng: Source of randomness.
+
+    Returns:
+        The agents.
+
+    References:
+        .. [1] A.-M. Kermarrec, L. Massoulié and A. Ganesh, "Probabilistic
+           reliable dissemination in large-scale systems", IEEE Transactions
+           on Parallel and Distributed Systems 14(3), 2003.
+    """
+    others = [
+        each for each in members
+        if each.vm != own_vm and each.state in _REACHABLE
+    ]
+    if len(others) >= SMALL_FLEET:
+        fanout = math.ceil(math.log2(len(others) + 1)) + _EXTRA_PEERS
+        others = rng.sample(others, min(fanout, len(others)))
+    return tuple(messages.Peer(each.ip, messages.Role.AGENT) for each in others)
--- /dev/null
+++ b/mustardwood/membership/tests/network.py
@@ -0,0 +1,131 @@
+"""A network of failure detectors in virtual time."""
+
+import collections.abc
+import datetime
+import heapq
+import itertools
+import random
+
+from mustardwood import membership
+from mustardwood import messages
+from mustardwood import settings
+from mustardwood import vmlist
+
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class Network:
+    """Delivers messages late, loses some, and cuts links.
+
+    Attributes:
+        detectors: Detectors by VM; take one out to stop it for good.
+        cut: Tells whether a message between two VMs is lost.
+        sent: Number of messages sent by each VM.
+    """
+
+    def __init__(self, size: int, seed: int, *, loss: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.now = datetime.timedelta()
+        self.loss = loss
+        self.cut: collections.abc.Callable[[str, str],
+                                           bool] = (lambda *_: False)
+        self.frozen: set[str] = set()
+        self.sent: dict[str, int] = {}
+        self.sent_bytes = 0
+        self.records = tuple(
+            vmlist.VmRecord(f"vm{i}", f"127.9.{i // 200}.{i % 200 + 1}",
+                            f"zone{i % 3}", "region") for i in range(size))
+        self._names = {each.ip: each.vm for each in self.records}
+        self.detectors: dict[str, membership.FailureDetector] = {}
+        self._events: list = []
+        self._order = itertools.count()
+        self._tick_period = _SECOND / 10 if size <= 16 else _SECOND / 5
+        for each in self.records:
+            self.start(each.vm)
+
+    def start(self, vm: str, incarnation: int = 1) -> None:
+        """Starts a VM's detector, which knows the list."""
+        record = next(each for each in self.records if each.vm == vm)
+        plain = settings.Settings(vm, record.ip, record.zone, record.region, "")
+        detector = membership.FailureDetector.from_settings(
+            plain, incarnation, random.Random(self.rng.random()))
+        self.detectors[vm] = detector
+        self.send(vm, detector.update_list(self.records, self.now))
+        self._push(self._tick_period * self.rng.random(),
+                   lambda: self._tick(vm, detector))
+
+    def send(self, vm: str,
+             sent: collections.abc.Iterable[membership.Addressed]) -> None:
+        """Puts messages of a VM on the network."""
+        sender = next(ip for ip, name in self._names.items()
+                      if name == vm) if sent else ""
+        for each in sent:
+            self.sent[vm] = self.sent.get(vm, 0) + 1
+            if self.rng.random() < self.loss:
+                continue
+            delay = datetime.timedelta(milliseconds=self.rng.uniform(0.5, 3.0))
+            self._push(delay, lambda each=each: self._deliver(sender, each))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + datetime.timedelta(seconds=seconds)
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def run_until(self, condition: collections.abc.Callable[[], bool],
+                  limit: float) -> float:
+        """Runs until a condition holds; returns the seconds it took."""
+        began = self.now
+        while not condition():
+            assert (self.now - began).total_seconds() < limit, "too late"
+            self.run(0.1)
+        return (self.now - began).total_seconds()
+
+    def states(self, vm: str) -> set[messages.MemberState | None]:
+        """Returns the states in which the other VMs see a VM."""
+        return {
+            find_state(detector, vm)
+            for name, detector in self.detectors.items()
+            if name != vm
+        }
+
+    def _push(self, delay: datetime.timedelta,
+              action: collections.abc.Callable[[], None]) -> None:
+        heapq.heappush(self._events,
+                       (self.now + delay, next(self._order), action))
+
+    def _tick(self, vm: str, detector: membership.FailureDetector) -> None:
+        if self.detectors.get(vm) is not detector:
+            return
+        if vm not in self.frozen:
+            self.send(vm, detector.tick(self.now))
+        self._push(self._tick_period, lambda: self._tick(vm, detector))
+
+    def _deliver(self, sender: str, sent: membership.Addressed) -> None:
+        vm = self._names[sent.peer.ip]
+        detector = self.detectors.get(vm)
+        if detector is None or self.cut(self._names[sender], vm):
+            return
+        if vm in self.frozen:
+            self._push(_SECOND / 10, lambda: self._deliver(sender, sent))
+            return
+        peer = messages.Peer(sender, messages.Role.AGENT)
+        if isinstance(sent.message, messages.Ping):
+            out = detector.accept_ping(peer, sent.message, self.now)
+        else:
+            out = detector.accept_ack(peer, sent.message, self.now)
+        self.send(vm, out)
+
+
+def _cut_nothing(sender: str, receiver: str) -> bool:
+    del sender, receiver
+    return False
+
+
+def find_state(detector: membership.FailureDetector,
+               vm: str) -> messages.MemberState | None:
+    """Returns a VM's state in one table; None when it is not there."""
+    return next((each.state for each in detector.members() if each.vm == vm),
+                None)
--- a/mustardwood/messages/__init__.py
+++ b/mustardwood/messages/__init__.py
@@ -10,6 +10,7 @@
 from mustardwood.messages.envelope import decode_envelope
 from mustardwood.messages.envelope import encode_envelope
 from mustardwood.messages.grant import Grant
+from mustardwood.messages.leaving_notice import LeavingNotice
 from mustardwood.messages.member import Member
 from mustardwood.messages.member_state import MemberState
 from mustardwood.messages.open_work import OpenWork
@@ -41,6 +42,7 @@
     "ConvictionNotice",
     "Envelope",
     "Grant",
+    "LeavingNotice",
     "Member",
     "MemberState",
     "Message",
--- a/mustardwood/messages/union.py
+++ b/mustardwood/messages/union.py
@@ -8,6 +8,7 @@
 from mustardwood.messages import configuration_push
 from mustardwood.messages import conviction_notice
 from mustardwood.messages import grant
+from mustardwood.messages import leaving_notice
 from mustardwood.messages import open_work
 from mustardwood.messages import open_work_reply
 from mustardwood.messages import ping
@@ -28,6 +29,7 @@
     configuration_push.ConfigurationPush,
     conviction_notice.ConvictionNotice,
     grant.Grant,
+    leaving_notice.LeavingNotice,
     open_work.OpenWork,
     open_work_reply.OpenWorkReply,
     ping.Ping,
