Add the stand-ins of platform, engine and service, and the platform adapters

Cause: the processes need the platform, model engines and plain services at their interfaces, with the failures that the design is meant for.

Change: mustardwood/standins/{platform,engine,service} with their programs; keyvalue/http_key_value_service and vmlist/http_vm_list over a shared keyvalue/platform_calls that tells failures without effect from lost answers. Each write has a connection of its own and is never sent again.

Ruled out: a kept connection for writes. With it the test test_delete_with_a_lost_answer_is_uncertain_and_not_sent_again fails with ConflictError, since the HTTP client sends the DELETE a second time.

--- /dev/null
+++ b/mustardwood/standins/engine/__init__.py
@@ -0,0 +1,11 @@
+"""Stand-in of a model engine.
+
+`POST /switch` of a running engine takes the fields of `Faults`; fields left
+out stay as they are.
+"""
+
+from mustardwood.standins.engine.answer_text import expected_text
+from mustardwood.standins.engine.engine_options import EngineOptions
+from mustardwood.standins.engine.faults import Faults
+
+__all__ = ["EngineOptions", "Faults", "expected_text"]
--- /dev/null
+++ b/mustardwood/standins/engine/engine_site.py
@@ -0,0 +1,217 @@
+"""HTTP of the engine stand-in."""
+
+import datetime
+import http
+import os
+import typing
+
+import klein
+import msgspec
+from twisted.internet import defer
+from twisted.web import server
+
+from mustardwood import timing
+from mustardwood.standins import fault_switch
+from mustardwood.standins import json_http
+from mustardwood.standins import listening_port
+from mustardwood.standins.engine import attempt as attempt_module
+from mustardwood.standins.engine import completion_call
+from mustardwood.standins.engine import engine as engine_module
+from mustardwood.standins.engine import engine_options
+from mustardwood.standins.engine import event_stream
+from mustardwood.standins.engine import faults as faults_module
+from mustardwood.standins.engine import load_report
+from mustardwood.standins.engine import order_book
+from mustardwood.standins.engine import whole_answer
+
+_CRASH_EXIT_CODE = 70
+"""Exit code of a process that crashes on demand."""
+
+
+class EngineSite:
+    """Serves one engine on one address.
+
+    Args:
+        reactor: The reactor.
+        options: Size and speed.
+        clock: The clock.
+        ip: IP address to listen on.
+        port: TCP port; 0 lets the system choose.
+
+    Attributes:
+        port: The port.
+        engine: The engine.
+    """
+
+    def __init__(self, reactor: typing.Any,
+                 options: engine_options.EngineOptions, clock: timing.Clock,
+                 ip: str, port: int) -> None:
+        app = klein.Klein()
+        self._switch = fault_switch.FaultSwitch(faults_module.Faults())
+        self.engine = engine_module.Engine(reactor, options, self._switch,
+                                           self.crash)
+        self.port = listening_port.ListeningPort(reactor,
+                                                 server.Site(app.resource()),
+                                                 ip, port)
+        self._options = options
+        self._clock = clock
+        self._load = load_report.LoadReport(reactor, self.engine, clock,
+                                            options.load_lag_seconds)
+        self._orders = order_book.OrderBook(options.checks_fencing)
+        self._add_routes(app)
+
+    def _add_routes(self, app: klein.Klein) -> None:
+        route = app.route
+        route("/v1/chat/completions", methods=["POST"])(self._complete_chat)
+        route("/v1/completions", methods=["POST"])(self._complete_text)
+        route("/v1/models", methods=["GET"])(self._show_models)
+        route("/cancel", methods=["POST"])(self._cancel)
+        route("/load", methods=["GET"])(self._show_load)
+        route("/healthz", methods=["GET"])(self._show_health)
+        route("/log", methods=["GET"])(self._show_log)
+        route("/orders", methods=["POST"])(self._take_order)
+        route("/orders", methods=["GET"])(self._show_orders)
+        route("/switch", methods=["POST"])(self._change)
+
+    def crash(self) -> None:
+        """Ends the process, or loses all work and refuses for a while."""
+        faults = self._switch.faults
+        if faults.crash_mode == faults_module.CrashMode.EXIT:
+            os._exit(_CRASH_EXIT_CODE)
+        self.engine.fail_all()
+        self.port.drop_connections()
+        self._refuse_for(faults.crash_seconds)
+
+    async def close(self) -> None:
+        """Stops to serve and drops all work."""
+        self._load.stop()
+        await self.port.close()
+        self.engine.fail_all()
+        self.port.drop_connections()
+
+    def _refuse_for(self, seconds: float) -> None:
+        duration = datetime.timedelta(seconds=seconds)
+        defer.ensureDeferred(self.port.close_for(duration))
+
+    def _complete_chat(self, request: server.Request) -> typing.Any:
+        return self._complete(request, is_chat=True)
+
+    def _complete_text(self, request: server.Request) -> typing.Any:
+        return self._complete(request, is_chat=False)
+
+    def _complete(self, request: server.Request, is_chat: bool) -> typing.Any:
+        text = json_http.read_body(request)
+        try:
+            call = completion_call.CompletionCall(request, text, is_chat)
+        except (ValueError, KeyError, msgspec.MsgspecError) as error:
+            return _answer_error(request, http.HTTPStatus.BAD_REQUEST,
+                                 str(error))
+        if call.body.model not in self._options.models:
+            return _answer_error(request, http.HTTPStatus.NOT_FOUND,
+                                 f"no model {call.body.model}")
+        tokens = call.find_tokens()
+        resumes = self._switch.faults.resumes
+        if tokens is None or (call.is_resumed and not resumes):
+            return _answer_error(request, http.HTTPStatus.CONFLICT,
+                                 "can't resume from that text")
+        if self.engine.is_full or self._switch.take("refuse_requests"):
+            request.setHeader("x-not-started", "1")
+            return _answer_error(request, http.HTTPStatus.SERVICE_UNAVAILABLE,
+                                 "the queue is full")
+        return self._start(request, call, tokens, is_chat,
+                           self._is_poison(text))
+
+    def _is_poison(self, text: bytes) -> bool:
+        word = self._switch.faults.poison_word
+        return bool(word) and word.encode() in text
+
+    def _start(self, request: server.Request,
+               call: completion_call.CompletionCall, tokens: tuple[str, ...],
+               is_chat: bool, is_poison: bool) -> defer.Deferred[bytes]:
+        sink: event_stream.EventStream | whole_answer.WholeAnswer
+        if call.body.stream:
+            sink = event_stream.EventStream(request, call.attempt_id,
+                                            call.body.model, is_chat,
+                                            call.has_usage)
+        else:
+            sink = whole_answer.WholeAnswer(request, call.attempt_id,
+                                            call.body.model, is_chat)
+        attempt = attempt_module.Attempt(call.request_id, call.attempt_id,
+                                         call.priority, call.prompt_words,
+                                         tokens, call.finish_reason, is_poison,
+                                         sink)
+        request.notifyFinish().addErrback(
+            lambda _: self.engine.cancel(call.attempt_id))
+        self.engine.submit(attempt)
+        return sink.done
+
+    def _show_models(self, request: server.Request) -> bytes:
+        models = [{
+            "id": name,
+            "object": "model",
+            "created": 0,
+            "owned_by": "stand-in",
+        } for name in self._options.models]
+        return json_http.answer_json(request, {
+            "object": "list",
+            "data": models
+        })
+
+    def _cancel(self, request: server.Request) -> bytes:
+        attempt_id = json_http.read_json(request)["attempt_id"]
+        attempt = self.engine.cancel(attempt_id)
+        if attempt is not None:
+            attempt.sink.cut()
+        return json_http.answer_json(request,
+                                     {"cancelled": attempt is not None})
+
+    def _show_load(self, request: server.Request) -> bytes:
+        return json_http.answer_json(request, self._load.show())
+
+    def _show_health(self, request: server.Request) -> bytes:
+        return json_http.answer_json(request, {"healthy": True})
+
+    def _show_log(self, request: server.Request) -> bytes:
+        entries = [{
+            "request_id": attempt.request_id,
+            "attempt_id": attempt.attempt_id,
+            "state": attempt.state,
+        } for attempt in self.engine.log]
+        return json_http.answer_json(request, entries)
+
+    def _take_order(self, request: server.Request) -> bytes:
+        try:
+            order = msgspec.json.decode(json_http.read_body(request),
+                                        type=order_book.Order)
+        except msgspec.MsgspecError as error:
+            return _answer_error(request, http.HTTPStatus.BAD_REQUEST,
+                                 str(error))
+        if not self._orders.carry_out(order, self._clock.now()):
+            return _answer_error(request, http.HTTPStatus.PRECONDITION_FAILED,
+                                 "the order is old")
+        return json_http.answer_json(request, {"order_id": order.order_id})
+
+    def _show_orders(self, request: server.Request) -> bytes:
+        return json_http.answer_json(
+            request, {
+                "loaded": sorted(self._orders.loaded),
+                "carried_out": msgspec.to_builtins(self._orders.carried_out),
+            })
+
+    def _change(self, request: server.Request) -> bytes:
+        body = json_http.read_json(request)
+        crashes = body.pop("crash", False)
+        refuse_seconds = body.pop("refuse_seconds", 0.0)
+        self._switch.change(body)
+        if refuse_seconds:
+            self._refuse_for(refuse_seconds)
+        if crashes:
+            self.crash()
+        return json_http.answer_json(request,
+                                     msgspec.to_builtins(self._switch.faults))
+
+
+def _answer_error(request: server.Request, status: int, message: str) -> bytes:
+    return json_http.answer_json(request, {"error": {
+        "message": message
+    }}, status)
--- /dev/null
+++ b/mustardwood/vmlist/http_vm_list.py
@@ -0,0 +1,48 @@
+"""The platform's list of VMs over HTTP."""
+
+import http
+import typing
+
+import msgspec
+
+from mustardwood import errors
+from mustardwood import settings as settings_module
+from mustardwood.keyvalue import platform_calls
+from mustardwood.vmlist import vm_record
+
+
+class HttpVmList:
+    """A `VmList` that speaks HTTP with JSON.
+
+    Args:
+        calls: Makes the calls.
+    """
+
+    def __init__(self, calls: platform_calls.PlatformCalls) -> None:
+        self._calls = calls
+
+    @classmethod
+    def from_settings(cls, settings: settings_module.Settings,
+                      reactor: typing.Any) -> typing.Self:
+        """Returns the list that the settings name."""
+        return cls(platform_calls.PlatformCalls.from_settings(
+            settings, reactor))
+
+    async def fetch(self) -> tuple[vm_record.VmRecord, ...]:
+        """Returns the list; raises `UnavailableError`."""
+        call = platform_calls.Call("vms", "GET", "/vms")
+        try:
+            answer = await self._calls.make_call(call)
+            if answer.status != http.HTTPStatus.OK:
+                raise _make_unavailable(f"status {answer.status}")
+            return msgspec.convert(answer.body.get("vms"),
+                                   tuple[vm_record.VmRecord, ...])
+        except msgspec.ValidationError as error:
+            raise _make_unavailable(error) from error
+        except errors.RateLimitedError as error:
+            raise _make_unavailable(error) from error
+
+
+def _make_unavailable(cause: object) -> errors.UnavailableError:
+    return errors.UnavailableError(f"the list of VMs can't be read: {cause}.",
+                                   "Check platform_url, or try again later.")
