--- /dev/null
+++ b/mustardwood/engines/endpoint_client.py
@@ -0,0 +1,37 @@
+"""The interface of a client of endpoints."""
+
+import typing
+
+from mustardwood import routing
+
+
+class AnswerReceiver(typing.Protocol):
+    """Takes what comes back from an endpoint; nothing after `take_end`."""
+
+    def take_head(self, status: int, headers: tuple[tuple[str, str],
+                                                    ...]) -> None:
+        """Takes the status and the headers, names in lower case."""
+
+    def take_events(self, parts: list[bytes]) -> None:
+        """Takes the data of server-sent events."""
+
+    def take_body(self, data: bytes) -> None:
+        """Takes a part of a body that is no stream of events."""
+
+    def take_end(self, end: routing.AttemptEnd) -> None:
+        """Takes the end of the exchange."""
+
+
+class Exchange(typing.Protocol):
+    """One request to an endpoint, under way."""
+
+    def cancel(self) -> None:
+        """Closes the connection; the receiver is told nothing more."""
+
+
+class EndpointClient(typing.Protocol):
+    """Sends requests to endpoints."""
+
+    def start(self, call: routing.StartAttempt,
+              receiver: AnswerReceiver) -> Exchange:
+        """Sends a request."""
--- /dev/null
+++ b/mustardwood/engines/http_client.py
@@ -0,0 +1,42 @@
+"""A client of endpoints by HTTP."""
+
+import typing
+
+from twisted.web import client
+from twisted.web import http_headers
+
+from mustardwood import routing
+from mustardwood.engines import bytes_producer
+from mustardwood.engines import endpoint_client
+from mustardwood.engines import http_exchange
+
+_CONNECT_TIMEOUT_SECONDS = 2.0
+
+
+class HttpClient:
+    """Sends each request on a connection of its own.
+
+    A connection is never used again, so that neither a cancelled answer nor
+    an idle connection that the endpoint closes can touch another request.
+    """
+
+    def __init__(self, reactor: typing.Any) -> None:
+        self._agent = client.Agent(reactor,
+                                   connectTimeout=_CONNECT_TIMEOUT_SECONDS)
+
+    def start(
+            self, call: routing.StartAttempt,
+            receiver: endpoint_client.AnswerReceiver
+    ) -> endpoint_client.Exchange:
+        """Sends a request."""
+        headers = http_headers.Headers()
+        for name, value in call.headers:
+            headers.addRawHeader(name.encode("latin-1"),
+                                 value.encode("latin-1"))
+        url = call.endpoint.url.rstrip("/") + call.path
+        body = bytes_producer.make_producer(call.body)
+        exchange = http_exchange.HttpExchange(receiver, events=call.events)
+        exchange.follow(
+            self._agent.request(call.method.encode("ascii"),
+                                url.encode("ascii"), headers, body))
+        return exchange
--- /dev/null
+++ b/mustardwood/engines/http_exchange.py
@@ -0,0 +1,119 @@
+"""One HTTP request to an endpoint."""
+
+import http
+import typing
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+
+from mustardwood import routing
+from mustardwood.engines import endpoint_client
+from mustardwood.engines import sse_parser
+
+_NOT_SENT = (error.ConnectError, error.DNSLookupError,
+             error.ConnectionRefusedError)
+
+
+class HttpExchange:
+    """Follows a request until its end or its cancellation."""
+
+    def __init__(self, receiver: endpoint_client.AnswerReceiver, *,
+                 events: bool) -> None:
+        self.events = events
+        self._receiver = receiver
+        self._ended = False
+        self._sending: defer.Deferred | None = None
+        self._body: _BodyReader | None = None
+
+    def follow(self, sending: defer.Deferred) -> None:
+        """Follows the deferred answer of an agent."""
+        self._sending = sending
+        sending.addCallbacks(self._take_response, self._take_failure)
+        sending.addErrback(self._take_failure)
+
+    def cancel(self) -> None:
+        """Closes the connection; the receiver is told nothing more."""
+        self._ended = True
+        if self._body is not None:
+            self._body.close()
+        elif self._sending is not None:
+            self._sending.cancel()
+
+    def take_body(self, data: bytes) -> None:
+        """Passes a part of the body on."""
+        if not self._ended:
+            self._receiver.take_body(data)
+
+    def take_events(self, parts: list[bytes]) -> None:
+        """Passes events on."""
+        if parts and not self._ended:
+            self._receiver.take_events(parts)
+
+    def end(self, end: routing.AttemptEnd) -> None:
+        """Tells the receiver of the end, once."""
+        if not self._ended:
+            self._ended = True
+            self._receiver.take_end(end)
+
+    def _take_response(self, response: typing.Any) -> None:
+        if self._ended:
+            return
+        headers = tuple(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, values in response.headers.getAllRawHeaders()
+            for value in values)
+        self._receiver.take_head(response.code, headers)
+        stream = self.events and response.code == http.HTTPStatus.OK
+        self._body = _BodyReader(self, stream=stream)
+        response.deliverBody(self._body)
+
+    def _take_failure(self, reason: failure.Failure) -> None:
+        self.end(_classify_failure(reason))
+
+
+class _BodyReader(protocol.Protocol):  # pylint: disable=invalid-name
+    """Reads the body of a response."""
+
+    def __init__(self, exchange: HttpExchange, *, stream: bool) -> None:
+        self._exchange = exchange
+        self._parser = sse_parser.SseParser() if stream else None
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self.transport is not None:
+            typing.cast(typing.Any, self.transport).loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        if self._parser is None:
+            self._exchange.take_body(data)
+            return
+        try:
+            events = self._parser.feed(data)
+        except sse_parser.EventTooLongError:
+            self._exchange.end(routing.AttemptEnd.MALFORMED)
+            self.close()
+            return
+        self._exchange.take_events(events)
+
+    def connectionLost(self,
+                       reason: failure.Failure = protocol.connectionDone
+                      ) -> None:
+        """Takes the end of the body."""
+        if reason.check(client.ResponseDone):
+            self._exchange.end(routing.AttemptEnd.COMPLETE)
+        else:
+            self._exchange.end(_classify_failure(reason))
+
+
+def _classify_failure(reason: failure.Failure) -> routing.AttemptEnd:
+    if reason.check(*_NOT_SENT):
+        return routing.AttemptEnd.NOT_SENT
+    inner: list[typing.Any] = getattr(reason.value, "reasons", None) or [reason]
+    lost = (error.ConnectionLost, error.ConnectionDone)
+    if any(each.check(*lost) for each in inner):
+        return routing.AttemptEnd.LOST
+    return routing.AttemptEnd.MALFORMED
--- /dev/null
+++ b/mustardwood/entry/caller_channel.py
@@ -0,0 +1,89 @@
+"""The answer to one caller."""
+
+import collections.abc
+import http
+import typing
+
+from twisted.internet import defer
+from twisted.web import server
+
+from mustardwood import errors
+from mustardwood.entry import error_body
+
+_EVENT_STREAM = "text/event-stream"
+
+
+class CallerChannel:
+    """Writes an answer to a caller's connection.
+
+    Attributes:
+        done: Fires when the answer is written.
+    """
+
+    def __init__(self, request: server.Request, request_id: str,
+                 is_draining: collections.abc.Callable[[], bool]) -> None:
+        self.done: defer.Deferred[None] = defer.Deferred(lambda _: None)
+        self._request = request
+        self._request_id = request_id
+        self._is_draining = is_draining
+        self._streaming = False
+        self._open = True
+
+    def close(self) -> None:
+        """Notes that the caller has gone away."""
+        self._open = False
+
+    def pass_data(self, data: bytes, *, replay: bool) -> None:
+        """Writes a part of a stream of events."""
+        if not self._open:
+            return
+        if not self._streaming:
+            self._streaming = True
+            headers = [("content-type", _EVENT_STREAM),
+                       ("cache-control", "no-store")]
+            if replay:
+                headers.append(("x-idempotent-replay", "1"))
+            self._begin(http.HTTPStatus.OK, headers)
+        self._request.write(data)
+
+    def pass_end(self) -> None:
+        """Ends a stream of events."""
+        self._finish()
+
+    def pass_answer(self, status: int,
+                    headers: collections.abc.Iterable[tuple[str, str]],
+                    body: bytes) -> None:
+        """Writes a whole answer."""
+        if not self._open:
+            return
+        self._begin(status, headers)
+        self._request.setHeader("content-length", str(len(body)))
+        self._request.write(body)
+        self._finish()
+
+    def pass_error(self, error: errors.RequestError) -> None:
+        """Writes the final error, as an event if the stream has begun."""
+        body = error_body.encode_error(error, self._request_id)
+        if self._streaming and self._open:
+            self._request.write(b"data: " + body + b"\n\n")
+            self._finish()
+        else:
+            self.pass_answer(error.status, error_body.make_headers(error), body)
+
+    def _begin(self, status: int,
+               headers: collections.abc.Iterable[tuple[str, str]]) -> None:
+        self._request.setResponseCode(status)
+        own = self._request.responseHeaders
+        own.removeHeader("content-type")
+        for name, value in headers:
+            own.addRawHeader(name, value)
+        own.setRawHeaders("x-request-id", [self._request_id])
+        if self._is_draining():
+            own.setRawHeaders("connection", ["close"])
+            channel: typing.Any = self._request.channel
+            channel.persistent = False
+
+    def _finish(self) -> None:
+        if self._open:
+            self._open = False
+            self.done.callback(None)
--- /dev/null
+++ b/mustardwood/entry/callers_site.py
@@ -0,0 +1,196 @@
+"""The callers' HTTP."""
+
+import collections.abc
+import http
+import typing
+import urllib.parse
+
+import klein
+import msgspec
+from twisted.internet import defer
+from twisted.web import server
+
+from mustardwood import errors
+from mustardwood import routing
+from mustardwood import timing
+from mustardwood.entry import caller_channel
+from mustardwood.entry import limited_request
+from mustardwood.entry import request_reader
+
+_SERVICES = "/services/"
+
+Answer = defer.Deferred
+
+
+class Gateway(typing.Protocol):
+    """What the callers' HTTP passes requests to."""
+
+    @property
+    def classifier(self) -> routing.Classifier | None:
+        """Look-up in the configuration in force; None before the first."""
+
+    def is_draining(self) -> bool:
+        """Returns whether a planned stop is under way."""
+
+    def take_request(self, request: routing.CallerRequest,
+                     channel: caller_channel.CallerChannel) -> None:
+        """Takes a request that passed its checks."""
+
+    def drop_caller(self, request_id: str) -> None:
+        """Takes the loss of a caller's connection."""
+
+
+class CallersSite:
+    """Routes of the callers' HTTP.
+
+    Attributes:
+        app: The routes.
+    """
+
+    def __init__(self, gateway: Gateway, clock: timing.Clock) -> None:
+        self.app = klein.Klein()
+        self.app.url_map.merge_slashes = False
+        self._gateway = gateway
+        self._clock = clock
+        self.app.route("/v1/chat/completions", methods=["POST"])(self._chat)
+        self.app.route("/v1/completions", methods=["POST"])(self._complete)
+        self.app.route("/v1/models", methods=["GET"])(self._list_models)
+        self.app.route("/v1/models/<path:name>",
+                       methods=["GET"])(self._show_model)
+        self.app.route(_SERVICES, branch=True)(self._call_service)
+        self.app.route("/", branch=True)(self._refuse_path)
+
+    def make_site(self, reactor: typing.Any) -> server.Site:
+        """Returns the site to listen with."""
+        return limited_request.LimitedSite(self.app.resource(), reactor)
+
+    def _chat(self, request: server.Request) -> Answer:
+        return self._complete_kind(request, routing.RequestKind.CHAT)
+
+    def _complete(self, request: server.Request) -> Answer:
+        return self._complete_kind(request, routing.RequestKind.COMPLETION)
+
+    def _complete_kind(self, request: server.Request,
+                       kind: routing.RequestKind) -> Answer:
+
+        def read(classifier: routing.Classifier,
+                 raw: request_reader.RawRequest) -> routing.CallerRequest:
+            return request_reader.read_completion(classifier, kind, raw)
+
+        return self._route(request, read)
+
+    def _call_service(self, request: server.Request) -> Answer:
+
+        def read(classifier: routing.Classifier,
+                 raw: request_reader.RawRequest) -> routing.CallerRequest:
+            name, path = split_service_path(request.uri)
+            return request_reader.read_service_call(classifier, name, path, raw)
+
+        return self._route(request, read)
+
+    def _route(
+        self, request: server.Request, read: collections.abc.Callable[
+            [routing.Classifier, request_reader.RawRequest],
+            routing.CallerRequest]
+    ) -> Answer:
+        channel = self._make_channel(request)
+        try:
+            classifier = request_reader.find_classifier(
+                self._gateway.classifier)
+            checked = read(classifier, self._read_raw(request))
+        except errors.RequestError as error:
+            channel.pass_error(error)
+            return channel.done
+        self._watch_connection(request, channel)
+        self._gateway.take_request(checked, channel)
+        return channel.done
+
+    def _list_models(self, request: server.Request) -> Answer:
+        return self._answer(request, request_reader.list_models)
+
+    def _show_model(self, request: server.Request, name: str) -> Answer:
+
+        def describe(classifier: routing.Classifier) -> dict[str, typing.Any]:
+            return request_reader.describe_model(
+                classifier.find_model(name).name)
+
+        return self._answer(request, describe)
+
+    def _answer(
+        self, request: server.Request,
+        make: collections.abc.Callable[[routing.Classifier], dict[str,
+                                                                  typing.Any]]
+    ) -> Answer:
+        channel = self._make_channel(request)
+        raw = self._read_raw(request)
+        try:
+            classifier = request_reader.find_classifier(
+                self._gateway.classifier)
+            classifier.find_organisation(raw.find_header("authorization"))
+            body = msgspec.json.encode(make(classifier))
+        except errors.RequestError as error:
+            channel.pass_error(error)
+        else:
+            channel.pass_answer(http.HTTPStatus.OK,
+                                (("content-type", "application/json"),), body)
+        return channel.done
+
+    def _refuse_path(self, request: server.Request) -> Answer:
+        channel = self._make_channel(request)
+        channel.pass_error(
+            errors.RequestError(
+                errors.RequestCode.UNKNOWN_PATH,
+                "there is nothing at this path and method.",
+                "Use POST /v1/chat/completions, POST "
+                "/v1/completions, GET /v1/models or "
+                "/services/NAME/PATH."))
+        return channel.done
+
+    def _make_channel(self,
+                      request: server.Request) -> caller_channel.CallerChannel:
+        limited = typing.cast(limited_request.LimitedRequest, request)
+        return caller_channel.CallerChannel(request, limited.request_id,
+                                            self._gateway.is_draining)
+
+    def _read_raw(self, request: server.Request) -> request_reader.RawRequest:
+        limited = typing.cast(limited_request.LimitedRequest, request)
+        headers = tuple(
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, values in request.requestHeaders.getAllRawHeaders()
+            for value in values)
+        assert request.content is not None
+        return request_reader.RawRequest(limited.request_id,
+                                         request.method.decode("ascii"),
+                                         headers, request.content.read(),
+                                         self._clock.monotonic())
+
+    def _watch_connection(self, request: server.Request,
+                          channel: caller_channel.CallerChannel) -> None:
+        limited = typing.cast(limited_request.LimitedRequest, request)
+
+        def drop(_: object) -> None:
+            channel.close()
+            self._gateway.drop_caller(limited.request_id)
+
+        request.notifyFinish().addErrback(drop)
+
+
+def split_service_path(uri: bytes) -> tuple[str, str]:
+    """Splits a URI into the service's name and the path that it gets.
+
+    Args:
+        uri: Path and query as the caller sent them.
+
+    Returns:
+        The name, and the rest with its query, unchanged.
+
+    Examples:
+        >>> split_service_path(b"/services/invoices/a%20b?x=1")
+        ('invoices', '/a%20b?x=1')
+        >>> split_service_path(b"/services/invoices?x=1")
+        ('invoices', '/?x=1')
+    """
+    rest = uri.decode("ascii").removeprefix(_SERVICES)
+    path, mark, query = rest.partition("?")
+    name, slash, tail = path.partition("/")
+    return urllib.parse.unquote(name), (slash or "/") + tail + mark + query
--- /dev/null
+++ b/mustardwood/entry/dispatcher.py
@@ -0,0 +1,155 @@
+"""The carrying out of the router's commands."""
+
+import collections.abc
+import typing
+
+from twisted.internet import defer
+
+from mustardwood import claims
+from mustardwood import engines
+from mustardwood import links
+from mustardwood import routing
+from mustardwood import runtime
+from mustardwood import timing
+from mustardwood.entry import attempt_receiver
+from mustardwood.entry import caller_channel
+
+_TICK_SECONDS = 0.05
+_log = runtime.make_logger("entry")
+
+
+class Dispatcher:
+    """Carries commands out, and calls the router's tick while work is open."""
+
+    def __init__(self, reactor: typing.Any, clock: timing.Clock,
+                 router: routing.Router, link: links.Link,
+                 client: engines.EndpointClient,
+                 store: claims.ClaimStore) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._router = router
+        self._link = link
+        self._client = client
+        self._store = store
+        self._channels: dict[str, caller_channel.CallerChannel] = {}
+        self._exchanges: dict[tuple[str, int], engines.Exchange] = {}
+        self._ticking = False
+        self._pending_writes = 0
+        self._handlers: dict[type, collections.abc.Callable] = {
+            routing.SendMessage: self._send_message,
+            routing.StartAttempt: self._start_attempt,
+            routing.CancelAttempt: self._cancel_attempt,
+            routing.AcquireClaim: self._acquire_claim,
+            routing.CompleteClaim: self._complete_claim,
+            routing.MarkClaimUnknown: self._mark_claim,
+            routing.ReleaseClaim: self._release_claim,
+            routing.PassData: self._pass_data,
+            routing.PassEnd: self._pass_end,
+            routing.PassAnswer: self._pass_answer,
+            routing.PassError: self._pass_error,
+        }
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is open and no claim is being written."""
+        return self._router.open_requests == 0 and self._pending_writes == 0
+
+    def add_channel(self, caller: str,
+                    channel: caller_channel.CallerChannel) -> None:
+        """Adds the channel of a caller."""
+        self._channels[caller] = channel
+
+    def remove_channel(self, caller: str) -> None:
+        """Forgets a caller that went away."""
+        self._channels.pop(caller, None)
+
+    def execute(self, commands: list[routing.Command]) -> None:
+        """Carries commands out, in order."""
+        for command in commands:
+            self._handlers[type(command)](command)
+        if not self._ticking and self._router.open_requests:
+            self._ticking = True
+            self._reactor.callLater(_TICK_SECONDS, self._tick)
+
+    def _tick(self) -> None:
+        self._ticking = False
+        self.execute(self._router.tick(self._clock.monotonic()))
+
+    def _send_message(self, command: routing.SendMessage) -> None:
+        self._link.send(command.peer, command.message)
+
+    def _start_attempt(self, command: routing.StartAttempt) -> None:
+        receiver = attempt_receiver.AttemptReceiver(self._router, self.execute,
+                                                    self._clock,
+                                                    command.request_id,
+                                                    command.attempt)
+        key = (command.request_id, command.attempt)
+        exchange = self._client.start(command, receiver)
+        if not receiver.ended:
+            self._exchanges[key] = exchange
+
+    def _cancel_attempt(self, command: routing.CancelAttempt) -> None:
+        key = (command.request_id, command.attempt)
+        exchange = self._exchanges.pop(key, None)
+        if exchange is not None:
+            exchange.cancel()
+
+    def _acquire_claim(self, command: routing.AcquireClaim) -> None:
+        defer.ensureDeferred(self._acquire(command))
+
+    async def _acquire(self, command: routing.AcquireClaim) -> None:
+        try:
+            answer = await self._store.acquire(command.organisation,
+                                               command.key, command.fingerprint,
+                                               command.attempt_id)
+        except Exception:  # pylint: disable=broad-exception-caught
+            _log.exception("a claim could not be made")
+            answer = claims.ClaimAnswer(claims.ClaimVerdict.UNAVAILABLE)
+        self.execute(
+            self._router.take_claim(command.request_id, answer,
+                                    self._clock.monotonic()))
+
+    def _complete_claim(self, command: routing.CompleteClaim) -> None:
+        defer.ensureDeferred(self._complete(command))
+
+    async def _complete(self, command: routing.CompleteClaim) -> None:
+        await self._write(
+            self._store.complete(command.attempt_id, command.answer))
+        self.execute(self._router.settle_claim(command.request_id))
+
+    def _mark_claim(self, command: routing.MarkClaimUnknown) -> None:
+        defer.ensureDeferred(
+            self._write(self._store.mark_unknown(command.attempt_id)))
+
+    def _release_claim(self, command: routing.ReleaseClaim) -> None:
+        defer.ensureDeferred(
+            self._write(self._store.release(command.attempt_id)))
+
+    async def _write(self, writing: collections.abc.Awaitable[None]) -> None:
+        self._pending_writes += 1
+        try:
+            await writing
+        except Exception:  # pylint: disable=broad-exception-caught
+            _log.exception("a claim could not be written")
+        finally:
+            self._pending_writes -= 1
+
+    def _pass_data(self, command: routing.PassData) -> None:
+        channel = self._channels.get(command.caller)
+        if channel is not None:
+            channel.pass_data(command.data, replay=command.replay)
+
+    def _pass_end(self, command: routing.PassEnd) -> None:
+        channel = self._channels.pop(command.caller, None)
+        if channel is not None:
+            channel.pass_end()
+
+    def _pass_answer(self, command: routing.PassAnswer) -> None:
+        channel = self._channels.pop(command.caller, None)
+        if channel is not None:
+            channel.pass_answer(command.status, command.headers, command.body)
+
+    def _pass_error(self, command: routing.PassError) -> None:
+        channel = self._channels.pop(command.caller, None)
+        if channel is not None:
+            channel.pass_error(command.error)
--- /dev/null
+++ b/mustardwood/entry/entry_daemon.py
@@ -0,0 +1,153 @@
+"""The process that serves callers."""
+
+import datetime
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import task
+from twisted.web import server
+
+from mustardwood import claims
+from mustardwood import engines
+from mustardwood import links
+from mustardwood import messages
+from mustardwood import routing
+from mustardwood import runtime
+from mustardwood import settings as settings_module
+from mustardwood import timing
+from mustardwood.entry import caller_channel
+from mustardwood.entry import callers_site
+from mustardwood.entry import dispatcher
+from mustardwood.entry import entry_metrics
+from mustardwood.entry import query_answerer
+from mustardwood.entry import unavailable_claims
+
+_POLL_SECONDS = 0.1
+_GRACE = datetime.timedelta(seconds=1)
+"""Time in which requests under way on open connections still arrive."""
+
+_log = runtime.make_logger("entry")
+
+
+class ProcessLink(links.Link, typing.Protocol):
+    """A link that is opened and closed with its process."""
+
+    def open(self) -> None:
+        """Starts to listen."""
+
+    def close(self) -> None:
+        """Closes all sockets."""
+
+    def close_idle(self) -> None:
+        """Closes the sockets of peers that got nothing for a while."""
+
+
+class EntryDaemon:
+    """Connects the router with callers, endpoints, claims and links."""
+
+    def __init__(self,
+                 settings: settings_module.Settings,
+                 reactor: typing.Any,
+                 clock: timing.Clock,
+                 link: ProcessLink,
+                 client: engines.EndpointClient | None = None,
+                 store: claims.ClaimStore | None = None) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._link = link
+        self._draining = False
+        self._listeners: list[interfaces.IListeningPort] = []
+        registry = runtime.make_registry()
+        self._router = routing.Router(settings.vm, settings.ip, settings.region,
+                                      clock, random.Random(),
+                                      entry_metrics.EntryMetrics(registry),
+                                      routing.LeastRunningGrants())
+        self._dispatcher = dispatcher.Dispatcher(
+            reactor, clock, self._router, link, client or
+            engines.HttpClient(reactor), store or
+            unavailable_claims.UnavailableClaims())
+        self._callers = callers_site.CallersSite(self, clock)
+        self._operators = runtime.OperatorsSite(settings, registry,
+                                                self.is_ready)
+
+    @property
+    def classifier(self) -> routing.Classifier | None:
+        """Look-up in the configuration in force; None before the first."""
+        return self._router.view.classifier
+
+    @property
+    def callers_port(self) -> int:
+        """TCP port of the callers' HTTP, once the entry listens."""
+        listener: typing.Any = self._listeners[0]
+        return listener.getHost().port
+
+    def is_draining(self) -> bool:
+        """Returns whether a planned stop is under way."""
+        return self._draining
+
+    def is_ready(self) -> bool:
+        """Returns whether the entry takes requests."""
+        return self.classifier is not None and not self._draining
+
+    def take_request(self, request: routing.CallerRequest,
+                     channel: caller_channel.CallerChannel) -> None:
+        """Takes a request that passed its checks."""
+        self._dispatcher.add_channel(request.request_id, channel)
+        self._dispatcher.execute(
+            self._router.take_request(request, self._clock.monotonic()))
+
+    def drop_caller(self, request_id: str) -> None:
+        """Takes the loss of a caller's connection."""
+        self._dispatcher.remove_channel(request_id)
+        self._dispatcher.execute(self._router.drop_caller(request_id))
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        settings = self._settings
+        self._link.set_handler(self._take_message)
+        self._link.open()
+        operators = await runtime.listen_http(
+            self._reactor, server.Site(self._operators.app.resource()),
+            settings.ip, settings.entry_operators_port)
+        callers = await runtime.listen_http(
+            self._reactor, self._callers.make_site(self._reactor), settings.ip,
+            settings.callers_port, settings.callers_tls)
+        self._listeners = [callers, operators]
+
+    async def stop(self) -> None:
+        """Finishes every open request, bounded by the settings."""
+        self._draining = True
+        if self._listeners:
+            await _stop_listening(self._listeners[0])
+        begun = self._clock.monotonic()
+        bound = datetime.timedelta(seconds=self._settings.drain_seconds)
+        while not self._is_drained(self._clock.monotonic() - begun):
+            if self._clock.monotonic() - begun >= bound:
+                _log.warning("%d requests are still open at the stop's bound",
+                             self._router.open_requests)
+                break
+            await task.deferLater(self._reactor, _POLL_SECONDS)
+        for listener in self._listeners[1:]:
+            await _stop_listening(listener)
+        self._link.close()
+
+    def _is_drained(self, waited: datetime.timedelta) -> bool:
+        return waited >= _GRACE and self._dispatcher.is_idle
+
+    def _take_message(self, envelope: messages.Envelope) -> None:
+        if isinstance(envelope.body, messages.Query):
+            reply = query_answerer.answer_query(envelope.body,
+                                                self._settings.vm,
+                                                self._router,
+                                                ready=self.is_ready())
+            self._link.send(envelope.sender, reply)
+            return
+        self._dispatcher.execute(
+            self._router.take_message(envelope, self._clock.monotonic()))
+
+
+async def _stop_listening(listener: typing.Any) -> None:
+    await defer.maybeDeferred(listener.stopListening)
--- /dev/null
+++ b/mustardwood/entry/limited_request.py
@@ -0,0 +1,194 @@
+"""Limits on what callers send."""
+
+import io
+import secrets
+import typing
+import urllib.parse
+
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import http
+from twisted.web import server
+
+from mustardwood import errors
+from mustardwood import routing
+from mustardwood.entry import error_body
+
+READ_TIMEOUT_SECONDS = 30.0
+"""Bound on the reading of one request."""
+
+HEADERS_LIMIT = 64 * 1024
+"""Largest request line and headers, in bytes."""
+
+# The method names below are those of the library's classes.
+# pylint: disable=invalid-name
+
+
+class LimitedRequest(server.Request):
+    """A request whose body stays in memory and within its limit.
+
+    Attributes:
+        request_id: Id given to the request.
+    """
+
+    def __init__(self, channel: typing.Any, *args: typing.Any,
+                 **named: typing.Any) -> None:
+        super().__init__(channel, *args, **named)
+        self.request_id = f"req-{secrets.token_hex(12)}"
+        self._received = 0
+        self._refused = False
+
+    def gotLength(self, length: int | None) -> None:
+        """Prepares for the body; refuses one that is too long."""
+        self.content = io.BytesIO()
+        if length is not None and length > routing.BODY_LIMIT:
+            self._refuse(_make_too_large())
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Takes a part of the body."""
+        self._received += len(data)
+        if self._refused:
+            return
+        if self._received > routing.BODY_LIMIT:
+            self._refuse(_make_too_large())
+            return
+        super().handleContentChunk(data)
+
+    def requestReceived(self, command: bytes, path: bytes,
+                        version: bytes) -> None:
+        """Takes the whole request; its body is left as it is."""
+        if self._refused:
+            return
+        assert self.content is not None
+        self.content.seek(0, 0)
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        self.path = path.partition(b"?")[0]
+        self.args = {}
+        self.client = self.channel.getPeer()
+        self.host = self.channel.getHost()
+        if not _is_clean(path) or not _is_clean(command):
+            self._refuse(
+                errors.RequestError(errors.RequestCode.UNKNOWN_PATH,
+                                    "the path is not valid.",
+                                    "Percent-encode the path as UTF-8."))
+            return
+        self.process()
+
+    def _refuse(self, error: errors.RequestError) -> None:
+        self._refused = True
+        channel: typing.Any = self.channel
+        channel.refuse(error, self.request_id)
+
+
+class LimitedChannel(http.HTTPChannel):
+    """A caller's connection with bounds on headers and on time."""
+
+    totalHeadersSize = HEADERS_LIMIT
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.site: server.Site | None = None
+        self._reading: typing.Any = None
+
+    def connectionMade(self) -> None:
+        """Starts the bound on the reading."""
+        super().connectionMade()
+        self._start_reading()
+
+    def allContentReceived(self) -> None:
+        """Ends the bound on the reading."""
+        self._stop_reading()
+        super().allContentReceived()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Takes bytes; the first of a request start the bound again."""
+        if self._reading is None and not self.requests:
+            self._start_reading()
+        super().dataReceived(data)
+
+    def connectionLost(self,
+                       reason: failure.Failure = protocol.connectionDone
+                      ) -> None:
+        """Ends the bound on the reading."""
+        self._stop_reading()
+        super().connectionLost(reason)
+
+    def refuse(self, error: errors.RequestError, request_id: str) -> None:
+        """Writes an error and closes the connection."""
+        self._stop_reading()
+        body = error_body.encode_error(error, request_id)
+        lines = [f"HTTP/1.1 {int(error.status)} {error.status.phrase}"]
+        lines += [
+            f"{name}: {value}" for name, value in error_body.make_headers(error)
+        ]
+        lines += [
+            f"content-length: {len(body)}", f"x-request-id: {request_id}",
+            "connection: close", "", ""
+        ]
+        transport: typing.Any = self.transport
+        transport.write("\r\n".join(lines).encode("ascii") + body)
+        self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        too_large = self._receivedHeaderSize > self.totalHeadersSize
+        code = (errors.RequestCode.HEADERS_TOO_LARGE
+                if too_large else errors.RequestCode.MALFORMED_BODY)
+        self.refuse(
+            errors.RequestError(code, "the request is not usable HTTP.",
+                                "Send HTTP/1.1 with fewer or valid headers."),
+            f"req-{secrets.token_hex(12)}")
+
+    def _start_reading(self) -> None:
+        self._reading = self.callLater(READ_TIMEOUT_SECONDS, self._time_out)
+
+    def _stop_reading(self) -> None:
+        if self._reading is not None and self._reading.active():
+            self._reading.cancel()
+        self._reading = None
+
+    def _time_out(self) -> None:
+        self._reading = None
+        self.refuse(
+            errors.RequestError(errors.RequestCode.REQUEST_TIMEOUT,
+                                "the request took too long to arrive.",
+                                "Send the whole request at once."),
+            f"req-{secrets.token_hex(12)}")
+
+
+class LimitedSite(server.Site):
+    """A site with these limits."""
+
+    def __init__(self, resource: typing.Any, reactor: typing.Any) -> None:
+        super().__init__(resource, requestFactory=LimitedRequest)
+        self.displayTracebacks = False
+        self._own_reactor = reactor
+
+    def buildProtocol(self, addr: typing.Any) -> typing.Any:
+        """Returns the protocol of a new connection."""
+        channel: typing.Any = LimitedChannel()
+        channel.requestFactory = self.requestFactory
+        channel.site = self
+        channel.factory = self
+        channel.timeOut = self.timeOut
+        channel.callLater = self._own_reactor.callLater
+        return channel
+
+    def log(self, request: typing.Any) -> None:
+        """Writes no access log."""
+
+
+def _make_too_large() -> errors.RequestError:
+    return errors.RequestError(errors.RequestCode.BODY_TOO_LARGE,
+                               f"the body is over {routing.BODY_LIMIT} bytes.",
+                               "Send a shorter request.")
+
+
+def _is_clean(path: bytes) -> bool:
+    try:
+        text = path.decode("ascii")
+        urllib.parse.unquote(text, errors="strict")
+    except UnicodeDecodeError:
+        return False
+    return text.isprintable()
--- /dev/null
+++ b/mustardwood/entry/request_reader.py
@@ -0,0 +1,182 @@
+"""The checks of callers' requests."""
+
+import collections.abc
+import dataclasses
+import datetime
+import typing
+
+from mustardwood import errors
+from mustardwood import routing
+
+_KEY_HEADER = "idempotency-key"
+_CLASS_HEADER = "x-request-class"
+_UNPASSED = frozenset({
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "expect",
+    "authorization",
+})
+"""Headers for one connection only, and those that the router answers to."""
+
+Headers = collections.abc.Sequence[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True)
+class RawRequest:
+    """A caller's request as it came.
+
+    Attributes:
+        request_id: Id given to it.
+        method: HTTP method.
+        headers: Headers, names in lower case.
+        body: Body.
+        arrived: Monotonic time of arrival.
+    """
+
+    request_id: str
+    method: str
+    headers: Headers
+    body: bytes
+    arrived: datetime.timedelta
+
+    def find_header(self, name: str) -> str | None:
+        """Returns the first header of a name."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+def read_completion(classifier: routing.Classifier, kind: routing.RequestKind,
+                    raw: RawRequest) -> routing.CallerRequest:
+    """Checks a chat or text completion.
+
+    Raises:
+        RequestError: Something about the request is wrong.
+    """
+    organisation = classifier.find_organisation(
+        raw.find_header("authorization"))
+    body = routing.parse_completion(kind, raw.body)
+    model = classifier.find_model(body.model)
+    request_class = classifier.find_class(raw.find_header(_CLASS_HEADER),
+                                          classifier.document.default_class,
+                                          serves=model.name,
+                                          organisation=organisation,
+                                          max_tokens=body.max_tokens)
+    limit = model.max_output_tokens
+    return routing.CallerRequest(request_id=raw.request_id,
+                                 kind=kind,
+                                 serves=model.name,
+                                 request_class=request_class,
+                                 organisation=organisation,
+                                 arrived=raw.arrived,
+                                 idempotent=request_class.idempotent,
+                                 fingerprint=routing.compute_fingerprint(
+                                     organisation, kind.encode(),
+                                     body.canonical),
+                                 fields=body.fields,
+                                 stream=body.stream,
+                                 include_usage=body.include_usage,
+                                 prompt_tokens=body.prompt_tokens,
+                                 max_tokens=min(body.max_tokens or limit,
+                                                limit),
+                                 prefix=body.prefix,
+                                 idempotency_key=_read_key(raw))
+
+
+def read_service_call(classifier: routing.Classifier, name: str, path: str,
+                      raw: RawRequest) -> routing.CallerRequest:
+    """Checks a call of a plain service.
+
+    Args:
+        classifier: Look-up in the configuration.
+        name: Name of the service.
+        path: Path and query below the endpoint's URL.
+        raw: The request.
+
+    Raises:
+        RequestError: Something about the request is wrong.
+    """
+    organisation = classifier.find_organisation(
+        raw.find_header("authorization"))
+    service = classifier.find_service(name)
+    request_class = classifier.find_class(raw.find_header(_CLASS_HEADER),
+                                          service.default_class,
+                                          serves=service.name,
+                                          organisation=organisation,
+                                          path=path)
+    return routing.CallerRequest(request_id=raw.request_id,
+                                 kind=routing.RequestKind.SERVICE,
+                                 serves=service.name,
+                                 request_class=request_class,
+                                 organisation=organisation,
+                                 arrived=raw.arrived,
+                                 idempotent=raw.method
+                                 in service.idempotent_methods,
+                                 fingerprint=routing.compute_fingerprint(
+                                     organisation, raw.method.encode(),
+                                     name.encode(), path.encode(), raw.body),
+                                 method=raw.method,
+                                 path=path,
+                                 headers=select_passed(raw.headers),
+                                 body=raw.body,
+                                 idempotency_key=_read_key(raw))
+
+
+def select_passed(headers: Headers) -> tuple[tuple[str, str], ...]:
+    """Leaves out the headers that concern one connection only.
+
+    Examples:
+        >>> select_passed([("connection", "x-a"), ("x-a", "1"), ("x-b", "2")])
+        (('x-b', '2'),)
+    """
+    named = {
+        token.strip().lower() for key, value in headers if key == "connection"
+        for token in value.split(",")
+    }
+    return tuple(each for each in headers
+                 if each[0] not in _UNPASSED and each[0] not in named)
+
+
+def find_classifier(
+        classifier: routing.Classifier | None) -> routing.Classifier:
+    """Returns the classifier of the configuration in force.
+
+    Raises:
+        RequestError: There is no configuration yet.
+    """
+    if classifier is None:
+        raise errors.RequestError(errors.RequestCode.NOT_READY,
+                                  "this entry has no configuration yet.",
+                                  "Come back after the time in Retry-After.",
+                                  retry_after=datetime.timedelta(seconds=1))
+    return classifier
+
+
+def list_models(classifier: routing.Classifier) -> dict[str, typing.Any]:
+    """Returns the models in OpenAI's shape."""
+    return {
+        "object": "list",
+        "data": [describe_model(name) for name in sorted(classifier.models)]
+    }
+
+
+def describe_model(name: str) -> dict[str, typing.Any]:
+    """Returns one model in OpenAI's shape."""
+    return {
+        "id": name,
+        "object": "model",
+        "created": 0,
+        "owned_by": "mustardwood"
+    }
+
+
+def _read_key(raw: RawRequest) -> str:
+    key = raw.find_header(_KEY_HEADER)
+    return "" if key is None else routing.check_idempotency_key(key)
--- /dev/null
+++ b/mustardwood/entry/tests/fake_engine.py
@@ -0,0 +1,90 @@
+"""An engine that answers one request on a connection."""
+
+import json
+
+from twisted.internet import protocol
+
+WORDS = ("Odpisy ", "ľahko ", "súhlasia")
+
+
+class EngineProtocol(protocol.Protocol):
+    """An engine that answers one request on a connection."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.data = b""
+
+    def dataReceived(self, data):
+        self.data += data
+        head, mark, body = self.data.partition(b"\r\n\r\n")
+        headers = dict(
+            line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+        if not mark or len(body) < int(headers.get(b"content-length", 0)):
+            return
+        self.data = b""
+        self.engine.requests.append((head, body))
+        self.answer(headers[b"x-attempt-id"].decode())
+
+    def answer(self, attempt_id):
+        """Writes the answer to an attempt."""
+        if self.engine.plain is not None:
+            self.transport.write(self.engine.plain)
+            return
+        self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-type: "
+                             b"text/event-stream\r\n"
+                             b"transfer-encoding: chunked\r\n\r\n")
+        for index, word in enumerate(WORDS):
+            self.event(attempt_id, {"content": word},
+                       "stop" if index + 1 == len(WORDS) else None)
+        if self.engine.hold:
+            return
+        self.chunk(
+            json.dumps({
+                "id": attempt_id,
+                "choices": [],
+                "usage": {
+                    "prompt_tokens": 5,
+                    "completion_tokens": 3
+                }
+            }))
+        self.chunk("[DONE]")
+        self.transport.write(b"0\r\n\r\n")
+
+    def event(self, attempt_id, delta, reason):
+        """Writes an event of the answer."""
+        self.chunk(
+            json.dumps({
+                "id":
+                    attempt_id,
+                "object":
+                    "chat.completion.chunk",
+                "created":
+                    1,
+                "model":
+                    "m",
+                "choices": [{
+                    "index": 0,
+                    "delta": delta,
+                    "finish_reason": reason
+                }]
+            }))
+
+    def chunk(self, data):
+        event = f"data: {data}\n\n".encode()
+        self.transport.write(b"%x\r\n%s\r\n" % (len(event), event))
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.engine.closed += 1
+
+
+class Engine(protocol.Factory):
+    """Listens as an engine."""
+
+    def __init__(self):
+        self.requests = []
+        self.closed = 0
+        self.hold = False
+        self.plain = None
+
+    def buildProtocol(self, addr):
+        return EngineProtocol(self)
--- /dev/null
+++ b/mustardwood/entry/tests/fake_link.py
@@ -0,0 +1,39 @@
+"""A link whose other end grants at once."""
+
+from twisted.internet import reactor
+
+from mustardwood import messages
+
+_IP = "127.6.1.1"
+
+
+class FakeLink:
+    """Grants every ask at once, as a scheduler would."""
+
+    def __init__(self):
+        self.sent = []
+        self.handler = None
+        self.granting = True
+
+    def set_handler(self, handler):
+        self.handler = handler
+
+    def open(self):
+        pass
+
+    def close(self):
+        pass
+
+    def close_idle(self):
+        pass
+
+    def send(self, peer, message):
+        del peer
+        self.sent.append(message)
+        if isinstance(message, messages.Ask) and self.granting:
+            grant = messages.Grant(message.request_id, message.attempt,
+                                   message.cell, "e1", 0)
+            reactor.callLater(0, self.deliver, grant)
+
+    def deliver(self, body, role=messages.Role.SCHEDULER):
+        self.handler(messages.Envelope(messages.Peer(_IP, role), 1, body))
--- /dev/null
+++ b/mustardwood/entry/unavailable_claims.py
@@ -0,0 +1,23 @@
+"""A claim store for an entry without one."""
+
+from mustardwood import claims
+
+
+class UnavailableClaims:
+    """Answers that claims can't be made."""
+
+    async def acquire(self, organisation: str, key: str, fingerprint: str,
+                      attempt_id: str) -> claims.ClaimAnswer:
+        """Answers that the store is unavailable."""
+        del organisation, key, fingerprint, attempt_id
+        return claims.ClaimAnswer(claims.ClaimVerdict.UNAVAILABLE)
+
+    async def complete(self, attempt_id: str,
+                       answer: claims.StoredAnswer) -> None:
+        """Does nothing: there are no claims."""
+
+    async def mark_unknown(self, attempt_id: str) -> None:
+        """Does nothing: there are no claims."""
+
+    async def release(self, attempt_id: str) -> None:
+        """Does nothing: there are no claims."""
--- /dev/null
+++ b/mustardwood/routing/classifier.py
@@ -0,0 +1,122 @@
+"""Who a caller is, and which class a request has."""
+
+import hashlib
+
+from mustardwood import configuration
+from mustardwood import errors
+
+KEY_LENGTH_LIMIT = 255
+"""Longest idempotency key, in characters."""
+
+_BEARER = "bearer "
+
+
+class Classifier:
+    """Looks up organisations, models, services and classes."""
+
+    def __init__(self, document: configuration.Document) -> None:
+        self.document = document
+        self.classes = {each.name: each for each in document.classes}
+        self.models = {each.name: each for each in document.models}
+        self.services = {each.name: each for each in document.services}
+        self._organisations = {
+            digest.lower(): each.name for each in document.organisations
+            for digest in each.key_hashes
+        }
+
+    def find_organisation(self, authorization: str | None) -> str:
+        """Returns the organisation of an ``Authorization`` header.
+
+        Raises:
+            RequestError: The key is missing or unknown.
+        """
+        header = authorization or ""
+        if header[:len(_BEARER)].lower() != _BEARER:
+            raise errors.RequestError(
+                errors.RequestCode.UNKNOWN_KEY, "no API key was sent.",
+                "Send the header 'Authorization: Bearer KEY'.")
+        key = header[len(_BEARER):].strip()
+        digest = hashlib.sha256(key.encode("utf-8", "replace")).hexdigest()
+        name = self._organisations.get(digest)
+        if name is None:
+            raise errors.RequestError(
+                errors.RequestCode.UNKNOWN_KEY, "the API key is unknown.",
+                "Use a key that the operators have configured.")
+        return name
+
+    def find_model(self, name: str) -> configuration.Model:
+        """Returns a model; raises `RequestError` when it is unknown."""
+        if name not in self.models:
+            raise errors.RequestError(
+                errors.RequestCode.UNKNOWN_MODEL,
+                f"the model '{name[:100]}' is unknown.",
+                "Ask GET /v1/models for the models of this router.")
+        return self.models[name]
+
+    def find_service(self, name: str) -> configuration.Service:
+        """Returns a service; raises `RequestError` when it is unknown."""
+        if name not in self.services:
+            raise errors.RequestError(
+                errors.RequestCode.UNKNOWN_SERVICE,
+                f"the service '{name[:100]}' is unknown.",
+                "Use a service that the operators have configured.")
+        return self.services[name]
+
+    def find_class(self,
+                   header: str | None,
+                   default: str,
+                   *,
+                   serves: str,
+                   organisation: str,
+                   path: str = "",
+                   max_tokens: int | None = None) -> configuration.RequestClass:
+        """Chooses the class: by header, else by the first rule, else default.
+
+        Raises:
+            RequestError: The header names an unknown class.
+        """
+        if header is not None:
+            return self._find_named(header.strip())
+        for rule in self.document.rules:
+            if _match_rule(rule, serves, organisation, path, max_tokens):
+                return self._find_named(rule.assign)
+        return self._find_named(default)
+
+    def _find_named(self, name: str) -> configuration.RequestClass:
+        if name not in self.classes:
+            known = ", ".join(sorted(self.classes))
+            raise errors.RequestError(errors.RequestCode.UNKNOWN_CLASS,
+                                      f"the class '{name[:100]}' is unknown.",
+                                      f"Use one of: {known}.")
+        return self.classes[name]
+
+
+def check_idempotency_key(key: str) -> str:
+    """Checks an ``Idempotency-Key``.
+
+    Raises:
+        RequestError: The key is empty, too long or not printable ASCII.
+
+    Examples:
+        >>> check_idempotency_key("disposal-17")
+        'disposal-17'
+    """
+    printable = key.isascii() and key.isprintable()
+    if not key or len(key) > KEY_LENGTH_LIMIT or not printable:
+        raise errors.RequestError(
+            errors.RequestCode.BAD_IDEMPOTENCY_KEY,
+            "the idempotency key is not usable.",
+            f"Send 1 to {KEY_LENGTH_LIMIT} printable ASCII characters.")
+    return key
+
+
+def _match_rule(rule: configuration.ClassRule, serves: str, organisation: str,
+                path: str, max_tokens: int | None) -> bool:
+    if rule.serves not in (None, serves):
+        return False
+    if rule.organisation not in (None, organisation):
+        return False
+    if rule.path_prefix is not None and not path.startswith(rule.path_prefix):
+        return False
+    limit = rule.max_tokens_at_most
+    return limit is None or (max_tokens is not None and max_tokens <= limit)
--- /dev/null
+++ b/mustardwood/routing/commands.py
@@ -0,0 +1,133 @@
+"""What the routing core asks its adapters to do."""
+
+import dataclasses
+
+from mustardwood import claims
+from mustardwood import configuration
+from mustardwood import errors
+from mustardwood import messages
+
+
+@dataclasses.dataclass(frozen=True)
+class SendMessage:
+    """Sends a message to another process.
+
+    Attributes:
+        peer: The receiver.
+        message: The message.
+    """
+
+    peer: messages.Peer
+    message: messages.Message
+
+
+@dataclasses.dataclass(frozen=True)
+class StartAttempt:
+    """Sends a request to an endpoint.
+
+    Attributes:
+        request_id: Id of the request.
+        attempt: Number of the attempt.
+        attempt_id: Id of the attempt, sent to the endpoint.
+        endpoint: The endpoint.
+        method: HTTP method.
+        path: Path and query below the endpoint's URL.
+        headers: Headers.
+        body: Body.
+        events: Whether the answer is a stream of engine events.
+    """
+
+    request_id: str
+    attempt: int
+    attempt_id: str
+    endpoint: configuration.Endpoint
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    events: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelAttempt:
+    """Closes the connection of an attempt."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AcquireClaim:
+    """Claims an idempotency key; the answer is an event of the router."""
+
+    request_id: str
+    organisation: str
+    key: str
+    fingerprint: str
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class CompleteClaim:
+    """Stores the whole answer of a claimed request."""
+
+    request_id: str
+    attempt_id: str
+    answer: claims.StoredAnswer
+
+
+@dataclasses.dataclass(frozen=True)
+class MarkClaimUnknown:
+    """Records that a claimed request may have run."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ReleaseClaim:
+    """Removes the claim of a request of which nothing was sent."""
+
+    attempt_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PassData:
+    """Passes a part of a streamed answer to a caller.
+
+    The first part of an answer goes with status 200 and the media type of
+    server-sent events.
+    """
+
+    caller: str
+    data: bytes
+    replay: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class PassEnd:
+    """Ends a streamed answer."""
+
+    caller: str
+
+
+@dataclasses.dataclass(frozen=True)
+class PassAnswer:
+    """Passes a whole answer to a caller."""
+
+    caller: str
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class PassError:
+    """Passes the final error to a caller, inside the stream when begun."""
+
+    caller: str
+    error: errors.RequestError
+
+
+Command = (SendMessage | StartAttempt | CancelAttempt | AcquireClaim |
+           CompleteClaim | MarkClaimUnknown | ReleaseClaim | PassData |
+           PassEnd | PassAnswer | PassError)
--- /dev/null
+++ b/mustardwood/routing/completion_body.py
@@ -0,0 +1,182 @@
+"""Checks of the body of a completion."""
+
+import dataclasses
+import hashlib
+import typing
+
+import msgspec
+
+from mustardwood import errors
+from mustardwood.routing import request_kind
+
+BODY_LIMIT = 8 * 1024 * 1024
+"""Largest body of a request, in bytes."""
+
+_CHARACTERS_PER_TOKEN = 4
+_PREFIX_BYTES = 1024
+_MAX_TOKENS_LIMIT = 2**31
+_STREAM_FIELDS = ("stream", "stream_options")
+_RESERVED_FIELDS = ("resume_from",)
+
+
+@dataclasses.dataclass(frozen=True)
+class CompletionBody:
+    """The body of a completion after its checks.
+
+    Attributes:
+        model: Name of the model.
+        fields: All fields, as the caller sent them.
+        stream: Whether the answer is streamed.
+        include_usage: Whether the stream ends with the usage.
+        max_tokens: Bound on the answer's length; None when not given.
+        prompt_tokens: Estimate of the prompt's length.
+        prefix: Hash of the start of the prompt.
+        canonical: The body without the fields about streaming, in an order
+            that does not depend on the caller.
+    """
+
+    model: str
+    fields: dict[str, typing.Any]
+    stream: bool
+    include_usage: bool
+    max_tokens: int | None
+    prompt_tokens: int
+    prefix: int
+    canonical: bytes
+
+
+def parse_completion(kind: request_kind.RequestKind,
+                     body: bytes) -> CompletionBody:
+    """Checks the body of a completion.
+
+    Args:
+        kind: Chat or text completion.
+        body: JSON.
+
+    Returns:
+        The body.
+
+    Raises:
+        RequestError: The body is too large, malformed, or has a wrong type.
+
+    Examples:
+        >>> body = b'{"model": "m", "prompt": "abcdefgh", "stream": true}'
+        >>> parsed = parse_completion(request_kind.RequestKind.COMPLETION, body)
+        >>> parsed.model, parsed.stream, parsed.prompt_tokens
+        ('m', True, 2)
+    """
+    fields = _decode_fields(body)
+    model = _read_field(fields, "model", str, required=True)
+    prompt = _read_prompt(kind, fields)
+    options = _read_field(fields, "stream_options", dict) or {}
+    _check_count(fields)
+    for name in _RESERVED_FIELDS:
+        if name in fields:
+            raise _refuse_type(name, "is reserved for the router",
+                               "Leave the field out.")
+    return CompletionBody(
+        model=model,
+        fields=fields,
+        stream=_read_field(fields, "stream", bool) or False,
+        include_usage=_read_field(options, "include_usage", bool) or False,
+        max_tokens=_read_max_tokens(fields),
+        prompt_tokens=len(prompt) // _CHARACTERS_PER_TOKEN,
+        prefix=_hash_prefix(prompt),
+        canonical=_encode_canonical(fields))
+
+
+def compute_fingerprint(organisation: str, *parts: bytes) -> str:
+    """Hashes what a request consists of, for comparison with others."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (organisation.encode(), *parts):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _decode_fields(body: bytes) -> dict[str, typing.Any]:
+    if len(body) > BODY_LIMIT:
+        raise errors.RequestError(errors.RequestCode.BODY_TOO_LARGE,
+                                  f"the body is over {BODY_LIMIT} bytes.",
+                                  "Send a shorter request.")
+    try:
+        fields = msgspec.json.decode(body)
+        msgspec.json.encode(fields)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise errors.RequestError(errors.RequestCode.MALFORMED_BODY,
+                                  f"the body is not valid JSON: {error}.",
+                                  "Send one JSON object in UTF-8.") from error
+    if not isinstance(fields, dict):
+        raise _refuse_type("body", "must be an object", "Send a JSON object.")
+    return fields
+
+
+def _read_field(fields: dict[str, typing.Any],
+                name: str,
+                kind: type,
+                *,
+                required: bool = False) -> typing.Any:
+    value = fields.get(name)
+    if value is None and not required:
+        return None
+    if not isinstance(value, kind):
+        raise _refuse_type(name, f"must be of type {kind.__name__}",
+                           f"Correct the field '{name}'.")
+    return value
+
+
+def _read_prompt(kind: request_kind.RequestKind,
+                 fields: dict[str, typing.Any]) -> bytes:
+    name = "prompt"
+    if kind is request_kind.RequestKind.CHAT:
+        name = "messages"
+        conversation = _read_field(fields, name, list, required=True)
+        if not conversation or not all(
+                isinstance(each, dict) for each in conversation):
+            raise _refuse_type(name, "must be a list of objects, not empty",
+                               "Send at least one message.")
+    prompt = fields.get(name)
+    if isinstance(prompt, str):
+        return prompt.encode()
+    if isinstance(prompt, list):
+        return msgspec.json.encode(prompt)
+    raise _refuse_type(name, "must be a string or a list",
+                       f"Correct the field '{name}'.")
+
+
+def _check_count(fields: dict[str, typing.Any]) -> None:
+    count = fields.get("n")
+    if count is not None and (isinstance(count, bool) or count != 1):
+        raise _refuse_type("n", "must be 1", "Send one request per answer.")
+
+
+def _read_max_tokens(fields: dict[str, typing.Any]) -> int | None:
+    for name in ("max_completion_tokens", "max_tokens"):
+        value = fields.get(name)
+        if value is None:
+            continue
+        if (not isinstance(value, int) or isinstance(value, bool) or
+                not 0 < value < _MAX_TOKENS_LIMIT):
+            raise _refuse_type(name, "must be a positive integer",
+                               f"Correct the field '{name}'.")
+        return value
+    return None
+
+
+def _hash_prefix(prompt: bytes) -> int:
+    digest = hashlib.blake2b(prompt[:_PREFIX_BYTES], digest_size=7).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _encode_canonical(fields: dict[str, typing.Any]) -> bytes:
+    kept = {
+        name: value
+        for name, value in fields.items()
+        if name not in _STREAM_FIELDS
+    }
+    return msgspec.json.encode(kept, order="deterministic")
+
+
+def _refuse_type(name: str, message: str, remedy: str) -> errors.RequestError:
+    return errors.RequestError(errors.RequestCode.WRONG_TYPE,
+                               f"'{name}' {message}.", remedy)
--- /dev/null
+++ b/mustardwood/routing/engine_call.py
@@ -0,0 +1,59 @@
+"""What is sent to an endpoint."""
+
+import typing
+
+import msgspec
+
+from mustardwood.routing import answer_text
+from mustardwood.routing import attempt as attempt_module
+from mustardwood.routing import caller_request
+from mustardwood.routing import commands
+from mustardwood.routing import request_kind
+
+_PATHS = {
+    request_kind.RequestKind.CHAT: "/v1/chat/completions",
+    request_kind.RequestKind.COMPLETION: "/v1/completions",
+}
+_OWN_HEADERS = ("x-request-id", "x-attempt-id", "x-priority")
+
+
+def make_call(request: caller_request.CallerRequest,
+              attempt: attempt_module.Attempt,
+              answer: answer_text.AnswerText) -> commands.StartAttempt:
+    """Returns the command that sends an attempt.
+
+    Args:
+        request: The request.
+        attempt: The attempt.
+        answer: What earlier attempts brought.
+    """
+    own = (("x-request-id", request.request_id),
+           ("x-attempt-id", attempt.attempt_id), ("x-priority",
+                                                  str(attempt.priority)))
+    if request.kind is request_kind.RequestKind.SERVICE:
+        headers = tuple(
+            each for each in request.headers if each[0] not in _OWN_HEADERS)
+        path, body, events = request.path, request.body, False
+    else:
+        headers = (("content-type", "application/json"),)
+        path, events = _PATHS[request.kind], True
+        body = _encode_body(request, answer)
+    return commands.StartAttempt(request.request_id, attempt.number,
+                                 attempt.attempt_id, attempt.endpoint,
+                                 request.method, path, headers + own, body,
+                                 events)
+
+
+def _encode_body(request: caller_request.CallerRequest,
+                 answer: answer_text.AnswerText) -> bytes:
+    options: dict[str, typing.Any] = request.fields.get("stream_options") or {}
+    fields = {
+        **request.fields,
+        "stream": True,
+        "stream_options": {
+            **options, "include_usage": True
+        },
+    }
+    if answer.text:
+        fields["resume_from"] = {"text": answer.text, "tokens": answer.tokens}
+    return msgspec.json.encode(fields)
--- /dev/null
+++ b/mustardwood/routing/merging.py
@@ -0,0 +1,107 @@
+"""The merge of a stream's events into one answer."""
+
+import typing
+
+Fields = dict[str, typing.Any]
+
+_LAST_WINS = ("role", "id", "type", "index", "object", "created", "model")
+
+
+def merge_events(events: list[Fields], *, chat: bool) -> Fields:
+    """Merges the events of a streamed answer into an answer not streamed.
+
+    Args:
+        events: The decoded events, in order.
+        chat: Whether they belong to a chat completion.
+
+    Returns:
+        The answer in OpenAI's shape, without the usage.
+
+    Examples:
+        >>> events = [{"id": "r", "choices": [{"index": 0, "text": "a"}]},
+        ...           {"id": "r", "choices": [{"index": 0, "text": "b"}]}]
+        >>> merge_events(events, chat=False)["choices"][0]["text"]
+        'ab'
+    """
+    whole: Fields = {}
+    choice: Fields = {}
+    for event in events:
+        whole.update((name, value)
+                     for name, value in event.items()
+                     if name not in ("choices", "tokens", "usage"))
+        for each in event.get("choices") or ():
+            _merge_fields(choice, each)
+    choice.setdefault("index", 0)
+    if chat:
+        message = choice.pop("delta", {})
+        message.setdefault("role", "assistant")
+        message.setdefault("content", None)
+        choice["message"] = message
+        whole["object"] = "chat.completion"
+    else:
+        choice.setdefault("text", "")
+        whole["object"] = "text_completion"
+    whole["choices"] = [choice]
+    return whole
+
+
+def _merge_fields(target: Fields, source: Fields) -> None:
+    for name, value in source.items():
+        present = target.get(name)
+        if present is None or name in _LAST_WINS:
+            target[name] = _copy(value)
+        elif isinstance(present, str) and isinstance(value, str):
+            target[name] = present + value
+        elif isinstance(present, dict) and isinstance(value, dict):
+            _merge_fields(present, value)
+        elif isinstance(present, list) and isinstance(value, list):
+            _merge_lists(present, value)
+        elif value is not None:
+            target[name] = value
+
+
+def _merge_lists(target: list[typing.Any], source: list[typing.Any]) -> None:
+    for value in source:
+        index = value.get("index") if isinstance(value, dict) else None
+        known = [
+            each for each in target if index is not None and
+            isinstance(each, dict) and each.get("index") == index
+        ]
+        if known:
+            _merge_fields(known[0], value)
+        else:
+            target.append(_copy(value))
+
+
+def _copy(value: typing.Any) -> typing.Any:
+    if isinstance(value, dict):
+        return {name: _copy(each) for name, each in value.items()}
+    if isinstance(value, list):
+        return [_copy(each) for each in value]
+    return value
+
+
+def split_answer(whole: Fields) -> tuple[Fields, Fields]:
+    """Turns an answer into the event of its text and that of its usage.
+
+    Args:
+        whole: An answer in OpenAI's shape.
+
+    Returns:
+        The two events of a streamed answer with the same content.
+    """
+    chat = whole.get("object") == "chat.completion"
+    common = {
+        name: value
+        for name, value in whole.items()
+        if name not in ("choices", "usage", "object")
+    }
+    common["object"] = "chat.completion.chunk" if chat else "text_completion"
+    choices = []
+    for choice in whole.get("choices", ()):
+        event = dict(choice)
+        if chat:
+            event["delta"] = event.pop("message", {})
+        choices.append(event)
+    usage = {**common, "choices": [], "usage": whole.get("usage")}
+    return {**common, "choices": choices}, usage
--- /dev/null
+++ b/mustardwood/routing/request_tally.py
@@ -0,0 +1,77 @@
+"""The counting of what happens to one request."""
+
+import datetime
+
+from mustardwood import errors
+from mustardwood.routing import attempt as attempt_module
+from mustardwood.routing import caller_request
+from mustardwood.routing import request_kind
+from mustardwood.routing import routing_context
+from mustardwood.routing import service_level_recorder
+from mustardwood.routing import waste_cause
+
+
+class RequestTally:
+    """Feeds the metrics and the service level counters."""
+
+    def __init__(self, request: caller_request.CallerRequest,
+                 context: routing_context.RoutingContext) -> None:
+        self._request = request
+        self._context = context
+        self._first_token_at: datetime.timedelta | None = None
+
+    def note_first_token(self, now: datetime.timedelta) -> None:
+        """Notes the first token; later attempts don't change it."""
+        if self._first_token_at is None:
+            self._first_token_at = now
+            self._context.metrics.observe_first_token(
+                self._request.request_class.name, now - self._request.arrived)
+
+    def note_whole(self, attempt: attempt_module.Attempt,
+                   now: datetime.timedelta) -> None:
+        """Counts a whole answer and whether it met its targets."""
+        self.note_first_token(now)
+        self._context.recorder.record_whole(self._make_key(
+            attempt.endpoint.name),
+                                            met=self._has_met(attempt),
+                                            tokens=attempt.tokens)
+        self._context.metrics.count_tokens(self._request.request_class.name,
+                                           attempt.tokens)
+
+    def note_retry(self) -> None:
+        """Counts a retry."""
+        self._context.metrics.count_retry(self._request.request_class.name)
+
+    def note_refused(self, error: errors.RequestError, endpoint: str) -> None:
+        """Counts a final error."""
+        code = error.request_code.value
+        self._context.recorder.record_refused(self._make_key(endpoint), code)
+        self._context.metrics.count_refusal(self._request.request_class.name,
+                                            code)
+
+    def note_waste(self, cause: waste_cause.WasteCause, tokens: int,
+                   endpoint: str) -> None:
+        """Counts tokens generated in vain."""
+        self._context.recorder.record_waste(self._make_key(endpoint), cause,
+                                            tokens)
+        self._context.metrics.count_waste(self._request.request_class.name,
+                                          cause.value, tokens)
+
+    def _has_met(self, attempt: attempt_module.Attempt) -> bool:
+        target = self._request.request_class
+        assert self._first_token_at is not None
+        first = self._first_token_at - self._request.arrived
+        if first > target.first_token_target:
+            return False
+        if self._request.kind is request_kind.RequestKind.SERVICE:
+            return True
+        between = attempt.inter_token
+        return between is None or between <= target.inter_token_target
+
+    def _make_key(self,
+                  endpoint: str) -> service_level_recorder.ServiceLevelKey:
+        minute = service_level_recorder.compute_minute(
+            self._context.clock.now())
+        return service_level_recorder.ServiceLevelKey(
+            minute, self._request.request_class.name,
+            self._request.organisation, endpoint)
--- /dev/null
+++ b/mustardwood/routing/run_error.py
@@ -0,0 +1,131 @@
+"""Final errors of requests that were routed."""
+
+import datetime
+
+from mustardwood import claims
+from mustardwood import errors
+from mustardwood import messages
+
+_RETRY_SOON = datetime.timedelta(seconds=1)
+_RETRY_LATER = datetime.timedelta(seconds=5)
+
+_REFUSALS = {
+    messages.RefusalReason.QUEUE_FULL:
+        (errors.RequestCode.SHED, "the queue of the class is full."),
+    messages.RefusalReason.DISPLACED:
+        (errors.RequestCode.SHED, "more urgent requests took the queue."),
+    messages.RefusalReason.DEADLINE:
+        (errors.RequestCode.DEADLINE_EXCEEDED,
+         "the request can't finish before its deadline."),
+    messages.RefusalReason.NO_ENDPOINT:
+        (errors.RequestCode.NO_ENDPOINT, "no endpoint can take the request."),
+}
+
+
+def make_refused(refusal: messages.Refusal,
+                 ran: errors.RunState) -> errors.RequestError:
+    """Returns the error of a scheduler's refusal."""
+    code, text = _REFUSALS.get(
+        refusal.reason,
+        (errors.RequestCode.NO_ENDPOINT, "no scheduler takes the request."))
+    return errors.RequestError(code,
+                               text,
+                               "Come back after the time in Retry-After.",
+                               ran=ran,
+                               retry_after=max(refusal.retry_after,
+                                               _RETRY_SOON))
+
+
+def make_no_endpoint(ran: errors.RunState) -> errors.RequestError:
+    """Returns the error when no endpoint is left to try."""
+    return errors.RequestError(errors.RequestCode.NO_ENDPOINT,
+                               "no endpoint is left to try.",
+                               "Come back after the time in Retry-After.",
+                               ran=ran,
+                               retry_after=_RETRY_LATER)
+
+
+def make_deadline(ran: errors.RunState) -> errors.RequestError:
+    """Returns the error of a passed deadline."""
+    return errors.RequestError(errors.RequestCode.DEADLINE_EXCEEDED,
+                               "the deadline of the request's class passed.",
+                               "Come back after the time in Retry-After.",
+                               ran=ran,
+                               retry_after=_RETRY_LATER)
+
+
+def make_poison(rest: datetime.timedelta,
+                ran: errors.RunState) -> errors.RequestError:
+    """Returns the error of a request that crashed endpoints."""
+    return errors.RequestError(
+        errors.RequestCode.SUSPECTED_POISON,
+        "endpoints crashed while they ran this request.",
+        "Change the request, or come back after the time in Retry-After.",
+        ran=ran,
+        retry_after=rest)
+
+
+def make_endpoint_refused(ran: errors.RunState) -> errors.RequestError:
+    """Returns the error when endpoints refused before they started."""
+    return errors.RequestError(errors.RequestCode.ENDPOINT_REFUSED,
+                               "the endpoints refused the request.",
+                               "Come back after the time in Retry-After.",
+                               ran=ran,
+                               retry_after=_RETRY_SOON)
+
+
+def make_unreachable(ran: errors.RunState) -> errors.RequestError:
+    """Returns the error when no connection to an endpoint was possible."""
+    return errors.RequestError(errors.RequestCode.ENDPOINT_FAILED,
+                               "no connection to an endpoint was possible.",
+                               "Come back after the time in Retry-After.",
+                               ran=ran,
+                               retry_after=_RETRY_SOON)
+
+
+def make_incomplete() -> errors.RequestError:
+    """Returns the error of an answer that broke off."""
+    return errors.RequestError(
+        errors.RequestCode.INCOMPLETE_ANSWER,
+        "the endpoint's answer broke off and could not be resumed.",
+        "Discard what was received, and send the request again.",
+        ran=errors.RunState.OUTCOME_UNKNOWN,
+        retry_after=_RETRY_SOON)
+
+
+def make_unknown() -> errors.RequestError:
+    """Returns the error of a request that may have run once."""
+    return errors.RequestError(
+        errors.RequestCode.OUTCOME_UNKNOWN,
+        "the request was sent, but no whole answer came.",
+        "Find out whether it took effect before sending it again.",
+        ran=errors.RunState.OUTCOME_UNKNOWN)
+
+
+def make_claim_error(answer: claims.ClaimAnswer) -> errors.RequestError:
+    """Returns the error of a claim that was not acquired."""
+    verdict = answer.verdict
+    if verdict is claims.ClaimVerdict.IN_PROGRESS:
+        return errors.RequestError(errors.RequestCode.IN_PROGRESS,
+                                   "a request with this idempotency key runs.",
+                                   "Send the same request again later.",
+                                   ran=errors.RunState.OUTCOME_UNKNOWN,
+                                   retry_after=answer.retry_after or
+                                   _RETRY_SOON)
+    if verdict is claims.ClaimVerdict.KEY_REUSED:
+        return make_key_reused()
+    if verdict is claims.ClaimVerdict.UNAVAILABLE:
+        return errors.RequestError(errors.RequestCode.CLAIM_UNAVAILABLE,
+                                   "the idempotency key can't be claimed now.",
+                                   "Send the same request again later.",
+                                   retry_after=answer.retry_after or
+                                   _RETRY_LATER)
+    return make_unknown()
+
+
+def make_key_reused() -> errors.RequestError:
+    """Returns the error of a key that came with another body."""
+    return errors.RequestError(
+        errors.RequestCode.KEY_REUSED,
+        "the idempotency key was used for another request.",
+        "Use a new key for each request.")
