Name the fields of stored answers where they are made

Cause: a non-streamed completion never ended at the caller: media type and body were swapped, since two packages agreed on different orders of the fields.

--- a/mustardwood/claims/tests/test_key_value_claim_store.py
+++ b/mustardwood/claims/tests/test_key_value_claim_store.py
@@ -12,7 +12,10 @@
 from mustardwood.claims.tests import scripted_service
 
 VERDICT = claims.ClaimVerdict
-ANSWER = claims.StoredAnswer(200, (("x", "y"),), "text/plain", b"posted")
+ANSWER = claims.StoredAnswer(status=200,
+                             headers=(("x", "y"),),
+                             content_type="text/plain",
+                             body=b"posted")
 
 
 class Bench:
@@ -66,7 +69,10 @@
     bench = Bench()
     store = bench.make_store()
     bench.acquire(store, "a")
-    long = claims.StoredAnswer(200, (), "text/plain", b"x" * (256 * 1024 + 1))
+    long = claims.StoredAnswer(status=200,
+                               headers=(),
+                               content_type="text/plain",
+                               body=b"x" * (256 * 1024 + 1))
     bench.finish(store.complete("a", long))
     answer = bench.acquire(store, "b")
     assert answer.verdict is VERDICT.COMPLETED and answer.answer is None
@@ -172,7 +178,10 @@
     new = bench.make_store("vm2")
     assert bench.acquire(new, "b").verdict is VERDICT.ACQUIRED
     bench.finish(new.complete("b", ANSWER))
-    late = claims.StoredAnswer(500, (), "text/plain", b"late")
+    late = claims.StoredAnswer(status=500,
+                               headers=(),
+                               content_type="text/plain",
+                               body=b"late")
     bench.finish(old.complete("a", late))
     bench.advance(30)
     assert bench.acquire(new, "c").answer == ANSWER
--- a/mustardwood/routing/tests/test_claims.py
+++ b/mustardwood/routing/tests/test_claims.py
@@ -90,7 +90,10 @@
 
 def test_stored_answer_is_replayed():
     world = start()
-    stored = claims.StoredAnswer(201, (("x-own", "1"),), b"done", "text/plain")
+    stored = claims.StoredAnswer(status=201,
+                                 headers=(("x-own", "1"),),
+                                 content_type="text/plain",
+                                 body=b"done")
     claim(world, _Verdict.COMPLETED, stored)
     answer = world.answers["r1"]
     assert (answer.status, answer.body) == (201, b"done")
@@ -113,8 +116,12 @@
             "prompt_tokens": 1
         }
     })
-    claim(world, _Verdict.COMPLETED,
-          claims.StoredAnswer(200, (), body, "application/json"))
+    claim(
+        world, _Verdict.COMPLETED,
+        claims.StoredAnswer(status=200,
+                            headers=(),
+                            content_type="application/json",
+                            body=body))
     assert world.text() == "ab"
     assert world.passed["r1"].endswith(b"data: [DONE]\n\n")
     assert b'"prompt_tokens":1' in world.passed["r1"]
--- a/spec/tests/test_claim_traces.py
+++ b/spec/tests/test_claim_traces.py
@@ -16,7 +16,10 @@
 
 DEADLINE = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 SECOND = datetime.timedelta(seconds=1)
-ANSWER = claims.StoredAnswer(200, (), "text/plain", b"answer")
+ANSWER = claims.StoredAnswer(status=200,
+                             headers=(),
+                             content_type="text/plain",
+                             body=b"answer")
 COMMANDS = {
     "creating": claims.Create,
     "creating_again": claims.Create,
