--- a/mustardwood/scheduler/tests/test_process.py
+++ b/mustardwood/scheduler/tests/test_process.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import datetime
+import http.server
 import json
 import signal
 import subprocess
 import sys
+import threading
 import urllib.error
 import urllib.request
 
@@ -20,14 +22,49 @@
 from mustardwood.links import pynng_link
 
 _IP = "127.77.1.1"
-_TEXT = msgspec.json.encode(
-    configuration.Document(classes=(configuration.RequestClass("tag", 0, 1.0),),
-                           default_class="tag",
-                           organisations=(),
-                           models=(configuration.Model("m"),),
-                           endpoints=(configuration.Endpoint(
-                               "e1", "m", "http://127.77.1.2:1", "z",
-                               "r"),))).decode()
+_ENDPOINT_IP = "127.77.1.2"
+_FOREIGN = 12
+
+
+def _make_text(port: int) -> str:
+    document = configuration.Document(
+        classes=(configuration.RequestClass("tag", 0, 1.0),),
+        default_class="tag",
+        organisations=(),
+        models=(configuration.Model("m"),),
+        endpoints=(configuration.Endpoint("e1", "m",
+                                          f"http://{_ENDPOINT_IP}:{port}", "z",
+                                          "r"),))
+    return msgspec.json.encode(document).decode()
+
+
+class _LoadHandler(http.server.BaseHTTPRequestHandler):
+    """Reports the load of foreign work."""
+
+    def do_GET(self):  # pylint: disable=invalid-name
+        """Answers every path."""
+        body = json.dumps({
+            "running": _FOREIGN,
+            "queued": 0,
+            "cached_tokens": 0,
+            "age_seconds": 0.1
+        }).encode()
+        self.send_response(200)
+        self.send_header("content-length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, format, *args):  # pylint: disable=redefined-builtin
+        """Logs nothing."""
+
+
+@contextlib.contextmanager
+def _run_endpoint():
+    with http.server.ThreadingHTTPServer((_ENDPOINT_IP, 0),
+                                         _LoadHandler) as server:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        yield server.server_address[1]
+        server.shutdown()
 
 
 def _make_settings(ip: str) -> settings.Settings:
@@ -95,7 +132,8 @@
         agent = _Client(messages.Role.AGENT)
         entry = _Client(messages.Role.ENTRY)
         agent.send(
-            messages.View(1, 3, configuration.VersionedDocument(3, "a", _TEXT)))
+            messages.View(
+                1, 3, configuration.VersionedDocument(3, "a", _make_text(1))))
         ack = await agent.wait(messages.ViewAck)
         assert ack == messages.ViewAck(1, 3)
         entry.send(_make_ask("a"))
@@ -120,3 +158,34 @@
     with _run_scheduler(tmp_path) as process:
         asyncio.run(run(process))
         assert process.wait(timeout=30) == 0
+
+
+async def _read_limit(agent) -> int:
+    agent.received.clear()
+    agent.send(messages.Query(1, messages.QueryKind.STATUS))
+    reply = await agent.wait(messages.QueryReply)
+    return json.loads(reply.body)["cells"][0]["endpoints"][0]["limit"]
+
+
+@pytest.mark.processes
+def test_load_reports_lower_the_limit(tmp_path):
+
+    async def run(port) -> None:
+        agent = _Client(messages.Role.AGENT)
+        entry = _Client(messages.Role.ENTRY)
+        text = _make_text(port)
+        agent.send(
+            messages.View(1, 3, configuration.VersionedDocument(3, "a", text)))
+        await agent.wait(messages.ViewAck)
+        for number in range(100):
+            entry.send(_make_ask(f"r{number}"))
+            await asyncio.sleep(0.2)
+            limit = await _read_limit(agent)
+            if limit < 16:
+                break
+        assert 16 - _FOREIGN <= limit < 16
+        agent.link.close()
+        entry.link.close()
+
+    with _run_endpoint() as port, _run_scheduler(tmp_path):
+        asyncio.run(run(port))
