Bound what suspects, split owners and held slots can delay

More than 32 suspects at the head of a tier stopped all grants; each heartbeat with work of another owner started the learning time again; a slot was held for up to 5 s for a rare class; and an organisation paid for grants that it did not use.

Change: suspects are passed over without a bound; only an entry's first heartbeat starts learning again; a slot is held for 1 s after a refusal; shares are corrected by the tokens generated, for every kind of end.

With the bound on suspects, the learning at every or at no heartbeat, or the charge of unused grants put back, the test of each fails.

--- a/mustardwood/scheduling/attempt_ends.py
+++ b/mustardwood/scheduling/attempt_ends.py
@@ -30,7 +30,9 @@
                report: messages.AttemptReport, now: datetime.timedelta) -> None:
     """Takes in the end of an attempt that is no longer counted."""
     if report.outcome is messages.Outcome.WHOLE:
-        _record_length(state, running, report.output_tokens)
+        state.lengths.record(running.class_name, running.organisation,
+                             report.output_tokens)
+    correct_share(state, running, report.output_tokens)
     record = state.pool.find(running.endpoint)
     if record is None:
         return
@@ -50,10 +52,9 @@
     return running
 
 
-def _record_length(state: cell_state.CellState,
-                   running: running_request.RunningRequest,
-                   tokens: int) -> None:
-    state.lengths.record(running.class_name, running.organisation, tokens)
+def correct_share(state: cell_state.CellState,
+                  running: running_request.RunningRequest, tokens: int) -> None:
+    """Charges an organisation for the tokens that an attempt generated."""
     queue = state.queue.find_class(running.class_name)
     queue.correct(running.organisation, tokens - running.output_tokens,
                   running.weight)
--- a/mustardwood/scheduling/cell_scheduler.py
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -88,6 +88,9 @@
                           now: datetime.timedelta) -> _Answers:
         """Ends an ask or an unused grant, known or not."""
         key = (withdrawal.request_id, withdrawal.attempt)
+        running = self._state.pool.running.get(key)
+        if running is not None:
+            attempt_ends.correct_share(self._state, running, 0)
         self._forget_attempt(sender, key, now)
         self._state.memory.record(key, now)
         return self._dispatcher.dispatch(now)
@@ -113,10 +116,11 @@
                          now: datetime.timedelta) -> _Answers:
         """Reconciles the state with an entry's heartbeat, and answers it."""
         answers = self._learn(now)
+        first = not self._ledger.has_heartbeat(sender)
         if self._ledger.accept_heartbeat(sender, open_work.sequence, now):
             self._forget_missing(sender, open_work, now)
             for attempt in open_work.running:
-                self._take_running(sender, attempt, now)
+                self._take_running(sender, attempt, now, relearn=first)
             for ask in open_work.waiting:
                 answers += self._take_ask(sender, ask, now)
         answers += self._learn(now) + self._dispatcher.dispatch(now)
@@ -228,8 +232,8 @@
         return self._end_work(self._admission.admit(waiting, now))
 
     def _take_running(self, sender: messages.Peer,
-                      attempt: messages.RunningAttempt,
-                      now: datetime.timedelta) -> None:
+                      attempt: messages.RunningAttempt, now: datetime.timedelta,
+                      *, relearn: bool) -> None:
         state = self._state
         key = (attempt.request_id, attempt.attempt)
         if key in state.pool.running or key in state.memory:
@@ -237,7 +241,7 @@
         waiting = state.queue.find(key)
         if waiting is not None:
             state.queue.remove(waiting)
-        else:
+        elif relearn:
             self._learning_until = now + LEARNING_TIME
         takeover.take_over_attempt(state, sender, attempt, now)
         self._ledger.record_work(sender, key, now)
--- a/mustardwood/scheduling/class_floor.py
+++ b/mustardwood/scheduling/class_floor.py
@@ -14,6 +14,8 @@
 """Share of the bound on waiting after which a class goes first."""
 _DEMAND_MEMORY = datetime.timedelta(seconds=5)
 """How long a refused arrival counts as demand."""
+_HOLD_TIME = datetime.timedelta(seconds=1)
+"""How long a slot is held after a refused arrival."""
 
 
 @dataclasses.dataclass
@@ -87,7 +89,8 @@
             backlogged: The classes that have waiting requests after it.
         """
         for other, account in self._accounts.items():
-            if other in backlogged or self._was_refused(account, now):
+            if other in backlogged or _is_recent(account.refused_at, now,
+                                                 _DEMAND_MEMORY):
                 account.credit = min(account.credit + account.floor,
                                      _LARGEST_CREDIT)
             elif other != name:
@@ -96,7 +99,8 @@
         if own is not None:
             own.credit = max(0.0, own.credit - 1.0)
             own.since = now
-            if name not in backlogged and not self._was_refused(own, now):
+            if name not in backlogged and not _is_recent(
+                    own.refused_at, now, _DEMAND_MEMORY):
                 own.since = None
 
     def is_due(self, name: str, now: datetime.timedelta) -> bool:
@@ -112,18 +116,17 @@
                   backlogged: collections.abc.Container[str]) -> str | None:
         """Returns a due class that was turned away and has none waiting.
 
-        A free slot is held for its next request, which then never has to wait
-        in a queue that is full of higher tiers.
+        The last free slot is held for its next request for a moment, so that
+        it need not wait in a queue that is full of higher tiers.
         """
-        held = [
-            (account.since, name)
-            for name, account in self._accounts.items()
-            if name not in backlogged and self._was_refused(account, now) and
-            account.since is not None and self.is_due(name, now)
-        ]
+        held = [(account.since, name)
+                for name, account in self._accounts.items()
+                if name not in backlogged and
+                _is_recent(account.refused_at, now, _HOLD_TIME) and
+                account.since is not None and self.is_due(name, now)]
         return min(held)[1] if held else None
 
-    def _was_refused(self, account: _Account, now: datetime.timedelta) -> bool:
-        if account.refused_at is None:
-            return False
-        return now - account.refused_at <= _DEMAND_MEMORY
+
+def _is_recent(at: datetime.timedelta | None, now: datetime.timedelta,
+               span: datetime.timedelta) -> bool:
+    return at is not None and now - at <= span
--- a/mustardwood/scheduling/dispatcher.py
+++ b/mustardwood/scheduling/dispatcher.py
@@ -12,9 +12,6 @@
 from mustardwood.scheduling import short_reserve
 from mustardwood.scheduling import waiting_request
 
-_MOST_SET_ASIDE = 32
-"""Requests passed over in one round, since no endpoint may run them now."""
-
 _Waiting = waiting_request.WaitingRequest
 _Record = endpoint_record.EndpointRecord
 
@@ -32,7 +29,7 @@
         grants: list[addressed.Addressed] = []
         blocked: set[str] = set()
         aside: list[_Waiting] = []
-        while state.queue and len(aside) < _MOST_SET_ASIDE:
+        while state.queue:
             if not self._has_slot(now):
                 break
             waiting = grant_order.pick_request(state, blocked, now)
--- a/mustardwood/scheduling/entry_ledger.py
+++ b/mustardwood/scheduling/entry_ledger.py
@@ -48,6 +48,11 @@
         account.heard_at = now
         return True
 
+    def has_heartbeat(self, sender: messages.Peer) -> bool:
+        """Returns whether a heartbeat of an entry has come."""
+        account = self._accounts.get(sender)
+        return account is not None and account.sequence >= 0
+
     def record_work(self, sender: messages.Peer,
                     key: waiting_request.AttemptKey,
                     now: datetime.timedelta) -> None:
--- a/mustardwood/scheduling/tests/test_endpoints.py
+++ b/mustardwood/scheduling/tests/test_endpoints.py
@@ -189,3 +189,11 @@
     bench.ask("t0", fingerprint="a")
     bench.ask("t0", fingerprint="b")
     assert len(bench.grants) == 1
+
+
+def test_many_repeats_of_a_suspect_do_not_block_others():
+    bench = _make_bench(endpoints=2)
+    _make_suspects(bench, 100, fingerprint="same")
+    normal = bench.ask("t0")
+    assert normal.request_id in bench.grants
+    assert len(bench.grants) == 2
--- a/mustardwood/scheduling/tests/test_soft_state.py
+++ b/mustardwood/scheduling/tests/test_soft_state.py
@@ -53,6 +53,27 @@
     assert len(bench.grants) == 3
 
 
+def _make_foreign(number) -> messages.RunningAttempt:
+    return messages.RunningAttempt(f"x{number}", 1, "e0", "t0", "o", 10, 1)
+
+
+def test_first_heartbeat_with_unknown_work_starts_learning_again():
+    bench = _make_learnt(concurrency=8)
+    bench.heartbeat(1, running=[_make_foreign(1)], sender=2)
+    asks = [bench.ask("t0") for _ in range(3)]
+    assert not bench.grants
+    bench.advance(scheduling.LEARNING_TIME)
+    assert {each.request_id for each in asks} == set(bench.grants)
+
+
+def test_unknown_work_of_a_known_entry_delays_nobody():
+    bench = _make_learnt(concurrency=8)
+    for number in range(1, 4):
+        bench.heartbeat(number, running=[_make_foreign(number)])
+        ask = bench.ask("t0")
+        assert ask.request_id in bench.grants
+
+
 def test_repeated_ask_gets_the_same_grant():
     bench = _make_learnt(concurrency=1)
     ask = bench.ask("t0")
--- a/mustardwood/scheduling/tests/test_starvation.py
+++ b/mustardwood/scheduling/tests/test_starvation.py
@@ -122,3 +122,17 @@
         bench.ask("long", max_tokens=4000)
     tag = bench.ask("tag")
     assert tag.request_id in bench.grants
+
+
+def test_unused_grants_are_not_charged():
+    classes = [configuration.RequestClass("t0", 0, 1.0)]
+    bench = bench_module.Bench(
+        bench_module.make_document(classes, concurrency=1))
+    for _ in range(5):
+        bench.withdraw(bench.ask("t0", organisation="a"))
+    running = bench.ask("t0", organisation="b")
+    bench.ask("t0", organisation="b")
+    bench.clock.advance(bench_module.TICK)
+    ask = bench.ask("t0", organisation="a")
+    bench.report(running.request_id)
+    assert ask.request_id in bench.grants
