--- a/mustardwood/scheduling/cell_scheduler.py
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -80,8 +80,7 @@
     def accept_ask(self, sender: messages.Peer, ask: messages.Ask,
                    now: datetime.timedelta) -> _Answers:
         """Takes an ask in; a repeated one gets the same answer again."""
-        self._learn(now)
-        answers = self._take_ask(sender, ask, now)
+        answers = self._learn(now) + self._take_ask(sender, ask, now)
         return answers + self._dispatcher.dispatch(now)
 
     def accept_withdrawal(self, sender: messages.Peer,
@@ -89,6 +88,9 @@
                           now: datetime.timedelta) -> _Answers:
         """Ends an ask or an unused grant, known or not."""
         key = (withdrawal.request_id, withdrawal.attempt)
+        running = self._state.pool.running.get(key)
+        if running is not None:
+            attempt_ends.correct_share(self._state, running, 0)
         self._forget_attempt(sender, key, now)
         self._state.memory.record(key, now)
         return self._dispatcher.dispatch(now)
@@ -113,16 +115,15 @@
                          open_work: messages.OpenWork,
                          now: datetime.timedelta) -> _Answers:
         """Reconciles the state with an entry's heartbeat, and answers it."""
-        self._learn(now)
-        answers: _Answers = ()
+        answers = self._learn(now)
+        first = not self._ledger.has_heartbeat(sender)
         if self._ledger.accept_heartbeat(sender, open_work.sequence, now):
             self._forget_missing(sender, open_work, now)
             for attempt in open_work.running:
-                self._take_running(sender, attempt, now)
+                self._take_running(sender, attempt, now, relearn=first)
             for ask in open_work.waiting:
                 answers += self._take_ask(sender, ask, now)
-        self._learn(now)
-        answers += self._dispatcher.dispatch(now)
+        answers += self._learn(now) + self._dispatcher.dispatch(now)
         reply = messages.OpenWorkReply(self._state.cell.name,
                                        open_work.sequence,
                                        self._state.estimate_queue_delay(now),
@@ -159,11 +160,11 @@
 
     def tick(self, now: datetime.timedelta) -> _Answers:
         """Does what is due by time alone; call it 20 times a second."""
-        self._learn(now)
+        answers = self._learn(now)
         for sender in self._ledger.find_silent(now):
             self.forget_entry(sender, now)
         self._stragglers.check(self._state.pool, now)
-        answers = self._expire(now) + self._refuse_stranded(now)
+        answers += self._expire(now) + self._refuse_stranded(now)
         return answers + self._dispatcher.dispatch(now)
 
     def forget_entry(self, sender: messages.Peer,
@@ -195,10 +196,17 @@
         """Returns the decisions about a request, oldest first."""
         return self._state.log.find(request_id)
 
-    def _learn(self, now: datetime.timedelta) -> None:
+    def _learn(self, now: datetime.timedelta) -> _Answers:
         if self._learning_until is None:
             self._learning_until = now + LEARNING_TIME
+        learnt = self._state.pool.learning and now >= self._learning_until
         self._state.pool.learning = now < self._learning_until
+        return self._end_work(self._admission.trim(now)) if learnt else ()
+
+    def _end_work(self, refused: _Answers) -> _Answers:
+        for each in refused:
+            self._ledger.end_work(each.peer, _get_key(each))
+        return refused
 
     def _take_ask(self, sender: messages.Peer, ask: messages.Ask,
                   now: datetime.timedelta) -> _Answers:
@@ -221,14 +229,11 @@
         if ask.suspect:
             state.suspects.record(ask.fingerprint, now)
         self._ledger.record_work(sender, key, now)
-        refused = self._admission.admit(waiting, now)
-        for each in refused:
-            self._ledger.end_work(each.peer, _get_key(each))
-        return refused
+        return self._end_work(self._admission.admit(waiting, now))
 
     def _take_running(self, sender: messages.Peer,
-                      attempt: messages.RunningAttempt,
-                      now: datetime.timedelta) -> None:
+                      attempt: messages.RunningAttempt, now: datetime.timedelta,
+                      *, relearn: bool) -> None:
         state = self._state
         key = (attempt.request_id, attempt.attempt)
         if key in state.pool.running or key in state.memory:
@@ -236,7 +241,7 @@
         waiting = state.queue.find(key)
         if waiting is not None:
             state.queue.remove(waiting)
-        else:
+        elif relearn:
             self._learning_until = now + LEARNING_TIME
         takeover.take_over_attempt(state, sender, attempt, now)
         self._ledger.record_work(sender, key, now)
