Agree on the configuration's version without I/O

Cause: no VM may put a lower version in force, also after the platform lost a state, a restart or a stale neighbour.

--- /dev/null
+++ b/mustardwood/replication/precedence.py
@@ -0,0 +1,30 @@
+"""The order of configurations."""
+
+from mustardwood import configuration
+
+
+def is_newer(candidate: configuration.VersionedDocument,
+             present: configuration.VersionedDocument | None) -> bool:
+    """Returns whether a document takes the place of the present one.
+
+    The higher version does. Two documents of one version exist only after the
+    platform lost a write that it had confirmed; then the greater apply id is
+    taken, so that all VMs choose the same one without a message.
+
+    Args:
+        candidate: A document that arrived.
+        present: The document in force, or None.
+
+    Examples:
+        >>> one = configuration.VersionedDocument(1, "a", "{}")
+        >>> two = configuration.VersionedDocument(2, "a", "{}")
+        >>> is_newer(two, one), is_newer(one, two), is_newer(one, None)
+        (True, False, True)
+    """
+    if present is None:
+        return True
+    return _rank(candidate) > _rank(present)
+
+
+def _rank(document: configuration.VersionedDocument) -> tuple[int, str]:
+    return document.version, document.apply_id
