Specify configuration versions and check both specifications

Cause: the agreement on versions had no model check, and a first trial of it showed a lower version after a restart. At boot a neighbour counts only after the platform was heard, because the checker found a restore between the two answers. Not proved: the apply's state machine is tested alone, not along traces.

--- a/mustardwood/replication/configuration_replica.py
+++ b/mustardwood/replication/configuration_replica.py
@@ -40,7 +40,6 @@
 
     def __init__(self) -> None:
         self._is_booting = False
-        self._has_neighbour = False
         self._neighbour: configuration.VersionedDocument | None = None
         self._platform: configuration.VersionedDocument | None = None
         self._revision = -1
@@ -50,12 +49,13 @@
 
     @classmethod
     def for_boot(cls) -> "ConfigurationReplica":
-        """Makes a replica that hears both the platform and a neighbour first.
+        """Makes a replica that hears the platform, then a neighbour, first.
 
         A platform restored to an older state, or a neighbour that lags, would
-        otherwise lower what this VM had in force before its restart. The
-        caller asks its neighbours, and calls `end_boot` when either does not
-        answer within `BOOT_TIMEOUT`.
+        otherwise lower what this VM had in force before its restart. A
+        neighbour counts only when it answers after the platform did. The
+        caller asks a neighbour once the platform answered, and calls
+        `end_boot` when the boot lasts longer than `BOOT_TIMEOUT`.
         """
         replica = cls()
         replica._is_booting = True
@@ -81,7 +81,7 @@
         if self._is_booting:
             self._platform = document
             self._revision = revision
-            return self.end_boot(now) if self._has_neighbour else ()
+            return ()
         present = self._in_force
         if document is not None and precedence.is_newer(document, present):
             return self._adopt(document)
@@ -132,7 +132,6 @@
 
     def _hear_neighbour(self, document: configuration.VersionedDocument | None,
                         now: datetime.timedelta) -> Commands:
-        self._has_neighbour = True
         if document is not None and precedence.is_newer(document,
                                                         self._neighbour):
             self._neighbour = document
--- a/mustardwood/replication/tests/test_configuration_replica.py
+++ b/mustardwood/replication/tests/test_configuration_replica.py
@@ -67,7 +67,9 @@
 def test_booting_replica_waits_for_the_platform_before_a_neighbour():
     replica = replication.ConfigurationReplica.for_boot()
     assert not replica.accept_neighbour(make(1), NOW)
-    replica.accept_platform(make(2), 4, NOW)
+    assert not replica.accept_platform(make(2), 4, NOW)
+    assert replica.in_force is None
+    replica.accept_neighbour(make(1), NOW)
     assert replica.in_force == make(2)
 
 
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -1,13 +1,27 @@
 """Runs the model checks."""
 
+import functools
 import sys
 
 from spec import check
 from spec import claim_protocol
+from spec import configuration_protocol
 
-SPECIFICATIONS = (check.Specification(name="claim",
-                                      make=claim_protocol.make_protocol,
-                                      guards=tuple(claim_protocol.Guard)),)
+SPECIFICATIONS = (
+    check.Specification(name="claim",
+                        make=claim_protocol.make_protocol,
+                        guards=tuple(claim_protocol.Guard)),
+    check.Specification(name="configuration, operators race",
+                        make=functools.partial(
+                            configuration_protocol.make_protocol,
+                            configuration_protocol.RACE),
+                        guards=configuration_protocol.RACE_GUARDS),
+    check.Specification(name="configuration, VMs restart",
+                        make=functools.partial(
+                            configuration_protocol.make_protocol,
+                            configuration_protocol.RESTART),
+                        guards=configuration_protocol.RESTART_GUARDS),
+)
 """All specifications."""
 
 
--- a/spec/check.py
+++ b/spec/check.py
@@ -1,6 +1,8 @@
 """Runs specifications and their mutants through the model checker."""
 
 import collections.abc
+import dataclasses
+import functools
 import time
 import typing
 
@@ -41,7 +43,7 @@
 
 
 def _check_properties(specification: Specification) -> bool:
-    protocol = specification.make(frozenset())
+    protocol = _remember_steps(specification.make(frozenset()))
     result = minicheck.check_safety(protocol, max_states=MAX_STATES)
     print(f"{specification.name}: {result['reachable_states']} states")
     passed = bool(result["exhaustive"])
@@ -54,16 +56,28 @@
 
 
 def _check_mutant(specification: Specification, guard: str) -> bool:
-    protocol = _stop_at_violation(specification.make(frozenset([guard])))
+    mutant = specification.make(frozenset([guard]))
+    protocol = _stop_at_violation(mutant)
     result = minicheck.check_safety(protocol, max_states=MAX_STATES)
     for name, found in result["properties"].items():
         if found["holds"] is False:
             print(f"  without '{guard}': {name} fails after {_trace(found)}")
             return True
+    live = minicheck.check_liveness(mutant)
+    if live["holds"] is False:
+        print(f"  without '{guard}': no end after {_trace(live)}")
+        return True
     print(f"  without '{guard}': NO COUNTEREXAMPLE")
     return False
 
 
+def _remember_steps(protocol: minicheck.Protocol) -> minicheck.Protocol:
+    """Returns the protocol with each state's steps computed once."""
+    return dataclasses.replace(protocol,
+                               transitions=functools.cache(
+                                   protocol.transitions))
+
+
 def _stop_at_violation(protocol: minicheck.Protocol) -> minicheck.Protocol:
     """Returns the protocol with no steps once a property is violated."""
     violated = False
@@ -76,12 +90,7 @@
                 holds(values) for holds in protocol.invariants.values())
         return [] if violated else protocol.transitions(state)
 
-    return minicheck.Protocol(name=protocol.name,
-                              candidate=protocol.candidate,
-                              fields=protocol.fields,
-                              initial=protocol.initial,
-                              transitions=steps,
-                              invariants=protocol.invariants)
+    return dataclasses.replace(protocol, transitions=steps)
 
 
 def _describe(found: dict) -> str:
--- a/spec/configuration_protocol.py
+++ b/spec/configuration_protocol.py
@@ -14,9 +14,6 @@
 
 from spec import configuration_state as model
 
-MAX_RESTARTS = 1
-"""Restarts of VMs that are explored."""
-
 Step = tuple[str, model.State]
 """A transition's name and the next state."""
 
@@ -36,10 +33,41 @@
     REPAIR = "repair an older platform"
 
 
+RACE_GUARDS = (Guard.REFUSE_LOWER_PLATFORM, Guard.COMPARE_ON_WRITE,
+               Guard.COUNT_IN_FORCE, Guard.READ_BACK, Guard.REPAIR)
+"""Guards whose absence shows in `RACE`."""
+
+RESTART_GUARDS = (Guard.REFUSE_LOWER_NEIGHBOUR, Guard.ASK_AT_BOOT)
+"""Guards whose absence shows in `RESTART`."""
+
+
+class Scope(typing.NamedTuple):
+    """What is explored together.
+
+    Attributes:
+        operators: Operators that apply, each at a VM of its own.
+        restarts: Restarts of VMs.
+        gossips: Whether VMs pass documents to each other.
+    """
+
+    operators: int
+    restarts: int
+    gossips: bool
+
+
+RACE = Scope(operators=2, restarts=0, gossips=False)
+"""Two operators race, with watchers only."""
+
+RESTART = Scope(operators=1, restarts=1, gossips=True)
+"""One operator applies while neighbours talk and a VM restarts."""
+
+
 class ConfigurationProtocol:
     """The transitions, with all guards but those in `removed`."""
 
-    def __init__(self, removed: frozenset[Guard] = frozenset()) -> None:
+    def __init__(
+        self, scope: "Scope", removed: frozenset[Guard] = frozenset()) -> None:
+        self._scope = scope
         self._removed = removed
 
     def steps(self, state: model.State) -> list[Step]:
@@ -67,7 +95,8 @@
     def _steps_of(self, state: model.State,
                   i: int) -> collections.abc.Iterator[Step]:
         yield from self._watch(state, i)
-        yield from self._gossip(state, i)
+        if self._scope.gossips:
+            yield from self._gossip(state, i)
         yield from self._restart(state, i)
         yield from self._apply(state, i)
 
@@ -80,41 +109,57 @@
                                      seen=state.platform,
                                      seen_fresh=True)
         elif not vm.booting:
-            yield "accept_platform", self._accept_platform(state, i, vm.seen)
-        if vm.repair:
-            repaired = model.put(state, i, repair=False, seen_fresh=False)
-            if vm.seen_fresh or not self._has(Guard.COMPARE_ON_WRITE):
-                repaired = model.write(repaired, vm.in_force)
+            yield "accept_platform", self._accept_platform(state, i)
+        if vm.repair is not None:
+            repaired = model.put(state, i, repair=None, repair_fresh=False)
+            if vm.repair_fresh or not self._has(Guard.COMPARE_ON_WRITE):
+                repaired = model.write(repaired, vm.repair)
             yield "repair", repaired
 
-    def _accept_platform(self, state: model.State, i: int,
-                         document: model.Document) -> model.State:
-        state = model.put(state, i, seen=None)
-        present = model.get(state, i).in_force
+    def _accept_platform(self, state: model.State, i: int) -> model.State:
+        vm = model.get(state, i)
+        assert vm.seen is not None
+        state = model.put(state, i, seen=None, seen_fresh=False)
         lower_allowed = not self._has(Guard.REFUSE_LOWER_PLATFORM)
-        if document > present or lower_allowed:
-            return model.adopt(state, i, document)
-        lags = document < present and self._has(Guard.REPAIR)
-        return model.put(state, i, repair=lags)
+        if vm.seen > vm.in_force or lower_allowed:
+            return model.adopt(state, i, vm.seen)
+        if vm.seen == vm.in_force or not self._has(Guard.REPAIR):
+            return state
+        return model.put(state,
+                         i,
+                         repair=vm.in_force,
+                         repair_fresh=vm.seen_fresh)
 
     def _gossip(self, state: model.State,
                 i: int) -> collections.abc.Iterator[Step]:
         vm = model.get(state, i)
-        other = model.get(state, 1 - i)
-        if vm.inbox is None:
+        asks = not vm.booting or vm.seen is not None
+        if vm.inbox is None and asks:
+            other = model.get(state, 1 - i)
             yield "push", model.put(state, i, inbox=other.in_force)
+        elif vm.inbox is None:
             return
-        after = model.put(state, i, inbox=None, booting=False)
+        elif not vm.booting:
+            yield "accept_neighbour", self._accept_neighbour(state, i)
+        elif vm.seen is not None:
+            heard = self._accept_neighbour(state, i)
+            ended = model.put(heard, i, booting=False)
+            yield "end_boot", self._accept_platform(ended, i)
+
+    def _accept_neighbour(self, state: model.State, i: int) -> model.State:
+        vm = model.get(state, i)
+        assert vm.inbox is not None
+        after = model.put(state, i, inbox=None)
         lower_allowed = not self._has(Guard.REFUSE_LOWER_NEIGHBOUR)
         if vm.inbox > vm.in_force or lower_allowed:
-            after = model.adopt(after, i, vm.inbox)
-        yield "accept_neighbour", after
+            return model.adopt(after, i, vm.inbox)
+        return after
 
     def _restart(self, state: model.State,
                  i: int) -> collections.abc.Iterator[Step]:
         vm = model.get(state, i)
         held = self._is_held(state, i, vm.in_force)
-        if state.restarts < MAX_RESTARTS and held:
+        if state.restarts < self._scope.restarts and held:
             ended = vm.apply if vm.apply in DONE else "unknown"
             fresh = model.put(state,
                               i,
@@ -122,7 +167,9 @@
                               booting=self._has(Guard.ASK_AT_BOOT),
                               inbox=None,
                               seen=None,
-                              repair=False,
+                              seen_fresh=False,
+                              repair=None,
+                              repair_fresh=False,
                               apply=ended)
             yield "restart", fresh._replace(restarts=state.restarts + 1)
 
@@ -131,7 +178,8 @@
         vm = model.get(state, i)
         if vm.late:
             yield "late_write", model.write(state, (vm.version, i + 1))
-        if vm.apply == "new" and vm.in_force != model.NONE:
+        may_start = i < self._scope.operators
+        if vm.apply == "new" and may_start and vm.in_force != model.NONE:
             yield "start", model.put(state, i, apply="reading")
         elif vm.apply == "reading":
             yield from self._read(state, i)
@@ -142,14 +190,17 @@
 
     def _read(self, state: model.State,
               i: int) -> collections.abc.Iterator[Step]:
-        highest = state.platform[0]
+        in_force = model.get(state, i).in_force[0]
+        version = state.platform[0] + 1
         if self._has(Guard.COUNT_IN_FORCE):
-            highest = max(highest, model.get(state, i).in_force[0])
-        yield "read_base", model.put(state,
-                                     i,
-                                     apply="writing",
-                                     version=highest + 1,
-                                     base_fresh=True)
+            version = max(version, in_force + 1)
+        based = model.put(state,
+                          i,
+                          apply="writing",
+                          version=version,
+                          base_fresh=True)
+        low = state.low or version <= in_force
+        yield "read_base", based._replace(low=low)
         yield "unavailable", model.put(state, i, apply="not_written")
 
     def _write(self, state: model.State,
@@ -206,16 +257,21 @@
     return not values["denied"]
 
 
+def _is_above(values: dict[str, typing.Any]) -> bool:
+    return not values["low"]
+
+
 def _has_converged(values: dict[str, typing.Any]) -> bool:
     vms = (values["first"], values["second"])
-    return all(
-        vm.in_force == values["platform"] and vm.apply in DONE for vm in vms)
+    return all(vm.in_force == values["platform"] and vm.apply in DONE + ("new",)
+               for vm in vms)
 
 
-def make_protocol(removed: frozenset[Guard] = frozenset()
-                 ) -> minicheck.Protocol:
+def make_protocol(
+    scope: Scope,
+    removed: frozenset[Guard] = frozenset()) -> minicheck.Protocol:
     """Returns the specification, without the guards in `removed`."""
-    versions = ConfigurationProtocol(removed)
+    versions = ConfigurationProtocol(scope, removed)
     return minicheck.Protocol(
         name="configuration",
         candidate=False,
@@ -226,5 +282,6 @@
             "the version in force never decreases": _never_decreases,
             "an accepted configuration is not reverted": _is_kept,
             "not written is true": _is_truthful,
+            "an apply is above what is in force": _is_above,
         },
         goal=_has_converged)
--- a/spec/configuration_state.py
+++ b/spec/configuration_state.py
@@ -20,11 +20,13 @@
 
     Attributes:
         in_force: Document in force; none while it boots.
-        booting: Whether no neighbour has answered since the restart.
+        booting: Whether platform and neighbour were not both heard since the
+            restart.
         inbox: Neighbour's document on its way, or None.
         seen: Platform's document as last read, or None.
         seen_fresh: Whether the revision read is still the platform's.
-        repair: Whether a repair is to be written.
+        repair: Document to be written back to the platform, or None.
+        repair_fresh: Whether the repair's revision is still the platform's.
         floor: Highest version that was ever in force here.
         apply: State of the operator's apply, as in the code.
         base_fresh: Whether the revision that the apply read is the platform's.
@@ -37,7 +39,8 @@
     inbox: Document | None = None
     seen: Document | None = None
     seen_fresh: bool = False
-    repair: bool = False
+    repair: Document | None = None
+    repair_fresh: bool = False
     floor: int = 1
     apply: str = "new"
     base_fresh: bool = False
@@ -56,6 +59,7 @@
         restarts: Restarts so far.
         accepted: Highest version that an operator was told to be applied.
         denied: Whether an apply was told not written or lost, but took effect.
+        low: Whether an apply chose a version that was in force before.
     """
 
     first: Vm = Vm()
@@ -65,6 +69,7 @@
     restarts: int = 0
     accepted: int = 1
     denied: bool = False
+    low: bool = False
 
 
 def get(state: State, i: int) -> Vm:
@@ -89,7 +94,12 @@
 def write(state: State, document: Document) -> State:
     """Writes the platform's key; no earlier revision matches any more."""
     for i in VMS:
-        state = put(state, i, seen_fresh=False, base_fresh=False, late=False)
+        state = put(state,
+                    i,
+                    seen_fresh=False,
+                    repair_fresh=False,
+                    base_fresh=False,
+                    late=False)
         lost = get(state, i).apply in ("lost", "not_written")
         if lost and document[1] == i + 1 and not state.denied:
             state = state._replace(denied=True)
