--- a/mustardwood/replication/apply.py
+++ b/mustardwood/replication/apply.py
@@ -84,6 +84,8 @@
         if self.state == "resolving":
             return self._machine.read_other(document)
         highest = self._find_highest(document)
+        if self.state == "comparing":
+            highest = document
         version = highest.version if highest else 0
         if version != self._expected_version:
             return self._machine.read_other(highest)
--- a/spec/configuration_protocol.py
+++ b/spec/configuration_protocol.py
@@ -180,13 +180,13 @@
             yield "late_write", model.write(state, (vm.version, i + 1))
         may_start = i < self._scope.operators
         if vm.apply == "new" and may_start and vm.in_force != model.NONE:
-            yield "start", model.put(state, i, apply="reading")
-        elif vm.apply == "reading":
             yield from self._read(state, i)
         elif vm.apply in ("writing", "writing_again"):
             yield from self._write(state, i)
         elif vm.apply == "resolving":
             yield from self._resolve(state, i)
+        elif vm.apply == "comparing":
+            yield from self._compare(state, i)
 
     def _read(self, state: model.State,
               i: int) -> collections.abc.Iterator[Step]:
@@ -217,11 +217,13 @@
             yield "uncertain", self._note_denial(lost, i)
             yield "uncertain", model.put(state, i, apply=unsure, late=True)
         else:
-            conflicted = "resolving" if again else "lost"
+            conflicted = "resolving" if again else "comparing"
             yield "conflicted", model.put(state, i, apply=conflicted)
         yield "uncertain", model.put(state, i, apply=unsure)
         refused = "resolving" if again else "not_written"
         yield "unavailable", model.put(state, i, apply=refused)
+        given_up = "unknown" if again else "not_written"
+        yield "give_up", model.put(state, i, apply=given_up)
 
     def _note_denial(self, state: model.State, i: int) -> model.State:
         is_denied = model.get(state, i).apply == "not_written"
@@ -235,8 +237,21 @@
             yield "read_same", model.put(state, i, apply="writing_again")
         else:
             yield "read_other", model.put(state, i, apply="unknown")
+        yield "unavailable", state
         yield "give_up", model.put(state, i, apply="unknown")
 
+    def _compare(self, state: model.State,
+                 i: int) -> collections.abc.Iterator[Step]:
+        if state.platform[0] == model.get(state, i).version - 1:
+            yield "read_base", model.put(state,
+                                         i,
+                                         apply="writing",
+                                         base_fresh=True)
+        else:
+            yield "read_other", model.put(state, i, apply="lost")
+        yield "unavailable", model.put(state, i, apply="not_written")
+        yield "give_up", model.put(state, i, apply="not_written")
+
     def _finish(self, state: model.State, i: int) -> model.State:
         version = max(state.accepted, model.get(state, i).version)
         return model.put(state, i, apply="applied")._replace(accepted=version)
