Make four tests of failures fail without their mechanism

Cause: with the mechanism taken out, the tests of indirect probes, of paused processes, of an older platform and of the bounded writes still passed; they looked too seldom or allowed too much. Change: they look at incarnations (who had to refute), at one paused detector directly, and at tighter bounds.

--- a/mustardwood/agent/tests/test_agent.py
+++ b/mustardwood/agent/tests/test_agent.py
@@ -109,7 +109,7 @@
     fleet.platform.start_outage()
     fleet.run(10)
     fleet.platform.restore(old, 1)
-    fleet.run(40)
+    fleet.run(15)
     assert fleet.versions() == {2}
     assert '"second"' in fleet.platform.values[KEY].value
 
@@ -183,7 +183,7 @@
                ] == ["poison"]
     fleet.run(3)
     assert "mustardwood/convictions/poison" in fleet.platform.values
-    assert fleet.platform.calls["put"] <= 9
+    assert fleet.platform.calls["put"] <= 2
 
 
 def test_calls_to_the_platform_are_few():
--- a/mustardwood/membership/tests/network.py
+++ b/mustardwood/membership/tests/network.py
@@ -27,11 +27,9 @@
         self.rng = random.Random(seed)
         self.now = datetime.timedelta()
         self.loss = loss
-        self.cut: collections.abc.Callable[[str, str],
-                                           bool] = (lambda *_: False)
+        self.cut: collections.abc.Callable[[str, str], bool] = _cut_nothing
         self.frozen: set[str] = set()
         self.sent: dict[str, int] = {}
-        self.sent_bytes = 0
         self.records = tuple(
             vmlist.VmRecord(f"vm{i}", f"127.9.{i // 200}.{i % 200 + 1}",
                             f"zone{i % 3}", "region") for i in range(size))
--- a/mustardwood/membership/tests/test_failure_detector.py
+++ b/mustardwood/membership/tests/test_failure_detector.py
@@ -1,5 +1,7 @@
 """Tests of failure detection in virtual time."""
 
+import datetime
+
 import msgspec
 import pytest
 
@@ -18,6 +20,15 @@
                for each in detector.members())
 
 
+def _had_to_refute(fleet: network.Network) -> set[str]:
+    return {
+        each.vm
+        for detector in fleet.detectors.values()
+        for each in detector.members()
+        if each.incarnation > 1
+    }
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_lost_vm_is_dead_everywhere_within_2_s_at_9_vms(seed):
     fleet = network.Network(9, seed)
@@ -101,17 +112,19 @@
     fleet.run_until(lambda: _all_alive(fleet), 15.0)
 
 
-def test_one_cut_link_kills_nobody():
+def test_one_cut_link_makes_nobody_suspected():
     fleet = network.Network(9, 6)
     fleet.run(2)
     fleet.cut = lambda a, b: {a, b} == {"vm0", "vm1"}
     for _ in range(100):
         fleet.run(0.1)
-        assert DEAD not in fleet.states("vm0") | fleet.states("vm1")
+        assert fleet.states("vm0") | fleet.states("vm1") == {ALIVE}
+    assert _had_to_refute(fleet) == set()
 
 
-def test_woken_vm_convicts_nobody_and_is_alive_again():
-    fleet = network.Network(9, 7)
+@pytest.mark.parametrize("seed", range(5))
+def test_woken_vm_suspects_nobody_and_is_alive_again(seed):
+    fleet = network.Network(9, seed)
     fleet.run(2)
     fleet.frozen.add("vm3")
     fleet.run(10)
@@ -119,9 +132,20 @@
     fleet.frozen.clear()
     for _ in range(50):
         fleet.run(0.1)
-        others = fleet.states("vm0") | fleet.states("vm8")
-        assert others == {ALIVE}
+        for vm in fleet.detectors.keys() - {"vm3"}:
+            assert fleet.states(vm) == {ALIVE}
     fleet.run_until(lambda: _all_alive(fleet), 10.0)
+    assert _had_to_refute(fleet) == {"vm3"}
+
+
+def test_vm_that_was_paused_does_not_count_the_silence_of_that_time():
+    fleet = network.Network(9, 13)
+    detector = fleet.detectors["vm0"]
+    assert detector.tick(fleet.now)
+    later = fleet.now + datetime.timedelta(seconds=10)
+    detector.tick(later)
+    detector.tick(later + datetime.timedelta(seconds=0.1))
+    assert all(each.state is ALIVE for each in detector.members())
 
 
 def test_planned_stop_is_leaving_everywhere_at_once():
