--- a/mustardwood/standins/fleet/fleet.py
+++ b/mustardwood/standins/fleet/fleet.py
@@ -1,6 +1,7 @@
 """Children that make up a fleet."""
 
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -60,8 +61,7 @@
     def __init__(self, network: str) -> None:
         self.addresses = address_plan.AddressPlan(network)
         self.children: dict[str, child_process.ChildProcess] = {}
-        self._temporary = tempfile.TemporaryDirectory(prefix="mustardwood-")
-        self.folder = pathlib.Path(self._temporary.name)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardwood-"))
         self._records: dict[str, vmlist.VmRecord] = {}
 
     def __enter__(self) -> typing.Self:
@@ -207,7 +207,7 @@
                 child.terminate()
         for child in reversed(self.children.values()):
             child.end(_END_SECONDS)
-        self._temporary.cleanup()
+        shutil.rmtree(self.folder)
 
     def _publish_vms(self) -> None:
         records = msgspec.to_builtins(tuple(self._records.values()))
@@ -232,9 +232,10 @@
 
     def _wait(self, name: str, path: str) -> None:
         child = self.children[name]
-        if http_calls.wait_for_status_ok(child.url + path, _READY_SECONDS):
+        if http_calls.wait_for_status_ok(child.url + path, _READY_SECONDS,
+                                         lambda: child.is_running):
             return
         raise fleet_error.FleetError(
-            f"{name} did not answer {path} within {_READY_SECONDS:g} s; "
+            f"{name} ended or did not answer {path} within {_READY_SECONDS:g} s; "
             f"its log ends: {child.read_log_tail()}",
             "Correct what the log shows.")
--- a/mustardwood/standins/fleet/http_calls.py
+++ b/mustardwood/standins/fleet/http_calls.py
@@ -1,5 +1,6 @@
 """Blocking HTTP calls of a fleet's owner."""
 
+import collections.abc
 import http
 import json
 import time
@@ -27,10 +28,23 @@
         return json.loads(response.read() or b"null")
 
 
-def wait_for_status_ok(url: str, seconds: float) -> bool:
-    """Polls a URL; returns whether it answered 200 within `seconds`."""
+def wait_for_status_ok(
+    url: str,
+    seconds: float,
+    goes_on: collections.abc.Callable[[], bool] = lambda: True,
+) -> bool:
+    """Polls a URL until it answers 200.
+
+    Args:
+        url: The URL.
+        seconds: Bound on the wait.
+        goes_on: Tells whether the wait still makes sense.
+
+    Returns:
+        Whether it answered 200 in time.
+    """
     end = time.monotonic() + seconds
-    while time.monotonic() < end:
+    while time.monotonic() < end and goes_on():
         if _is_ok(url):
             return True
         time.sleep(_POLL_SECONDS)
--- a/mustardwood/standins/fleet/tests/test_fleet.py
+++ b/mustardwood/standins/fleet/tests/test_fleet.py
@@ -39,8 +39,7 @@
 
 
 @pytest.mark.processes
-def test_a_child_that_does_not_start_is_named_with_its_log(monkeypatch):
-    monkeypatch.setattr("mustardwood.standins.fleet.fleet._READY_SECONDS", 3.0)
+def test_a_child_that_does_not_start_is_named_with_its_log():
     with fleet_package.Fleet("127.91.2") as fleet:
         with pytest.raises(fleet_package.FleetError,
                            match="(?s)engine-1.*option"):
