--- a/mustardwood/demo/streamed_answer.py
+++ b/mustardwood/demo/streamed_answer.py
@@ -23,7 +23,8 @@
     Examples:
         >>> answer = StreamedAnswer(timing.ManualClock())
         >>> answer.receive(b'data: {"choices": [{"text": "a", ')
-        >>> answer.receive(b'"finish_reason": "stop"}]}\\n\\ndata: [DONE]\\n\\n')
+        >>> answer.receive(b'"finish_reason": "stop"}]}\\n\\n')
+        >>> answer.receive(b'data: [DONE]\\n\\n')
         >>> answer.text, answer.is_complete
         ('a', True)
     """
--- a/mustardwood/standins/fleet/fleet.py
+++ b/mustardwood/standins/fleet/fleet.py
@@ -236,6 +236,6 @@
                                          lambda: child.is_running):
             return
         raise fleet_error.FleetError(
-            f"{name} ended or did not answer {path} within {_READY_SECONDS:g} s; "
+            f"{name} ended, or did not answer {path} in time; "
             f"its log ends: {child.read_log_tail()}",
             "Correct what the log shows.")
