Give up a demo request after 60 s

Cause: with a fault in an entry, requests without an answer held the demo for two minutes. Change: half the time limit.

--- a/mustardwood/demo/caller.py
+++ b/mustardwood/demo/caller.py
@@ -18,7 +18,7 @@
 _SERVICE_PATH = "/disposals"
 """Path of the service's calls below its name."""
 
-_TIME_LIMIT = 120.0
+_TIME_LIMIT = 60.0
 """Seconds after which an answer is given up."""
 
 _REFUSALS = (http.HTTPStatus.TOO_MANY_REQUESTS,
