--- a/mustardwood/entry/caller_channel.py
+++ b/mustardwood/entry/caller_channel.py
@@ -10,6 +10,9 @@
 from mustardwood import errors
 from mustardwood.entry import error_body
 
+UNSENT_LIMIT = 1024 * 1024
+"""Bytes of a stream that wait for a slow caller before it is given up."""
+
 _EVENT_STREAM = "text/event-stream"
 
 
@@ -28,6 +31,25 @@
         self._is_draining = is_draining
         self._streaming = False
         self._open = True
+        self._paused = False
+        self._unsent = 0
+
+    # The three names below are those of the library's interface.
+    # pylint: disable=invalid-name
+
+    def pauseProducing(self) -> None:
+        """Notes that the caller reads more slowly than the answer comes."""
+        self._paused = True
+
+    def resumeProducing(self) -> None:
+        """Notes that the caller has taken what was written."""
+        self._paused = False
+        self._unsent = 0
+
+    def stopProducing(self) -> None:
+        """Does nothing: the loss of the connection is told by `close`."""
+
+    # pylint: enable=invalid-name
 
     def close(self) -> None:
         """Notes that the caller has gone away."""
@@ -44,7 +66,10 @@
             if replay:
                 headers.append(("x-idempotent-replay", "1"))
             self._begin(http.HTTPStatus.OK, headers)
+            self._request.registerProducer(self, True)
         self._request.write(data)
+        if self._paused:
+            self._bound_unsent(len(data))
 
     def pass_end(self) -> None:
         """Ends a stream of events."""
@@ -86,7 +111,15 @@
             channel: typing.Any = self._request.channel
             channel.persistent = False
 
+    def _bound_unsent(self, size: int) -> None:
+        self._unsent += size
+        if self._unsent > UNSENT_LIMIT:
+            channel: typing.Any = self._request.channel
+            channel.transport.abortConnection()
+
     def _finish(self) -> None:
         if self._open:
             self._open = False
+            if self._streaming:
+                self._request.unregisterProducer()
             self.done.callback(None)
--- a/mustardwood/entry/tests/fake_engine.py
+++ b/mustardwood/entry/tests/fake_engine.py
@@ -33,6 +33,8 @@
         self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-type: "
                              b"text/event-stream\r\n"
                              b"transfer-encoding: chunked\r\n\r\n")
+        for _ in range(self.engine.repeat):
+            self.event(attempt_id, {"content": "x" * 100}, None)
         for index, word in enumerate(WORDS):
             self.event(attempt_id, {"content": word},
                        "stop" if index + 1 == len(WORDS) else None)
@@ -84,6 +86,7 @@
         self.requests = []
         self.closed = 0
         self.hold = False
+        self.repeat = 0
         self.plain = None
 
     def buildProtocol(self, addr):
--- a/mustardwood/entry/tests/test_entry_http.py
+++ b/mustardwood/entry/tests/test_entry_http.py
@@ -4,18 +4,22 @@
 import json
 
 import msgspec
+import openai
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
+from twisted.internet import threads
 from twisted.trial import unittest
 
 from mustardwood import configuration
 from mustardwood import messages
 from mustardwood import settings as settings_module
 from mustardwood import timing
+from mustardwood.entry import caller_channel
 from mustardwood.entry import entry_daemon
+from mustardwood.entry import limited_request
 from mustardwood.entry.tests import fake_engine
 from mustardwood.entry.tests import fake_link
 from mustardwood.entry.tests import raw_caller
@@ -276,3 +280,52 @@
         self.assertIn("".join(fake_engine.WORDS), rest.decode())
         await stopping
         self.stopped = True
+
+    async def test_slow_request_is_refused(self):
+        self.patch(limited_request, "READ_TIMEOUT_SECONDS", 0.3)
+        caller = await self.exchange(
+            b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n")
+        await caller.lost
+        self.assertIn(b" 408 ", caller.data)
+        self.assertIn(b"request_timeout", caller.data)
+
+    async def test_caller_that_does_not_read_is_given_up(self):
+        self.patch(caller_channel, "UNSENT_LIMIT", 10_000)
+        self.engine.hold = True
+        self.engine.repeat = 80_000
+        body = json.dumps(self.fields(stream=True)).encode()
+        caller = await self.exchange(
+            f"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+            f"authorization: Bearer {_KEY}\r\n"
+            f"content-length: {len(body)}\r\n\r\n".encode() + body)
+        caller.transport.pauseProducing()
+        await self.wait(lambda: self.engine.closed == 1)
+        caller.transport.abortConnection()
+
+    async def test_openai_client_streams(self):
+
+        def stream():
+            with openai.OpenAI(api_key=_KEY,
+                               base_url=f"http://{_IP}:{self.port}/v1",
+                               max_retries=0) as client:
+                parts = client.chat.completions.create(model="m",
+                                                       messages=[{
+                                                           "role": "user",
+                                                           "content": "x"
+                                                       }],
+                                                       stream=True)
+                text = "".join(
+                    part.choices[0].delta.content or "" for part in parts)
+                whole = client.chat.completions.create(model="m",
+                                                       messages=[{
+                                                           "role": "user",
+                                                           "content": "x"
+                                                       }])
+                with self.assertRaises(openai.NotFoundError) as caught:
+                    client.models.retrieve("none")
+                return (text, whole.choices[0].message.content,
+                        caught.exception.code)
+
+        found = await threads.deferToThread(stream)
+        text = "".join(fake_engine.WORDS)
+        self.assertEqual(found, (text, text, "unknown_model"))
--- a/mustardwood/routing/answer_text.py
+++ b/mustardwood/routing/answer_text.py
@@ -44,6 +44,11 @@
         """The text passed on."""
         return "".join(self._parts)
 
+    @property
+    def total_tokens(self) -> int:
+        """Tokens of the answer, with its held back end."""
+        return self.tokens + self._tail_tokens
+
     @property
     def finished(self) -> bool:
         """Whether the engine named the reason of the end."""
@@ -84,7 +89,7 @@
 
     def make_usage(self) -> dict[str, int]:
         """Returns the token counts in OpenAI's shape."""
-        completion = self.tokens + self._tail_tokens
+        completion = self.total_tokens
         if self._attempts == 1:
             completion = max(completion, self._reported_tokens)
         return {
--- a/mustardwood/routing/attempt_runner.py
+++ b/mustardwood/routing/attempt_runner.py
@@ -145,7 +145,7 @@
         assert self._reader is not None and self.attempt is not None
         whole = None
         if verdict is _Verdict.WHOLE:
-            self._tally.note_whole(self.attempt, now)
+            self._tally.note_whole(self.attempt, self.answer.total_tokens, now)
             whole = self._reader.make_stored()
         if verdict is _Verdict.LOST:
             self._context.record_crash(self.attempt.endpoint.name, now)
--- a/mustardwood/routing/request_tally.py
+++ b/mustardwood/routing/request_tally.py
@@ -1,6 +1,7 @@
 """The counting of what happens to one request."""
 
 import datetime
+import http
 
 from mustardwood import errors
 from mustardwood.routing import attempt as attempt_module
@@ -27,16 +28,26 @@
             self._context.metrics.observe_first_token(
                 self._request.request_class.name, now - self._request.arrived)
 
-    def note_whole(self, attempt: attempt_module.Attempt,
+    def note_whole(self, attempt: attempt_module.Attempt, tokens: int,
                    now: datetime.timedelta) -> None:
-        """Counts a whole answer and whether it met its targets."""
+        """Counts a whole answer and whether it met its targets.
+
+        Args:
+            attempt: The last attempt.
+            tokens: Tokens of the answer, over all attempts.
+            now: Monotonic time.
+        """
+        if self._is_engine_error(attempt):
+            code = errors.RequestCode.ENDPOINT_REFUSED.value
+            self._count_refused(code, attempt.endpoint.name)
+            return
         self.note_first_token(now)
         self._context.recorder.record_whole(self._make_key(
             attempt.endpoint.name),
                                             met=self._has_met(attempt),
-                                            tokens=attempt.tokens)
+                                            tokens=tokens)
         self._context.metrics.count_tokens(self._request.request_class.name,
-                                           attempt.tokens)
+                                           tokens)
 
     def note_retry(self) -> None:
         """Counts a retry."""
@@ -44,10 +55,7 @@
 
     def note_refused(self, error: errors.RequestError, endpoint: str) -> None:
         """Counts a final error."""
-        code = error.request_code.value
-        self._context.recorder.record_refused(self._make_key(endpoint), code)
-        self._context.metrics.count_refusal(self._request.request_class.name,
-                                            code)
+        self._count_refused(error.request_code.value, endpoint)
 
     def note_waste(self, cause: waste_cause.WasteCause, tokens: int,
                    endpoint: str) -> None:
@@ -57,6 +65,16 @@
         self._context.metrics.count_waste(self._request.request_class.name,
                                           cause.value, tokens)
 
+    def _count_refused(self, code: str, endpoint: str) -> None:
+        self._context.recorder.record_refused(self._make_key(endpoint), code)
+        self._context.metrics.count_refusal(self._request.request_class.name,
+                                            code)
+
+    def _is_engine_error(self, attempt: attempt_module.Attempt) -> bool:
+        failed = attempt.status >= http.HTTPStatus.BAD_REQUEST
+        service = self._request.kind is request_kind.RequestKind.SERVICE
+        return failed and not service
+
     def _has_met(self, attempt: attempt_module.Attempt) -> bool:
         target = self._request.request_class
         assert self._first_token_at is not None
--- a/mustardwood/routing/tests/test_answers.py
+++ b/mustardwood/routing/tests/test_answers.py
@@ -95,6 +95,14 @@
     assert world.text() == "ab"
 
 
+def test_text_after_the_finish_breaks_the_attempt():
+    world = start()
+    world.token("a", reason="stop")
+    world.token("b")
+    assert world.cancelled == [("r1", 1)]
+    assert not world.ended
+
+
 def test_end_mark_without_finish_is_not_whole():
     world = start()
     world.token("a")
--- a/mustardwood/routing/tests/test_poison.py
+++ b/mustardwood/routing/tests/test_poison.py
@@ -30,11 +30,14 @@
     crash(world, "e1")
     suspicion = world.last(messages.Suspicion)[1]
     assert suspicion.fingerprints == ("f-innocent", "f-poison")
-    assert list({
-        peer.ip
-        for peer, each in world.sent
+    receivers = {
+        peer for peer, each in world.sent
         if isinstance(each, messages.Suspicion)
-    }) != []
+    }
+    assert receivers == {
+        messages.Peer(ip, messages.Role.AGENT)
+        for ip in world_module.IPS.values()
+    }
     world.wait_for_ask("poison")
     world.wait_for_ask("innocent")
     assert world.last(messages.Ask, "poison")[1].suspect
@@ -83,9 +86,10 @@
     world.view(version=2, convictions=(messages.Conviction("f-a", until),))
     assert world.errors["a"].status == 422
     sent = len(world.sent)
-    world.ask("b", prompt="a")
+    world.ask("b", prompt="a", idempotency_key="k")
     assert world.errors["b"].status == 422
     assert len(world.sent) == sent
+    assert not world.claims
 
 
 def test_conviction_ends():
@@ -98,9 +102,13 @@
 
 
 def test_suspects_run_apart_without_an_owner():
-    world = world_module.World()
+    world = world_module.World(world_module.make_document(endpoints=1))
     world.view(version=2, suspects=("f-a", "f-b"))
     world.ask("a")
     world.ask("b")
     world.wait(2.2)
-    assert len({each.endpoint.name for each in world.started}) == 2
+    assert [each.request_id for each in world.started] == ["a"]
+    world.head()
+    world.finish("x")
+    world.wait(0.1)
+    assert [each.request_id for each in world.started] == ["a", "b"]
