--- a/mustardwood/claims/claim_answer.py
+++ b/mustardwood/claims/claim_answer.py
@@ -9,13 +9,15 @@
 
 
 class ClaimAnswer(msgspec.Struct, frozen=True):
-    """What a claim store says of a key.
+    """A verdict with what the caller needs to act on it.
 
     Attributes:
-        verdict: Whether the request may run, or why not.
-        answer: The stored answer of a completed claim.
-        holder: Attempt id of the claim's holder.
-        retry_after: When to come back, where that helps.
+        verdict: The verdict.
+        answer: The stored answer of a completed claim; None when its body was
+            too long to store, so that the request ran but its answer can't be
+            repeated.
+        holder: VM that holds the claim, when another attempt does.
+        retry_after: When asking again helps.
     """
 
     verdict: claim_verdict.ClaimVerdict
--- a/mustardwood/claims/claim_store.py
+++ b/mustardwood/claims/claim_store.py
@@ -1,4 +1,4 @@
-"""The interface of a claim store."""
+"""The interface of a store of claims."""
 
 import typing
 
@@ -7,18 +7,28 @@
 
 
 class ClaimStore(typing.Protocol):
-    """Keeps one claim for each idempotency key of an organisation."""
+    """Grants at most one attempt per organisation and idempotency key."""
 
     async def acquire(self, organisation: str, key: str, fingerprint: str,
                       attempt_id: str) -> claim_answer.ClaimAnswer:
-        """Claims a key for an attempt, before anything is sent."""
+        """Asks for the claim of a request.
+
+        Args:
+            organisation: The caller's organisation.
+            key: The caller's Idempotency-Key.
+            fingerprint: Digest of the request, to detect a reused key.
+            attempt_id: Id of this attempt, unique in the fleet for ever.
+
+        Returns:
+            The verdict. Only `ACQUIRED` permits a send.
+        """
 
     async def complete(self, attempt_id: str,
                        answer: stored_answer.StoredAnswer) -> None:
-        """Stores the whole answer."""
+        """Stores the answer of a held claim; goes on retrying if it must."""
 
     async def mark_unknown(self, attempt_id: str) -> None:
-        """Records that the request may have run without a whole answer."""
+        """Records that the outcome of a held claim is unknown."""
 
     async def release(self, attempt_id: str) -> None:
-        """Removes the claim; only when nothing was sent."""
+        """Deletes a held claim; only when no byte of the attempt was sent."""
--- a/mustardwood/claims/stored_answer.py
+++ b/mustardwood/claims/stored_answer.py
@@ -1,19 +1,22 @@
-"""A whole answer kept with its claim."""
+"""The answer kept with a completed claim."""
 
 import msgspec
 
+MAX_BODY_BYTES = 256 * 1024
+"""Longest body that is stored, in bytes."""
+
 
 class StoredAnswer(msgspec.Struct, frozen=True):
-    """What the first sender of a claimed request was answered.
+    """An endpoint's answer to a claimed request.
 
     Attributes:
         status: HTTP status.
-        headers: HTTP headers, as pairs of name and value.
-        body: The body.
+        headers: Header names and values, in order.
         content_type: Media type of the body.
+        body: The body, whole.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
     content_type: str
+    body: bytes
