Claim through the key-value service, and start under the chosen reactor

Cause: mustardwood-entry ended at its start, since klein installs a reactor when imported; claims were not wired; stored answers were built by position, and the type's order of fields is another one now.

Change: klein is imported when the routes are made; main builds the key-value claim store; stored answers are built by name; the claim gets the time left until the request's deadline (ClaimStore.acquire, time_limit).

--- a/mustardwood/claims/claim_store.py
+++ b/mustardwood/claims/claim_store.py
@@ -1,5 +1,6 @@
 """The interface of a store of claims."""
 
+import datetime
 import typing
 
 from mustardwood.claims import claim_answer
@@ -9,8 +10,10 @@
 class ClaimStore(typing.Protocol):
     """Grants at most one attempt per organisation and idempotency key."""
 
-    async def acquire(self, organisation: str, key: str, fingerprint: str,
-                      attempt_id: str) -> claim_answer.ClaimAnswer:
+    async def acquire(
+            self, organisation: str, key: str, fingerprint: str,
+            attempt_id: str,
+            time_limit: datetime.timedelta) -> claim_answer.ClaimAnswer:
         """Asks for the claim of a request.
 
         Args:
@@ -18,6 +21,8 @@
             key: The caller's Idempotency-Key.
             fingerprint: Digest of the request, to detect a reused key.
             attempt_id: Id of this attempt, unique in the fleet for ever.
+            time_limit: Time until the request's deadline; nothing is sent
+                after it.
 
         Returns:
             The verdict. Only `ACQUIRED` permits a send.
--- a/mustardwood/entry/callers_site.py
+++ b/mustardwood/entry/callers_site.py
@@ -5,7 +5,6 @@
 import typing
 import urllib.parse
 
-import klein
 import msgspec
 from twisted.internet import defer
 from twisted.python import failure
@@ -52,6 +51,8 @@
     """
 
     def __init__(self, gateway: Gateway, clock: timing.Clock) -> None:
+        # Importing klein installs a reactor, which the launcher must choose.
+        import klein
         self.app = klein.Klein()
         self.app.url_map.merge_slashes = False
         self._gateway = gateway
--- a/mustardwood/entry/dispatcher.py
+++ b/mustardwood/entry/dispatcher.py
@@ -101,7 +101,8 @@
         try:
             answer = await self._store.acquire(command.organisation,
                                                command.key, command.fingerprint,
-                                               command.attempt_id)
+                                               command.attempt_id,
+                                               command.time_limit)
         except Exception:  # pylint: disable=broad-exception-caught
             _log.exception("a claim could not be made")
             answer = claims.ClaimAnswer(claims.ClaimVerdict.UNAVAILABLE)
--- a/mustardwood/entry/main.py
+++ b/mustardwood/entry/main.py
@@ -2,11 +2,13 @@
 
 import typing
 
+from mustardwood import claims
 from mustardwood import messages
 from mustardwood import runtime
 from mustardwood import settings as settings_module
 from mustardwood import timing
 from mustardwood.entry import entry_daemon
+from mustardwood.keyvalue import http_key_value_service
 
 
 def build_entry(settings: settings_module.Settings, reactor: typing.Any,
@@ -15,7 +17,13 @@
     from mustardwood.links import pynng_link
     link = pynng_link.PynngLink.from_settings(settings, messages.Role.ENTRY,
                                               clock)
-    return entry_daemon.EntryDaemon(settings, reactor, clock, link)
+    service = http_key_value_service.HttpKeyValueService.from_settings(
+        settings, reactor, clock)
+    store = claims.KeyValueClaimStore.from_service(service,
+                                                   clock,
+                                                   settings.vm,
+                                                   timer=reactor)
+    return entry_daemon.EntryDaemon(settings, reactor, clock, link, store=store)
 
 
 def main() -> None:
--- a/mustardwood/entry/unavailable_claims.py
+++ b/mustardwood/entry/unavailable_claims.py
@@ -1,5 +1,7 @@
 """A claim store for an entry without one."""
 
+import datetime
+
 from mustardwood import claims
 
 
@@ -7,9 +9,10 @@
     """Answers that claims can't be made."""
 
     async def acquire(self, organisation: str, key: str, fingerprint: str,
-                      attempt_id: str) -> claims.ClaimAnswer:
+                      attempt_id: str,
+                      time_limit: datetime.timedelta) -> claims.ClaimAnswer:
         """Answers that the store is unavailable."""
-        del organisation, key, fingerprint, attempt_id
+        del organisation, key, fingerprint, attempt_id, time_limit
         return claims.ClaimAnswer(claims.ClaimVerdict.UNAVAILABLE)
 
     async def complete(self, attempt_id: str,
--- a/mustardwood/routing/attempt_reader.py
+++ b/mustardwood/routing/attempt_reader.py
@@ -100,14 +100,17 @@
         """Returns the whole answer."""
         attempt = self._attempt
         if self.is_stream:
-            return claims.StoredAnswer(http.HTTPStatus.OK, (),
-                                       self._answer.encode_whole(),
-                                       "application/json")
+            return claims.StoredAnswer(status=http.HTTPStatus.OK,
+                                       headers=(),
+                                       content_type="application/json",
+                                       body=self._answer.encode_whole())
         kept = tuple(each for each in attempt.headers
                      if each[0] not in _UNPASSED_HEADERS)
         content_type = dict(attempt.headers).get("content-type", "")
-        return claims.StoredAnswer(attempt.status, kept, bytes(attempt.body),
-                                   content_type)
+        return claims.StoredAnswer(status=attempt.status,
+                                   headers=kept,
+                                   content_type=content_type,
+                                   body=bytes(attempt.body))
 
     def _take_mark(self) -> verdict_module.Verdict:
         if self._answer.finished:
--- a/mustardwood/routing/commands.py
+++ b/mustardwood/routing/commands.py
@@ -1,6 +1,7 @@
 """What the routing core asks its adapters to do."""
 
 import dataclasses
+import datetime
 
 from mustardwood import claims
 from mustardwood import configuration
@@ -58,13 +59,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class AcquireClaim:
-    """Claims an idempotency key; the answer is an event of the router."""
+    """Claims an idempotency key; the answer is an event of the router.
+
+    Attributes:
+        request_id: Id of the request.
+        organisation: The caller's organisation.
+        key: The key.
+        fingerprint: Hash of organisation and body.
+        attempt_id: Id under which the claim is held.
+        time_limit: Time left until the request's deadline.
+    """
 
     request_id: str
     organisation: str
     key: str
     fingerprint: str
     attempt_id: str
+    time_limit: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mustardwood/routing/open_request.py
+++ b/mustardwood/routing/open_request.py
@@ -92,7 +92,7 @@
         self._context.emit(
             commands.AcquireClaim(request.request_id, request.organisation,
                                   request.idempotency_key, request.fingerprint,
-                                  request.request_id))
+                                  request.request_id, request.deadline - now))
 
     def take_claim(self, answer: claims.ClaimAnswer,
                    now: datetime.timedelta) -> None:
--- a/mustardwood/routing/tests/test_claims.py
+++ b/mustardwood/routing/tests/test_claims.py
@@ -90,7 +90,10 @@
 
 def test_stored_answer_is_replayed():
     world = start()
-    stored = claims.StoredAnswer(201, (("x-own", "1"),), b"done", "text/plain")
+    stored = claims.StoredAnswer(status=201,
+                                 headers=(("x-own", "1"),),
+                                 body=b"done",
+                                 content_type="text/plain")
     claim(world, _Verdict.COMPLETED, stored)
     answer = world.answers["r1"]
     assert (answer.status, answer.body) == (201, b"done")
@@ -98,6 +101,14 @@
     assert not world.started
 
 
+def test_completed_claim_without_its_answer_is_told_truthfully():
+    world = start()
+    claim(world, _Verdict.COMPLETED)
+    error = world.errors["r1"]
+    assert error.request_code is errors.RequestCode.OUTCOME_UNKNOWN
+    assert error.ran is errors.RunState.OUTCOME_UNKNOWN
+
+
 def test_stored_completion_is_replayed_as_a_stream():
     world = world_module.World()
     world.ask(idempotency_key="k", include_usage=True)
@@ -113,8 +124,12 @@
             "prompt_tokens": 1
         }
     })
-    claim(world, _Verdict.COMPLETED,
-          claims.StoredAnswer(200, (), body, "application/json"))
+    claim(
+        world, _Verdict.COMPLETED,
+        claims.StoredAnswer(status=200,
+                            headers=(),
+                            body=body,
+                            content_type="application/json"))
     assert world.text() == "ab"
     assert world.passed["r1"].endswith(b"data: [DONE]\n\n")
     assert b'"prompt_tokens":1' in world.passed["r1"]
