Start the entry as a module, and prove that a stop sends its last answers

Cause: the fleet of the stand-ins starts a process as a module, and mustardwood.entry.main did nothing then. Nothing failed when a planned stop did not wait for a slow caller.

Change: main runs as a module; a test holds a caller back during a stop, and was seen to fail with the wait taken out.

Result: tests of a planned stop pass.

--- a/mustardwood/entry/main.py
+++ b/mustardwood/entry/main.py
@@ -29,3 +29,7 @@
 def main() -> None:
     """Runs the command line."""
     runtime.run_command("entry", build_entry)
+
+
+if __name__ == "__main__":
+    main()
--- a/mustardwood/entry/tests/test_entry_http.py
+++ b/mustardwood/entry/tests/test_entry_http.py
@@ -329,3 +329,24 @@
         found = await threads.deferToThread(stream)
         text = "".join(fake_engine.WORDS)
         self.assertEqual(found, (text, text, "unknown_model"))
+
+    async def test_planned_stop_waits_until_answers_are_sent(self):
+        size = 4 * 1024 * 1024
+        self.link.endpoint = "e1s"
+        self.engine.plain = (b"HTTP/1.1 200 OK\r\n"
+                             b"content-length: %d\r\n\r\n" % size) + b"x" * size
+        caller = await self.exchange(
+            f"GET /services/ledger/ HTTP/1.1\r\nhost: x\r\n"
+            f"authorization: Bearer {_KEY}\r\n\r\n".encode())
+        caller.transport.pauseProducing()
+        await self.wait(lambda: any(
+            isinstance(each, messages.AttemptReport) and each.outcome
+            for each in self.link.sent))
+        stopping = defer.ensureDeferred(self.daemon.stop())
+        self.stopped = True
+        await task.deferLater(reactor, 2.0)
+        self.assertFalse(stopping.called)
+        caller.transport.resumeProducing()
+        await stopping
+        await caller.lost
+        self.assertEqual(caller.data.count(b"x" * 1024), size // 1024)
