--- a/mustardwood/entry/main.py
+++ b/mustardwood/entry/main.py
@@ -2,19 +2,18 @@
 
 import typing
 
+from mustardwood import claims
 from mustardwood import messages
 from mustardwood import runtime
 from mustardwood import settings as settings_module
 from mustardwood import timing
+from mustardwood.entry import entry_daemon
+from mustardwood.keyvalue import http_key_value_service
 
 
 def build_entry(settings: settings_module.Settings, reactor: typing.Any,
                 clock: timing.Clock) -> runtime.Daemon:
     """Builds the process from its settings."""
-    # These import a reactor, so the launcher's must be installed before.
-    from mustardwood import claims
-    from mustardwood.entry import entry_daemon
-    from mustardwood.keyvalue import http_key_value_service
     from mustardwood.links import pynng_link
     link = pynng_link.PynngLink.from_settings(settings, messages.Role.ENTRY,
                                               clock)
