--- a/mustardwood/benchmarks/results_table.py
+++ b/mustardwood/benchmarks/results_table.py
@@ -7,14 +7,15 @@
 from mustardwood.benchmarks import result as result_module
 
 _Results = collections.abc.Sequence[result_module.Result]
+_Groups = dict[tuple[str, str], list[result_module.Result]]
+_Policies = dict[str, list[result_module.Result]]
 _HEADER = ("policy", "attained", "goodput", "wasted", "inverted", "fairness",
            "KB/s", "attained by class (tier order)", "longest wait s")
 
 
 def format_results(results: _Results) -> str:
     """Formats means over seeds as Markdown, a table for each scenario."""
-    groups: dict[tuple[str, str],
-                 list[result_module.Result]] = (collections.defaultdict(list))
+    groups: _Groups = collections.defaultdict(list)
     for each in results:
         groups[each.workload, each.scenario].append(each)
     return "\n\n".join(
@@ -23,8 +24,7 @@
 
 
 def _format_group(title: str, group: _Results) -> str:
-    policies: dict[str,
-                   list[result_module.Result]] = (collections.defaultdict(list))
+    policies: _Policies = collections.defaultdict(list)
     for each in group:
         policies[each.policy].append(each)
     names = ", ".join(each.name for each in group[0].classes)
