--- a/mustardwood/entry/entry_daemon.py
+++ b/mustardwood/entry/entry_daemon.py
@@ -65,10 +65,10 @@
         self._draining = False
         self._listeners: list[interfaces.IListeningPort] = []
         registry = runtime.make_registry()
-        self._router = routing.Router(settings.vm, settings.ip, settings.region,
-                                      clock, random.Random(),
-                                      entry_metrics.EntryMetrics(registry),
-                                      routing.LeastRunningGrants())
+        self._router = routing.Router(
+            settings.vm, settings.ip, settings.region, clock, random.Random(),
+            entry_metrics.EntryMetrics(registry), routing.LeastRunningGrants(),
+            routing.ServiceLevelRecorder(settings.burn_minute_seconds))
         self._dispatcher = dispatcher.Dispatcher(
             reactor, clock, self._router, link, client or
             engines.HttpClient(reactor), store or
--- a/mustardwood/messages/query.py
+++ b/mustardwood/messages/query.py
@@ -19,7 +19,8 @@
     Attributes:
         query_id: Number of the question, unique for the sender.
         kind: What is asked.
-        subject: Request id for ``explain``; empty otherwise.
+        subject: Request id for ``explain``; range of minutes for ``burn``, as
+            in ``29123-29125``, empty for all that are kept; empty otherwise.
     """
 
     query_id: int
--- a/mustardwood/reports/burn.py
+++ b/mustardwood/reports/burn.py
@@ -4,6 +4,8 @@
 import collections.abc
 import datetime
 
+import msgspec
+
 from mustardwood import configuration
 from mustardwood.reports import alert
 from mustardwood.reports import burn_report
@@ -16,22 +18,51 @@
 """Windows of the report, in minutes."""
 
 _HOUR_MINUTES = 60
-_HOUR_SECONDS = 3600.0
 _LONGEST_WINDOW = "3d"
 _MILLISECONDS = 1000.0
 _ROWS_LISTED = 20
 _Rows = collections.abc.Sequence[level_row.LevelRow]
 
 
-def compute_minute(time: datetime.datetime) -> int:
+class _Counts(msgspec.Struct, frozen=True):
+    """Counts of a group.
+
+    Attributes:
+        minutes: Counts by minute, for windows of up to an hour.
+        long_rows: Counts by hour, and by minute where no hour is stored.
+        minute: The present minute.
+        hour_seconds: Length of an hour of the report, in seconds.
+    """
+
+    minutes: _Rows
+    long_rows: _Rows
+    minute: int
+    hour_seconds: float
+
+    def choose(
+        self, is_chosen: collections.abc.Callable[[level_row.LevelRow], bool]
+    ) -> "_Counts":
+        """Returns the counts of the chosen rows."""
+        return msgspec.structs.replace(
+            self,
+            minutes=[row for row in self.minutes if is_chosen(row)],
+            long_rows=[row for row in self.long_rows if is_chosen(row)])
+
+
+def compute_minute(time: datetime.datetime,
+                   minute_seconds: float = 60.0) -> int:
     """Returns the minutes since 1970 of a wall-clock time.
 
+    Args:
+        time: Wall-clock time.
+        minute_seconds: Length of a minute of the report; see `Settings`.
+
     Examples:
         >>> compute_minute(datetime.datetime(1970, 1, 1, 1, 2,
         ...                                  tzinfo=datetime.UTC))
         62
     """
-    return int(time.timestamp() // 60)
+    return int(time.timestamp() // minute_seconds)
 
 
 def compute_report(
@@ -39,6 +70,8 @@
     record: level_record.LevelRecord,
     now: datetime.datetime,
     *,
+    hours: level_record.LevelRecord | None = None,
+    minute_seconds: float = 60.0,
     unanswered: tuple[str, ...] = (),
     incomplete_minutes: dict[str, tuple[str, ...]] | None = None,
     storage_failed: bool = False,
@@ -47,8 +80,11 @@
 
     Args:
         document: The configuration in force.
-        record: All counts of the last three days; older ones are ignored.
+        record: Counts by minute, of the last hour at least.
         now: Wall-clock time.
+        hours: Counts by hour of the hours before; a minute of an hour that is
+            among them counts only for the windows of up to an hour.
+        minute_seconds: Length of a minute of the report.
         unanswered: VMs that did not answer.
         incomplete_minutes: Minutes whose stored counts miss VMs.
         storage_failed: Whether stored counts could not be read.
@@ -56,18 +92,21 @@
     Returns:
         The report.
     """
-    minute = compute_minute(now)
+    minute = compute_minute(now, minute_seconds)
     hour = _select(record.rows, minute, _HOUR_MINUTES)
+    counts = _Counts(record.rows, _join_hours(record, hours), minute,
+                     _HOUR_MINUTES * minute_seconds)
     return burn_report.BurnReport(
         made_at=now.isoformat(timespec="seconds"),
         classes=tuple(
-            _compute_class(each, record, minute)
+            _compute_class(each, record, counts)
             for each in sorted(document.classes, key=lambda one: one.tier)),
-        organisations=_compute_organisations(document, record, minute),
+        organisations=_compute_organisations(document, counts),
         wasted_tokens=_count_wasted(hour),
         useful_tokens=sum(row.useful_tokens for row in hour),
         refused=_count_refused(hour),
-        endpoints=_rank_endpoints(hour),
+        endpoints=_rank_endpoints(
+            _select(record.endpoint_rows, minute, _HOUR_MINUTES)),
         timeline=_build_timeline(hour),
         unanswered=unanswered,
         incomplete_minutes=incomplete_minutes or {},
@@ -78,52 +117,68 @@
     return [row for row in rows if minute - length < row.minute <= minute]
 
 
+def _join_hours(record: level_record.LevelRecord,
+                hours: level_record.LevelRecord | None) -> _Rows:
+    """Returns each count once, by hour where there is a record of the hour."""
+    if hours is None:
+        return record.rows
+    covered = {row.minute // _HOUR_MINUTES for row in hours.rows}
+    return hours.rows + tuple(row for row in record.rows
+                              if row.minute // _HOUR_MINUTES not in covered)
+
+
 def _compute_class(request_class: configuration.RequestClass,
                    record: level_record.LevelRecord,
-                   minute: int) -> burn_report.GroupBurn:
-    rows = [row for row in record.rows if row.class_name == request_class.name]
+                   counts: _Counts) -> burn_report.GroupBurn:
     histogram = merging.merge_encoded(
         one.encoded
         for one in record.histograms
-        if (one.class_name == request_class.name and minute -
-            _HOUR_MINUTES < one.minute <= minute))
+        if (one.class_name == request_class.name and counts.minute -
+            _HOUR_MINUTES < one.minute <= counts.minute))
     return _compute_group(
         request_class,
         "",
-        rows,
-        minute,
+        counts.choose(lambda row: row.class_name == request_class.name),
         first_token_p50=histogram.get_value_at_percentile(50) / _MILLISECONDS,
         first_token_p95=histogram.get_value_at_percentile(95) / _MILLISECONDS)
 
 
-def _compute_organisations(document: configuration.Document,
-                           record: level_record.LevelRecord,
-                           minute: int) -> tuple[burn_report.GroupBurn, ...]:
+def _compute_organisations(
+        document: configuration.Document,
+        counts: _Counts) -> tuple[burn_report.GroupBurn, ...]:
     classes = {each.name: each for each in document.classes}
-    groups: dict[tuple[str, str],
-                 list[level_row.LevelRow]] = collections.defaultdict(list)
-    for row in record.rows:
-        if row.class_name in classes:
-            groups[row.class_name, row.organisation].append(row)
+    minutes = _group_rows(counts.minutes)
+    long_rows = _group_rows(counts.long_rows)
     burns = [
-        _compute_group(classes[class_name], organisation, rows, minute)
-        for (class_name, organisation), rows in sorted(groups.items())
+        _compute_group(
+            classes[key[0]], key[1],
+            msgspec.structs.replace(counts,
+                                    minutes=minutes[key],
+                                    long_rows=long_rows[key]))
+        for key in sorted(minutes.keys() | long_rows.keys())
+        if key[0] in classes
     ]
     return tuple(sorted(burns, key=lambda each: each.budget_left))
 
 
+def _group_rows(rows: _Rows) -> dict[tuple[str, str], list[level_row.LevelRow]]:
+    groups: dict[tuple[str, str],
+                 list[level_row.LevelRow]] = collections.defaultdict(list)
+    for row in rows:
+        groups[row.class_name, row.organisation].append(row)
+    return groups
+
+
 def _compute_group(request_class: configuration.RequestClass,
                    organisation: str,
-                   rows: _Rows,
-                   minute: int,
+                   counts: _Counts,
                    first_token_p50: float = 0.0,
                    first_token_p95: float = 0.0) -> burn_report.GroupBurn:
     windows = {
-        name:
-            _compute_window(name, length, rows, minute, request_class.objective)
+        name: _compute_window(name, length, counts, request_class.objective)
         for name, length in WINDOW_MINUTES.items()
     }
-    hour = _select(rows, minute, _HOUR_MINUTES)
+    hour = _select(counts.minutes, counts.minute, _HOUR_MINUTES)
     useful = sum(row.useful_tokens for row in hour)
     return burn_report.GroupBurn(class_name=request_class.name,
                                  organisation=organisation,
@@ -132,14 +187,15 @@
                                  budget_left=1.0 -
                                  windows[_LONGEST_WINDOW].burn_rate,
                                  alert=alert.find_alert(windows),
-                                 goodput=useful / _HOUR_SECONDS,
+                                 goodput=useful / counts.hour_seconds,
                                  first_token_p50=first_token_p50,
                                  first_token_p95=first_token_p95)
 
 
-def _compute_window(name: str, length: int, rows: _Rows, minute: int,
+def _compute_window(name: str, length: int, counts: _Counts,
                     objective: float) -> burn_window.BurnWindow:
-    selected = _select(rows, minute, length)
+    rows = counts.minutes if length <= _HOUR_MINUTES else counts.long_rows
+    selected = _select(rows, counts.minute, length)
     return burn_window.compute_window(name, sum(row.asked for row in selected),
                                       sum(row.met for row in selected),
                                       objective)
--- a/mustardwood/reports/level_row.py
+++ b/mustardwood/reports/level_row.py
@@ -3,14 +3,14 @@
 import msgspec
 
 
-class LevelRow(msgspec.Struct, frozen=True):
-    """Counts of one minute, class, organisation and endpoint.
+class LevelRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Counts of one minute and class and organisation, or endpoint.
 
     Attributes:
         minute: Start of the minute, in minutes since 1970.
-        class_name: Request class.
-        organisation: Caller's organisation.
-        endpoint: Endpoint of the last attempt; empty when none was used.
+        class_name: Request class; empty for all.
+        organisation: Caller's organisation; empty for all.
+        endpoint: Endpoint of the last attempt; empty for all, or none used.
         asked: Requests that ended.
         whole: Whole answers.
         met: Whole answers that met their targets.
--- a/mustardwood/reports/merging.py
+++ b/mustardwood/reports/merging.py
@@ -38,28 +38,31 @@
     Returns:
         One record, with minutes rounded down to the start of their bucket.
     """
-    rows: dict[_Key, list[level_row.LevelRow]] = collections.defaultdict(list)
+    rows: list[level_row.LevelRow] = []
+    endpoint_rows: list[level_row.LevelRow] = []
     encoded: dict[tuple[int, str], list[str]] = collections.defaultdict(list)
     vms: set[str] = set()
     missing: set[str] = set()
+    absent: set[int] = set()
     for record in records:
         vms.update(record.vms)
         missing.update(record.missing)
-        for row in record.rows:
-            start = row.minute - row.minute % minutes
-            key = (start, row.class_name, row.organisation, row.endpoint)
-            rows[key].append(row)
+        absent.update(record.absent_minutes)
+        rows.extend(record.rows)
+        endpoint_rows.extend(record.endpoint_rows)
         for one in record.histograms:
             start = one.minute - one.minute % minutes
             encoded[start, one.class_name].append(one.encoded)
     return level_record.LevelRecord(
-        rows=tuple(_add_rows(key, rows[key]) for key in sorted(rows)),
+        rows=_merge_rows(rows, minutes),
+        endpoint_rows=_merge_rows(endpoint_rows, minutes),
         histograms=tuple(
             level_histogram.LevelHistogram(
                 *key, encode_histogram(merge_encoded(encoded[key])))
             for key in sorted(encoded)),
         vms=tuple(sorted(vms)),
-        missing=tuple(sorted(missing)))
+        missing=tuple(sorted(missing)),
+        absent_minutes=tuple(sorted(absent)))
 
 
 def merge_encoded(encoded: collections.abc.Iterable[str]) -> hdr.HdrHistogram:
@@ -75,7 +78,26 @@
     return histogram.encode().decode()
 
 
-def _add_rows(key: _Key, rows: list[level_row.LevelRow]) -> level_row.LevelRow:
+def _merge_rows(rows: collections.abc.Iterable[level_row.LevelRow],
+                minutes: int) -> tuple[level_row.LevelRow, ...]:
+    groups: dict[_Key, list[level_row.LevelRow]] = collections.defaultdict(list)
+    for row in rows:
+        start = row.minute - row.minute % minutes
+        groups[start, row.class_name, row.organisation,
+               row.endpoint].append(row)
+    return tuple(add_rows(key, groups[key]) for key in sorted(groups))
+
+
+def add_rows(
+        key: tuple[int, str, str,
+                   str], rows: collections.abc.Sequence[level_row.LevelRow]
+) -> level_row.LevelRow:
+    """Adds up rows.
+
+    Args:
+        key: Minute, class, organisation and endpoint of the sum.
+        rows: The rows.
+    """
     refused: collections.Counter[str] = collections.Counter()
     wasted: collections.Counter[str] = collections.Counter()
     for row in rows:
--- a/mustardwood/reports/tests/test_burn.py
+++ b/mustardwood/reports/tests/test_burn.py
@@ -75,9 +75,68 @@
 
 
 def test_worst_organisation_and_costliest_endpoint_come_first():
-    report = _compute(
-        _make_row(0, 10, 9, endpoint="e1", wasted_tokens={"retried": 5}),
-        _make_row(0, 10, 1, endpoint="e2", organisation="other"))
+    rows = (_make_row(0, 10, 9, endpoint="e1", wasted_tokens={"retried": 5}),
+            _make_row(0, 10, 1, endpoint="e2", organisation="other"))
+    report = reports.compute_report(
+        _DOCUMENT, reports.LevelRecord(rows=rows, endpoint_rows=rows), _NOW)
     assert report.organisations[0].organisation == "other"
     assert report.endpoints[0].endpoint == "e2"
     assert report.wasted_tokens == {"retried": 5}
+
+
+def test_hours_and_minutes_are_not_counted_twice():
+    now = _NOW + datetime.timedelta(minutes=20)
+    start = _MINUTE - 180
+    rows = [
+        reports.LevelRow(minute, "tag", "acme", asked=1, met=minute % 2)
+        for minute in range(start, _MINUTE + 21)
+    ]
+    whole = reports.LevelRecord(rows=tuple(rows))
+    hours = reports.merge_records([
+        reports.LevelRecord(rows=tuple(
+            row for row in rows if row.minute < _MINUTE - 60))
+    ], 60)
+    late = reports.LevelRecord(rows=tuple(
+        row for row in rows if row.minute > _MINUTE - 70))
+    expected = reports.compute_report(_DOCUMENT, whole, now)
+    found = reports.compute_report(_DOCUMENT, late, now, hours=hours)
+    for burns in ("classes", "organisations"):
+        first, second = getattr(expected, burns)[0], getattr(found, burns)[0]
+        assert first.windows == second.windows
+    assert found.classes[0].windows[-1].asked == 201
+
+
+def test_record_of_the_target_size_fits_into_a_value():
+    """220 organisations in 6 classes on 180 endpoints stay under a megabyte."""
+    histogram = reports.make_histogram()
+    for value in range(1, 20_000):
+        histogram.record_value(value)
+    counts = {
+        "asked": 123_456,
+        "whole": 123_456,
+        "met": 123_456,
+        "useful_tokens": 123_456_789,
+        "refused": {
+            f"reason_of_refusal_{number}": 12_345 for number in range(3)
+        },
+        "wasted_tokens": {
+            cause: 123_456
+            for cause in ("retried", "cancelled", "cut", "resumed")
+        },
+    }
+    record = reports.LevelRecord(
+        rows=tuple(
+            reports.LevelRow(_MINUTE, f"class-of-requests-{tier}",
+                             f"organisation-with-a-name-{number}", **counts)
+            for tier in range(6)
+            for number in range(220)),
+        endpoint_rows=tuple(
+            reports.LevelRow(_MINUTE, "", "", f"endpoint-{number}", **counts)
+            for number in range(180)),
+        histograms=tuple(
+            reports.LevelHistogram(_MINUTE, f"class-of-requests-{tier}",
+                                   reports.encode_histogram(histogram))
+            for tier in range(6)),
+        vms=tuple(f"entry-vm-{number}" for number in range(400)),
+        missing=())
+    assert len(reports.encode_record(record)) < 1_000_000
--- a/mustardwood/routing/__init__.py
+++ b/mustardwood/routing/__init__.py
@@ -26,6 +26,7 @@
 from mustardwood.routing.request_metrics import RequestMetrics
 from mustardwood.routing.request_phase import RequestPhase
 from mustardwood.routing.router import Router
+from mustardwood.routing.service_level_recorder import ServiceLevelRecorder
 
 __all__ = [
     "BODY_LIMIT",
@@ -50,6 +51,7 @@
     "RequestPhase",
     "Router",
     "SendMessage",
+    "ServiceLevelRecorder",
     "StartAttempt",
     "check_idempotency_key",
     "compute_fingerprint",
--- a/mustardwood/routing/answer_text.py
+++ b/mustardwood/routing/answer_text.py
@@ -49,6 +49,11 @@
         """Tokens of the answer, with its held back end."""
         return self.tokens + self._tail_tokens
 
+    @property
+    def held_back_tokens(self) -> int:
+        """Tokens of the held back end; a resume generates them again."""
+        return self._tail_tokens
+
     @property
     def finished(self) -> bool:
         """Whether the engine named the reason of the end."""
--- a/mustardwood/routing/open_request.py
+++ b/mustardwood/routing/open_request.py
@@ -241,6 +241,8 @@
             self._explain("the caller went away; the claimed work goes on")
             return
         self._explain("cancelled by the caller")
+        self._tally.note_cancelled(self.runner.endpoint,
+                                   self._context.clock.monotonic())
         self._waste(waste_cause.WasteCause.CANCELLED)
         self._stop()
 
@@ -313,8 +315,12 @@
             return
         if fresh:
             self._waste(waste_cause.WasteCause.RETRIED)
+            self._tally.note_fresh_start()
             answer.clear()
         else:
+            self._tally.note_waste(waste_cause.WasteCause.RESUMED,
+                                   answer.held_back_tokens,
+                                   self.runner.endpoint)
             answer.begin_resume()
         self._retry(run_error.make_incomplete(), now)
 
@@ -381,7 +387,7 @@
                                    self.contact.cell.name, owner.ip)
 
     def _waste(self, cause: waste_cause.WasteCause) -> None:
-        self._tally.note_waste(cause, self.runner.answer.tokens,
+        self._tally.note_waste(cause, self.runner.answer.total_tokens,
                                self.runner.endpoint)
 
     def _explain(self, text: str) -> None:
--- a/mustardwood/routing/request_tally.py
+++ b/mustardwood/routing/request_tally.py
@@ -2,15 +2,20 @@
 
 import datetime
 import http
+import typing
+
+import msgspec
 
 from mustardwood import errors
+from mustardwood import reports
 from mustardwood.routing import attempt as attempt_module
 from mustardwood.routing import caller_request
 from mustardwood.routing import request_kind
 from mustardwood.routing import routing_context
-from mustardwood.routing import service_level_recorder
 from mustardwood.routing import waste_cause
 
+_CANCELLED = "cancelled"
+
 
 class RequestTally:
     """Feeds the metrics and the service level counters."""
@@ -42,13 +47,27 @@
             self._count_refused(code, attempt.endpoint.name)
             return
         self.note_first_token(now)
-        self._context.recorder.record_whole(self._make_key(
-            attempt.endpoint.name),
-                                            met=self._has_met(attempt),
-                                            tokens=tokens)
+        self._add_end(attempt.endpoint.name,
+                      whole=1,
+                      met=int(self._has_met(attempt)),
+                      useful_tokens=tokens)
         self._context.metrics.count_tokens(self._request.request_class.name,
                                            tokens)
 
+    def note_cancelled(self, endpoint: str, now: datetime.timedelta) -> None:
+        """Counts a caller that left after its first token was due.
+
+        A caller that leaves sooner tells nothing about the service level.
+        """
+        target = self._request.request_class.first_token_target
+        late = now - self._request.arrived > target
+        if self._first_token_at is None and late:
+            self._add_end(endpoint, refused={_CANCELLED: 1})
+
+    def note_fresh_start(self) -> None:
+        """Forgets a first token that no caller got."""
+        self._first_token_at = None
+
     def note_retry(self) -> None:
         """Counts a retry."""
         self._context.metrics.count_retry(self._request.request_class.name)
@@ -60,13 +79,13 @@
     def note_waste(self, cause: waste_cause.WasteCause, tokens: int,
                    endpoint: str) -> None:
         """Counts tokens generated in vain."""
-        self._context.recorder.record_waste(self._make_key(endpoint), cause,
-                                            tokens)
+        self._context.recorder.add_waste(self._make_row(endpoint), cause,
+                                         tokens)
         self._context.metrics.count_waste(self._request.request_class.name,
                                           cause.value, tokens)
 
     def _count_refused(self, code: str, endpoint: str) -> None:
-        self._context.recorder.record_refused(self._make_key(endpoint), code)
+        self._add_end(endpoint, refused={code: 1})
         self._context.metrics.count_refusal(self._request.request_class.name,
                                             code)
 
@@ -86,10 +105,17 @@
         between = attempt.inter_token
         return between is None or between <= target.inter_token_target
 
-    def _make_key(self,
-                  endpoint: str) -> service_level_recorder.ServiceLevelKey:
-        minute = service_level_recorder.compute_minute(
-            self._context.clock.now())
-        return service_level_recorder.ServiceLevelKey(
-            minute, self._request.request_class.name,
-            self._request.organisation, endpoint)
+    def _add_end(self, endpoint: str, **counts: typing.Any) -> None:
+        row = msgspec.structs.replace(self._make_row(endpoint),
+                                      asked=1,
+                                      **counts)
+        self._context.recorder.add(row)
+        if self._first_token_at is not None:
+            self._context.recorder.add_first_token(
+                row.minute, row.class_name,
+                self._first_token_at - self._request.arrived)
+
+    def _make_row(self, endpoint: str) -> reports.LevelRow:
+        minute = self._context.recorder.find_minute(self._context.clock.now())
+        return reports.LevelRow(minute, self._request.request_class.name,
+                                self._request.organisation, endpoint)
--- a/mustardwood/routing/router.py
+++ b/mustardwood/routing/router.py
@@ -39,12 +39,21 @@
         recorder: Service level counters.
     """
 
-    def __init__(self, vm: str, ip: str, region: str, clock: timing.Clock,
-                 rng: random.Random, metrics: request_metrics.RequestMetrics,
-                 grants: local_grants.LocalGrants) -> None:
+    def __init__(
+        self,
+        vm: str,
+        ip: str,
+        region: str,
+        clock: timing.Clock,
+        rng: random.Random,
+        metrics: request_metrics.RequestMetrics,
+        grants: local_grants.LocalGrants,
+        recorder: service_level_recorder.ServiceLevelRecorder | None = None
+    ) -> None:
         self.view = view_keeper.ViewKeeper()
         self.explanations = explanations.Explanations()
-        self.recorder = service_level_recorder.ServiceLevelRecorder()
+        self.recorder = (recorder or
+                         service_level_recorder.ServiceLevelRecorder())
         self._agent = messages.Peer(ip, messages.Role.AGENT)
         self._grants = grants
         self._context = routing_context.RoutingContext(
--- a/mustardwood/settings/settings.py
+++ b/mustardwood/settings/settings.py
@@ -29,6 +29,9 @@
         links_tls: TLS between VMs; None for plain TCP.
         platform_timeout_seconds: Bound on one call to the platform.
         drain_seconds: Bound on a planned stop.
+        burn_minute_seconds: Length of a minute of the report on burn; all VMs
+            must have the same, and all windows scale with it. Only tests need
+            another value than 60.
         log_level: Lowest level that is logged, as in ``INFO``.
         log_json: Whether log lines are JSON objects.
     """
@@ -50,5 +53,6 @@
     links_tls: tls_files.TlsFiles | None = None
     platform_timeout_seconds: float = 2.0
     drain_seconds: float = 600.0
+    burn_minute_seconds: float = 60.0
     log_level: str = "INFO"
     log_json: bool = False
