--- a/mustardwood/agent/agent.py
+++ b/mustardwood/agent/agent.py
@@ -14,6 +14,7 @@
 from mustardwood import keyvalue
 from mustardwood import membership
 from mustardwood import messages
+from mustardwood import reports
 from mustardwood import runtime
 from mustardwood import settings as settings_module
 from mustardwood import timing
@@ -21,12 +22,17 @@
 from mustardwood.agent import agent_link
 from mustardwood.agent import applier
 from mustardwood.agent import backoff
+from mustardwood.agent import burn_collector
+from mustardwood.agent import burn_gatherer
+from mustardwood.agent import burn_reporter
+from mustardwood.agent import burn_store
 from mustardwood.agent import configuration_keeper
 from mustardwood.agent import conviction_board
 from mustardwood.agent import conviction_store
 from mustardwood.agent import counted_service
 from mustardwood.agent import fleet_survey
 from mustardwood.agent import gossip
+from mustardwood.agent import handover_keeper
 from mustardwood.agent import leaving_marks
 from mustardwood.agent import list_poller
 from mustardwood.agent import metrics
@@ -43,6 +49,12 @@
 HOUSEKEEPING_PERIOD = datetime.timedelta(seconds=5)
 """Time between updates of metrics and closes of idle links."""
 
+COLLECTION_PERIOD = datetime.timedelta(seconds=1)
+"""Time between looks at what counts of service levels are due."""
+
+HANDOVER_KEPT = datetime.timedelta(hours=1)
+"""How long the counts of an entry that stopped are kept."""
+
 STOP_DELAY = datetime.timedelta(milliseconds=300)
 """Time for the last messages to leave at a planned stop."""
 
@@ -93,14 +105,24 @@
         me = messages.Peer(settings.ip, messages.Role.AGENT)
         self._surveyor = fleet_survey.FleetSurveyor(me, self._desk,
                                                     self._detector.members,
-                                                    self._read_versions)
+                                                    self._read_versions,
+                                                    self._list_handed)
+        self._handovers = handover_keeper.HandoverKeeper(HANDOVER_KEPT)
+        burns = burn_store.BurnStore(counted)
+        gatherer = burn_gatherer.BurnGatherer(self._surveyor)
+        self._collector = burn_collector.BurnCollector(
+            settings.vm, settings.burn_minute_seconds, clock, burns, gatherer,
+            self._detector.members)
+        reporter = burn_reporter.BurnReporter(settings.burn_minute_seconds,
+                                              clock, burns, gatherer)
         self._pages = operators_pages.OperatorsPages(
-            runtime.OperatorsSite(settings, self._registry,
-                                  self._is_ready), self._keeper, self._applier,
-            self._surveyor, self._detector.members, self._list_leaving)
+            runtime.OperatorsSite(settings, self._registry, self._is_ready),
+            self._keeper, self._applier, self._surveyor, reporter,
+            self._detector.members, self._list_leaving)
         self._handlers = self._make_handlers()
         self._loops = (task.LoopingCall(self._tick),
-                       task.LoopingCall(self._keep_house))
+                       task.LoopingCall(self._keep_house),
+                       task.LoopingCall(self._collect))
         self._stopping = False
 
     async def start(self) -> None:
@@ -114,7 +136,8 @@
         """Starts everything but the operators' HTTP."""
         self._link.set_handler(self._accept)
         self._link.open()
-        for loop, period in zip(self._loops, (TICK, HOUSEKEEPING_PERIOD)):
+        periods = (TICK, HOUSEKEEPING_PERIOD, COLLECTION_PERIOD)
+        for loop, period in zip(self._loops, periods):
             loop.clock = self._reactor
             _watch_failure(loop.start(period.total_seconds()))
         _start(self._keeper.run())
@@ -148,6 +171,7 @@
             messages.Silence: self._accept_silence,
             messages.Query: self._accept_query,
             messages.QueryReply: self._accept_reply,
+            messages.LevelHandover: self._accept_handover,
         }
 
     def _accept(self, envelope: messages.Envelope) -> None:
@@ -213,6 +237,18 @@
         self._desk.accept_reply(envelope.sender,
                                 typing.cast(messages.QueryReply, envelope.body))
 
+    def _accept_handover(self, envelope: messages.Envelope) -> None:
+        self._handovers.accept(
+            typing.cast(messages.LevelHandover, envelope.body),
+            self._clock.monotonic())
+
+    def _list_handed(self, subject: str) -> tuple[reports.LevelRecord, ...]:
+        return self._handovers.list_records(reports.parse_range(subject),
+                                            self._clock.monotonic())
+
+    def _collect(self) -> defer.Deferred[None]:
+        return defer.ensureDeferred(self._collector.collect_due())
+
     async def _answer_query(self, sender: messages.Peer,
                             query: messages.Query) -> None:
         report = await self._surveyor.ask_local(query.kind, query.subject)
--- /dev/null
+++ b/mustardwood/agent/burn_store.py
@@ -0,0 +1,143 @@
+"""Counts of service levels in the platform's service."""
+
+import collections.abc
+import datetime
+import typing
+
+import msgspec
+from twisted.internet import defer
+
+from mustardwood import errors
+from mustardwood import keyvalue
+from mustardwood import reports
+from mustardwood import runtime
+from mustardwood.agent import stored_record
+
+MINUTE_PREFIX = "mustardwood/burn/minute/"
+"""Start of the keys of minutes."""
+
+HOUR_PREFIX = "mustardwood/burn/hour/"
+"""Start of the keys of hours."""
+
+MINUTE_TIME_TO_LIVE = datetime.timedelta(hours=3)
+"""Time from the first write of an hour to the removal of its minutes.
+
+All minutes of an hour share a lease, so that each stays two hours at least.
+"""
+
+HOUR_TIME_TO_LIVE = datetime.timedelta(days=4)
+"""Time from the write of an hour to its removal."""
+
+_READS_AT_ONCE = 8
+_HOUR_MINUTES = 60
+_log = runtime.make_logger("burn")
+
+
+class BurnStore:
+    """Reads and writes records; each method may raise `KeyValueError`."""
+
+    def __init__(self, service: keyvalue.KeyValueService) -> None:
+        self._service = service
+        self._lease_hour = -1
+        self._lease_id = ""
+
+    async def read_minutes(
+        self, minutes: collections.abc.Iterable[int]
+    ) -> dict[int, reports.LevelRecord]:
+        """Returns the records of those minutes that are stored."""
+        return await self._read_all(MINUTE_PREFIX, minutes)
+
+    async def read_hours(
+            self, hours: collections.abc.Iterable[int]
+    ) -> dict[int, reports.LevelRecord]:
+        """Returns the records of those hours that are stored."""
+        return await self._read_all(HOUR_PREFIX, hours)
+
+    async def write_minute(self, minute: int,
+                           record: reports.LevelRecord) -> None:
+        """Writes a minute's record unless another VM has."""
+        lease_id = await self._find_lease(minute)
+        try:
+            await self._write_minute(minute, record, lease_id)
+        except errors.LeaseLostError:
+            self._lease_hour = -1
+            lease_id = await self._grant(minute)
+            await self._write_minute(minute, record, lease_id)
+
+    async def write_hour(self, hour: int, record: reports.LevelRecord) -> None:
+        """Writes an hour's record unless another VM has."""
+        lease = await self._service.grant_lease(HOUR_TIME_TO_LIVE)
+        await self._put(f"{HOUR_PREFIX}{hour}",
+                        stored_record.StoredRecord(record), lease.lease_id)
+
+    async def _write_minute(self, minute: int, record: reports.LevelRecord,
+                            lease_id: str) -> None:
+        stored = stored_record.StoredRecord(record, lease_id)
+        await self._put(f"{MINUTE_PREFIX}{minute}", stored, lease_id)
+
+    async def _find_lease(self, minute: int) -> str:
+        """Returns the lease of the minute's hour, granted by whomever."""
+        if self._lease_hour == minute // _HOUR_MINUTES:
+            return self._lease_id
+        if minute % _HOUR_MINUTES:
+            previous = await self._read(f"{MINUTE_PREFIX}{minute - 1}")
+            if previous is not None and previous.lease_id:
+                self._keep_lease(minute, previous.lease_id)
+                return previous.lease_id
+        return await self._grant(minute)
+
+    async def _grant(self, minute: int) -> str:
+        lease = await self._service.grant_lease(MINUTE_TIME_TO_LIVE)
+        self._keep_lease(minute, lease.lease_id)
+        return lease.lease_id
+
+    def _keep_lease(self, minute: int, lease_id: str) -> None:
+        self._lease_hour = minute // _HOUR_MINUTES
+        self._lease_id = lease_id
+
+    async def _put(self, key: str, stored: stored_record.StoredRecord,
+                   lease_id: str) -> None:
+        value = msgspec.json.encode(stored).decode()
+        try:
+            await self._service.put(key,
+                                    value,
+                                    expected_revision=0,
+                                    lease_id=lease_id)
+        except errors.ConflictError:
+            _log.debug("another VM wrote %s first", key)
+
+    async def _read_all(
+        self, prefix: str, numbers: collections.abc.Iterable[int]
+    ) -> dict[int, reports.LevelRecord]:
+        found: dict[int, reports.LevelRecord] = {}
+        limit = defer.DeferredSemaphore(_READS_AT_ONCE)
+
+        async def read(number: int) -> None:
+            stored = await self._read(f"{prefix}{number}")
+            if stored is not None:
+                found[number] = stored.record
+
+        reading: list[defer.Deferred[typing.Any]] = [
+            limit.run(read, number) for number in numbers
+        ]
+        await _wait_for_all(reading)
+        return found
+
+    async def _read(self, key: str) -> stored_record.StoredRecord | None:
+        value = await self._service.get(key)
+        if value is None:
+            return None
+        try:
+            return msgspec.json.decode(value.value,
+                                       type=stored_record.StoredRecord)
+        except msgspec.MsgspecError as error:
+            _log.error("key %s is malformed and ignored: %s", key, error)
+            return None
+
+
+async def _wait_for_all(waiting: list[defer.Deferred[typing.Any]]) -> None:
+    """Waits for all, and raises the first failure."""
+    results = await defer.DeferredList(waiting, consumeErrors=True)
+    for good, result in results:
+        if not good:
+            raise result.value
--- a/mustardwood/agent/fleet_survey.py
+++ b/mustardwood/agent/fleet_survey.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from mustardwood import messages
+from mustardwood import reports
 from mustardwood import runtime
 from mustardwood.agent import question
 from mustardwood.agent import vm_report
@@ -38,12 +39,15 @@
     def __init__(
         self, me: messages.Peer, desk: question.QuestionDesk,
         list_members: collections.abc.Callable[[], tuple[messages.Member, ...]],
-        read_versions: collections.abc.Callable[[],
-                                                vm_report.Versions]) -> None:
+        read_versions: collections.abc.Callable[[], vm_report.Versions],
+        list_handed: collections.abc.Callable[[str], tuple[reports.LevelRecord,
+                                                           ...]]
+    ) -> None:
         self._me = me
         self._desk = desk
         self._list_members = list_members
         self._read_versions = read_versions
+        self._list_handed = list_handed
 
     async def ask_local(self, kind: messages.QueryKind,
                         subject: str) -> vm_report.VmReport:
@@ -53,10 +57,13 @@
         peers: tuple[messages.Peer, ...] = (entry, scheduler)
         if kind is messages.QueryKind.BURN:
             peers = (entry,)
+        handed: tuple[reports.LevelRecord, ...] = ()
+        if kind is messages.QueryKind.BURN:
+            handed = self._list_handed(subject)
         answers = await self._desk.ask(peers, kind, subject, LOCAL_LIMIT)
         return vm_report.VmReport(self._read_versions(),
                                   _read_body(answers, entry),
-                                  _read_body(answers, scheduler))
+                                  _read_body(answers, scheduler), handed)
 
     async def ask_fleet(self, kind: messages.QueryKind, subject: str) -> Survey:
         """Asks all VMs; dead ones are not waited for."""
--- a/mustardwood/agent/operators_pages.py
+++ b/mustardwood/agent/operators_pages.py
@@ -13,6 +13,7 @@
 from mustardwood import runtime
 from mustardwood.agent import applier as applier_module
 from mustardwood.agent import apply_request
+from mustardwood.agent import burn_reporter
 from mustardwood.agent import configuration_keeper
 from mustardwood.agent import document_codec
 from mustardwood.agent import fleet_survey
@@ -29,6 +30,7 @@
             keeper: configuration_keeper.ConfigurationKeeper,
             applier: applier_module.Applier,
             surveyor: fleet_survey.FleetSurveyor,
+            reporter: burn_reporter.BurnReporter,
             list_members: collections.abc.Callable[[], tuple[messages.Member,
                                                              ...]],
             list_leaving: collections.abc.Callable[[], tuple[str,
@@ -37,6 +39,7 @@
         self._keeper = keeper
         self._applier = applier
         self._surveyor = surveyor
+        self._reporter = reporter
         self._list_members = list_members
         self._list_leaving = list_leaving
         route = site.app.route
@@ -87,9 +90,12 @@
         """Answers ``GET /v1/burn``."""
         if not self._site.check_token(request):
             return b""
-        survey = await self._surveyor.ask_fleet(messages.QueryKind.BURN, "")
-        body = status_page.describe_burn(survey)
-        return _answer(request, http.HTTPStatus.OK, body)
+        document = self._keeper.document
+        if document is None:
+            return _answer_error(request, http.HTTPStatus.NOT_FOUND,
+                                 "no_configuration", "Apply a document first.")
+        report = await self._reporter.make_report(document)
+        return _answer(request, http.HTTPStatus.OK, report)
 
     def show_configuration(self, request: server.Request) -> bytes:
         """Answers ``GET /v1/configuration``."""
--- a/mustardwood/agent/status_page.py
+++ b/mustardwood/agent/status_page.py
@@ -60,20 +60,6 @@
     }
 
 
-def describe_burn(survey: fleet_survey.Survey) -> Body:
-    """Returns the body of ``GET /v1/burn``."""
-    bodies = {
-        vm: report.entry
-        for vm, report in survey.reports.items()
-        if report.entry is not None
-    }
-    silent = survey.reports.keys() - bodies.keys()
-    return {
-        "vms": bodies,
-        "unanswered": sorted({*survey.unanswered, *silent}),
-    }
-
-
 def _describe_vm(member: messages.Member, survey: fleet_survey.Survey) -> Body:
     body: Body = {
         "vm": member.vm,
--- a/mustardwood/agent/vm_report.py
+++ b/mustardwood/agent/vm_report.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from mustardwood import reports
+
 
 class Versions(msgspec.Struct, frozen=True):
     """Configuration versions in force on a VM; 0 for none.
@@ -30,8 +32,10 @@
         versions: Configuration versions in force.
         entry: Body of the entry's answer; None when it did not answer.
         scheduler: Body of the scheduler's answer; None when it did not answer.
+        handed: Counts of service levels of entries that stopped.
     """
 
     versions: Versions
     entry: dict[str, typing.Any] | None = None
     scheduler: dict[str, typing.Any] | None = None
+    handed: tuple[reports.LevelRecord, ...] = ()
--- a/mustardwood/entry/entry_daemon.py
+++ b/mustardwood/entry/entry_daemon.py
@@ -13,6 +13,7 @@
 from mustardwood import engines
 from mustardwood import links
 from mustardwood import messages
+from mustardwood import reports
 from mustardwood import routing
 from mustardwood import runtime
 from mustardwood import settings as settings_module
@@ -21,6 +22,7 @@
 from mustardwood.entry import callers_site
 from mustardwood.entry import dispatcher
 from mustardwood.entry import entry_metrics
+from mustardwood.entry import handover
 from mustardwood.entry import query_answerer
 from mustardwood.entry import unavailable_claims
 
@@ -32,6 +34,9 @@
 _GRACE = datetime.timedelta(seconds=1)
 """Time in which requests under way on open connections still arrive."""
 
+_LAST_SEND_SECONDS = 0.3
+"""Time for the last message to leave at a planned stop."""
+
 _log = runtime.make_logger("entry")
 
 
@@ -68,7 +73,9 @@
         self._router = routing.Router(
             settings.vm, settings.ip, settings.region, clock, random.Random(),
             entry_metrics.EntryMetrics(registry), routing.LeastRunningGrants(),
-            routing.ServiceLevelRecorder(settings.burn_minute_seconds))
+            routing.ServiceLevelRecorder(
+                f"{settings.vm}/{clock.now().isoformat()}",
+                settings.burn_minute_seconds))
         self._dispatcher = dispatcher.Dispatcher(
             reactor, clock, self._router, link, client or
             engines.HttpClient(reactor), store or
@@ -139,11 +146,25 @@
                 break
             await task.deferLater(self._reactor, _POLL_SECONDS)
         await self._close_connections()
+        await self._hand_over()
         for listener in self._listeners[1:]:
             await _stop_listening(listener)
         self._sweep.stop()
         self._link.close()
 
+    async def _hand_over(self) -> None:
+        """Gives the counts of service levels to the agent of another VM."""
+        recorder = self._router.recorder
+        heir = handover.choose_heir(self._settings.vm,
+                                    self._router.view.members,
+                                    recorder.find_minute(self._clock.now()))
+        if heir is None:
+            return
+        record = recorder.make_record(self._settings.vm, None)
+        body = reports.encode_record(record).encode()
+        self._link.send(heir, messages.LevelHandover(self._settings.vm, body))
+        await task.deferLater(self._reactor, _LAST_SEND_SECONDS)
+
     async def _close_connections(self) -> None:
         """Closes the callers' connections after what is written is sent."""
         for channel in list(self._site.channels):
--- a/mustardwood/messages/__init__.py
+++ b/mustardwood/messages/__init__.py
@@ -11,6 +11,7 @@
 from mustardwood.messages.envelope import encode_envelope
 from mustardwood.messages.grant import Grant
 from mustardwood.messages.leaving_notice import LeavingNotice
+from mustardwood.messages.level_handover import LevelHandover
 from mustardwood.messages.member import Member
 from mustardwood.messages.member_state import MemberState
 from mustardwood.messages.open_work import OpenWork
@@ -43,6 +44,7 @@
     "Envelope",
     "Grant",
     "LeavingNotice",
+    "LevelHandover",
     "Member",
     "MemberState",
     "Message",
--- a/mustardwood/messages/union.py
+++ b/mustardwood/messages/union.py
@@ -9,6 +9,7 @@
 from mustardwood.messages import conviction_notice
 from mustardwood.messages import grant
 from mustardwood.messages import leaving_notice
+from mustardwood.messages import level_handover
 from mustardwood.messages import open_work
 from mustardwood.messages import open_work_reply
 from mustardwood.messages import ping
@@ -30,6 +31,7 @@
     conviction_notice.ConvictionNotice,
     grant.Grant,
     leaving_notice.LeavingNotice,
+    level_handover.LevelHandover,
     open_work.OpenWork,
     open_work_reply.OpenWorkReply,
     ping.Ping,
--- a/mustardwood/reports/__init__.py
+++ b/mustardwood/reports/__init__.py
@@ -12,6 +12,8 @@
 from mustardwood.reports.burn_report import TimelinePoint
 from mustardwood.reports.burn_window import BurnWindow
 from mustardwood.reports.burn_window import compute_window
+from mustardwood.reports.choosing import choose_minutes
+from mustardwood.reports.choosing import keep_minutes
 from mustardwood.reports.collection_schedule import CollectionSchedule
 from mustardwood.reports.collection_schedule import make_hour_rule
 from mustardwood.reports.collection_schedule import make_minute_rule
@@ -49,6 +51,7 @@
     "TimelinePoint",
     "WINDOW_MINUTES",
     "add_rows",
+    "choose_minutes",
     "compute_minute",
     "compute_report",
     "compute_window",
@@ -56,6 +59,7 @@
     "encode_histogram",
     "encode_record",
     "find_alert",
+    "keep_minutes",
     "make_histogram",
     "make_hour_rule",
     "make_minute_rule",
--- a/mustardwood/reports/burn.py
+++ b/mustardwood/reports/burn.py
@@ -74,6 +74,7 @@
     minute_seconds: float = 60.0,
     unanswered: tuple[str, ...] = (),
     incomplete_minutes: dict[str, tuple[str, ...]] | None = None,
+    incomplete_hours: dict[str, tuple[str, ...]] | None = None,
     storage_failed: bool = False,
 ) -> burn_report.BurnReport:
     """Computes the report.
@@ -87,6 +88,7 @@
         minute_seconds: Length of a minute of the report.
         unanswered: VMs that did not answer.
         incomplete_minutes: Minutes whose stored counts miss VMs.
+        incomplete_hours: Hours whose stored counts miss VMs.
         storage_failed: Whether stored counts could not be read.
 
     Returns:
@@ -110,6 +112,7 @@
         timeline=_build_timeline(hour),
         unanswered=unanswered,
         incomplete_minutes=incomplete_minutes or {},
+        incomplete_hours=incomplete_hours or {},
         storage_failed=storage_failed)
 
 
--- a/mustardwood/reports/burn_report.py
+++ b/mustardwood/reports/burn_report.py
@@ -85,6 +85,7 @@
         unanswered: VMs that did not answer now.
         incomplete_minutes: Minutes of the last hour whose stored counts miss a
             VM, with the missing VMs.
+        incomplete_hours: Hours of the last three days, likewise.
         storage_failed: Whether the platform's service could not be read, so
             that only the counts of running VMs are in the report.
     """
@@ -99,4 +100,5 @@
     timeline: tuple[TimelinePoint, ...]
     unanswered: tuple[str, ...] = ()
     incomplete_minutes: dict[str, tuple[str, ...]] = {}
+    incomplete_hours: dict[str, tuple[str, ...]] = {}
     storage_failed: bool = False
--- a/mustardwood/reports/level_record.py
+++ b/mustardwood/reports/level_record.py
@@ -16,6 +16,8 @@
         histograms: First-token times.
         vms: VMs that are counted.
         missing: VMs that did not answer when the record was made.
+        source: The process that counted, unique for each start of an entry;
+            empty for a merged record.
         absent_minutes: Minutes without a record when an hour was merged.
     """
 
@@ -24,6 +26,7 @@
     histograms: tuple[level_histogram.LevelHistogram, ...] = ()
     vms: tuple[str, ...] = ()
     missing: tuple[str, ...] = ()
+    source: str = ""
     absent_minutes: tuple[int, ...] = ()
 
 
--- a/mustardwood/routing/service_level_recorder.py
+++ b/mustardwood/routing/service_level_recorder.py
@@ -19,10 +19,12 @@
     """Counts ended requests by minute and class.
 
     Args:
+        source: Name that is unique for each start of an entry.
         minute_seconds: Length of a minute of the report, in seconds.
     """
 
-    def __init__(self, minute_seconds: float = 60.0) -> None:
+    def __init__(self, source: str = "", minute_seconds: float = 60.0) -> None:
+        self._source = source
         self._minute_seconds = minute_seconds
         self._rows: dict[_Key, reports.LevelRow] = {}
         self._endpoint_rows: dict[_Key, reports.LevelRow] = {}
@@ -94,7 +96,8 @@
             histograms=tuple(
                 reports.LevelHistogram(*key, reports.encode_histogram(one))
                 for key, one in histograms),
-            vms=(vm,))
+            vms=(vm,),
+            source=self._source)
 
     def _drop_old(self, minute: int) -> None:
         if minute <= self._newest:
