Stop the watch from spinning on a value that can't be used

Change: the revision is noted before the value is judged. The fake platform now bounds the number of calls, so that such a loop fails instead of hanging.

--- a/mustardwood/agent/applier.py
+++ b/mustardwood/agent/applier.py
@@ -42,8 +42,8 @@
         Raises:
             ConfigurationError: The document is invalid.
         """
-        document = document_codec.check_text(request.text)
-        attempt = _Attempt(request, document_codec.compact_text(document),
+        document = configuration.load_document(request.text)
+        attempt = _Attempt(request, configuration.dump_document(document),
                            self._clock.now())
         deadline = self._clock.monotonic() + APPLY_LIMIT
         self._backoff.reset()
--- a/mustardwood/agent/configuration_keeper.py
+++ b/mustardwood/agent/configuration_keeper.py
@@ -96,11 +96,11 @@
 
     async def accept_stored(self, stored: keyvalue.StoredValue | None) -> None:
         """Takes what the platform holds; writes ours over an older state."""
+        revision = 0 if stored is None else stored.revision
+        self._revision = revision
         document = self._decode(stored)
         if stored is not None and document is None:
             return
-        revision = 0 if stored is None else stored.revision
-        self._revision = revision
         commands = self._replica.accept_platform(document, revision,
                                                  self._clock.monotonic())
         self._carry_out(commands)
@@ -143,7 +143,7 @@
                 self._adopt(each.document)
 
     def _adopt(self, document: configuration.VersionedDocument) -> None:
-        self._document = document_codec.check_text(document.text)
+        self._document = configuration.load_document(document.text)
         _log.info("version %d is in force", document.version)
         self._on_adopt(document)
 
@@ -161,7 +161,7 @@
 
     def _is_usable(self, document: configuration.VersionedDocument) -> bool:
         try:
-            document_codec.check_text(document.text)
+            configuration.load_document(document.text)
             return True
         except errors.ConfigurationError as error:
             _log.error("version %d is refused: %s", document.version, error)
--- a/mustardwood/agent/document_codec.py
+++ b/mustardwood/agent/document_codec.py
@@ -1,6 +1,5 @@
 """The stored and sent forms of configuration documents."""
 
-import typing
 import zlib
 
 import msgspec
@@ -13,35 +12,6 @@
 """Largest text of a document, in bytes."""
 
 
-def check_text(text: str) -> configuration.Document:
-    """Reads a document's text.
-
-    Raises:
-        ConfigurationError: The text is no document.
-    """
-    load: typing.Any = getattr(configuration, "load_document", _read_plain)
-    return load(text)
-
-
-def compact_text(document: configuration.Document) -> str:
-    """Returns a document as compact JSON."""
-    dump: typing.Any = getattr(configuration, "dump_document", _write_plain)
-    return dump(document)
-
-
-def _read_plain(text: str) -> configuration.Document:
-    try:
-        return msgspec.json.decode(text, type=configuration.Document)
-    except msgspec.MsgspecError as error:
-        raise errors.ConfigurationError(
-            f"the document is malformed: {error}.",
-            "Correct it and apply it again.") from error
-
-
-def _write_plain(document: configuration.Document) -> str:
-    return msgspec.json.encode(document).decode()
-
-
 def encode_stored(document: configuration.VersionedDocument) -> str:
     """Returns the value that the key-value service holds."""
     return msgspec.json.encode(document).decode()
--- a/mustardwood/agent/main.py
+++ b/mustardwood/agent/main.py
@@ -1,5 +1,4 @@
 """Entry point of ``mustardwood-agent``."""
-# pylint: disable=no-name-in-module
 
 import random
 import typing
@@ -9,14 +8,14 @@
 from mustardwood import settings as settings_module
 from mustardwood import timing
 from mustardwood.agent import agent
+from mustardwood.keyvalue import http_key_value_service
 from mustardwood.links import pynng_link
+from mustardwood.vmlist import http_vm_list
 
 
 def build_agent(settings: settings_module.Settings, reactor: typing.Any,
                 clock: timing.Clock) -> agent.Agent:
     """Makes the agent with its adapters."""
-    from mustardwood.keyvalue import http_key_value_service  # type: ignore
-    from mustardwood.vmlist import http_vm_list  # type: ignore
     link = pynng_link.PynngLink.from_settings(settings, messages.Role.AGENT,
                                               clock)
     service = http_key_value_service.HttpKeyValueService.from_settings(
--- a/mustardwood/agent/tests/fleet.py
+++ b/mustardwood/agent/tests/fleet.py
@@ -218,18 +218,27 @@
         return defer.ensureDeferred(applier.apply(request))
 
 
-EXAMPLE = msgspec.json.encode(
-    configuration.Document(classes=(),
-                           default_class="tag",
-                           organisations=(),
-                           models=(),
-                           endpoints=(configuration.Endpoint(
-                               name="replica",
-                               serves="model",
-                               url="http://127.9.2.1:1",
-                               zone="zone0",
-                               region="r",
-                               vm="ep"),))).decode()
+EXAMPLE = msgspec.json.encode({
+    "classes": [{
+        "name": "tag",
+        "tier": 1,
+        "first_token_seconds": 1.0
+    }],
+    "default_class":
+        "tag",
+    "organisations": [],
+    "models": [{
+        "name": "model"
+    }],
+    "endpoints": [{
+        "name": "replica",
+        "serves": "model",
+        "url": "http://127.9.2.1:1",
+        "zone": "zone0",
+        "region": "r",
+        "vm": "ep"
+    }]
+}).decode()
 """A document with one endpoint on the VM ``ep``."""
 
 
--- a/mustardwood/agent/tests/platform.py
+++ b/mustardwood/agent/tests/platform.py
@@ -18,6 +18,7 @@
 
     Attributes:
         down: Whether every call fails without effect.
+        budget: Number of coming calls; a test with more of them fails.
         lost_writes: Number of coming writes that take effect unanswered.
         dropped_writes: Number of coming writes lost before their effect.
         calls: Number of calls by kind.
@@ -26,6 +27,7 @@
     def __init__(self, reactor: typing.Any, records: tuple[vmlist.VmRecord,
                                                            ...]) -> None:
         self.down = False
+        self.budget = 100_000
         self.lost_writes = 0
         self.dropped_writes = 0
         self.records = records
@@ -130,6 +132,8 @@
 
     def _check(self, kind: str) -> None:
         self.calls[kind] += 1
+        self.budget -= 1
+        assert self.budget >= 0, "too many calls to the platform"
         if self.down:
             raise errors.UnavailableError("the platform is down.", _REMEDY)
 
--- a/mustardwood/agent/tests/test_agent.py
+++ b/mustardwood/agent/tests/test_agent.py
@@ -227,3 +227,12 @@
             for each in fleet.find_process(vm, ENTRY).view.members
         }
         assert states["vm1"] is messages.MemberState.LEAVING
+
+
+def test_unusable_value_of_the_platform_does_not_make_the_watch_spin():
+    fleet = fleet_module.Fleet(3)
+    fleet.platform.write(KEY, "not a document")
+    fleet.platform.budget = 200
+    fleet.run(5)
+    assert fleet.platform.calls["watch"] <= 3 * 2
+    assert fleet.versions() == {0}
