Agree on the configuration through the specified cores in the agent

Cause: the agent had its own stand-in for the version's decisions and its own apply, beside the cores that the specification is checked against; an apply over a document that this release can't read could write a lower version. Change: ConfigurationKeeper runs replication.ConfigurationReplica with its boot rule, Applier carries replication.Apply out; an unreadable document of the platform makes an apply answer not written. Ruled out: treating an unreadable document as an absent one.

--- a/mustardwood/agent/agent.py
+++ b/mustardwood/agent/agent.py
@@ -80,7 +80,7 @@
                                                        self._sleeper, rng)
         self._keeper = configuration_keeper.ConfigurationKeeper(
             counted, clock, self._sleeper, backoff.Backoff(rng),
-            self._is_watcher, self._accept_adoption)
+            self._is_watcher, self._accept_adoption, self._pull_configuration)
         self._applier = applier.Applier(counted, clock, self._sleeper,
                                         backoff.Backoff(rng), self._keeper)
         self._poller = list_poller.ListPoller(vm_list, clock, self._sleeper,
@@ -279,6 +279,9 @@
         me = next(each for each in members if each.vm == self._settings.vm)
         return not self._stopping and watchers.is_watcher(me, members)
 
+    def _pull_configuration(self) -> None:
+        self._gossip.pull_configuration()
+
     def _is_ready(self) -> bool:
         return not self._stopping and self._keeper.in_force is not None
 
--- a/mustardwood/agent/applier.py
+++ b/mustardwood/agent/applier.py
@@ -5,6 +5,7 @@
 from mustardwood import configuration
 from mustardwood import errors
 from mustardwood import keyvalue
+from mustardwood import replication
 from mustardwood import timing
 from mustardwood.agent import apply_request
 from mustardwood.agent import backoff as backoff_module
@@ -15,14 +16,11 @@
 APPLY_LIMIT = datetime.timedelta(seconds=8)
 """Time after which an apply is answered whatever is known."""
 
+_Next = replication.ApplyCommand | None
 
-class Applier:
-    """Applies documents by compare-and-swap.
 
-    A write whose answer was lost is sent again with the same expected
-    revision, after a read: if the first took effect, the read shows its apply
-    id, and the second can't take effect.
-    """
+class Applier:
+    """Carries `replication.Apply` out at the key-value service."""
 
     def __init__(self, service: keyvalue.KeyValueService, clock: timing.Clock,
                  sleeper: sleeper_module.Sleeper,
@@ -42,96 +40,94 @@
         Raises:
             ConfigurationError: The document is invalid.
         """
-        document = configuration.load_document(request.text)
-        attempt = _Attempt(request, configuration.dump_document(document),
-                           self._clock.now())
+        parsed = configuration.load_document(request.text)
+        document = configuration.VersionedDocument(
+            0, request.apply_id, configuration.dump_document(parsed),
+            request.author,
+            self._clock.now().isoformat())
+        core = replication.Apply(document, self._find_base(request),
+                                 self._keeper.in_force)
+        reason = await self._drive(core)
+        return _describe_outcome(core, reason)
+
+    def _find_base(self, request: apply_request.ApplyRequest) -> int:
+        if request.expected_version is None:
+            return self._keeper.version
+        return request.expected_version
+
+    async def _drive(self, core: replication.Apply) -> str:
+        """Carries the apply out to its end; returns the last failure."""
         deadline = self._clock.monotonic() + APPLY_LIMIT
         self._backoff.reset()
-        while True:
+        reason = "other writers kept changing the configuration."
+        command = core.start()
+        while command is not None:
             try:
-                outcome = await self._try_once(attempt)
-                if outcome is not None:
-                    return outcome
-                reason = "other writers kept changing the configuration"
+                command = await self._carry_out(core, command)
+            except errors.UncertainWriteError as error:
+                reason = error.message
+                command = core.uncertain()
             except errors.KeyValueError as error:
                 reason = error.message
-                attempt.note_error(error)
-                if isinstance(error, errors.UnavailableError):
-                    if not attempt.uncertain:
-                        return apply_request.NotWritten(reason)
+                command = core.unavailable()
+            if command is None:
+                break
             delay = self._backoff.next_delay()
             if self._clock.monotonic() + delay >= deadline:
-                return attempt.give_up(reason)
-            await self._sleeper.sleep(delay)
-
-    async def _try_once(
-            self, attempt: "_Attempt") -> apply_request.ApplyOutcome | None:
-        stored = await self._service.get(configuration_keeper.KEY)
-        await self._keeper.accept_stored(stored)
-        held = self._keeper.in_force
-        outcome = attempt.judge(held)
-        if outcome is not None:
-            return outcome
-        document = attempt.make_document(held)
-        revision = 0 if stored is None else stored.revision
+                command = core.give_up()
+            elif core.state in _AFTER_FAILURE:
+                await self._sleeper.sleep(delay)
+        return reason
+
+    async def _carry_out(self, core: replication.Apply,
+                         command: replication.ApplyCommand) -> _Next:
+        if isinstance(command, replication.ReadPlatform):
+            stored = await self._service.get(configuration_keeper.KEY)
+            present = self._decode(stored)
+            revision = 0 if stored is None else stored.revision
+            step = core.read(present, revision)
+            if core.outcome is not None:
+                await self._keeper.accept_stored(stored)
+            return step
+        return await self._write(core, command)
+
+    def _decode(
+        self, stored: keyvalue.StoredValue | None
+    ) -> configuration.VersionedDocument | None:
+        present = self._keeper.decode(stored)
+        if stored is not None and present is None:
+            raise errors.UnavailableError(
+                "the platform holds a configuration that this release can't "
+                "read, so its version is not known.",
+                "Run the newest release on this VM, or apply through one.")
+        return present
+
+    async def _write(self, core: replication.Apply,
+                     command: replication.WritePlatform) -> _Next:
+        text = document_codec.encode_stored(command.document)
         try:
-            new_revision = await self._service.put(
+            revision = await self._service.put(
                 configuration_keeper.KEY,
-                document_codec.encode_stored(document),
-                expected_revision=revision)
+                text,
+                expected_revision=command.expected_revision)
         except errors.ConflictError:
-            return None
+            return core.conflicted()
+        step = core.written()
         await self._keeper.accept_stored(
-            keyvalue.StoredValue(configuration_keeper.KEY,
-                                 document_codec.encode_stored(document),
-                                 new_revision))
-        return apply_request.Applied(document.version)
-
-
-class _Attempt:
-    """One apply with what is known of its writes."""
-
-    def __init__(self, request: apply_request.ApplyRequest, text: str,
-                 now: datetime.datetime) -> None:
-        self.uncertain = False
-        self._request = request
-        self._text = text
-        self._now = now
-        self._base: int | None = request.expected_version
-
-    def note_error(self, error: errors.KeyValueError) -> None:
-        """Remembers that a write may have taken effect."""
-        if isinstance(error, errors.UncertainWriteError):
-            self.uncertain = True
-
-    def judge(
-        self, held: configuration.VersionedDocument | None
-    ) -> apply_request.ApplyOutcome | None:
-        """Returns the outcome if what is held decides it."""
-        if held is not None and held.apply_id == self._request.apply_id:
-            return apply_request.Applied(held.version)
-        version = 0 if held is None else held.version
-        if self._base is None:
-            self._base = version
-        if version == self._base:
-            return None
-        if self.uncertain and version > self._base + 1:
-            return apply_request.Unknown(
-                f"version {version} is in force; this apply may have been"
-                " in force before it")
-        return apply_request.Beaten(held)
-
-    def make_document(
-        self, held: configuration.VersionedDocument | None
-    ) -> configuration.VersionedDocument:
-        """Returns the document to write over what is held."""
-        version = 1 if held is None else held.version + 1
-        return configuration.VersionedDocument(version, self._request.apply_id,
-                                               self._text, self._request.author,
-                                               self._now.isoformat())
-
-    def give_up(self, reason: str) -> apply_request.ApplyOutcome:
-        """Returns the outcome when time is up."""
-        if self.uncertain:
-            return apply_request.Unknown(reason)
+            keyvalue.StoredValue(configuration_keeper.KEY, text, revision))
+        return step
+
+
+_AFTER_FAILURE = ("resolving",)
+"""States that repeat a call after a delay."""
+
+
+def _describe_outcome(core: replication.Apply,
+                      reason: str) -> apply_request.ApplyOutcome:
+    if core.outcome is replication.ApplyOutcome.APPLIED:
+        return apply_request.Applied(core.document.version)
+    if core.outcome is replication.ApplyOutcome.LOST:
+        return apply_request.Beaten(core.winner)
+    if core.outcome is replication.ApplyOutcome.NOT_WRITTEN:
         return apply_request.NotWritten(reason)
+    return apply_request.Unknown(reason)
--- a/mustardwood/agent/configuration_keeper.py
+++ b/mustardwood/agent/configuration_keeper.py
@@ -2,16 +2,16 @@
 
 import collections.abc
 import datetime
-import typing
+from twisted.internet import defer
 
 from mustardwood import configuration
 from mustardwood import errors
 from mustardwood import keyvalue
+from mustardwood import replication
 from mustardwood import runtime
 from mustardwood import timing
 from mustardwood.agent import backoff as backoff_module
 from mustardwood.agent import document_codec
-from mustardwood.agent import replica as replica_module
 from mustardwood.agent import sleeper as sleeper_module
 
 KEY = "mustardwood/configuration"
@@ -35,15 +35,16 @@
     with an older state, whose revision no watch would report.
     """
 
-    def __init__(
-        self, service: keyvalue.KeyValueService, clock: timing.Clock,
-        sleeper: sleeper_module.Sleeper, backoff: backoff_module.Backoff,
-        is_watcher: collections.abc.Callable[[], bool],
-        on_adopt: collections.abc.Callable[[configuration.VersionedDocument],
-                                           None]
-    ) -> None:
-        self._replica: replica_module.Replica = (
-            replica_module.HighestVersionReplica())
+    def __init__(self, service: keyvalue.KeyValueService, clock: timing.Clock,
+                 sleeper: sleeper_module.Sleeper,
+                 backoff: backoff_module.Backoff,
+                 is_watcher: collections.abc.Callable[[], bool],
+                 on_adopt: collections.abc.Callable[
+                     [configuration.VersionedDocument], None],
+                 ask_neighbours: collections.abc.Callable[[], None]) -> None:
+        self._replica = replication.ConfigurationReplica.for_boot()
+        self._ask_neighbours = ask_neighbours
+        self._is_booting = True
         self._service = service
         self._clock = clock
         self._sleeper = sleeper
@@ -77,6 +78,7 @@
 
     async def run(self) -> None:
         """Reads and watches the platform until stopped."""
+        defer.ensureDeferred(self._end_boot())
         while not self._stopped:
             try:
                 await self._work_once()
@@ -98,15 +100,25 @@
         """Takes what the platform holds; writes ours over an older state."""
         revision = 0 if stored is None else stored.revision
         self._revision = revision
-        document = self._decode(stored)
+        document = self.decode(stored)
         if stored is not None and document is None:
             return
+        if self._is_booting:
+            self._ask_neighbours()
         commands = self._replica.accept_platform(document, revision,
                                                  self._clock.monotonic())
-        self._carry_out(commands)
-        for each in commands:
-            if type(each).__name__ == "Repair":
-                await self._repair(each)
+        await self._carry_out_all(commands)
+
+    async def _end_boot(self) -> None:
+        """Stops waiting for a neighbour's configuration at the start."""
+        await self._sleeper.sleep(replication.BOOT_TIMEOUT)
+        self._is_booting = False
+        now = self._clock.monotonic()
+        try:
+            await self._carry_out_all(self._replica.end_boot(now))
+        except errors.KeyValueError as error:
+            self._must_read = True
+            _log.warning("%s", error)
 
     async def _work_once(self) -> None:
         if self._must_read:
@@ -125,7 +137,14 @@
             return
         await self.accept_stored(stored)
 
-    async def _repair(self, command: typing.Any) -> None:
+    async def _carry_out_all(
+            self, commands: tuple[replication.ReplicaCommand, ...]) -> None:
+        self._carry_out(commands)
+        for each in commands:
+            if isinstance(each, replication.Repair):
+                await self._repair(each)
+
+    async def _repair(self, command: replication.Repair) -> None:
         text = document_codec.encode_stored(command.document)
         _log.warning("the platform holds an older state; writing version %d",
                      command.document.version)
@@ -133,13 +152,14 @@
         try:
             await self._service.put(KEY,
                                     text,
-                                    expected_revision=command.revision)
+                                    expected_revision=command.expected_revision)
         except errors.ConflictError:
             _log.info("another VM wrote first")
 
-    def _carry_out(self, commands: tuple[typing.Any, ...]) -> None:
+    def _carry_out(self, commands: tuple[replication.ReplicaCommand,
+                                         ...]) -> None:
         for each in commands:
-            if type(each).__name__ == "Adopt":
+            if isinstance(each, replication.Adopt):
                 self._adopt(each.document)
 
     def _adopt(self, document: configuration.VersionedDocument) -> None:
@@ -147,9 +167,10 @@
         _log.info("version %d is in force", document.version)
         self._on_adopt(document)
 
-    def _decode(
+    def decode(
         self, stored: keyvalue.StoredValue | None
     ) -> configuration.VersionedDocument | None:
+        """Returns a stored document; None when absent or unusable."""
         if stored is None:
             return None
         try:
--- a/mustardwood/agent/gossip.py
+++ b/mustardwood/agent/gossip.py
@@ -61,6 +61,10 @@
         """Passes a configuration that was just adopted on."""
         self.spread(document_codec.pack_document(document))
 
+    def pull_configuration(self) -> None:
+        """Asks other agents for a newer configuration."""
+        self.spread(messages.ConfigurationPull(self._keeper.version))
+
     def compare_version(self, sender: messages.Peer, version: int) -> None:
         """Pulls the sender's configuration when it is newer."""
         now = self._clock.monotonic()
--- a/mustardwood/agent/tests/test_agent.py
+++ b/mustardwood/agent/tests/test_agent.py
@@ -236,3 +236,17 @@
     fleet.run(5)
     assert fleet.platform.calls["watch"] <= 3 * 2
     assert fleet.versions() == {0}
+
+
+def test_apply_over_an_unreadable_configuration_writes_nothing():
+    fleet = fleet_module.Fleet(3)
+    newer = msgspec.json.encode({
+        "version": 9,
+        "apply_id": "newer",
+        "text": '{"later": 1}'
+    }).decode()
+    fleet.platform.write(KEY, newer)
+    fleet.run(3)
+    outcome = _settle(fleet, fleet.apply("vm1", "mine", 0))
+    assert isinstance(outcome, apply_request.NotWritten)
+    assert fleet.platform.values[KEY].value == newer
--- a/mustardwood/replication/__init__.py
+++ b/mustardwood/replication/__init__.py
@@ -10,6 +10,7 @@
 from mustardwood.replication.apply_command import ReadPlatform
 from mustardwood.replication.apply_command import WritePlatform
 from mustardwood.replication.apply_outcome import ApplyOutcome
+from mustardwood.replication.configuration_replica import BOOT_TIMEOUT
 from mustardwood.replication.configuration_replica import ConfigurationReplica
 from mustardwood.replication.replica_command import Adopt
 from mustardwood.replication.replica_command import Push
@@ -21,6 +22,7 @@
     "Apply",
     "ApplyCommand",
     "ApplyOutcome",
+    "BOOT_TIMEOUT",
     "ConfigurationReplica",
     "Push",
     "ReadPlatform",
