Leave slots free for the requests that higher tiers are likely to send

Cause: traced the misses of the two top tiers in a burst to 2x: nearly all are waits of seconds for a slot, while slots are held by work of 20 to 45 s. Change: trunk reservation: a class whose work lasts longer than a higher class's target leaves free what that class needs by Little's law and three standard deviations; slots of quick lower work count as nearly free.

--- a/mustardwood/scheduling/cell_state.py
+++ b/mustardwood/scheduling/cell_state.py
@@ -15,6 +15,7 @@
 from mustardwood.scheduling import request_queue
 from mustardwood.scheduling import short_reserve
 from mustardwood.scheduling import suspects
+from mustardwood.scheduling import tier_reserve
 from mustardwood.scheduling import waiting_request
 
 _PROMPT_COST = 0.1
@@ -34,6 +35,7 @@
         floor: What classes are owed.
         drain: Measured rate of grants.
         reserve: Slots kept free of long work.
+        tier_reserve: Slots kept free for more urgent classes.
         suspects: Requests that may crash endpoints.
         memory: Attempts that are over.
         log: Decisions about recent requests.
@@ -51,6 +53,7 @@
         self.floor = class_floor.ClassFloor(document.classes)
         self.drain = drain_rate.DrainRate()
         self.reserve = short_reserve.ShortReserve(self.lengths)
+        self.tier_reserve = tier_reserve.TierReserve()
         self.suspects = suspects.Suspects()
         self.memory = answer_memory.AnswerMemory()
         self.log = explanation_log.ExplanationLog()
--- a/mustardwood/scheduling/dispatcher.py
+++ b/mustardwood/scheduling/dispatcher.py
@@ -60,6 +60,8 @@
     def _find_open(self, class_name: str,
                    now: datetime.timedelta) -> list[_Record]:
         state = self._state
+        if not self._may_start(class_name, now):
+            return []
         long = state.reserve.find_long(state.classes.values(), now)
         learning = state.pool.learning
         return [
@@ -68,6 +70,16 @@
             (class_name not in long or _has_unreserved(each, long, now))
         ]
 
+    def _may_start(self, class_name: str, now: datetime.timedelta) -> bool:
+        state = self._state
+        if state.floor.is_due(class_name, now):
+            return True
+        return state.tier_reserve.may_start(state.find_class(class_name),
+                                            state.classes.values(),
+                                            state.pool.running_by_class,
+                                            state.pool.count_free(now),
+                                            state.pool.count_slots(now), now)
+
     def _find_eligible(self, waiting: _Waiting,
                        now: datetime.timedelta) -> list[_Record]:
         ask = waiting.ask
--- a/mustardwood/scheduling/endpoint_pool.py
+++ b/mustardwood/scheduling/endpoint_pool.py
@@ -1,5 +1,6 @@
 """The endpoints of a cell and the attempts that run on them."""
 
+import collections
 import collections.abc
 import datetime
 
@@ -26,6 +27,7 @@
         self._running: dict[waiting_request.AttemptKey,
                             running_request.RunningRequest] = {}
         self._leaving: frozenset[str] = frozenset()
+        self._classes: collections.Counter[str] = collections.Counter()
         self.learning = False
         self.pace = pace_model.PaceModel()
         self.update(cell)
@@ -44,6 +46,11 @@
         """All attempts that run, by key."""
         return self._running
 
+    @property
+    def running_by_class(self) -> collections.abc.Mapping[str, int]:
+        """How many attempts run, by class."""
+        return self._classes
+
     def find(self, name: str) -> _Record | None:
         """Returns the record of an endpoint."""
         return self._records.get(name)
@@ -70,6 +77,7 @@
             now: datetime.timedelta) -> None:
         """Counts an attempt."""
         self._running[request.key] = request
+        self._classes[request.class_name] += 1
         record = self._records.get(request.endpoint)
         if record is not None:
             record.add(request, now)
@@ -78,6 +86,7 @@
                now: datetime.timedelta) -> running_request.RunningRequest:
         """Ends the count of an attempt."""
         request = self._running.pop(key)
+        self._classes[request.class_name] -= 1
         record = self._records.get(request.endpoint)
         if record is not None and key in record.running:
             record.remove(request, now)
@@ -89,6 +98,10 @@
             each.count_free(now, learning=self.learning)
             for each in self._records.values())
 
+    def count_slots(self, now: datetime.timedelta) -> int:
+        """Returns how many attempts may run in the cell."""
+        return sum(each.find_limit(now) for each in self._records.values())
+
     def has_usable(self, excluded: collections.abc.Container[str]) -> bool:
         """Returns whether an endpoint stays that is not leaving."""
         return any(not each.leaving and each.name not in excluded
