Choose endpoints by the expected time, with prompts that still prefill

Cause: traced the remaining misses of strih's tier 0 in a burst: the time between tokens of short answers, beside prompts of thousands of tokens.

--- a/mustardwood/scheduling/dispatcher.py
+++ b/mustardwood/scheduling/dispatcher.py
@@ -96,7 +96,8 @@
         state = self._state
         ask = waiting.ask
         name = waiting.request_class.name
-        choice = endpoint_choice.choose_endpoint(eligible, ask.prefix)
+        choice = endpoint_choice.choose_endpoint(eligible, waiting,
+                                                 state.pool.pace)
         state.queue.remove(waiting)
         state.queue.find_class(name).charge(waiting)
         backlogged = state.queue.list_backlogged()
@@ -124,6 +125,7 @@
             organisation=ask.organisation,
             weight=waiting.weight,
             output_tokens=waiting.output_tokens,
+            prompt_tokens=ask.prompt_tokens,
             granted_at=now,
             fingerprint=ask.fingerprint,
             suspect=ask.suspect,
--- a/mustardwood/scheduling/endpoint_record.py
+++ b/mustardwood/scheduling/endpoint_record.py
@@ -56,6 +56,13 @@
         """Tokens that its attempts are expected to generate."""
         return self._tokens
 
+    @property
+    def prefilling_tokens(self) -> int:
+        """Prompt tokens of the attempts without a first token."""
+        return sum(each.prompt_tokens
+                   for each in self.running.values()
+                   if not each.started)
+
     def add(self, request: running_request.RunningRequest,
             now: datetime.timedelta) -> None:
         """Counts an attempt."""
--- a/mustardwood/scheduling/running_request.py
+++ b/mustardwood/scheduling/running_request.py
@@ -19,6 +19,7 @@
         organisation: Caller's organisation.
         weight: Weight of the organisation.
         output_tokens: Expected length of the answer, in tokens.
+        prompt_tokens: Length of the prompt.
         granted_at: When this owner heard of it.
         fingerprint: Hash of organisation and body.
         suspect: Whether it may crash its endpoint.
@@ -33,6 +34,7 @@
     organisation: str
     weight: float
     output_tokens: float
+    prompt_tokens: int
     granted_at: datetime.timedelta
     fingerprint: str = ""
     suspect: bool = False
