--- a/mustardwood/agent/tests/platform.py
+++ b/mustardwood/agent/tests/platform.py
@@ -22,6 +22,7 @@
         lost_writes: Number of coming writes that take effect unanswered.
         dropped_writes: Number of coming writes lost before their effect.
         calls: Number of calls by kind.
+        puts: Number of writes tried by key.
     """
 
     def __init__(self, reactor: typing.Any, records: tuple[vmlist.VmRecord,
@@ -32,6 +33,7 @@
         self.dropped_writes = 0
         self.records = records
         self.calls: collections.Counter[str] = collections.Counter()
+        self.puts: collections.Counter[str] = collections.Counter()
         self.values: dict[str, keyvalue.StoredValue] = {}
         self._revision = 0
         self._reactor = reactor
@@ -82,6 +84,7 @@
         """See `keyvalue.KeyValueService`."""
         del lease_id
         self._check("put")
+        self.puts[key] += 1
         if self.dropped_writes:
             self.dropped_writes -= 1
             raise errors.UncertainWriteError("no answer.", _REMEDY)
--- a/mustardwood/cli/main.py
+++ b/mustardwood/cli/main.py
@@ -18,12 +18,14 @@
 from mustardwood.cli import agent_client
 from mustardwood.cli import application
 from mustardwood.cli import command_error
+from mustardwood.cli import report_command
 from mustardwood.cli import session
 from mustardwood.cli import status_text
 
 app = typer.Typer(no_args_is_help=True,
                   add_completion=False,
                   help="Operates a mustardwood fleet.")
+app.add_typer(report_command.app, name="report")
 
 _File = typing.Annotated[
     pathlib.Path,
--- /dev/null
+++ b/mustardwood/cli/report_command.py
@@ -0,0 +1,74 @@
+"""The operators' reports."""
+
+import http
+import json
+import pathlib
+import typing
+
+import msgspec
+import typer
+
+from mustardwood import reports
+from mustardwood.cli import agent_client
+from mustardwood.cli import agent_reply
+from mustardwood.cli import burn_text
+from mustardwood.cli import command_error
+from mustardwood.cli import session
+
+app = typer.Typer(no_args_is_help=True, help="Reports on the fleet.")
+
+
+@app.callback()
+def choose_report() -> None:
+    """Reports on the fleet."""
+
+
+@app.command()
+def burn(
+    agent: session.AgentOption = None,
+    token_file: session.TokenOption = None,
+    as_json: typing.Annotated[
+        bool, typer.Option("--json", help="Print JSON.")] = False,
+    html: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Write a self-contained HTML page there.")] = None,
+) -> None:
+    """Shows how fast each class uses up its error budget."""
+
+    async def run(client: agent_client.AgentClient, _: typing.Any) -> None:
+        reply = await client.get("/v1/burn")
+        report = _read_report(reply)
+        if html is not None:
+            _write_page(html, report)
+        if as_json:
+            typer.echo(json.dumps(reply.parse(), indent=2))
+        elif html is None:
+            typer.echo(burn_text.format_report(report))
+
+    session.run_session(agent, token_file, run)
+
+
+def _read_report(reply: agent_reply.AgentReply) -> reports.BurnReport:
+    if reply.status != http.HTTPStatus.OK:
+        body = reply.parse()
+        raise command_error.CommandError(
+            f"the agent answered {reply.status}: {body.get('code', '')}",
+            body.get("message") or "Check the token, and the agent's log.")
+    try:
+        return msgspec.json.decode(reply.content, type=reports.BurnReport)
+    except msgspec.MsgspecError as error:
+        raise command_error.CommandError(
+            f"the agent's report can't be read: {error}",
+            "Use the command line of the fleet's version.") from error
+
+
+def _write_page(path: pathlib.Path, report: reports.BurnReport) -> None:
+    try:
+        from mustardwood.cli import burn_page
+    except ImportError as error:
+        raise command_error.CommandError(
+            f"the page needs a library for plots: {error}.",
+            "Install it with `pip install mustardwood[report]`, or use --json."
+        ) from error
+    path.write_text(burn_page.format_page(report), encoding="utf-8")
+    typer.echo(f"wrote {path}", err=True)
--- /dev/null
+++ b/mustardwood/cli/tests/test_burn_report.py
@@ -0,0 +1,51 @@
+"""Tests of the shapes of the report on burn."""
+
+import datetime
+
+from mustardwood import configuration
+from mustardwood import reports
+from mustardwood.cli import burn_page
+from mustardwood.cli import burn_text
+
+_NOW = datetime.datetime(2026, 3, 1, 12, 0, tzinfo=datetime.UTC)
+_DOCUMENT = configuration.Document(classes=(configuration.RequestClass(
+    "tag", 1, 0.66, objective=0.9),),
+                                   default_class="tag",
+                                   organisations=(),
+                                   models=(),
+                                   endpoints=())
+
+
+def _make_report(**more):
+    minute = reports.compute_minute(_NOW)
+    row = reports.LevelRow(minute,
+                           "tag",
+                           "<b>acme</b>",
+                           asked=4,
+                           met=1,
+                           refused={"queue_full": 3},
+                           wasted_tokens={"cut": 9})
+    cost = reports.LevelRow(minute, "", "", "e<1>", asked=4, met=1)
+    record = reports.LevelRecord(rows=(row,), endpoint_rows=(cost,))
+    return reports.compute_report(_DOCUMENT,
+                                  record,
+                                  _NOW,
+                                  unanswered=("vm-3",),
+                                  **more)
+
+
+def test_text_names_alerts_waste_refusals_and_silent_vms():
+    text = burn_text.format_report(_make_report(storage_failed=True))
+    for part in ("no answer from: vm-3", "only the counts of running VMs",
+                 "queue_full", "cut", "e<1>", "25.0%", "page (6h/1h)"):
+        assert part in text
+
+
+def test_page_escapes_names_and_loads_nothing():
+    page = burn_page.format_page(_make_report())
+    assert "<b>acme" not in page
+    assert "&lt;b&gt;acme&lt;/b&gt;" in page
+    assert "e&lt;1&gt;" in page
+    assert page.count("<svg") == 2
+    for tag in ("<script", "<link", "<img", "src="):
+        assert tag not in page
