--- a/mustardwood/agent/fleet_survey.py
+++ b/mustardwood/agent/fleet_survey.py
@@ -73,13 +73,13 @@
             if each.state is not messages.MemberState.DEAD
         }
         answers = await self._desk.ask(names, kind, subject, FLEET_LIMIT)
-        reports = {}
+        found = {}
         for peer, reply in answers.replies.items():
             report = _decode_report(reply)
             if report is not None:
-                reports[names[peer]] = report
-        missing = {each.vm for each in self._list_members()} - reports.keys()
-        return Survey(reports, tuple(sorted(missing)))
+                found[names[peer]] = report
+        missing = {each.vm for each in self._list_members()} - found.keys()
+        return Survey(found, tuple(sorted(missing)))
 
 
 def _read_body(answers: question.Answers,
--- a/mustardwood/cli/burn_page.py
+++ b/mustardwood/cli/burn_page.py
@@ -18,6 +18,8 @@
 table { border-collapse: collapse; width: 100%; font-size: .9rem; }
 th { text-align: left; color: #5c6670; font-weight: 600; }
 th, td { padding: .3rem .6rem .3rem 0; border-bottom: 1px solid #e3e6e9; }
+td:last-child, th:last-child { padding-left: 1rem; }
+table.narrow { width: auto; min-width: 24rem; }
 td.n, th.n { text-align: right; font-variant-numeric: tabular-nums; }
 .gap { background: #fdf3e1; border-left: 4px solid #c2571a; margin: .4rem 0;
        padding: .4rem .8rem; }
@@ -101,10 +103,13 @@
     escaped = [[_escape(cell) for cell in row] for row in rows]
     if not escaped:
         return "<p>None.</p>"
-    return _join_table(header, escaped, len(header))
+    return _join_table(header, escaped, len(header), "narrow")
 
 
-def _join_table(header: _Cells, rows: list[list[str]], numbers_end: int) -> str:
+def _join_table(header: _Cells,
+                rows: list[list[str]],
+                numbers_end: int,
+                style: str = "") -> str:
 
     def join(tag: str, cells: _Cells) -> str:
         return "".join(f"<{tag}{_mark(index, numbers_end)}>{cell}</{tag}>"
@@ -112,7 +117,7 @@
 
     lines = [f"<tr>{join('th', header)}</tr>"]
     lines.extend(f"<tr>{join('td', row)}</tr>" for row in rows)
-    return f"<table>{''.join(lines)}</table>"
+    return f"<table class='{style}'>{''.join(lines)}</table>"
 
 
 def _mark(index: int, numbers_end: int) -> str:
--- a/mustardwood/cli/burn_plots.py
+++ b/mustardwood/cli/burn_plots.py
@@ -73,6 +73,7 @@
     axes.set_xlabel("minutes before the last one")
     axes.set_xlim(-60, 1)
     axes.grid(axis="y", color="#dddddd", linewidth=0.6)
+    axes.set_axisbelow(True)
     axes.spines[["top", "right"]].set_visible(False)
     return drawing, axes
 
--- a/mustardwood/cli/burn_text.py
+++ b/mustardwood/cli/burn_text.py
@@ -1,5 +1,7 @@
 """The text of the report on service-level burn."""
 
+import collections
+
 from mustardwood import reports
 from mustardwood.cli import status_text
 
@@ -18,7 +20,7 @@
     """
     parts = [
         f"Service-level burn at {report.made_at}",
-        *list_gaps(report),
+        *(["\n".join(list_gaps(report))] if list_gaps(report) else []),
         "Classes\n" + _format_groups(report.classes, "class"),
         "Worst organisations\n" + _format_groups(
             report.organisations[:_ORGANISATIONS_LISTED], "organisation"),
@@ -47,13 +49,25 @@
                     "of running VMs are here.")
     if report.unanswered:
         gaps.append("no answer from: " + ", ".join(report.unanswered))
-    for start, vms in report.incomplete_minutes.items():
-        gaps.append(f"minute {start} misses: " + ", ".join(vms))
-    for start, vms in report.incomplete_hours.items():
-        gaps.append(f"hour {start} misses: " + ", ".join(vms))
+    gaps.extend(_describe_incomplete("minute", report.incomplete_minutes))
+    gaps.extend(_describe_incomplete("hour", report.incomplete_hours))
     return gaps
 
 
+def _describe_incomplete(unit: str,
+                         incomplete: dict[str, tuple[str, ...]]) -> list[str]:
+    """Returns a line for each VM that stored counts miss."""
+    starts: dict[str, list[str]] = collections.defaultdict(list)
+    for start, vms in sorted(incomplete.items()):
+        for vm in vms:
+            starts[vm].append(start)
+    return [
+        f"stored counts miss {vm} in {len(found)} {unit}s, "
+        f"from {found[0]} to {found[-1]}"
+        for vm, found in sorted(starts.items())
+    ]
+
+
 def format_share(share: float) -> str:
     """Formats a share as a percentage.
 
