Let no lower tier pass a class that was held back for half its deadline

Change: a class whose oldest request has waited for half of its deadline takes any free slot in the order of tiers. The per-endpoint reserve for short classes goes: the cell's reserve now also covers a tighter target within a tier, and keeps a slot for a class that was asked for lately.

--- a/mustardwood/scheduling/attempt_ends.py
+++ b/mustardwood/scheduling/attempt_ends.py
@@ -33,7 +33,7 @@
         state.lengths.record(running.class_name, running.organisation,
                              report.output_tokens)
         seconds = (now - running.granted_at).total_seconds()
-        state.tier_reserve.record_service(running.class_name, seconds)
+        state.reserve.record_service(running.class_name, seconds)
     correct_share(state, running, report.output_tokens)
     record = state.pool.find(running.endpoint)
     if record is None:
--- a/mustardwood/scheduling/cell_scheduler.py
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -226,7 +226,6 @@
             return (addressed.Addressed(sender, refusal),)
         waiting = state.make_waiting(sender, ask, now)
         state.reserve.record_arrival(waiting.request_class.name, now)
-        state.tier_reserve.record_arrival(waiting.request_class.name, now)
         if ask.suspect:
             state.suspects.record(ask.fingerprint, now)
         self._ledger.record_work(sender, key, now)
--- a/mustardwood/scheduling/cell_state.py
+++ b/mustardwood/scheduling/cell_state.py
@@ -13,7 +13,6 @@
 from mustardwood.scheduling import length_estimate
 from mustardwood.scheduling import observer as observer_module
 from mustardwood.scheduling import request_queue
-from mustardwood.scheduling import short_reserve
 from mustardwood.scheduling import suspects
 from mustardwood.scheduling import tier_reserve
 from mustardwood.scheduling import waiting_request
@@ -34,8 +33,7 @@
         lengths: Estimates of answers' lengths.
         floor: What classes are owed.
         drain: Measured rate of grants.
-        reserve: Slots kept free of long work.
-        tier_reserve: Slots kept free for more urgent classes.
+        reserve: Slots kept free for more urgent classes.
         suspects: Requests that may crash endpoints.
         memory: Attempts that are over.
         log: Decisions about recent requests.
@@ -52,8 +50,7 @@
         self.lengths = length_estimate.LengthEstimate()
         self.floor = class_floor.ClassFloor(document.classes)
         self.drain = drain_rate.DrainRate()
-        self.reserve = short_reserve.ShortReserve(self.lengths)
-        self.tier_reserve = tier_reserve.TierReserve()
+        self.reserve = tier_reserve.TierReserve()
         self.suspects = suspects.Suspects()
         self.memory = answer_memory.AnswerMemory()
         self.log = explanation_log.ExplanationLog()
--- a/mustardwood/scheduling/dispatcher.py
+++ b/mustardwood/scheduling/dispatcher.py
@@ -9,12 +9,14 @@
 from mustardwood.scheduling import endpoint_record
 from mustardwood.scheduling import grant_order
 from mustardwood.scheduling import running_request
-from mustardwood.scheduling import short_reserve
 from mustardwood.scheduling import waiting_request
 
 _Waiting = waiting_request.WaitingRequest
 _Record = endpoint_record.EndpointRecord
 
+_LONG_WAIT_SHARE = 0.5
+"""Share of its deadline for which a class leaves slots to others."""
+
 
 class Dispatcher:
     """Grants while endpoints are free."""
@@ -62,23 +64,30 @@
         state = self._state
         if not self._may_start(class_name, now):
             return []
-        long = state.reserve.find_long(state.classes.values(), now)
         learning = state.pool.learning
         return [
             each for each in state.pool
-            if each.count_free(now, learning=learning) and
-            (class_name not in long or _has_unreserved(each, long, now))
+            if each.count_free(now, learning=learning)
         ]
 
     def _may_start(self, class_name: str, now: datetime.timedelta) -> bool:
         state = self._state
         if state.floor.is_due(class_name, now):
             return True
-        return state.tier_reserve.may_start(state.find_class(class_name),
-                                            state.classes.values(),
-                                            state.pool.running_by_class,
-                                            state.pool.count_free(now),
-                                            state.pool.count_slots(now), now)
+        if self._has_waited_long(class_name, now):
+            return True
+        return state.reserve.may_start(state.find_class(class_name),
+                                       state.classes.values(),
+                                       state.pool.running_by_class,
+                                       state.pool.count_free(now),
+                                       state.pool.count_slots(now), now)
+
+    def _has_waited_long(self, class_name: str,
+                         now: datetime.timedelta) -> bool:
+        """Returns whether lower tiers must not pass the class any more."""
+        oldest = self._state.queue.find_class(class_name).oldest
+        bound = oldest.request_class.deadline * _LONG_WAIT_SHARE
+        return now - oldest.arrived_at >= bound
 
     def _find_eligible(self, waiting: _Waiting,
                        now: datetime.timedelta) -> list[_Record]:
@@ -132,10 +141,3 @@
             grant=grant)
         self._state.pool.add(running, now)
         self._state.suspects.start(running)
-
-
-def _has_unreserved(record: _Record, long: frozenset[str],
-                    now: datetime.timedelta) -> bool:
-    limit = record.find_limit(now)
-    bound = limit - short_reserve.count_reserved(limit)
-    return record.count_classes(long) < bound
--- a/mustardwood/scheduling/tests/test_starvation.py
+++ b/mustardwood/scheduling/tests/test_starvation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardwood import configuration
+from mustardwood.scheduling import tier_reserve
 from mustardwood.scheduling.tests import bench as bench_module
 
 _MAX_WAIT = 30.0
@@ -160,3 +161,23 @@
 def test_late_requests_keep_being_served():
     bench, late, _ = _run_backlog(8)
     assert sum(each.request_id in bench.grants for each in late) >= 2
+
+
+class _FullReserve(tier_reserve.TierReserve):
+    """Holds every slot back."""
+
+    def may_start(self, *_):
+        return False
+
+
+def test_reserve_holds_a_class_back_for_half_of_its_deadline_only():
+    classes = [
+        configuration.RequestClass("middle", 2, 3.0, deadline_seconds=40.0)
+    ]
+    bench = bench_module.Bench(bench_module.make_document(classes))
+    bench.scheduler._state.reserve = _FullReserve()  # pylint: disable=protected-access
+    ask = bench.ask("middle")
+    bench.run(19)
+    assert ask.request_id not in bench.grants
+    bench.run(2)
+    assert ask.request_id in bench.grants
--- a/mustardwood/scheduling/tier_reserve.py
+++ b/mustardwood/scheduling/tier_reserve.py
@@ -10,6 +10,8 @@
 """Time constant of the mean rate of arrivals."""
 _SMOOTHING = 0.1
 """Weight of a new sample in the mean service time."""
+_RECENT_COUNT = 0.1
+"""Decayed arrivals from which on a class counts as asked for."""
 _DEVIATIONS = 3.0
 """Standard deviations of arrivals that are provided for above their mean."""
 
@@ -43,9 +45,15 @@
         return self._decay(now) / _RATE_MEMORY_SECONDS
 
     def compute_slots(self, now: datetime.timedelta) -> float:
-        """Returns the slots that the class is likely to need."""
+        """Returns the slots that the class is likely to need.
+
+        A class that was asked for lately needs at least one, however short its
+        work is: it would wait for the end of all else.
+        """
+        if self._decay(now) < _RECENT_COUNT:
+            return 0.0
         load = self.compute_rate(now) * (self.service_seconds or 0.0)
-        return load + _DEVIATIONS * math.sqrt(load)
+        return max(1.0, load + _DEVIATIONS * math.sqrt(load))
 
     def _decay(self, now: datetime.timedelta) -> float:
         elapsed = (now - self._counted_at).total_seconds()
@@ -53,13 +61,15 @@
 
 
 class TierReserve:
-    """Trunk reservation [1]_ for the tiers above a class.
+    """Trunk reservation [1]_ for classes that are more urgent.
+
+    A higher tier is more urgent, and within a tier a tighter target.
 
     Running work is never preempted, so a slot given to long work is lost to
-    urgent requests for its whole duration. A class may start only while the
-    requests of higher tiers that are likely to arrive within their own target
-    will find a slot: one that is free, or one that is likely to be released in
-    that time.
+    urgent requests for its whole duration. A class whose work lasts longer than
+    a more urgent class's target therefore leaves free what that class is likely
+    to need: its mean demand by Little's law and a margin for its variation.
+    Slots of quick work that is less urgent count as nearly free.
 
     References:
         .. [1] P. Key, "Optimal control and trunk reservation in loss networks",
@@ -92,7 +102,7 @@
         """
         above = [
             each for each in classes
-            if each.tier < own.tier and self._is_long(own, each)
+            if _is_more_urgent(each, own) and self._is_long(own, each)
         ]
         if not above:
             return True
@@ -130,3 +140,9 @@
 
     def _find(self, name: str) -> _Demand:
         return self._demands.setdefault(name, _Demand())
+
+
+def _is_more_urgent(one: configuration.RequestClass,
+                    other: configuration.RequestClass) -> bool:
+    return ((one.tier, one.first_token_seconds)
+            < (other.tier, other.first_token_seconds))
