--- a/mustardwood/standins/platform/faults.py
+++ b/mustardwood/standins/platform/faults.py
@@ -8,6 +8,7 @@
 
     Attributes:
         outage: Whether each call is refused with status 503.
+        store_outage: Whether each call but that of the VM list is refused so.
         hang: Whether calls are taken and never answered.
         delay_seconds: Time added before each call is carried out.
         lost_answers: How many of the next writes take effect but lose their
@@ -18,6 +19,7 @@
     """
 
     outage: bool = False
+    store_outage: bool = False
     hang: bool = False
     delay_seconds: float = 0.0
     lost_answers: int = 0
--- a/mustardwood/standins/platform/platform_site.py
+++ b/mustardwood/standins/platform/platform_site.py
@@ -29,6 +29,9 @@
 _RETRY_AFTER = "1"
 """Seconds after which a call over the rate limit may come again."""
 
+_VMS = "vms"
+"""Kind of the calls that read the VM list."""
+
 _Handler = collections.abc.Callable[[], typing.Any]
 
 
@@ -158,7 +161,7 @@
         if refusal is not None:
             return refusal
         end = self._now() + datetime.timedelta(seconds=seconds)
-        while not self._faults.outage:
+        while not self._is_out("watch"):
             value = self._store.get(key, self._now())
             if value is not None and value.revision > after:
                 return self._answer_value(request, value)
@@ -176,7 +179,7 @@
                                          {"vms": msgspec.to_builtins(records)})
 
         unlimited = rate_limit.RateLimit(0.0, self._now())
-        refusal = await self._admit(request, "vms", unlimited)
+        refusal = await self._admit(request, _VMS, unlimited)
         return refusal if refusal is not None else read()
 
     def _show_counts(self, request: server.Request) -> bytes:
@@ -240,7 +243,7 @@
             await task.deferLater(self._reactor, self._faults.delay_seconds)
         if self._faults.hang:
             return await defer.Deferred()
-        if self._faults.outage:
+        if self._is_out(kind):
             return self._refuse_in_outage(request)
         if not limit.take(self._now()):
             request.setHeader("retry-after", _RETRY_AFTER)
@@ -248,6 +251,11 @@
                                          http.HTTPStatus.TOO_MANY_REQUESTS)
         return None
 
+    def _is_out(self, kind: str) -> bool:
+        """Returns whether calls of a kind are refused."""
+        faults = self._faults
+        return faults.outage or (faults.store_outage and kind != _VMS)
+
     def _refuse_in_outage(self, request: server.Request) -> bytes:
         return json_http.answer_json(request, {},
                                      http.HTTPStatus.SERVICE_UNAVAILABLE)
--- a/mustardwood/standins/platform/tests/test_platform.py
+++ b/mustardwood/standins/platform/tests/test_platform.py
@@ -110,7 +110,11 @@
         await platform.switch(outage=True)
         with pytest.raises(errors.UnavailableError):
             await service.put(_KEY, "a", expected_revision=0)
-        await platform.switch(outage=False, writes_per_second=1.0)
+        await platform.switch(outage=False, store_outage=True)
+        with pytest.raises(errors.UnavailableError):
+            await service.get(_KEY)
+        assert await platform.vms.fetch() == ()
+        await platform.switch(store_outage=False, writes_per_second=1.0)
         await service.put("other", "a", expected_revision=0)
         with pytest.raises(errors.RateLimitedError) as caught:
             await service.put(_KEY, "a", expected_revision=0)
--- /dev/null
+++ b/mustardwood/tests/test_owner_loss_processes.py
@@ -0,0 +1,129 @@
+"""Tests of frozen and dead processes of a VM, with real processes."""
+
+import collections
+import time
+
+import pytest
+
+from mustardwood.standins.engine import answer_text
+from mustardwood.tests import small_fleet
+from mustardwood.tests import traffic
+
+_NETWORK = "127.81.2"
+_VMS = 3
+_GO_ON_SECONDS = 2.0
+"""Time until another owner serves."""
+_FORGET_SECONDS = 3.0
+"""Time until the work of a dead entry is forgotten."""
+_SERVICE_SECONDS = 3.0
+"""Service time of a short answer on a busy machine."""
+_SLOTS = 12
+"""Requests that the engines run at once."""
+
+
+@pytest.mark.processes
+def test_work_goes_on_past_frozen_and_dead_processes():
+    with small_fleet.run_fleet(_NETWORK, vms=_VMS) as fleet:
+        _freeze_scheduler(fleet)
+        _kill_scheduler(fleet)
+        _kill_agent(fleet)
+        _kill_entry(fleet)
+        _check_single_runs(fleet)
+
+
+def _freeze_scheduler(fleet):
+    """Freezes the owner under more load than the engines can run."""
+    owner = f"vm-{small_fleet.find_owner(_VMS)}"
+    frozen = fleet.children[f"{owner}/scheduler"]
+    urls = small_fleet.list_urls(fleet, _VMS)
+    with traffic.Traffic(urls, callers=_SLOTS * 2, name="freeze") as load:
+        load.wait_for(_SLOTS)
+        frozen.freeze()
+        try:
+            reply = traffic.send(urls[0], "after the freeze", 4)
+            load.wait_for(_SLOTS * 2)
+        finally:
+            frozen.resume()
+        load.wait_for(_SLOTS)
+    assert load.list_bad() == []
+    assert reply.is_good
+
+
+def _kill_scheduler(fleet):
+    """Kills the owner's scheduler under a load without a queue."""
+    owner = f"vm-{small_fleet.find_owner(_VMS)}"
+    killed = fleet.children[f"{owner}/scheduler"]
+    urls = small_fleet.list_urls(fleet, _VMS)
+    with traffic.Traffic(urls, callers=_SLOTS // 2, name="kill") as load:
+        load.wait_for(_SLOTS // 2)
+        killed.kill()
+        load.wait_for(_SLOTS * 2)
+        fleet.restart(killed.name)
+        load.wait_for(_SLOTS)
+    assert load.list_bad() == []
+    slowest = max(each.ended - each.began for each in load.replies)
+    assert slowest < _GO_ON_SECONDS + _SERVICE_SECONDS
+
+
+def _kill_agent(fleet):
+    """Kills the owner's agent; its other processes keep the last view."""
+    owner = f"vm-{small_fleet.find_owner(_VMS)}"
+    killed = fleet.children[f"{owner}/agent"]
+    urls = small_fleet.list_urls(fleet, _VMS)
+    with traffic.Traffic(urls, callers=_SLOTS, name="agent") as load:
+        load.wait_for(_SLOTS)
+        killed.kill()
+        load.wait_for(_SLOTS * 2)
+        fleet.restart(killed.name)
+        load.wait_for(_SLOTS)
+    assert load.list_bad() == []
+
+
+def _kill_entry(fleet):
+    """Kills an entry whose work fills all engines; others get its slots."""
+    other = small_fleet.find_owner(_VMS) % _VMS + 1
+    killed = fleet.children[f"vm-{other}/entry"]
+    taken = fleet.find_callers_url(other)
+    free = fleet.find_callers_url(small_fleet.find_owner(_VMS))
+    prompts = _find_long_prompts(_SLOTS)
+    threads = [
+        traffic.start_thread(traffic.send, taken, each) for each in prompts
+    ]
+    traffic.wait_until(lambda: _count_started(fleet) == _SLOTS)
+    killed.kill()
+    began = time.monotonic()
+    with traffic.Traffic([free], callers=_SLOTS, name="entry") as load:
+        load.wait_for(_SLOTS)
+    took = time.monotonic() - began
+    for each in threads:
+        each.join()
+    fleet.restart(killed.name)
+    assert load.list_bad() == []
+    assert took < _FORGET_SECONDS + _SERVICE_SECONDS
+
+
+def _find_long_prompts(count):
+    """Returns prompts whose answers take many seconds."""
+    prompts = []
+    number = 0
+    while len(prompts) < count:
+        number += 1
+        tokens = answer_text.make_tokens(traffic.MODEL, f"long {number}", None)
+        if len(tokens) > 450:
+            prompts.append(f"long {number}")
+    return prompts
+
+
+def _count_started(fleet):
+    """Returns how many attempts run now."""
+    return sum(
+        entry["state"] == "started" for entry in small_fleet.read_log(fleet))
+
+
+def _check_single_runs(fleet):
+    """Checks that no attempt came twice and no request ran twice."""
+    log = small_fleet.read_log(fleet)
+    attempts = collections.Counter(entry["attempt_id"] for entry in log)
+    requests = collections.Counter(entry["request_id"] for entry in log)
+    assert [each for each, count in attempts.items() if count > 1] == []
+    assert [each for each, count in requests.items() if count > 1] == []
--- /dev/null
+++ b/mustardwood/tests/test_planned_stop_processes.py
@@ -0,0 +1,33 @@
+"""Tests of planned stops under load, with real processes."""
+
+import pytest
+
+from mustardwood.tests import small_fleet
+from mustardwood.tests import traffic
+
+_NETWORK = "127.81.1"
+_STOP_SECONDS = 60.0
+"""Bound on a planned stop; longer than any answer of the load."""
+
+
+@pytest.mark.processes
+def test_a_planned_stop_of_each_process_cuts_and_loses_no_request():
+    with small_fleet.run_fleet(_NETWORK) as fleet:
+        owner = f"vm-{small_fleet.find_owner()}"
+        for part in ("entry", "scheduler", "agent"):
+            _stop_one(fleet, f"{owner}/{part}")
+
+
+def _stop_one(fleet, name):
+    """Stops a process under load, and starts it again."""
+    child = fleet.children[name]
+    with traffic.Traffic(small_fleet.list_urls(fleet), callers=24,
+                         name=name) as load:
+        load.wait_for(24)
+        child.terminate()
+        code = child.wait(_STOP_SECONDS)
+        load.wait_for(24)
+    assert load.list_bad() == []
+    assert code == 0
+    fleet.restart(name)
+    fleet.wait_until_ready(name)
--- /dev/null
+++ b/mustardwood/tests/test_poison_processes.py
@@ -0,0 +1,74 @@
+"""Tests of a request that crashes endpoints, with real processes."""
+
+import threading
+
+import pytest
+
+from mustardwood.tests import small_fleet
+from mustardwood.tests import traffic
+
+_NETWORK = "127.81.4"
+_VMS = 3
+_ENGINES = 3
+_WORD = "xyzzy"
+_SENDS = 9
+"""How often the caller sends it, to the VMs in turn."""
+_MOST_LOST = 2
+"""Endpoints that one request may cost the fleet."""
+
+
+class _Restarter:
+    """Starts engines again after their crashes, and counts these.
+
+    A context manager.
+
+    Attributes:
+        crashes: Names of the engines, in order of their crashes.
+    """
+
+    def __init__(self, fleet):
+        self.crashes = []
+        self._fleet = fleet
+        self._names = [f"engine-{number + 1}" for number in range(_ENGINES)]
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self):
+        for name in self._names:
+            self._arm(name)
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._stopping.set()
+        self._thread.join()
+
+    def _run(self):
+        while not self._stopping.wait(0.05):
+            for name in self._names:
+                if not self._fleet.children[name].is_running:
+                    self.crashes.append(name)
+                    self._fleet.restart(name)
+                    self._arm(name)
+
+    def _arm(self, name):
+        self._fleet.switch(name, crash_mode="exit", poison_word=_WORD)
+
+
+@pytest.mark.processes
+def test_a_poison_request_costs_two_endpoints_and_refuses_nobody_else():
+    with small_fleet.run_fleet(_NETWORK, vms=_VMS, engines=_ENGINES) as fleet:
+        urls = small_fleet.list_urls(fleet, _VMS)
+        with _Restarter(fleet) as restarter:
+            with traffic.Traffic(urls, callers=9) as load:
+                load.wait_for(9)
+                replies = [
+                    traffic.send(urls[turn % _VMS], f"poison {_WORD}")
+                    for turn in range(_SENDS)
+                ]
+                load.wait_for(27)
+    assert len(restarter.crashes) <= _MOST_LOST
+    assert load.list_bad() == []
+    assert {each.status for each in replies} == {422}
+    assert {each.code for each in replies} == {"poison_request"}
+    assert all(each.retry_after for each in replies)
