Keep work that returns to a woken owner, and agree without an agent

Cause: tests of the tiers with real routers and schedulers in virtual time found three faults. (1) Requests that went to another owner and came back to the woken one hung until their deadline: the probe of the first choice made it remember them as over, and it passed over their asks. (2) A woken owner refused from its old queue while lower tiers waited at the new owner. (3) An entry whose agent died kept its own VM as owner for ever, against all others.

Change: what a heartbeat no longer lists is forgotten but not remembered as over; an owner that missed its ticks for a second learns again; an entry without a view for 3 s ranks its own VM last.

Ruled out: a scheduler that declines without its agent; with all agents dead no owner would be left.

--- a/mustardwood/routing/cell_contact.py
+++ b/mustardwood/routing/cell_contact.py
@@ -35,6 +35,7 @@
         self.queue_delay = datetime.timedelta()
         self.sequence = 0
         self._members: tuple[messages.Member, ...] = ()
+        self._last_choice = ""
         self._ranking: tuple[messages.Member, ...] | None = ()
         self._passed_over: dict[str, int] = {}
         self._declined: dict[str, datetime.timedelta] = {}
@@ -56,11 +57,19 @@
             if incarnations.get(vm) == incarnation
         }
 
+    def rank_last(self, vm: str) -> None:
+        """Puts a VM behind all others; an empty name for none."""
+        if vm != self._last_choice:
+            self._last_choice = vm
+            self._ranking = None
+
     @property
     def _ranked(self) -> tuple[messages.Member, ...]:
         if self._ranking is None:
-            self._ranking = cells.rank_owners(self.cell.name, self.cell.region,
-                                              self._members)
+            ranked = cells.rank_owners(self.cell.name, self.cell.region,
+                                       self._members)
+            self._ranking = tuple(
+                sorted(ranked, key=lambda each: each.vm == self._last_choice))
         return self._ranking
 
     @property
--- a/mustardwood/routing/router.py
+++ b/mustardwood/routing/router.py
@@ -24,6 +24,9 @@
 from mustardwood.routing import service_level_recorder
 from mustardwood.routing import view_keeper
 
+AGENT_TIMEOUT = datetime.timedelta(seconds=3)
+"""Time without a view after which the own VM is the last to own a cell."""
+
 Commands = list[commands.Command]
 _Phase = request_phase.RequestPhase
 _DECLINED = (messages.RefusalReason.STOPPING,
@@ -45,6 +48,8 @@
         self.view = view_keeper.ViewKeeper()
         self.explanations = explanations.Explanations()
         self.recorder = service_level_recorder.ServiceLevelRecorder()
+        self._vm = vm
+        self._viewed = datetime.timedelta()
         self._agent = messages.Peer(ip, messages.Role.AGENT)
         self._grants = grants
         self._context = routing_context.RoutingContext(
@@ -109,7 +114,7 @@
         body = envelope.body
         ip = envelope.sender.ip
         if isinstance(body, messages.View):
-            self._take_view(body, envelope.sender)
+            self._take_view(body, envelope.sender, now)
         elif isinstance(body, messages.Grant):
             self._take_grant(body, ip, now)
         elif isinstance(body, messages.Refusal):
@@ -164,11 +169,21 @@
         for each in self._requests.values():
             each.tick(now)
         self._forget_ended()
+        self._check_agent(now)
         self._watch.tick(list(self._requests.values()), now)
         self._grant_locally(now)
         return self._settle()
 
-    def _take_view(self, view: messages.View, sender: messages.Peer) -> None:
+    def _check_agent(self, now: datetime.timedelta) -> None:
+        """Agrees with the other VMs, to which a VM without agent is dead."""
+        is_silent = now - self._viewed >= AGENT_TIMEOUT
+        last_choice = self._vm if is_silent else ""
+        for contact in self._context.directory.contacts.values():
+            contact.rank_last(last_choice)
+
+    def _take_view(self, view: messages.View, sender: messages.Peer,
+                   now: datetime.timedelta) -> None:
+        self._viewed = now
         if self.view.take_view(view):
             assert self.view.classifier is not None
             self._context.directory.load_document(self.view.classifier.document)
--- a/mustardwood/scheduling/__init__.py
+++ b/mustardwood/scheduling/__init__.py
@@ -2,9 +2,9 @@
 
 from mustardwood.scheduling.addressed import Addressed
 from mustardwood.scheduling.cell_scheduler import CellScheduler
-from mustardwood.scheduling.cell_scheduler import LEARNING_TIME
 from mustardwood.scheduling.entry_ledger import ENTRY_TIMEOUT
 from mustardwood.scheduling.explanation_log import ExplanationEvent
+from mustardwood.scheduling.learning_period import LEARNING_TIME
 from mustardwood.scheduling.load_report import LoadReport
 from mustardwood.scheduling.observer import NullObserver
 from mustardwood.scheduling.observer import Observer
--- a/mustardwood/scheduling/cell_scheduler.py
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -13,6 +13,7 @@
 from mustardwood.scheduling import dispatcher
 from mustardwood.scheduling import entry_ledger
 from mustardwood.scheduling import explanation_log
+from mustardwood.scheduling import learning_period
 from mustardwood.scheduling import load_report
 from mustardwood.scheduling import observer as observer_module
 from mustardwood.scheduling import refusals
@@ -21,9 +22,6 @@
 from mustardwood.scheduling import takeover
 from mustardwood.scheduling import waiting_request
 
-LEARNING_TIME = datetime.timedelta(seconds=0.5)
-"""Time in which a new owner rebuilds its state and grants little."""
-
 _Answers = tuple[addressed.Addressed, ...]
 
 
@@ -41,7 +39,7 @@
         self._dispatcher = dispatcher.Dispatcher(state)
         self._ledger = entry_ledger.EntryLedger()
         self._stragglers = straggler_detection.StragglerDetection()
-        self._learning_until: datetime.timedelta | None = None
+        self._learning = learning_period.LearningPeriod()
         self._endpoints_changed = False
 
     @classmethod
@@ -197,11 +195,12 @@
         return self._state.log.find(request_id)
 
     def _learn(self, now: datetime.timedelta) -> _Answers:
-        if self._learning_until is None:
-            self._learning_until = now + LEARNING_TIME
-        learnt = self._state.pool.learning and now >= self._learning_until
-        self._state.pool.learning = now < self._learning_until
-        return self._end_work(self._admission.trim(now)) if learnt else ()
+        pool = self._state.pool
+        learned = pool.learning
+        pool.learning = self._learning.check(now, has_work=self.has_work)
+        if not learned or pool.learning:
+            return ()
+        return self._end_work(self._admission.trim(now))
 
     def _end_work(self, refused: _Answers) -> _Answers:
         for each in refused:
@@ -242,18 +241,22 @@
         if waiting is not None:
             state.queue.remove(waiting)
         elif relearn:
-            self._learning_until = now + LEARNING_TIME
+            self._learning.restart(now)
         takeover.take_over_attempt(state, sender, attempt, now)
         self._ledger.record_work(sender, key, now)
 
     def _forget_missing(self, sender: messages.Peer,
                         open_work: messages.OpenWork,
                         now: datetime.timedelta) -> None:
+        """Forgets what an entry took to another owner, or has ended.
+
+        It may bring the same attempts back, so they are not remembered as
+        over.
+        """
         listed = {(each.request_id, each.attempt)
                   for each in open_work.waiting + open_work.running}
         for key in self._ledger.find_missing(sender, listed, now):
             self._forget_attempt(sender, key, now)
-            self._state.memory.record(key, now)
 
     def _forget_attempt(self, sender: messages.Peer,
                         key: waiting_request.AttemptKey,
--- a/mustardwood/tests/small_fleet.py
+++ b/mustardwood/tests/small_fleet.py
@@ -130,3 +130,23 @@
                         kind="endpoint",
                         leaving=True))
     fleet.switch("platform", vms=msgspec.to_builtins(records))
+
+
+def wait_for_other_owner(fleet: fleet_package.Fleet, owner: str) -> None:
+    """Waits until the scheduler of another VM runs the cell's work.
+
+    Args:
+        fleet: The fleet.
+        owner: Name of the VM that owned the cell.
+    """
+    agent = next(name for name in fleet.children
+                 if name.endswith("/agent") and not name.startswith(owner))
+
+    def is_served() -> bool:
+        status = fleet.read_json(agent, "/v1/status")
+        return any(state["running"]
+                   for cell in status["cells"]
+                   for vm, state in cell["schedulers"].items()
+                   if vm != owner)
+
+    traffic.wait_until(is_served)
