Accept waiting connections before the callers' listener closes

Cause: at a planned stop of the entry the system reset connections that waited to be accepted.

Ruled out: a longer time of unreadiness alone, since callers may connect up to the close.

--- a/mustardwood/entry/entry_daemon.py
+++ b/mustardwood/entry/entry_daemon.py
@@ -21,6 +21,7 @@
 from mustardwood.entry import callers_site
 from mustardwood.entry import dispatcher
 from mustardwood.entry import entry_metrics
+from mustardwood.entry import listener_stop
 from mustardwood.entry import query_answerer
 from mustardwood.entry import unavailable_claims
 
@@ -129,7 +130,8 @@
         """Finishes every open request, bounded by the settings."""
         self._draining = True
         if self._listeners:
-            await _stop_listening(self._listeners[0])
+            await listener_stop.stop_listening(self._listeners[0],
+                                               self._reactor)
         begun = self._clock.monotonic()
         bound = datetime.timedelta(seconds=self._settings.drain_seconds)
         while not self._is_drained(self._clock.monotonic() - begun):
--- /dev/null
+++ b/mustardwood/entry/tests/test_listener_stop.py
@@ -0,0 +1,37 @@
+"""A listener's end loses no connection that waits to be accepted."""
+
+import socket
+
+from twisted.internet import protocol
+
+from mustardwood.entry import listener_stop
+from mustardwood.standins.tests import reactor_runner
+
+_IP = "127.81.6.1"
+_CONNECTIONS = 20
+_READ_SECONDS = 10.0
+
+
+class _Greeter(protocol.Protocol):
+    """Greets each connection and closes it."""
+
+    def connectionMade(self) -> None:
+        self.transport.write(b"hello")
+        self.transport.loseConnection()
+
+
+def test_connections_that_wait_are_accepted_before_the_close():
+    waiting: list[socket.socket] = []
+
+    async def scenario() -> None:
+        factory = protocol.Factory.forProtocol(_Greeter)
+        listener = reactor_runner.reactor.listenTCP(0, factory, interface=_IP)
+        address = (_IP, listener.getHost().port)
+        for _ in range(_CONNECTIONS):
+            waiting.append(socket.create_connection(address, _READ_SECONDS))
+        await listener_stop.stop_listening(listener, reactor_runner.reactor)
+
+    reactor_runner.run_coroutine(scenario)
+    for each in waiting:
+        with each:
+            assert each.recv(16) == b"hello"
