Check an engine's token count, and the deadline before a send

Cause: an event that an engine sent twice became part of an answer that was passed on as whole; and a grant that came after the deadline was still sent, though claims rely on the contrary. Change: the tokens of an attempt's events are compared with the usage at its end, and a mismatch is no whole answer; the deadline is checked right before the send. Tests with real processes of whole answers and of 'not run'. The entry's metrics show its configuration version; a fleet can start some of a VM's processes. Ruled out: numbered events, which the engines' protocol doesn't have.

--- a/mustardwood/entry/entry_daemon.py
+++ b/mustardwood/entry/entry_daemon.py
@@ -77,6 +77,7 @@
         self._site = self._callers.make_site(reactor)
         self._sweep = task.LoopingCall(link.close_idle)
         self._sweep.clock = reactor
+        entry_metrics.show_version(registry, lambda: self._router.view.version)
         self._operators = runtime.OperatorsSite(settings, registry,
                                                 self.is_ready)
 
--- a/mustardwood/entry/entry_metrics.py
+++ b/mustardwood/entry/entry_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of an entry."""
 
+import collections.abc
 import datetime
 
 import prometheus_client
@@ -63,3 +64,18 @@
         """Counts tokens generated in vain."""
         if tokens > 0:
             self._wasted.labels(class_name, cause).inc(tokens)
+
+
+def show_version(registry: prometheus_client.CollectorRegistry,
+                 read: collections.abc.Callable[[], int]) -> None:
+    """Adds the version of the configuration in force to the metrics.
+
+    Args:
+        registry: The registry.
+        read: Returns the version; 0 for none.
+    """
+    gauge = prometheus_client.Gauge(
+        "mustardwood_configuration_version",
+        "Configuration version in force at the entry.",
+        registry=registry)
+    gauge.set_function(read)
--- a/mustardwood/routing/answer_text.py
+++ b/mustardwood/routing/answer_text.py
@@ -69,7 +69,7 @@
             self._reported_tokens = event.usage.completion_tokens
             return b""
         own = _replace_id(data, event.id, self._request_id)
-        tokens = event.tokens if event.text else 0
+        tokens = event.token_count
         if event.finished or self.tail:
             self.tail.append(own)
             self._tail_tokens += tokens
--- a/mustardwood/routing/attempt_reader.py
+++ b/mustardwood/routing/attempt_reader.py
@@ -9,6 +9,7 @@
 from mustardwood.routing import attempt as attempt_module
 from mustardwood.routing import attempt_end
 from mustardwood.routing import engine_event
+from mustardwood.routing import token_counter
 from mustardwood.routing import verdict as verdict_module
 
 STREAM_TIMEOUT = datetime.timedelta(seconds=10)
@@ -42,6 +43,7 @@
         self._attempt = attempt
         self._answer = answer
         self._events = events
+        self._counter = token_counter.TokenCounter()
         self._first_part_timeout = first_part_timeout
 
     @property
@@ -113,10 +115,14 @@
                                    body=bytes(attempt.body))
 
     def _take_mark(self) -> verdict_module.Verdict:
-        if self._answer.finished:
-            return _Verdict.WHOLE
-        self.reason = "the end mark came without a finish reason"
-        return _Verdict.BROKEN
+        if not self._answer.finished:
+            self.reason = "the end mark came without a finish reason"
+            return _Verdict.BROKEN
+        self.reason = self._counter.find_mismatch()
+        if self.reason:
+            self._answer.resumable = False
+            return _Verdict.BROKEN
+        return _Verdict.WHOLE
 
     def _take_event(self, data: bytes, now: datetime.timedelta) -> str:
         try:
@@ -127,9 +133,10 @@
             return "an event of another attempt came"
         if event.text and self._answer.finished:
             return "text came after the finish reason"
-        if event.text:
-            self._attempt.count_tokens(event.tokens, now)
+        if event.token_count:
+            self._attempt.count_tokens(event.token_count, now)
         self._attempt.progress_at = now
+        self._counter.add_event(event)
         own = self._answer.add_event(event, data)
         if own:
             self.passed.append(answer_text.encode_sse(own))
--- a/mustardwood/routing/engine_event.py
+++ b/mustardwood/routing/engine_event.py
@@ -50,13 +50,14 @@
         id: Id of the attempt that it belongs to.
         choices: Its choices; empty in the event of the usage.
         usage: Token counts, in the last event.
-        tokens: How many tokens the event carries.
+        tokens: How many tokens the event carries; None where the engine does
+            not say.
     """
 
     id: str = ""
     choices: tuple[Choice, ...] = ()
     usage: Usage | None = None
-    tokens: int = 1
+    tokens: int | None = None
 
     @property
     def text(self) -> str:
@@ -68,6 +69,13 @@
             return choice.delta.content or ""
         return choice.text or ""
 
+    @property
+    def token_count(self) -> int:
+        """How many tokens the event adds to the answer."""
+        if self.tokens is not None:
+            return self.tokens
+        return 1 if self.text else 0
+
     @property
     def finished(self) -> bool:
         """Whether the engine says that the answer's text is whole."""
--- a/mustardwood/routing/open_request.py
+++ b/mustardwood/routing/open_request.py
@@ -181,7 +181,7 @@
             self._exclude(grant.endpoint)
             self.ask(now)
             return
-        if self.refuse_poison():
+        if self.refuse_poison() or self._refuse_late(now):
             self._give_back(grant, granter)
             return
         self._explain(f"grant {grant.attempt}: endpoint {grant.endpoint}, "
@@ -249,8 +249,8 @@
         if self.phase is _Phase.COMPLETING:
             if now >= self._due:
                 self._pass_whole()
-        elif now >= self.request.deadline:
-            self.fail(run_error.make_deadline(self.ran))
+        elif self._refuse_late(now):
+            return
         elif self.phase is _Phase.DELAYED and now >= self._due:
             self.ask(now)
         elif self.runner.is_silent(now):
@@ -363,6 +363,17 @@
         self.fail(run_error.make_poison(rest, self.ran))
         return True
 
+    def _refuse_late(self, now: datetime.timedelta) -> bool:
+        """Ends the request if its deadline has passed; returns whether so.
+
+        No attempt is sent after the deadline. The claim of an idempotency key
+        relies on that when its holder was paused.
+        """
+        if now < self.request.deadline:
+            return False
+        self.fail(run_error.make_deadline(self.ran))
+        return True
+
     def _exclude(self, endpoint: str) -> None:
         if endpoint not in self.excluded:
             self.excluded += (endpoint,)
--- a/mustardwood/routing/run_error.py
+++ b/mustardwood/routing/run_error.py
@@ -116,8 +116,10 @@
         return make_key_reused()
     if verdict is claims.ClaimVerdict.UNAVAILABLE:
         return errors.RequestError(errors.RequestCode.CLAIM_UNAVAILABLE,
-                                   "the idempotency key can't be claimed now.",
-                                   "Send the same request again later.",
+                                   "the idempotency key can't be claimed now;"
+                                   " nothing was sent for this call.",
+                                   "Send it again later with the same key, as"
+                                   " an earlier call may have run.",
                                    retry_after=answer.retry_after or
                                    _RETRY_LATER)
     return make_unknown()
--- a/mustardwood/standins/fleet/fleet.py
+++ b/mustardwood/standins/fleet/fleet.py
@@ -1,5 +1,6 @@
 """Children that make up a fleet."""
 
+import collections.abc
 import pathlib
 import shutil
 import subprocess
@@ -105,6 +106,7 @@
                  number: int,
                  zone: str,
                  region: str = "region-a",
+                 parts: collections.abc.Sequence[str] = _PARTS,
                  **overrides: typing.Any) -> None:
         """Starts the processes of an entry VM and puts it on the VM list.
 
@@ -112,6 +114,7 @@
             number: Its number, from 1; ``vm-1`` is the name of the first.
             zone: Availability zone.
             region: Region.
+            parts: Which of its processes to start, in that order.
             **overrides: Further fields of its settings.
         """
         vm = f"vm-{number}"
@@ -128,13 +131,16 @@
         path.write_bytes(msgspec.json.encode(settings))
         self._records[vm] = vmlist.VmRecord(vm, ip, zone, region)
         self._publish_vms()
-        ports = (settings.agent_operators_port,
-                 settings.scheduler_operators_port,
-                 settings.entry_operators_port)
-        for part, port in zip(_PARTS, ports):
+        ports = {
+            "agent": settings.agent_operators_port,
+            "scheduler": settings.scheduler_operators_port,
+            "entry": settings.entry_operators_port,
+        }
+        for part in parts:
             self._add_child(f"{vm}/{part}", f"mustardwood.{part}.main",
-                            ("--settings", str(path)), f"http://{ip}:{port}")
-        for part in _PARTS:
+                            ("--settings", str(path)),
+                            f"http://{ip}:{ports[part]}")
+        for part in parts:
             self.wait_until_healthy(f"{vm}/{part}")
 
     def set_leaving(self, number: int, leaving: bool = True) -> None:
--- /dev/null
+++ b/mustardwood/tests/callers.py
@@ -0,0 +1,334 @@
+"""Callers, documents and fleets of the tests with real processes."""
+
+import collections
+import collections.abc
+import concurrent.futures
+import contextlib
+import dataclasses
+import hashlib
+import http.client
+import json
+import pathlib
+import time
+import typing
+import urllib.parse
+
+import msgspec
+
+from mustardwood import configuration
+from mustardwood.standins import fleet as fleet_module
+from mustardwood.standins.engine import answer_text
+from mustardwood.standins.fleet import address_plan
+from mustardwood.standins.fleet import http_calls
+
+MODEL = "small"
+"""The model of the engines."""
+
+SERVICE = "register"
+"""The plain service."""
+
+API_KEY = "tatra-key"
+"""The API key of the only organisation."""
+
+DISPOSAL = '{"disposal": "asset 17"}'
+"""Body of a service call."""
+
+_ZONES = ("zone-a", "zone-b", "zone-c")
+_REPLY_SECONDS = 45.0
+"""Bound on the silence of a connection to an entry."""
+
+_POLL_SECONDS = 0.05
+_WAIT_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status; 0 when the connection was lost before it.
+        headers: Headers, names in lower case.
+        body: Body as far as it came.
+        cut: Whether the connection was lost before the end of the body.
+    """
+
+    status: int
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    cut: bool = False
+
+    @property
+    def events(self) -> list[str]:
+        """Data of the server-sent events."""
+        parts = self.body.decode().split("\n\n")
+        return [part.removeprefix("data: ") for part in parts if part]
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.headers.get("content-type") == "text/event-stream"
+
+    @property
+    def is_marked_whole(self) -> bool:
+        """Whether anything in it tells the caller that it is whole."""
+        if self.is_stream:
+            return "[DONE]" in self.events or any(
+                choice.get("finish_reason")
+                for event in self._read_events()
+                for choice in event.get("choices", ()))
+        return self.status == http.HTTPStatus.OK and not self.cut
+
+    @property
+    def error(self) -> dict[str, typing.Any]:
+        """The error; empty when there is none."""
+        if not self.is_stream:
+            is_error = self.status >= http.HTTPStatus.BAD_REQUEST
+            return json.loads(self.body)["error"] if is_error else {}
+        found = [each["error"] for each in self._read_events()
+                 if "error" in each]  # yapf: disable
+        return found[-1] if found else {}
+
+    @property
+    def text(self) -> str:
+        """The text of a completion, as far as it came."""
+        if not self.is_stream:
+            choices = json.loads(self.body).get("choices", ())
+            return "".join(_read_choice(each) for each in choices)
+        return "".join(
+            _read_choice(choice)
+            for event in self._read_events()
+            for choice in event.get("choices", ()))
+
+    def _read_events(self) -> list[dict[str, typing.Any]]:
+        return [json.loads(each) for each in self.events if each != "[DONE]"]
+
+
+@dataclasses.dataclass(frozen=True)
+class Completion:
+    """A completion with the text that answers it.
+
+    Attributes:
+        prompt: The prompt.
+        stream: Whether the answer is streamed.
+        request_class: Name of its class.
+    """
+
+    prompt: str
+    stream: bool = True
+    request_class: str = "question"
+
+    @property
+    def expected(self) -> str:
+        """The whole text that belongs to it."""
+        return answer_text.expected_text(MODEL, f"user: {self.prompt}", None)
+
+    def send(self, url: str) -> Reply:
+        """Sends it to an entry."""
+        body = {
+            "model": MODEL,
+            "messages": [{
+                "role": "user",
+                "content": self.prompt
+            }],
+            "stream": self.stream,
+        }
+        headers = {"x-request-class": self.request_class}
+        return post(url, "/v1/chat/completions", json.dumps(body), headers)
+
+
+def make_completion(name: str, shortest: int = 12, **fields: typing.Any
+                   ) -> Completion:  # yapf: disable
+    """Makes a completion whose answer has at least `shortest` tokens."""
+    for number in range(1000):
+        made = Completion(f"{name} {number}", **fields)
+        tokens = answer_text.make_tokens(MODEL, f"user: {made.prompt}", None)
+        if shortest <= len(tokens) <= 4 * shortest:
+            return made
+    raise ValueError("no prompt has an answer of that length")
+
+
+def post(url: str, path: str, body: str, headers: dict[str, str]) -> Reply:
+    """Posts to an entry and reads what comes, whatever becomes of it."""
+    host = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(host.hostname or "",
+                                            host.port,
+                                            timeout=_REPLY_SECONDS)
+    sent = {
+        "authorization": f"Bearer {API_KEY}",
+        "content-type": "application/json",
+        **headers
+    }
+    try:
+        connection.request("POST", path, body.encode(), sent)
+        response = connection.getresponse()
+    except (OSError, http.client.HTTPException):
+        connection.close()
+        return Reply(0, cut=True)
+    try:
+        return _read_reply(response)
+    finally:
+        connection.close()
+
+
+def post_call(url: str,
+              key: str = "",
+              body: str = DISPOSAL,
+              request_class: str = "posting") -> Reply:
+    """Posts to the plain service through an entry."""
+    headers = {"x-request-class": request_class}
+    if key:
+        headers["idempotency-key"] = key
+    return post(url, f"/services/{SERVICE}/disposals", body, headers)
+
+
+def run_together(
+    calls: collections.abc.Sequence[collections.abc.Callable[[], Reply]]
+) -> list[Reply]:
+    """Makes calls at the same time and returns their replies in order."""
+    with concurrent.futures.ThreadPoolExecutor(len(calls)) as pool:
+        return [each.result() for each in [pool.submit(call) for call in calls]]
+
+
+@contextlib.contextmanager
+def start_call(
+    call: collections.abc.Callable[[], Reply]
+) -> collections.abc.Iterator[concurrent.futures.Future[Reply]]:
+    """Makes a call while the block runs, and waits for its end."""
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        yield pool.submit(call)
+
+
+def wait_until(condition: collections.abc.Callable[[], bool],
+               what: str,
+               seconds: float = _WAIT_SECONDS) -> None:
+    """Polls a condition; fails when it does not come to hold in time."""
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, f"waited in vain: {what}"
+        time.sleep(_POLL_SECONDS)
+
+
+def make_document(network: str,
+                  engines: int = 0,
+                  services: int = 0,
+                  concurrency: int = 16) -> configuration.Document:
+    """Makes a document for the stand-ins of a network."""
+    plan = address_plan.AddressPlan(network)
+    endpoints = [
+        _make_endpoint(f"engine-{number}", MODEL,
+                       f"http://{plan.find_engine(number)}:8000", concurrency)
+        for number in range(1, engines + 1)
+    ]
+    endpoints += [
+        _make_endpoint(f"service-{number}", SERVICE,
+                       f"http://{plan.find_service(number)}:8001", concurrency)
+        for number in range(1, services + 1)
+    ]
+    digest = hashlib.sha256(API_KEY.encode()).hexdigest()
+    return configuration.Document(
+        classes=_make_classes(),
+        default_class="question",
+        organisations=(configuration.Organisation("tatra", (digest,)),),
+        models=(configuration.Model(MODEL),),
+        services=(configuration.Service(SERVICE, "posting"),),
+        endpoints=tuple(endpoints))
+
+
+def show_faults(fleet: fleet_module.Fleet, name: str) -> dict[str, typing.Any]:
+    """Returns the present faults of a stand-in."""
+    return http_calls.fetch_json(f"{fleet.children[name].url}/switch", {})
+
+
+def list_run(fleet: fleet_module.Fleet) -> collections.Counter[str]:
+    """Returns how often each request ran, by its id, over all endpoints."""
+    names = [
+        name for name, child in fleet.children.items()
+        if name.startswith(("engine", "service")) and child.is_running
+    ]
+    return collections.Counter(each["request_id"]
+                               for name in names
+                               for each in fleet.read_json(name, "/log"))
+
+
+def check_run_states(fleet: fleet_module.Fleet,
+                     replies: collections.abc.Iterable[Reply]) -> None:
+    """Checks that nothing which an endpoint ran was answered `not_run`."""
+    run = list_run(fleet)
+    for reply in replies:
+        if reply.error.get("ran") == "not_run":
+            assert reply.error["request_id"] not in run, reply
+
+
+def write_document(fleet: fleet_module.Fleet, name: str,
+                   document: configuration.Document) -> pathlib.Path:
+    """Writes a document into the fleet's folder."""
+    path = fleet.folder / f"{name}.jsonc"
+    path.write_bytes(msgspec.json.encode(document))
+    return path
+
+
+@contextlib.contextmanager
+def run_fleet(
+        network: str,
+        vms: int = 2,
+        engines: int = 0,
+        services: int = 0,
+        concurrency: int = 16) -> collections.abc.Iterator[fleet_module.Fleet]:
+    """Runs a fleet with a configuration in force."""
+    with fleet_module.Fleet(network) as fleet:
+        fleet.start_platform()
+        for number in range(1, engines + 1):
+            fleet.start_engine(number, MODEL, "--base-step-seconds", "0.01")
+        for number in range(1, services + 1):
+            fleet.start_service(number)
+        for number in range(1, vms + 1):
+            fleet.start_vm(number, _ZONES[(number - 1) % len(_ZONES)])
+        document = make_document(network, engines, services, concurrency)
+        fleet.apply(write_document(fleet, "document", document))
+        yield fleet
+
+
+def _make_classes() -> tuple[configuration.RequestClass, ...]:
+    return (
+        configuration.RequestClass("question", 0, 1.0),
+        configuration.RequestClass("once", 1, 1.0, idempotent=False),
+        configuration.RequestClass("short",
+                                   1,
+                                   1.0,
+                                   deadline_seconds=4.0,
+                                   idempotent=False),
+        configuration.RequestClass("crowded", 2, 1.0, queue_limit=1),
+        configuration.RequestClass("posting", 0, 1.0, idempotent=False),
+        configuration.RequestClass("posting-short",
+                                   0,
+                                   1.0,
+                                   deadline_seconds=3.0,
+                                   idempotent=False),
+    )
+
+
+def _make_endpoint(name: str, serves: str, url: str,
+                   concurrency: int) -> configuration.Endpoint:
+    return configuration.Endpoint(name,
+                                  serves,
+                                  url,
+                                  _ZONES[0],
+                                  "region-a",
+                                  concurrency=concurrency)
+
+
+def _read_reply(response: http.client.HTTPResponse) -> Reply:
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    body = bytearray()
+    try:
+        while part := response.read1(65536):
+            body += part
+    except (OSError, http.client.HTTPException):
+        return Reply(response.status, headers, bytes(body), cut=True)
+    whole = int(headers.get("content-length", len(body)))
+    return Reply(response.status, headers, bytes(body), cut=len(body) < whole)
+
+
+def _read_choice(choice: dict[str, typing.Any]) -> str:
+    message = choice.get("delta") or choice.get("message") or {}
+    return message.get("content") or choice.get("text") or ""
