Test the agreement on the configuration with nine VMs' processes

Agents and entries of nine VMs, each polled on its own operators' page all along. Unit tests of the token count and of the deadline check.

--- a/mustardwood/routing/tests/test_answers.py
+++ b/mustardwood/routing/tests/test_answers.py
@@ -246,3 +246,59 @@
     answer = world.answers["r1"]
     assert (answer.status, answer.body) == (404, b"not here")
     assert answer.headers == (("x-own", "1"), ("content-type", "a/b"))
+
+
+def _send_counted(world, tokens, reported):
+    """Sends an answer of numbered tokens, and the engine's count of them."""
+    attempt = world.started[-1]
+    world.head()
+    for number in range(tokens):
+        world.data(
+            msgspec.json.encode({
+                "id": attempt.attempt_id,
+                "tokens": 1,
+                "choices": [{
+                    "text": f"{number} "
+                }]
+            }))
+    world.data(
+        msgspec.json.encode({
+            "id": attempt.attempt_id,
+            "tokens": 0,
+            "choices": [{
+                "text": "",
+                "finish_reason": "stop"
+            }]
+        }))
+    world.data(
+        msgspec.json.encode({
+            "id": attempt.attempt_id,
+            "choices": [],
+            "usage": {
+                "prompt_tokens": 1,
+                "completion_tokens": reported
+            }
+        }))
+    world.data(b"[DONE]")
+
+
+@pytest.mark.parametrize("reported", [2, 4])
+def test_answer_that_differs_from_the_engines_count_is_not_whole(reported):
+    world = world_module.World()
+    world.ask()
+    world.grant()
+    _send_counted(world, 3, reported)
+    assert world.errors["r1"].request_code == "incomplete_answer"
+    assert b"[DONE]" not in world.passed["r1"]
+    assert b"stop" not in world.passed["r1"]
+
+
+def test_unstreamed_answer_that_differs_is_run_afresh():
+    world = world_module.World()
+    world.ask(stream=False)
+    world.grant()
+    _send_counted(world, 3, 2)
+    world.retry()
+    assert b"resume_from" not in world.started[-1].body
+    _send_counted(world, 2, 2)
+    assert b'"0 1 "' in world.answers["r1"].body
--- a/mustardwood/routing/tests/test_claims.py
+++ b/mustardwood/routing/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Requests with an idempotency key."""
 
+import datetime
+
 import msgspec
 import pytest
 
@@ -189,3 +191,14 @@
     claim(world)
     assert isinstance(world.claims[-1], routing.ReleaseClaim)
     assert not world.started
+
+
+def test_claimed_call_is_not_sent_on_a_grant_after_its_deadline():
+    world = start()
+    claim(world)
+    world.clock.advance(datetime.timedelta(seconds=61))
+    world.grant(endpoint="s1")
+    assert not world.started
+    assert world.errors["r1"].request_code == "deadline_exceeded"
+    assert world.errors["r1"].ran is errors.RunState.NOT_RUN
+    assert isinstance(world.claims[-1], routing.ReleaseClaim)
--- a/mustardwood/tests/callers.py
+++ b/mustardwood/tests/callers.py
@@ -37,6 +37,9 @@
 _REPLY_SECONDS = 45.0
 """Bound on the silence of a connection to an entry."""
 
+_STARTS = 4
+"""Children that start at the same time."""
+
 _POLL_SECONDS = 0.05
 _WAIT_SECONDS = 30.0
 
@@ -277,12 +280,23 @@
     """Runs a fleet with a configuration in force."""
     with fleet_module.Fleet(network) as fleet:
         fleet.start_platform()
-        for number in range(1, engines + 1):
-            fleet.start_engine(number, MODEL, "--base-step-seconds", "0.01")
-        for number in range(1, services + 1):
-            fleet.start_service(number)
-        for number in range(1, vms + 1):
-            fleet.start_vm(number, _ZONES[(number - 1) % len(_ZONES)])
+        with concurrent.futures.ThreadPoolExecutor(_STARTS) as pool:
+            starts = [
+                pool.submit(fleet.start_vm, number,
+                            _ZONES[(number - 1) % len(_ZONES)])
+                for number in range(1, vms + 1)
+            ]
+            starts += [
+                pool.submit(fleet.start_engine, number, MODEL,
+                            "--base-step-seconds", "0.01")
+                for number in range(1, engines + 1)
+            ]
+            starts += [
+                pool.submit(fleet.start_service, number)
+                for number in range(1, services + 1)
+            ]
+        for each in starts:
+            each.result()
         document = make_document(network, engines, services, concurrency)
         fleet.apply(write_document(fleet, "document", document))
         yield fleet
@@ -295,14 +309,14 @@
         configuration.RequestClass("short",
                                    1,
                                    1.0,
-                                   deadline_seconds=4.0,
+                                   deadline_seconds=2.0,
                                    idempotent=False),
         configuration.RequestClass("crowded", 2, 1.0, queue_limit=1),
         configuration.RequestClass("posting", 0, 1.0, idempotent=False),
         configuration.RequestClass("posting-short",
                                    0,
                                    1.0,
-                                   deadline_seconds=3.0,
+                                   deadline_seconds=2.0,
                                    idempotent=False),
     )
 
--- /dev/null
+++ b/mustardwood/tests/test_configuration_processes.py
@@ -0,0 +1,244 @@
+"""Tests of the agreement on the configuration, with real processes."""
+
+import concurrent.futures
+import json
+import os
+import subprocess
+import sys
+import time
+
+import msgspec
+import pytest
+
+from mustardwood import runtime
+from mustardwood.standins import fleet as fleet_module
+from mustardwood.tests import callers
+from mustardwood.tests import versions
+
+pytestmark = pytest.mark.processes
+
+_NETWORK = "127.82.3"
+_VMS = 9
+_PARTS = ("agent", "entry")
+_NAMES = [
+    f"vm-{number}/{part}" for number in range(1, _VMS + 1) for part in _PARTS
+]
+_IN_FORCE_SECONDS = 5.0
+"""Time from acceptance to being in force everywhere."""
+
+_COMMAND_SECONDS = 60.0
+
+
+@pytest.fixture(scope="module", name="fleet")
+def run_fleet():
+    """Runs nine VMs' agents and entries, with a first version in force."""
+    with fleet_module.Fleet(_NETWORK) as fleet:
+        fleet.start_platform()
+        with concurrent.futures.ThreadPoolExecutor(3) as pool:
+            starts = [
+                pool.submit(fleet.start_vm,
+                            number,
+                            f"zone-{number % 3}",
+                            parts=_PARTS) for number in range(1, _VMS + 1)
+            ]
+        for each in starts:
+            each.result()
+        assert _apply(fleet, 1, "first").returncode == 0
+        yield fleet
+
+
+@pytest.fixture(name="record")
+def record_versions(fleet):
+    """Records versions from a state in which all processes agree."""
+    with versions.VersionRecord(fleet) as record:
+        _wait_in_force(record, 1)
+        version = max(map(record.find_version, _NAMES))
+        _wait_in_force(record, version)
+        yield record
+    assert not record.list_reverts()
+    assert record.looks > 1
+
+
+def _start_apply(fleet, number, author, *options):
+    """Starts an apply of a document that names its author."""
+    document = callers.make_document(_NETWORK, engines=1)
+    model = msgspec.structs.replace(document.models[0],
+                                    name=f"{author}-{time.monotonic_ns()}")
+    document = msgspec.structs.replace(document,
+                                       models=(*document.models, model))
+    path = callers.write_document(fleet, f"{author}-{number}", document)
+    command = [
+        sys.executable, "-m", "mustardwood.cli.main", "apply",
+        str(path), "--agent", fleet.children[f"vm-{number}/agent"].url, *options
+    ]
+    return subprocess.Popen(command,
+                            stdout=subprocess.PIPE,
+                            stderr=subprocess.PIPE,
+                            text=True,
+                            env={
+                                **os.environ, "LOGNAME": author
+                            })
+
+
+def _finish(process):
+    stdout, stderr = process.communicate(timeout=_COMMAND_SECONDS)
+    return subprocess.CompletedProcess(process.args, process.returncode, stdout,
+                                       stderr)
+
+
+def _apply(fleet, number, author, *options):
+    return _finish(_start_apply(fleet, number, author, *options))
+
+
+def _wait_in_force(record, version, names=tuple(_NAMES)):
+    callers.wait_until(
+        lambda: all(record.find_version(name) >= version for name in names),
+        f"version {version} is in force")
+
+
+def _check_spread(record, version):
+    """Checks that a version got everywhere in time after its acceptance.
+
+    It is first shown by the VM that accepts it, not before.
+    """
+    _wait_in_force(record, version)
+    times = [record.find_first(name, version) for name in _NAMES]
+    assert max(times) - min(times) < _IN_FORCE_SECONDS
+
+
+def _read_version(fleet, number=1):
+    return fleet.read_json(f"vm-{number}/agent", "/v1/configuration")["version"]
+
+
+def _read_platform(fleet):
+    stored = fleet.read_json("platform", "/kv/mustardwood%2Fconfiguration")
+    return json.loads(stored["value"])
+
+
+def _restart_vm(fleet, number):
+    for part in _PARTS:
+        fleet.children[f"vm-{number}/{part}"].kill()
+    for part in _PARTS:
+        fleet.children[f"vm-{number}/{part}"].start()
+
+
+def _wait_ready(fleet, number):
+    for part in _PARTS:
+        fleet.wait_until_ready(f"vm-{number}/{part}")
+
+
+def test_one_of_racing_operators_wins_and_the_others_are_told(fleet, record):
+    base = _read_version(fleet)
+    racing = [
+        _start_apply(fleet, 1 + 2 * number, f"operator-{number}", "--base",
+                     str(base)) for number in range(3)
+    ]
+    done = [_finish(each) for each in racing]
+    won = [number for number, each in enumerate(done) if not each.returncode]
+    assert len(won) == 1, [each.stderr for each in done]
+    for number, each in enumerate(done):
+        if number not in won:
+            assert each.returncode == runtime.ExitCode.CONFLICT
+            assert f"operator-{won[0]} " in each.stderr
+    _check_spread(record, base + 1)
+    assert _read_platform(fleet)["author"] == f"operator-{won[0]}"
+    assert _read_version(fleet) == base + 1
+
+
+def test_uncertain_write_is_resolved(fleet, record):
+    base = _read_version(fleet)
+    fleet.switch("platform", lost_answers=1)
+    done = _apply(fleet, 4, "unsure")
+    assert done.returncode == 0, done.stderr
+    _check_spread(record, base + 1)
+    assert _read_platform(fleet)["author"] == "unsure"
+    assert _read_version(fleet) == base + 1
+
+
+def test_uncertain_writes_of_racing_operators_are_told_truthfully(
+        fleet, record):
+    base = _read_version(fleet)
+    fleet.switch("platform", lost_answers=2)
+    racing = [
+        _start_apply(fleet, 2 + 3 * number, f"unsure-{number}", "--base",
+                     str(base)) for number in range(2)
+    ]
+    done = [_finish(each) for each in racing]
+    fleet.switch("platform", lost_answers=0)
+    won = [number for number, each in enumerate(done) if not each.returncode]
+    assert len(won) == 1, [each.stderr for each in done]
+    assert done[1 - won[0]].returncode == runtime.ExitCode.CONFLICT
+    _check_spread(record, base + 1)
+    assert _read_platform(fleet)["author"] == f"unsure-{won[0]}"
+
+
+def test_apply_in_an_outage_changes_nothing(fleet, record):
+    base = _read_version(fleet)
+    fleet.switch("platform", outage=True)
+    done = _apply(fleet, 5, "early")
+    fleet.switch("platform", outage=False)
+    assert done.returncode == runtime.ExitCode.FAILED
+    assert "nothing was applied" in done.stderr
+    assert {record.find_version(name) for name in _NAMES} == {base}
+    assert _apply(fleet, 5, "later").returncode == 0
+    _check_spread(record, base + 1)
+
+
+def test_vms_that_boot_in_an_outage_learn_from_their_neighbours(fleet, record):
+    base = _read_version(fleet)
+    fleet.switch("platform", outage=True)
+    for number in (7, 8):
+        _restart_vm(fleet, number)
+    for number in (7, 8):
+        _wait_ready(fleet, number)
+        assert _read_version(fleet, number) == base
+    fleet.switch("platform", outage=False)
+    assert _apply(fleet, 8, "afterwards").returncode == 0
+    _check_spread(record, base + 1)
+
+
+def test_older_state_of_the_service_is_repaired(fleet, record):
+    base = _read_version(fleet)
+    fleet.switch("platform", snapshot="old")
+    assert _apply(fleet, 6, "newer").returncode == 0
+    _check_spread(record, base + 1)
+    fleet.switch("platform", outage=True)
+    fleet.switch("platform", restore="old")
+    assert _read_platform_fails(fleet)
+    fleet.switch("platform", outage=False)
+    callers.wait_until(lambda: _read_platform(fleet)["version"] == base + 1,
+                       "the platform is repaired")
+    assert _apply(fleet, 3, "newest").returncode == 0
+    _check_spread(record, base + 2)
+
+
+def test_vm_that_boots_with_an_older_state_does_not_revert(fleet, record):
+    base = _read_version(fleet)
+    fleet.switch("platform", snapshot="older")
+    assert _apply(fleet, 2, "newer").returncode == 0
+    _check_spread(record, base + 1)
+    fleet.switch("platform", restore="older")
+    for number in (1, 9):
+        _restart_vm(fleet, number)
+    for number in (1, 9):
+        _wait_ready(fleet, number)
+        assert _read_version(fleet, number) == base + 1
+    callers.wait_until(lambda: _read_platform(fleet)["version"] == base + 1,
+                       "the platform is repaired")
+
+
+def test_restarted_vms_never_show_less_than_before(fleet, record):
+    base = _read_version(fleet)
+    for number in (3, 6, 9):
+        _restart_vm(fleet, number)
+    done = _apply(fleet, 1, "while restarting")
+    assert done.returncode == 0, done.stderr
+    _wait_in_force(record, base + 1)
+
+
+def _read_platform_fails(fleet):
+    try:
+        _read_platform(fleet)
+    except OSError:
+        return True
+    return False
--- /dev/null
+++ b/mustardwood/tests/versions.py
@@ -0,0 +1,108 @@
+"""A record of the configuration versions that processes show."""
+
+import json
+import re
+import threading
+import time
+import typing
+import urllib.error
+import urllib.request
+
+from mustardwood.standins import fleet as fleet_module
+
+_PERIOD_SECONDS = 0.1
+"""Pause between two looks at all processes."""
+
+_CALL_SECONDS = 2.0
+
+_GAUGE = re.compile(r"^mustardwood_configuration_version (\S+)$", re.MULTILINE)
+
+
+class VersionRecord:
+    """Polls agents and entries in a thread, from start to stop.
+
+    Attributes:
+        seen: For each process, the pairs of time and version, where the
+            version changed; 0 stands for none in force.
+        looks: Number of looks at all processes.
+    """
+
+    def __init__(self, fleet: fleet_module.Fleet) -> None:
+        self.seen: dict[str, list[tuple[float, int]]] = {}
+        self.looks = 0
+        self._fleet = fleet
+        self._ended = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> typing.Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._ended.set()
+        self._thread.join()
+
+    def find_version(self, name: str) -> int:
+        """Returns the version that a process showed last."""
+        return self.seen[name][-1][1] if name in self.seen else 0
+
+    def find_first(self, name: str, version: int) -> float | None:
+        """Returns when a process first showed a version or a later one."""
+        times = (at for at, held in self.seen.get(name, ()) if held >= version)
+        return next(times, None)
+
+    def list_reverts(self) -> list[tuple[str, int, int]]:
+        """Lists processes that showed a version and later a lower one.
+
+        Returns:
+            Name, higher and lower version. A restarted process counts with
+            what it showed before; none in force is not a lower version.
+        """
+        reverts = []
+        for name, pairs in self.seen.items():
+            highest = 0
+            for _, version in pairs:
+                if 0 < version < highest:
+                    reverts.append((name, highest, version))
+                highest = max(highest, version)
+        return reverts
+
+    def _run(self) -> None:
+        while not self._ended.is_set():
+            for name in list(self._fleet.children):
+                if name.startswith("vm-"):
+                    self._look(name)
+            self.looks += 1
+            self._ended.wait(_PERIOD_SECONDS)
+
+    def _look(self, name: str) -> None:
+        url = self._fleet.children[name].url
+        version = (_read_agent(url)
+                   if name.endswith("/agent") else _read_gauge(url))
+        if version is None:
+            return
+        pairs = self.seen.setdefault(name, [])
+        if not pairs or pairs[-1][1] != version:
+            pairs.append((time.monotonic(), version))
+
+
+def _read_agent(url: str) -> int | None:
+    try:
+        return int(json.loads(_fetch(url + "/v1/configuration"))["version"])
+    except urllib.error.HTTPError:
+        return 0
+    except OSError:
+        return None
+
+
+def _read_gauge(url: str) -> int | None:
+    try:
+        found = _GAUGE.search(_fetch(url + "/metrics").decode())
+    except OSError:
+        return None
+    return None if found is None else int(float(found.group(1)))
+
+
+def _fetch(url: str) -> bytes:
+    with urllib.request.urlopen(url, timeout=_CALL_SECONDS) as response:
+        return response.read()
