Repair an older platform found at boot, and ask once the VMs are known

Cause: a restarting VM that heard a newer version from a neighbour dropped the write that puts the platform right; and it asked its neighbours only at the platform's answer, which may come before the list of VMs. Change: the write is carried out; the neighbours are asked again when the list comes during the boot.

--- a/mustardwood/agent/agent.py
+++ b/mustardwood/agent/agent.py
@@ -230,6 +230,8 @@
     def _accept_list(self, records: tuple[vmlist.VmRecord, ...]) -> None:
         now = self._clock.monotonic()
         self._send_all(self._detector.update_list(records, now))
+        if self._keeper.is_booting:
+            self._gossip.pull_configuration()
         self._gossip.spread_leaving(self._marks.update_list(records, now))
         self._publish()
 
--- a/mustardwood/agent/configuration_keeper.py
+++ b/mustardwood/agent/configuration_keeper.py
@@ -72,6 +72,11 @@
         held = self._replica.in_force
         return 0 if held is None else held.version
 
+    @property
+    def is_booting(self) -> bool:
+        """Whether it may still wait for a neighbour's configuration."""
+        return self._is_booting
+
     def stop(self) -> None:
         """Ends `run` after its present wait."""
         self._stopped = True
@@ -94,7 +99,8 @@
         if not self._is_usable(document):
             return
         now = self._clock.monotonic()
-        self._carry_out(self._replica.accept_neighbour(document, now))
+        commands = self._replica.accept_neighbour(document, now)
+        defer.ensureDeferred(self._try_all(commands))
 
     async def accept_stored(self, stored: keyvalue.StoredValue | None) -> None:
         """Takes what the platform holds; writes ours over an older state."""
@@ -113,9 +119,12 @@
         """Stops waiting for a neighbour's configuration at the start."""
         await self._sleeper.sleep(replication.BOOT_TIMEOUT)
         self._is_booting = False
-        now = self._clock.monotonic()
+        await self._try_all(self._replica.end_boot(self._clock.monotonic()))
+
+    async def _try_all(
+            self, commands: tuple[replication.ReplicaCommand, ...]) -> None:
         try:
-            await self._carry_out_all(self._replica.end_boot(now))
+            await self._carry_out_all(commands)
         except errors.KeyValueError as error:
             self._must_read = True
             _log.warning("%s", error)
--- a/mustardwood/agent/tests/test_agent.py
+++ b/mustardwood/agent/tests/test_agent.py
@@ -250,3 +250,19 @@
     outcome = _settle(fleet, fleet.apply("vm1", "mine", 0))
     assert isinstance(outcome, apply_request.NotWritten)
     assert fleet.platform.values[KEY].value == newer
+
+
+def test_vm_that_boots_with_an_older_platform_repairs_it():
+    fleet = fleet_module.Fleet(3)
+    fleet.platform.write(KEY, fleet_module.make_stored(1))
+    old = dict(fleet.platform.values)
+    fleet.run(2)
+    _settle(fleet, fleet.apply("vm1", "second", 1))
+    fleet.run(2)
+    fleet.platform.restore(old, 1)
+    fleet.kill_vm("vm2")
+    fleet.run(1)
+    fleet.start_vm("vm2")
+    fleet.run(5)
+    assert fleet.versions() == {2}
+    assert '"second"' in fleet.platform.values[KEY].value
