--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,11 @@
 format: $(VENV)/.ready
 	$(BIN)/yapf --parallel --recursive --in-place $(SOURCES)
 
+measure-path: $(VENV)/.ready
+	$(BIN)/python -m mustardwood.benchmarks.path
+
+measure-capacity: $(VENV)/.ready
+	$(BIN)/python -m mustardwood.benchmarks.capacity
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/mustardwood/routing/answer_text.py
+++ b/mustardwood/routing/answer_text.py
@@ -74,8 +74,9 @@
             self.tail.append(own)
             self._tail_tokens += tokens
             return b""
-        if event.text:
-            self._parts.append(event.text)
+        text = event.text
+        if text:
+            self._parts.append(text)
         self.tokens += tokens
         self.resumable = self.resumable and event.resumable
         self.lines.append(own)
--- a/mustardwood/routing/attempt_reader.py
+++ b/mustardwood/routing/attempt_reader.py
@@ -131,7 +131,8 @@
             return error.message
         if event.id != self._attempt.attempt_id:
             return "an event of another attempt came"
-        if event.text and self._answer.finished:
+        text = event.text
+        if text and self._answer.finished:
             return "text came after the finish reason"
         if event.token_count:
             self._attempt.count_tokens(event.token_count, now)
