Print the status that the agents answer, and verify peers by TLS

The command line read other keys than the agents' page sends, so versions showed as None and queues as '-'. Both now share the types of mustardwood/fleetstatus: the version of a VM is the lowest of its processes, and the parts behind are named; queue, delay and limit are those of the owner's scheduler, and '?' stands only for a VM that did not answer. explain tells class, tier and organisation, and ends with 1 for an unknown request. Settings errors name line, key and remedy; values that can't work are refused at the start.

pynng's client delivers nothing without a server name, so links by TLS never worked; the peer's address is the name now, and its certificate must carry it.

Test: the command line against two VMs with a token, 17 passed in 37 s on a machine with a load of 24 to 34; one run before it failed at the start of the fleet, at a load of 30 to 36, when an agent wrote nothing within 30 s. Links and TLS: 10 passed in 32 s. Without the server name the probe of a link of one authority delivered nothing; certificates of a foreign authority, of another address, and plain TCP deliver nothing.

--- a/mustardwood/agent/agent.py
+++ b/mustardwood/agent/agent.py
@@ -11,6 +11,7 @@
 
 from mustardwood import configuration
 from mustardwood import errors
+from mustardwood import fleetstatus
 from mustardwood import keyvalue
 from mustardwood import membership
 from mustardwood import messages
@@ -34,7 +35,6 @@
 from mustardwood.agent import question
 from mustardwood.agent import sleeper
 from mustardwood.agent import view_publisher
-from mustardwood.agent import vm_report
 from mustardwood.agent import watchers
 
 TICK = datetime.timedelta(milliseconds=100)
@@ -108,7 +108,8 @@
         self.start_loops()
         await runtime.listen_http(self._reactor, self._pages.make_site(),
                                   self._settings.ip,
-                                  self._settings.agent_operators_port)
+                                  self._settings.agent_operators_port,
+                                  self._settings.operators_tls)
 
     def start_loops(self) -> None:
         """Starts everything but the operators' HTTP."""
@@ -285,11 +286,11 @@
     def _list_leaving(self) -> tuple[str, ...]:
         return self._marks.find_endpoints(self._keeper.document)
 
-    def _read_versions(self) -> vm_report.Versions:
+    def _read_versions(self) -> fleetstatus.Versions:
         held = self._publisher.versions()
-        return vm_report.Versions(self._keeper.version,
-                                  held[messages.Role.ENTRY],
-                                  held[messages.Role.SCHEDULER])
+        return fleetstatus.Versions(self._keeper.version,
+                                    held[messages.Role.ENTRY],
+                                    held[messages.Role.SCHEDULER])
 
 
 def _start(
--- a/mustardwood/agent/fleet_survey.py
+++ b/mustardwood/agent/fleet_survey.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mustardwood import fleetstatus
 from mustardwood import messages
 from mustardwood import runtime
 from mustardwood.agent import question
@@ -39,7 +40,7 @@
         self, me: messages.Peer, desk: question.QuestionDesk,
         list_members: collections.abc.Callable[[], tuple[messages.Member, ...]],
         read_versions: collections.abc.Callable[[],
-                                                vm_report.Versions]) -> None:
+                                                fleetstatus.Versions]) -> None:
         self._me = me
         self._desk = desk
         self._list_members = list_members
--- a/mustardwood/agent/status_page.py
+++ b/mustardwood/agent/status_page.py
@@ -3,27 +3,31 @@
 import collections.abc
 import typing
 
+import msgspec
+
 from mustardwood import cells
 from mustardwood import configuration
+from mustardwood import fleetstatus
 from mustardwood import messages
+from mustardwood import scheduling
 from mustardwood.agent import fleet_survey
 
 Body = dict[str, typing.Any]
 
 
-def describe_status(survey: fleet_survey.Survey,
-                    members: collections.abc.Sequence[messages.Member],
-                    document: configuration.Document | None, version: int,
-                    leaving: collections.abc.Collection[str]) -> Body:
+def describe_status(
+        survey: fleet_survey.Survey,
+        members: collections.abc.Sequence[messages.Member],
+        document: configuration.Document | None, version: int,
+        leaving: collections.abc.Collection[str]) -> fleetstatus.StatusBody:
     """Returns the body of ``GET /v1/status``."""
     reported = _collect_endpoints(survey)
-    return {
-        "version": version,
-        "vms": [_describe_vm(each, survey) for each in members],
-        "unanswered": list(survey.unanswered),
-        "cells": _describe_cells(survey, members, document),
-        "endpoints": _describe_endpoints(document, leaving, reported),
-    }
+    return fleetstatus.StatusBody(
+        version=version,
+        vms=tuple(_describe_vm(each, survey) for each in members),
+        unanswered=survey.unanswered,
+        cells=_describe_cells(survey, members, document),
+        endpoints=_describe_endpoints(document, leaving, reported))
 
 
 def describe_explanation(request_id: str, survey: fleet_survey.Survey) -> Body:
@@ -74,77 +78,86 @@
     }
 
 
-def _describe_vm(member: messages.Member, survey: fleet_survey.Survey) -> Body:
-    body: Body = {
-        "vm": member.vm,
-        "ip": member.ip,
-        "zone": member.zone,
-        "region": member.region,
-        "state": member.state.value,
-        "answered": member.vm in survey.reports,
-    }
+def _describe_vm(member: messages.Member,
+                 survey: fleet_survey.Survey) -> fleetstatus.VmRow:
     report = survey.reports.get(member.vm)
-    if report is not None:
-        body["versions"] = {
-            "agent": report.versions.agent,
-            "entry": report.versions.entry,
-            "scheduler": report.versions.scheduler,
-        }
-        body["entry"] = report.entry
-    return body
-
-
-def _describe_cells(survey: fleet_survey.Survey,
-                    members: collections.abc.Sequence[messages.Member],
-                    document: configuration.Document | None) -> list[Body]:
+    answered = report is not None
+    return fleetstatus.VmRow(vm=member.vm,
+                             ip=member.ip,
+                             zone=member.zone,
+                             region=member.region,
+                             state=member.state.value,
+                             answered=answered,
+                             versions=report.versions if report else None,
+                             entry=report.entry if report else None,
+                             scheduler_answered=report is not None and
+                             report.scheduler is not None)
+
+
+def _describe_cells(
+        survey: fleet_survey.Survey,
+        members: collections.abc.Sequence[messages.Member],
+        document: configuration.Document | None
+) -> tuple[fleetstatus.CellRow, ...]:
     if document is None:
-        return []
+        return ()
     found = []
     for cell in cells.build_cells(document):
         ranked = cells.rank_owners(cell.name, cell.region, members)
-        owner = ranked[0].vm if ranked else None
-        found.append({
-            "cell": cell.name,
-            "owner": owner,
-            "endpoints": [each.name for each in cell.endpoints],
-            "schedulers": _find_cell(survey, cell.name),
-        })
-    return found
+        found.append(
+            fleetstatus.CellRow(cell=cell.name,
+                                owner=ranked[0].vm if ranked else None,
+                                endpoints=tuple(
+                                    each.name for each in cell.endpoints),
+                                schedulers=_find_cell(survey, cell.name)))
+    return tuple(found)
 
 
-def _find_cell(survey: fleet_survey.Survey, name: str) -> Body:
-    found: Body = {}
-    for vm, report in survey.reports.items():
-        for each in (report.scheduler or {}).get("cells", ()):
-            if each.get("cell") == name:
-                found[vm] = {
-                    key: each.get(key)
-                    for key in ("queued", "running", "queue_delay_seconds")
-                }
+def _find_cell(survey: fleet_survey.Survey,
+               name: str) -> dict[str, fleetstatus.CellAtScheduler]:
+    return {
+        vm:
+            fleetstatus.CellAtScheduler(each.queued, each.running,
+                                        each.queue_delay_seconds)
+        for vm, each in _list_cells(survey)
+        if each.cell == name
+    }
+
+
+def _collect_endpoints(
+    survey: fleet_survey.Survey
+) -> dict[str, tuple[fleetstatus.EndpointAtScheduler, ...]]:
+    found: dict[str, tuple[fleetstatus.EndpointAtScheduler, ...]] = {}
+    for vm, cell in _list_cells(survey):
+        for each in cell.endpoints:
+            seen = fleetstatus.EndpointAtScheduler(vm, each.running, each.limit,
+                                                   each.state)
+            found[each.endpoint] = (*found.get(each.endpoint, ()), seen)
     return found
 
 
-def _collect_endpoints(survey: fleet_survey.Survey) -> dict[str, list[Body]]:
-    found: dict[str, list[Body]] = {}
+def _list_cells(
+    survey: fleet_survey.Survey
+) -> collections.abc.Iterator[tuple[str, scheduling.CellStatus]]:
     for vm, report in sorted(survey.reports.items()):
-        for cell in (report.scheduler or {}).get("cells", ()):
-            for each in cell.get("endpoints", ()):
-                seen = {"scheduler": vm, **each}
-                found.setdefault(str(each.get("endpoint")), []).append(seen)
-    return found
+        for each in (report.scheduler or {}).get("cells", ()):
+            yield vm, msgspec.convert(each, scheduling.CellStatus)
 
 
-def _describe_endpoints(document: configuration.Document | None,
-                        leaving: collections.abc.Collection[str],
-                        reported: dict[str, list[Body]]) -> list[Body]:
+def _describe_endpoints(
+    document: configuration.Document | None,
+    leaving: collections.abc.Collection[str],
+    reported: dict[str, tuple[fleetstatus.EndpointAtScheduler, ...]]
+) -> tuple[fleetstatus.EndpointRow, ...]:
     if document is None:
-        return []
-    return [{
-        "endpoint": each.name,
-        "serves": each.serves,
-        "zone": each.zone,
-        "region": each.region,
-        "state": each.state.value,
-        "leaving": each.name in leaving,
-        "schedulers": reported.get(each.name, []),
-    } for each in document.endpoints]
+        return ()
+    return tuple(
+        fleetstatus.EndpointRow(endpoint=each.name,
+                                serves=each.serves,
+                                zone=each.zone,
+                                region=each.region,
+                                state=each.state.value,
+                                leaving=each.name in leaving,
+                                concurrency=each.concurrency,
+                                schedulers=reported.get(each.name, ()))
+        for each in document.endpoints)
--- a/mustardwood/agent/vm_report.py
+++ b/mustardwood/agent/vm_report.py
@@ -4,23 +4,7 @@
 
 import msgspec
 
-
-class Versions(msgspec.Struct, frozen=True):
-    """Configuration versions in force on a VM; 0 for none.
-
-    Attributes:
-        agent: Version at the agent.
-        entry: Version that the entry acknowledged.
-        scheduler: Version that the scheduler acknowledged.
-    """
-
-    agent: int = 0
-    entry: int = 0
-    scheduler: int = 0
-
-    def lowest(self) -> int:
-        """Returns the version that all three have at least."""
-        return min(self.agent, self.entry, self.scheduler)
+from mustardwood import fleetstatus
 
 
 class VmReport(msgspec.Struct, frozen=True):
@@ -32,6 +16,6 @@
         scheduler: Body of the scheduler's answer; None when it did not answer.
     """
 
-    versions: Versions
+    versions: fleetstatus.Versions
     entry: dict[str, typing.Any] | None = None
     scheduler: dict[str, typing.Any] | None = None
--- a/mustardwood/cli/agent_client.py
+++ b/mustardwood/cli/agent_client.py
@@ -3,15 +3,20 @@
 import collections.abc
 import http
 import json
+import pathlib
 import typing
 
+from OpenSSL import crypto
 import treq
 from twisted.internet import defer
 from twisted.internet import error as internet_error
+from twisted.internet import ssl
 from twisted.web import client as web_client
 from twisted.web import http_headers
 
+from mustardwood import runtime
 from mustardwood.cli import agent_reply
+from mustardwood.cli import command_error
 from mustardwood.cli import unreachable_error
 
 _TIMEOUT_SECONDS = 15.0
@@ -23,10 +28,25 @@
 
 
 class AgentClient:
-    """Calls the first agent of a list that can be reached."""
-
-    def __init__(self, reactor: typing.Any, urls: collections.abc.Sequence[str],
-                 token: str) -> None:
+    """Calls the first agent of a list that can be reached.
+
+    Args:
+        reactor: The reactor.
+        urls: URLs of the agents' operators' HTTP.
+        token: Operators' token; empty for none.
+        authority: File with the certificate that the agents' certificates are
+            signed by; None for the certificates that this machine trusts.
+
+    Raises:
+        CommandError: The authority's file can't be used.
+    """
+
+    def __init__(self,
+                 reactor: typing.Any,
+                 urls: collections.abc.Sequence[str],
+                 token: str,
+                 authority: pathlib.Path | None = None) -> None:
+        self._agent = _make_web_agent(reactor, authority)
         self._reactor = reactor
         self._urls = list(urls)
         self._headers = http_headers.Headers()
@@ -85,11 +105,28 @@
                                       data=data,
                                       headers=self._headers,
                                       timeout=_TIMEOUT_SECONDS,
-                                      persistent=False,
+                                      agent=self._agent,
                                       reactor=self._reactor)
         content = await treq.content(response)
         return agent_reply.AgentReply(http.HTTPStatus(response.code), content)
 
 
+def _make_web_agent(reactor: typing.Any,
+                    authority: pathlib.Path | None) -> typing.Any:
+    pool = web_client.HTTPConnectionPool(reactor, persistent=False)
+    if authority is None:
+        return web_client.Agent(reactor, pool=pool)
+    try:
+        root = ssl.Certificate.loadPEM(authority.read_bytes())
+    except (OSError, ValueError, crypto.Error) as error:
+        raise command_error.CommandError(
+            f"the authority's file {authority} can't be used: {error}.",
+            "Name a PEM file with its certificate.",
+            runtime.ExitCode.USAGE) from error
+    policy = web_client.BrowserLikePolicyForHTTPS(
+        ssl.trustRootFromCertificates([root]))
+    return web_client.Agent(reactor, policy, pool=pool)
+
+
 def _describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
--- a/mustardwood/cli/main.py
+++ b/mustardwood/cli/main.py
@@ -7,12 +7,15 @@
 import pathlib
 import secrets
 import typing
+import urllib.parse
 
+import msgspec
 import typer
 
 import mustardwood
 from mustardwood import configuration
 from mustardwood import errors
+from mustardwood import fleetstatus
 from mustardwood import runtime
 from mustardwood import timing
 from mustardwood.cli import agent_client
@@ -62,6 +65,7 @@
     file: _File,
     agent: session.AgentOption = None,
     token_file: session.TokenOption = None,
+    authority: session.AuthorityOption = None,
     base: typing.Annotated[
         int | None,
         typer.Option(
@@ -85,13 +89,14 @@
             await one.wait(version, datetime.timedelta(seconds=timeout))
         application.echo_version(version, wait)
 
-    session.run_session(agent, token_file, run)
+    session.run_session(agent, token_file, authority, run)
 
 
 @app.command()
 def show(
     agent: session.AgentOption = None,
     token_file: session.TokenOption = None,
+    authority: session.AuthorityOption = None,
 ) -> None:
     """Prints the configuration in force."""
 
@@ -102,24 +107,27 @@
                    f"{stored['author']} at {stored['applied_at']}.")
         typer.echo(json.dumps(document, indent=2))
 
-    session.run_session(agent, token_file, run)
+    session.run_session(agent, token_file, authority, run)
 
 
 @app.command()
 def status(
     agent: session.AgentOption = None,
     token_file: session.TokenOption = None,
+    authority: session.AuthorityOption = None,
     as_json: _Json = False,
 ) -> None:
     """Shows VMs, cells with their owners, endpoints and versions."""
 
     async def run(client: agent_client.AgentClient, _: typing.Any) -> None:
         body = await _read(client, "/v1/status")
-        typer.echo(
-            json.dumps(body, indent=2) if as_json else status_text.
-            format_status(body))
+        if as_json:
+            typer.echo(json.dumps(body, indent=2))
+            return
+        parsed = msgspec.convert(body, fleetstatus.StatusBody)
+        typer.echo(status_text.format_status(parsed))
 
-    session.run_session(agent, token_file, run)
+    session.run_session(agent, token_file, authority, run)
 
 
 @app.command()
@@ -129,17 +137,24 @@
                                      help="Id from the x-request-id header.")],
     agent: session.AgentOption = None,
     token_file: session.TokenOption = None,
+    authority: session.AuthorityOption = None,
     as_json: _Json = False,
 ) -> None:
     """Tells why a request waited, went where it went, or was refused."""
 
     async def run(client: agent_client.AgentClient, _: typing.Any) -> None:
-        body = await _read(client, f"/v1/explain/{request_id}")
+        subject = urllib.parse.quote(request_id, safe="")
+        body = await _read(client, f"/v1/explain/{subject}")
         typer.echo(
             json.dumps(body, indent=2) if as_json else status_text.
             format_explanation(body))
+        if not body["events"]:
+            raise command_error.CommandError(
+                "nothing is known of this request.",
+                "Check the id; each VM keeps its last 2000 requests, and "
+                "none from before its start.")
 
-    session.run_session(agent, token_file, run)
+    session.run_session(agent, token_file, authority, run)
 
 
 @app.command("hash-key")
@@ -167,7 +182,7 @@
         raise command_error.CommandError(
             "there is nothing under that name.",
             "Check it; a fleet without a configuration needs an apply first.")
-    raise command_error.CommandError(f"the agent answered {reply.status}.",
+    raise command_error.CommandError(f"the agent answered {int(reply.status)}.",
                                      "Look at the agent's log.")
 
 
--- a/mustardwood/cli/session.py
+++ b/mustardwood/cli/session.py
@@ -32,15 +32,22 @@
     typer.Option("--token-file",
                  envvar="MUSTARDWOOD_TOKEN_FILE",
                  help="File with the operators' token.")]
+AuthorityOption = typing.Annotated[
+    pathlib.Path | None,
+    typer.Option("--authority",
+                 envvar="MUSTARDWOOD_AUTHORITY",
+                 help="Certificate that the agents' certificates are signed "
+                 "by, for https URLs.")]
 
 
 def run_session(agents: list[str] | None, token_file: pathlib.Path | None,
-                command: Command) -> None:
+                authority: pathlib.Path | None, command: Command) -> None:
     """Runs a command against the fleet and ends with its exit code.
 
     Args:
         agents: URLs of agents; None for the default one.
         token_file: File with the operators' token; None for no token.
+        authority: File with the certificate of the agents' authority.
         command: What to run.
 
     Raises:
@@ -49,9 +56,9 @@
     token = read_token(token_file)
 
     async def run(reactor: typing.Any) -> None:
-        client = agent_client.AgentClient(reactor, agents or [DEFAULT_AGENT],
-                                          token)
         try:
+            client = agent_client.AgentClient(reactor, agents or
+                                              [DEFAULT_AGENT], token, authority)
             await command(client, reactor)
         except errors.MustardwoodError as error:
             typer.echo(f"{error.code}: {error}", err=True)
--- a/mustardwood/cli/status_text.py
+++ b/mustardwood/cli/status_text.py
@@ -3,10 +3,15 @@
 import collections.abc
 import typing
 
+from mustardwood import fleetstatus
+
 _Row = collections.abc.Sequence[typing.Any]
 
+_UNKNOWN = "?"
+"""Stands for what a VM that did not answer would have told."""
+
 
-def format_status(status: dict[str, typing.Any]) -> str:
+def format_status(status: fleetstatus.StatusBody) -> str:
     """Formats the answer of ``/v1/status`` as tables.
 
     Args:
@@ -15,25 +20,24 @@
     Returns:
         Several lines of text, with the VMs that did not answer named last.
     """
+    answered = {each.vm for each in status.vms if each.scheduler_answered}
+    owners = {
+        name: cell.owner for cell in status.cells for name in cell.endpoints
+    }
+    target = _find_highest(status)
     parts = [
-        format_table(("vm", "zone", "region", "state", "version"),
-                     [(each.get("vm"), each.get("zone"), each.get("region"),
-                       each.get("state"), each.get("version"))
-                      for each in status.get("vms", [])]),
-        format_table(
-            ("cell", "owner", "queued", "running", "delay s"),
-            [(each.get("cell"), each.get("owner"), each.get("queued", "-"),
-              each.get("running", "-"), each.get("queue_delay_seconds", "-"))
-             for each in status.get("cells", [])]),
+        format_table(("vm", "zone", "region", "state", "version", "behind"),
+                     [_list_vm(each, target) for each in status.vms]),
+        format_table(("cell", "owner", "queued", "running", "delay s"),
+                     [_list_cell(each, answered) for each in status.cells]),
         format_table(
-            ("endpoint", "serves", "zone", "state", "running", "limit"),
-            [(each.get("endpoint"), each.get("serves"), each.get("zone"),
-              each.get("state"), each.get("running", "-"), each.get(
-                  "limit", "-")) for each in status.get("endpoints", [])]),
+            ("endpoint", "serves", "zone", "state", "running", "limit"), [
+                _list_endpoint(each, owners.get(each.endpoint), answered)
+                for each in status.endpoints
+            ]),
     ]
-    unanswered = status.get("unanswered", [])
-    if unanswered:
-        parts.append("no answer from: " + ", ".join(unanswered))
+    if status.unanswered:
+        parts.append("no answer from: " + ", ".join(status.unanswered))
     return "\n\n".join(parts)
 
 
@@ -45,8 +49,6 @@
         f"{each.get('time')} {each.get('vm', '')} {each.get('part')}: "
         f"{each.get('text')}" for each in events
     ]
-    if not lines:
-        lines.append("no VM remembers this request")
     unanswered = explanation.get("unanswered", [])
     if unanswered:
         lines.append("no answer from: " + ", ".join(unanswered))
@@ -67,3 +69,42 @@
                        for cell, width in zip(row, widths))
              for row in texts)
     return "\n".join(line.rstrip() for line in lines)
+
+
+def _find_highest(status: fleetstatus.StatusBody) -> int:
+    held = [each.versions.agent for each in status.vms if each.versions]
+    return max((status.version, *held))
+
+
+def _list_vm(vm: fleetstatus.VmRow, target: int) -> _Row:
+    place = (vm.vm, vm.zone, vm.region, vm.state)
+    if vm.versions is None:
+        return (*place, _UNKNOWN, _UNKNOWN)
+    behind = ", ".join(vm.versions.list_behind(target))
+    return (*place, vm.versions.lowest(), behind)
+
+
+def _list_cell(cell: fleetstatus.CellRow,
+               answered: collections.abc.Collection[str]) -> _Row:
+    if cell.owner is None:
+        return (cell.cell, "none", _UNKNOWN, _UNKNOWN, _UNKNOWN)
+    seen = cell.schedulers.get(cell.owner)
+    if seen is None and cell.owner not in answered:
+        return (cell.cell, cell.owner, _UNKNOWN, _UNKNOWN, _UNKNOWN)
+    seen = seen or fleetstatus.CellAtScheduler()
+    return (cell.cell, cell.owner, seen.queued, seen.running,
+            f"{seen.queue_delay_seconds:.2f}")
+
+
+def _list_endpoint(endpoint: fleetstatus.EndpointRow, owner: str | None,
+                   answered: collections.abc.Collection[str]) -> _Row:
+    place = (endpoint.endpoint, endpoint.serves, endpoint.zone)
+    state = "leaving" if endpoint.leaving else endpoint.state
+    seen = next(
+        (each for each in endpoint.schedulers if each.scheduler == owner), None)
+    if seen is None and owner not in answered:
+        return (*place, state, _UNKNOWN, _UNKNOWN)
+    if seen is None:
+        return (*place, state, 0, endpoint.concurrency)
+    return (*place, state if state == "leaving" else seen.state, seen.running,
+            seen.limit)
--- a/mustardwood/configuration/__init__.py
+++ b/mustardwood/configuration/__init__.py
@@ -7,6 +7,8 @@
 from mustardwood.configuration.loader import dump_document
 from mustardwood.configuration.loader import list_document_problems
 from mustardwood.configuration.loader import load_document
+from mustardwood.configuration.locator import find_line
+from mustardwood.configuration.locator import find_syntax_line
 from mustardwood.configuration.model import Model
 from mustardwood.configuration.organisation import Organisation
 from mustardwood.configuration.request_class import RequestClass
@@ -24,6 +26,8 @@
     "Service",
     "VersionedDocument",
     "dump_document",
+    "find_line",
+    "find_syntax_line",
     "list_document_problems",
     "load_document",
 ]
--- a/mustardwood/configuration/loader.py
+++ b/mustardwood/configuration/loader.py
@@ -14,7 +14,6 @@
 """Largest document, in bytes; the stored form must fit a megabyte packed."""
 
 _PATH = re.compile(r" - at `([^`]+)`")
-_POSITION = re.compile(r"near (\d+)")
 
 
 def load_document(text: str) -> document_module.Document:
@@ -83,10 +82,7 @@
 
 
 def _describe_syntax(text: str, error: Exception) -> errors.ConfigurationError:
-    position = _POSITION.search(str(error))
-    line = None
-    if position:
-        line = text.count("\n", 0, int(position.group(1))) + 1
+    line = locator.find_syntax_line(text, str(error))
     return errors.ConfigurationError(f"the document is no JSON: {error}.",
                                      "Correct the syntax near that line.",
                                      line=line)
--- a/mustardwood/configuration/locator.py
+++ b/mustardwood/configuration/locator.py
@@ -6,6 +6,7 @@
 import tree_sitter_json
 
 _LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
+_POSITION = re.compile(r"near (\d+)")
 _STEP = re.compile(r"\.([A-Za-z_][A-Za-z0-9_]*)|\[(\d+)\]")
 
 
@@ -37,6 +38,26 @@
     return node.start_point.row + 1
 
 
+def find_syntax_line(text: str, message: str) -> int | None:
+    """Finds the line of a syntax error.
+
+    Args:
+        text: The malformed document.
+        message: Message of the parser, which names a position.
+
+    Returns:
+        The line, from 1; None when the message names no position.
+
+    Examples:
+        >>> find_syntax_line("{\\n]", "Expected b'string' near 3")
+        2
+    """
+    position = _POSITION.search(message)
+    if position is None:
+        return None
+    return text.count("\n", 0, int(position.group(1))) + 1
+
+
 def _find_value(node: tree_sitter.Node) -> tree_sitter.Node | None:
     values = _list_values(node)
     return values[0] if values else None
--- a/mustardwood/entry/entry_daemon.py
+++ b/mustardwood/entry/entry_daemon.py
@@ -119,7 +119,7 @@
         self._sweep.start(_SWEEP_SECONDS, now=False)
         operators = await runtime.listen_http(
             self._reactor, server.Site(self._operators.app.resource()),
-            settings.ip, settings.entry_operators_port)
+            settings.ip, settings.entry_operators_port, settings.operators_tls)
         callers = await runtime.listen_http(self._reactor, self._site,
                                             settings.ip, settings.callers_port,
                                             settings.callers_tls)
--- /dev/null
+++ b/mustardwood/fleetstatus/endpoint_at_scheduler.py
@@ -0,0 +1,19 @@
+"""An endpoint as one scheduler reports it."""
+
+import msgspec
+
+
+class EndpointAtScheduler(msgspec.Struct, frozen=True):
+    """An endpoint as one scheduler reports it.
+
+    Attributes:
+        scheduler: VM of the scheduler.
+        running: Attempts running there.
+        limit: Concurrency limit in force.
+        state: ``active``, ``leaving``, ``failing`` or ``straggling``.
+    """
+
+    scheduler: str
+    running: int
+    limit: int
+    state: str
--- /dev/null
+++ b/mustardwood/fleetstatus/versions.py
@@ -0,0 +1,35 @@
+"""Configuration versions in force on a VM."""
+
+import msgspec
+
+
+class Versions(msgspec.Struct, frozen=True):
+    """Configuration versions in force on a VM; 0 for none.
+
+    Attributes:
+        agent: Version at the agent.
+        entry: Version that the entry acknowledged.
+        scheduler: Version that the scheduler acknowledged.
+    """
+
+    agent: int = 0
+    entry: int = 0
+    scheduler: int = 0
+
+    def lowest(self) -> int:
+        """Returns the version that all three have at least."""
+        return min(self.agent, self.entry, self.scheduler)
+
+    def list_behind(self, version: int) -> tuple[str, ...]:
+        """Returns the parts that have less than a version.
+
+        Examples:
+            >>> Versions(agent=3, entry=2, scheduler=3).list_behind(3)
+            ('entry',)
+        """
+        held = {
+            "agent": self.agent,
+            "entry": self.entry,
+            "scheduler": self.scheduler,
+        }
+        return tuple(part for part, own in held.items() if own < version)
--- a/mustardwood/links/pynng_link.py
+++ b/mustardwood/links/pynng_link.py
@@ -64,7 +64,7 @@
         me = messages.Peer(self._settings.ip, self._role)
         self._pull = pynng.Pull0(listen=self._address(me),
                                  recv_max_size=_RECEIVE_MAXIMUM_BYTES,
-                                 tls_config=self._tls(server=True))
+                                 tls_config=self._make_server_tls())
         self._task = asyncio.ensure_future(self._receive())
 
     def close(self) -> None:
@@ -106,7 +106,7 @@
                 send_buffer_size=_SEND_BUFFER_MESSAGES,
                 reconnect_time_min=_RECONNECT_MINIMUM_MILLISECONDS,
                 reconnect_time_max=_RECONNECT_MAXIMUM_MILLISECONDS,
-                tls_config=self._tls(server=False))
+                tls_config=self._make_client_tls(peer))
             push.dial(self._address(peer), block=False)
             self._pushes[peer] = push
         return self._pushes[peer]
@@ -144,17 +144,35 @@
         scheme = "tcp" if self._settings.links_tls is None else "tls+tcp"
         return f"{scheme}://{peer.ip}:{ports[peer.role]}"
 
-    def _tls(self, *, server: bool) -> pynng.TLSConfig | None:
-        files = self._settings.links_tls
-        if files is None:
+    def _make_server_tls(self) -> pynng.TLSConfig | None:
+        if self._settings.links_tls is None:
             return None
-        mode = (pynng.TLSConfig.MODE_SERVER
-                if server else pynng.TLSConfig.MODE_CLIENT)
-        return pynng.TLSConfig(mode,
-                               ca_string=_read_text(files.authority),
-                               own_key_string=_read_text(files.key),
-                               own_cert_string=_read_text(files.certificate),
-                               auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED)
+        return _make_tls(self._settings.links_tls, pynng.TLSConfig.MODE_SERVER,
+                         None)
+
+    def _make_client_tls(self, peer: messages.Peer) -> pynng.TLSConfig | None:
+        if self._settings.links_tls is None:
+            return None
+        return _make_tls(self._settings.links_tls, pynng.TLSConfig.MODE_CLIENT,
+                         peer.ip)
+
+
+def _make_tls(files: settings_module.TlsFiles, mode: int,
+              server_name: str | None) -> pynng.TLSConfig:
+    """Makes the TLS of one side; both sides verify the other.
+
+    Args:
+        files: Certificate, key and authority of this VM.
+        mode: Server or client.
+        server_name: Name that the other side's certificate must carry; its IP
+            address for a client, None for a server.
+    """
+    return pynng.TLSConfig(mode,
+                           server_name=server_name,
+                           ca_string=_read_text(files.authority),
+                           own_key_string=_read_text(files.key),
+                           own_cert_string=_read_text(files.certificate),
+                           auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED)
 
 
 def _read_text(path: str) -> str:
--- a/mustardwood/routing/open_request.py
+++ b/mustardwood/routing/open_request.py
@@ -83,6 +83,9 @@
         request = self.request
         self._context.metrics.count_request(request.request_class.name)
         self._context.budget.add_request()
+        self._explain(f"class {request.request_class.name}, tier "
+                      f"{request.request_class.tier}, organisation "
+                      f"{request.organisation}, {request.serves}")
         if self.refuse_poison():
             return
         if not request.idempotency_key:
--- a/mustardwood/runtime/operators_site.py
+++ b/mustardwood/runtime/operators_site.py
@@ -45,6 +45,7 @@
         if hmac.compare_digest(digest, self._token_hash):
             return True
         request.setResponseCode(http.HTTPStatus.UNAUTHORIZED)
+        request.setHeader("www-authenticate", "Bearer")
         return False
 
     def _show_health(self, request: server.Request) -> bytes:
--- a/mustardwood/scheduler/daemon.py
+++ b/mustardwood/scheduler/daemon.py
@@ -62,7 +62,8 @@
                                      self._is_ready)
         self._port = await runtime.listen_http(
             self._reactor, server.Site(site.app.resource()), self._settings.ip,
-            self._settings.scheduler_operators_port)
+            self._settings.scheduler_operators_port,
+            self._settings.operators_tls)
         self._link.set_handler(self._handle)
         self._link.open()
         self._idle_check.start(60.0, now=False)
--- a/mustardwood/settings/reader.py
+++ b/mustardwood/settings/reader.py
@@ -1,13 +1,19 @@
 """Reading of settings files."""
 
 import pathlib
+import re
 
 import msgspec
 import pyjson5
 
+from mustardwood import configuration
 from mustardwood import errors
+from mustardwood.settings import checks
 from mustardwood.settings import settings as settings_module
 
+_PATH = re.compile(r" - at `([^`]+)`")
+_UNKNOWN = re.compile(r"unknown field `([^`]+)`")
+
 
 def read_settings(path: pathlib.Path) -> settings_module.Settings:
     """Reads and checks a settings file of JSON with comments.
@@ -29,16 +35,43 @@
             f"settings file {path} can't be read: {error}.",
             "Give the path of a UTF-8 file that this user may read.",
         ) from error
+    parsed = _parse(path, text)
+    for problem in checks.list_problems(parsed):
+        raise _make_error(path, text, problem.key, problem.message,
+                          problem.remedy)
+    return parsed
+
+
+def _parse(path: pathlib.Path, text: str) -> settings_module.Settings:
     try:
         plain = pyjson5.decode(text)
         return msgspec.convert(plain, settings_module.Settings)
-    except pyjson5.Json5Exception as error:
+    except (pyjson5.Json5Exception, RecursionError) as error:
+        line = configuration.find_syntax_line(text, str(error))
         raise errors.SettingsError(
-            f"settings file {path} is malformed: {error}.",
-            "Correct the JSON at that position.",
+            f"{path}:{line or 1}: this is no JSON: {error}.",
+            "Correct the syntax near that line.",
+            line=line,
         ) from error
     except msgspec.ValidationError as error:
-        raise errors.SettingsError(
-            f"settings file {path} has a wrong value: {error}.",
-            "Correct that key; docs/OPERATIONS.md lists all of them.",
-        ) from error
+        raise _describe_type(path, text, error) from error
+
+
+def _describe_type(path: pathlib.Path, text: str,
+                   error: msgspec.ValidationError) -> errors.SettingsError:
+    place = _PATH.search(str(error))
+    key = place.group(1) if place else "$"
+    unknown = _UNKNOWN.search(str(error))
+    if unknown:
+        key = f"{key}.{unknown.group(1)}"
+    return _make_error(path, text, key, _PATH.sub("", str(error)),
+                       "Correct that key; docs/OPERATIONS.md lists all keys.")
+
+
+def _make_error(path: pathlib.Path, text: str, key: str, message: str,
+                remedy: str) -> errors.SettingsError:
+    line = configuration.find_line(text, key)
+    return errors.SettingsError(f"{path}:{line or 1}: {key}: {message}.",
+                                remedy,
+                                line=line,
+                                key=key)
--- a/mustardwood/settings/settings.py
+++ b/mustardwood/settings/settings.py
@@ -25,6 +25,7 @@
         entry_operators_port: TCP port of the entry's operators' HTTP.
         operators_token_hash: Hexadecimal SHA-256 digest of the operators'
             bearer token; empty for no check.
+        operators_tls: TLS of the operators' HTTP; None for plain HTTP.
         callers_tls: TLS of the callers' HTTP; None for plain HTTP.
         links_tls: TLS between VMs; None for plain TCP.
         platform_timeout_seconds: Bound on one call to the platform.
@@ -46,6 +47,7 @@
     scheduler_operators_port: int = 9102
     entry_operators_port: int = 9103
     operators_token_hash: str = ""
+    operators_tls: tls_files.TlsFiles | None = None
     callers_tls: tls_files.TlsFiles | None = None
     links_tls: tls_files.TlsFiles | None = None
     platform_timeout_seconds: float = 2.0
--- /dev/null
+++ b/mustardwood/tests/certificates.py
@@ -0,0 +1,86 @@
+"""Certificates for tests."""
+
+import dataclasses
+import datetime
+import ipaddress
+import pathlib
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from mustardwood import settings
+
+_DAY = datetime.timedelta(days=1)
+
+
+@dataclasses.dataclass(frozen=True)
+class Authority:
+    """A certificate authority that writes its files into a folder.
+
+    Attributes:
+        name: Its name, also of its file.
+        folder: The folder.
+        key: Its private key.
+        certificate: Its certificate.
+    """
+
+    name: str
+    folder: pathlib.Path
+    key: ec.EllipticCurvePrivateKey
+    certificate: x509.Certificate
+
+    @classmethod
+    def from_name(cls, name, folder):
+        """Makes an authority."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        subject = _name(name)
+        made = _build(subject, subject,
+                      key).add_extension(
+                          x509.BasicConstraints(ca=True, path_length=None),
+                          critical=True).sign(key, hashes.SHA256())
+        authority = cls(name, folder, key, made)
+        authority.path.write_bytes(_encode(made))
+        return authority
+
+    @property
+    def path(self):
+        """File of its certificate."""
+        return self.folder / f"{self.name}.pem"
+
+    def issue(self, ip, authority=None):
+        """Returns the files of a VM, with the authority that it verifies."""
+        key = ec.generate_private_key(ec.SECP256R1())
+        address = x509.IPAddress(ipaddress.ip_address(ip))
+        made = _build(_name(ip), self.certificate.subject,
+                      key).add_extension(x509.SubjectAlternativeName([address]),
+                                         critical=False).sign(
+                                             self.key, hashes.SHA256())
+        certificate = self.folder / f"{self.name}-{ip}.pem"
+        certificate.write_bytes(_encode(made))
+        private = self.folder / f"{self.name}-{ip}.key"
+        private.write_bytes(
+            key.private_bytes(serialization.Encoding.PEM,
+                              serialization.PrivateFormat.PKCS8,
+                              serialization.NoEncryption()))
+        verified = self if authority is None else authority
+        return settings.TlsFiles(str(certificate), str(private),
+                                 str(verified.path))
+
+
+def _name(text):
+    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
+
+
+def _build(subject, issuer, key):
+    now = datetime.datetime.now(datetime.UTC)
+    return x509.CertificateBuilder().subject_name(subject).issuer_name(
+        issuer).public_key(key.public_key()).serial_number(
+            x509.random_serial_number()).not_valid_before(
+                now - _DAY).not_valid_after(now + _DAY)
+
+
+def _encode(certificate):
+    return certificate.public_bytes(serialization.Encoding.PEM)
