--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 format: $(VENV)/.ready
 	$(BIN)/yapf --parallel --recursive --in-place $(SOURCES)
 
+measure: $(VENV)/.ready
+	$(BIN)/python -m mustardwood.benchmarks --folder build/measure
+
 measure-path: $(VENV)/.ready
 	$(BIN)/python -m mustardwood.benchmarks.path
 
--- a/mustardwood/benchmarks/result.py
+++ b/mustardwood/benchmarks/result.py
@@ -38,7 +38,8 @@
         seed: Seed of the random numbers.
         classes: Results by class, most urgent first.
         attainment: Share of all requests that met their targets.
-        goodput: Tokens of whole answers per second.
+        goodput: Tokens of answers that were whole by the end of the arrivals,
+            per second of arrivals.
         wasted: Share of the engines' tokens that no whole answer holds.
         inversions: Refusals while a request of a lower tier waited.
         fairness: Jain's index [1]_ over organisations of the share of asked
--- a/mustardwood/benchmarks/summary.py
+++ b/mustardwood/benchmarks/summary.py
@@ -26,7 +26,7 @@
     """
     records = list(world.recorder.records.values())
     made = sum(each.tokens_made for each in world.engines.values())
-    useful = _count_useful(records)
+    useful = _count_useful(records, world.timeline.seconds)
     return result_module.Result(
         workload=world.workload.name,
         scenario=world.scenario.name,
@@ -36,7 +36,8 @@
             _summarise_class(each, records)
             for each in world.workload.document.classes),
         attainment=_compute_share(records),
-        goodput=useful / world.scenario.duration,
+        goodput=_count_useful(records, world.scenario.duration) /
+        world.scenario.duration,
         wasted=max(0.0, 1.0 - useful / made) if made else 0.0,
         inversions=world.recorder.inversions,
         fairness=_compute_fairness(records),
@@ -83,8 +84,10 @@
     return sum(each.attained for each in records) / len(records)
 
 
-def _count_useful(records: _Records) -> int:
-    return sum(each.request.output_tokens for each in records if each.whole)
+def _count_useful(records: _Records, until: float) -> int:
+    return sum(each.request.output_tokens
+               for each in records
+               if each.whole and each.end is not None and each.end <= until)
 
 
 def _compute_fairness(records: _Records) -> float:
