Publish a fleet's VMs in the order of their starts

Two starts could publish their lists in the wrong order, which leaves a VM off the list. Change: a lock around the making and sending of the list.

--- a/mustardwood/standins/fleet/fleet.py
+++ b/mustardwood/standins/fleet/fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import types
 import typing
 
@@ -39,7 +40,8 @@
     """Starts stand-ins and VMs' worth of processes, and ends them all.
 
     A context manager: everything that was started has ended after the block.
-    Its methods block; don't call them from a reactor's thread.
+    Its methods block; don't call them from a reactor's thread. Several
+    children may be started from threads at once.
 
     Args:
         network: First three numbers of its addresses in 127.0.0.0/8.
@@ -64,6 +66,7 @@
         self.children: dict[str, child_process.ChildProcess] = {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardwood-"))
         self._records: dict[str, vmlist.VmRecord] = {}
+        self._publishing = threading.Lock()
 
     def __enter__(self) -> typing.Self:
         return self
@@ -216,8 +219,9 @@
         shutil.rmtree(self.folder)
 
     def _publish_vms(self) -> None:
-        records = msgspec.to_builtins(tuple(self._records.values()))
-        self.switch("platform", vms=records)
+        with self._publishing:
+            records = msgspec.to_builtins(tuple(self._records.values()))
+            self.switch("platform", vms=records)
 
     def _start_standin(self, name: str, kind: str, ip: str, port: int,
                        options: tuple[str, ...]) -> child_process.ChildProcess:
