--- a/mustardwood/configuration/locator.py
+++ b/mustardwood/configuration/locator.py
@@ -1,11 +1,10 @@
 """The place of a value in a document's text."""
-
 import re
+import typing
 
-import tree_sitter
-import tree_sitter_json
+if typing.TYPE_CHECKING:
+    import tree_sitter
 
-_LANGUAGE = tree_sitter.Language(tree_sitter_json.language())
 _STEP = re.compile(r"\.([A-Za-z_][A-Za-z0-9_]*)|\[(\d+)\]")
 
 
@@ -24,8 +23,7 @@
         >>> find_line('{\\n  "models": [\\n    {"name": 1}]}', "$.models[0]")
         3
     """
-    tree = tree_sitter.Parser(_LANGUAGE).parse(text.encode())
-    node = _find_value(tree.root_node)
+    node = _find_value(_parse(text))
     if node is None:
         return None
     for name, index in _STEP.findall(key):
@@ -37,17 +35,26 @@
     return node.start_point.row + 1
 
 
-def _find_value(node: tree_sitter.Node) -> tree_sitter.Node | None:
+def _parse(text: str) -> "tree_sitter.Node":
+    # Only the few processes that show an error need the parser.
+    import tree_sitter
+    import tree_sitter_json
+    language = tree_sitter.Language(tree_sitter_json.language())
+    return tree_sitter.Parser(language).parse(text.encode()).root_node
+
+
+def _find_value(node: "tree_sitter.Node") -> "tree_sitter.Node | None":
     values = _list_values(node)
     return values[0] if values else None
 
 
-def _list_values(node: tree_sitter.Node) -> list[tree_sitter.Node]:
+def _list_values(node: "tree_sitter.Node") -> "list[tree_sitter.Node]":
     skipped = ("comment", "ERROR")
     return [each for each in node.named_children if each.type not in skipped]
 
 
-def _find_member(node: tree_sitter.Node, name: str) -> tree_sitter.Node | None:
+def _find_member(node: "tree_sitter.Node",
+                 name: str) -> "tree_sitter.Node | None":
     for pair in _list_values(node):
         key = pair.child_by_field_name("key")
         if key is not None and _read_name(key) == name:
@@ -55,10 +62,11 @@
     return None
 
 
-def _read_name(key: tree_sitter.Node) -> str:
+def _read_name(key: "tree_sitter.Node") -> str:
     return (key.text or b"").decode().strip("\"'")
 
 
-def _find_item(node: tree_sitter.Node, index: int) -> tree_sitter.Node | None:
+def _find_item(node: "tree_sitter.Node",
+               index: int) -> "tree_sitter.Node | None":
     items = _list_values(node)
     return items[index] if index < len(items) else None
--- a/mustardwood/runtime/launcher.py
+++ b/mustardwood/runtime/launcher.py
@@ -2,19 +2,18 @@
 
 import collections.abc
 import importlib
+import os
 import pathlib
 import signal
 import sys
 import typing
 
-import typer
 from twisted.internet import asyncioreactor
 from twisted.internet import defer
 
-import mustardwood
-from mustardwood import errors
 from mustardwood import settings as settings_module
 from mustardwood import timing
+from mustardwood.runtime import command_line
 from mustardwood.runtime import daemon
 from mustardwood.runtime import exit_code
 from mustardwood.runtime import logs
@@ -23,51 +22,35 @@
     [settings_module.Settings, typing.Any, timing.Clock], daemon.Daemon]
 """Makes a daemon from its settings, the reactor and the clock."""
 
+_CHECKED = "--checked-settings"
+"""First argument of a process whose command line was read."""
+
 
 def run_command(part: str, build: BuildDaemon) -> None:
     """Runs the command line of a daemon.
 
+    The reader of command lines takes some 20 MB. So once it has done its work
+    the process starts its program anew, under the same process id, without
+    it.
+
     Args:
         part: Name of the part, for logs and ``--help``.
         build: Makes the daemon.
     """
+    if sys.argv[1:2] == [_CHECKED]:
+        settings = settings_module.read_settings(pathlib.Path(sys.argv[2]))
+        logs.configure_logging(settings)
+        sys.exit(_run_daemon(part, settings, build))
+    command_line.run(part, lambda path: _start_anew(part, path))
 
-    def command(
-        settings: typing.Annotated[
-            pathlib.Path | None,
-            typer.Option(help="Settings file, JSON with comments.")] = None,
-        check: typing.Annotated[
-            bool,
-            typer.Option("--check", help="Check the settings file and exit."
-                        )] = False,
-        version: typing.Annotated[
-            bool,
-            typer.Option("--version", help="Print the version and exit."
-                        )] = False,
-    ) -> None:
-        if version:
-            typer.echo(mustardwood.__version__)
-            return
-        loaded = _read_settings(settings)
-        if check:
-            typer.echo(f"{settings}: settings are right")
-            return
-        logs.configure_logging(loaded)
-        raise typer.Exit(_run_daemon(part, loaded, build))
-
-    command.__doc__ = f"The mustardwood {part} process of an entry VM."
-    typer.run(command)
-
-
-def _read_settings(path: pathlib.Path | None) -> settings_module.Settings:
-    try:
-        if path is None:
-            raise errors.SettingsError("no settings file was named.",
-                                       "Give one with --settings FILE.")
-        return settings_module.read_settings(path)
-    except errors.SettingsError as error:
-        typer.echo(f"{error.code}: {error}", err=True)
-        raise typer.Exit(exit_code.ExitCode.USAGE) from error
+
+def _start_anew(part: str, path: pathlib.Path) -> None:
+    module = f"mustardwood.{part}.main"
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os.execv(sys.executable,
+             [sys.executable, "-m", module, _CHECKED,
+              str(path)])
 
 
 def _run_daemon(part: str, settings: settings_module.Settings,
