--- a/mustardwood/routing/tests/test_service_levels.py
+++ b/mustardwood/routing/tests/test_service_levels.py
@@ -73,5 +73,6 @@
     world.ask()
     world.grant()
     texts = [each["text"] for each in world.router.explanations.find("r1")]
-    assert texts[0].startswith("ask 1: cell m/r/0, owner vm")
-    assert texts[1].startswith("grant 1: endpoint e1")
+    assert texts[0] == "class tag, tier 0, organisation tatra, m"
+    assert texts[1].startswith("ask 1: cell m/r/0, owner vm")
+    assert texts[2].startswith("grant 1: endpoint e1")
