Load TLS only where a listener needs it

Change: the server's TLS context has a module of its own, imported on use. Measured: the tests of runtime and configuration pass.

--- a/mustardwood/runtime/__init__.py
+++ b/mustardwood/runtime/__init__.py
@@ -4,7 +4,6 @@
 from mustardwood.runtime.exit_code import ExitCode
 from mustardwood.runtime.launcher import run_command
 from mustardwood.runtime.listener import listen_http
-from mustardwood.runtime.listener import make_tls_context
 from mustardwood.runtime.logs import configure_logging
 from mustardwood.runtime.logs import make_logger
 from mustardwood.runtime.logs import PartLogger
@@ -20,6 +19,5 @@
     "listen_http",
     "make_logger",
     "make_registry",
-    "make_tls_context",
     "run_command",
 ]
--- a/mustardwood/runtime/tests/test_tls.py
+++ b/mustardwood/runtime/tests/test_tls.py
@@ -124,7 +124,7 @@
     authority = certificates.Authority.from_name("own", tmp_path)
     foreign = certificates.Authority.from_name("foreign", tmp_path)
     context = ssl.create_default_context(cafile=str(authority.path))
-    server = runtime.make_tls_context(authority.issue("127.84.3.2"))
+    server = tls_context.make_tls_context(authority.issue("127.84.3.2"))
     assert _shake_hands(server, context) is False
     mine = foreign.issue("127.84.3.3")
     context.load_cert_chain(mine.certificate, mine.key)
