--- a/mustardwood/agent/tests/test_agent.py
+++ b/mustardwood/agent/tests/test_agent.py
@@ -227,3 +227,42 @@
             for each in fleet.find_process(vm, ENTRY).view.members
         }
         assert states["vm1"] is messages.MemberState.LEAVING
+
+
+def test_unusable_value_of_the_platform_does_not_make_the_watch_spin():
+    fleet = fleet_module.Fleet(3)
+    fleet.platform.write(KEY, "not a document")
+    fleet.platform.budget = 200
+    fleet.run(5)
+    assert fleet.platform.calls["watch"] <= 3 * 2
+    assert fleet.versions() == {0}
+
+
+def test_apply_over_an_unreadable_configuration_writes_nothing():
+    fleet = fleet_module.Fleet(3)
+    newer = msgspec.json.encode({
+        "version": 9,
+        "apply_id": "newer",
+        "text": '{"later": 1}'
+    }).decode()
+    fleet.platform.write(KEY, newer)
+    fleet.run(3)
+    outcome = _settle(fleet, fleet.apply("vm1", "mine", 0))
+    assert isinstance(outcome, apply_request.NotWritten)
+    assert fleet.platform.values[KEY].value == newer
+
+
+def test_vm_that_boots_with_an_older_platform_repairs_it():
+    fleet = fleet_module.Fleet(3)
+    fleet.platform.write(KEY, fleet_module.make_stored(1))
+    old = dict(fleet.platform.values)
+    fleet.run(2)
+    _settle(fleet, fleet.apply("vm1", "second", 1))
+    fleet.run(2)
+    fleet.platform.restore(old, 1)
+    fleet.kill_vm("vm2")
+    fleet.run(1)
+    fleet.start_vm("vm2")
+    fleet.run(5)
+    assert fleet.versions() == {2}
+    assert '"second"' in fleet.platform.values[KEY].value
