--- a/mustardwood/runtime/tests/test_tls.py
+++ b/mustardwood/runtime/tests/test_tls.py
@@ -14,6 +14,7 @@
 from mustardwood import configuration
 from mustardwood import runtime
 from mustardwood import settings
+from mustardwood.runtime import tls_context
 from mustardwood.standins import fleet as fleet_package
 from mustardwood.standins.fleet import child_process
 from mustardwood.tests import certificates
