Keep adapters out of the packages of claims and membership

Cause: test_imports failed: claims held the store that drives it over Twisted, and membership read the settings of a process. Change: the store and its lease, limit and retries are the package claimstore; FailureDetector takes its own member. vmlist counts as an interface beside keyvalue: its package imports only the Protocol and the record. Ruled out: leaving claims out of the rule. Measured: test_imports, claimstore, claims, membership and agent pass.

--- a/mustardwood/agent/agent.py
+++ b/mustardwood/agent/agent.py
@@ -68,8 +68,10 @@
         self._registry = runtime.make_registry()
         self._metrics = metrics.AgentMetrics(self._registry)
         self._sleeper = sleeper.Sleeper(reactor)
-        self._detector = membership.FailureDetector.from_settings(
-            settings, link.incarnation, rng)
+        self._detector = membership.FailureDetector(
+            messages.Member(settings.vm, settings.ip, settings.zone,
+                            settings.region, messages.MemberState.ALIVE,
+                            link.incarnation), rng)
         self._marks = leaving_marks.LeavingMarks()
         self._board = conviction_board.ConvictionBoard()
         self._publisher = view_publisher.ViewPublisher(settings.ip)
--- a/mustardwood/claims/__init__.py
+++ b/mustardwood/claims/__init__.py
@@ -2,7 +2,7 @@
 
 A claim gives one attempt of a request with an Idempotency-Key the right to be
 sent, over the platform's key-value service. `Claim` decides, without I/O;
-`KeyValueClaimStore` drives it. See docs/design/claims.md.
+`claimstore.KeyValueClaimStore` drives it. See docs/design/claims.md.
 """
 
 from mustardwood.claims.claim import Claim
@@ -13,13 +13,11 @@
 from mustardwood.claims.claim_command import Read
 from mustardwood.claims.claim_command import Replace
 from mustardwood.claims.claim_record import ClaimRecord
+from mustardwood.claims.claim_record import RETRY_DELAY
 from mustardwood.claims.claim_state import ClaimState
 from mustardwood.claims.claim_store import ClaimStore
 from mustardwood.claims.claim_verdict import ClaimVerdict
-from mustardwood.claims.hourly_lease import HourlyLease
-from mustardwood.claims.key_value_claim_store import KeyValueClaimStore
 from mustardwood.claims.stored_answer import StoredAnswer
-from mustardwood.claims.write_limit import WriteLimit
 
 __all__ = [
     "Claim",
@@ -31,10 +29,8 @@
     "Command",
     "Create",
     "Delete",
-    "HourlyLease",
-    "KeyValueClaimStore",
+    "RETRY_DELAY",
     "Read",
     "Replace",
     "StoredAnswer",
-    "WriteLimit",
 ]
--- /dev/null
+++ b/mustardwood/claimstore/__init__.py
@@ -0,0 +1,7 @@
+"""Claims kept in the platform's key-value service."""
+
+from mustardwood.claimstore.hourly_lease import HourlyLease
+from mustardwood.claimstore.key_value_claim_store import KeyValueClaimStore
+from mustardwood.claimstore.write_limit import WriteLimit
+
+__all__ = ["HourlyLease", "KeyValueClaimStore", "WriteLimit"]
--- a/mustardwood/claims/hourly_lease.py
+++ b/mustardwood/claimstore/hourly_lease.py
@@ -6,7 +6,7 @@
 
 from mustardwood import keyvalue
 from mustardwood import timing
-from mustardwood.claims import stopwatch
+from mustardwood.claimstore import stopwatch
 
 CLAIM_TIME_TO_LIVE = datetime.timedelta(hours=25)
 """Time from the grant of a lease to the removal of its claims."""
--- a/mustardwood/claims/key_value_claim_store.py
+++ b/mustardwood/claimstore/key_value_claim_store.py
@@ -9,19 +9,16 @@
 from twisted.internet import interfaces
 from twisted.internet import task
 
+from mustardwood import claims
 from mustardwood import errors
 from mustardwood import keyvalue
 from mustardwood import timing
-from mustardwood.claims import claim as claim_module
-from mustardwood.claims import claim_answer
-from mustardwood.claims import claim_command
-from mustardwood.claims import claim_record
-from mustardwood.claims import claim_verdict
-from mustardwood.claims import hourly_lease
-from mustardwood.claims import retries
-from mustardwood.claims import stopwatch
-from mustardwood.claims import stored_answer
-from mustardwood.claims import write_limit
+from mustardwood.claimstore import hourly_lease
+from mustardwood.claimstore import retries
+from mustardwood.claimstore import stopwatch
+from mustardwood.claimstore import write_limit
+
+_Next = claims.Command | None
 
 KEY_PREFIX = "mustardwood/claims/"
 """Prefix of all claims' keys."""
@@ -59,7 +56,7 @@
         self._limit = limit
         self._timer = timer
         self._lease = hourly_lease.HourlyLease(service, clock)
-        self._held: dict[str, tuple[str, claim_module.Claim]] = {}
+        self._held: dict[str, tuple[str, claims.Claim]] = {}
 
     @classmethod
     def from_service(
@@ -92,7 +89,7 @@
         fingerprint: str,
         attempt_id: str,
         time_limit: datetime.timedelta = DEFAULT_TIME_LIMIT
-    ) -> claim_answer.ClaimAnswer:
+    ) -> claims.ClaimAnswer:
         """Asks for the claim of a request; see `ClaimStore.acquire`.
 
         Args:
@@ -106,12 +103,12 @@
         wait = self._limit.take(WRITES_PER_CLAIM, self._clock.monotonic())
         if wait:
             return _refuse(wait)
-        claim = claim_module.Claim(
-            claim_record.ClaimRecord(attempt_id=attempt_id,
-                                     holder=self._vm,
-                                     fingerprint=fingerprint,
-                                     deadline=self._clock.now() + time_limit +
-                                     CLOCK_SKEW))
+        claim = claims.Claim(
+            claims.ClaimRecord(attempt_id=attempt_id,
+                               holder=self._vm,
+                               fingerprint=fingerprint,
+                               deadline=self._clock.now() + time_limit +
+                               CLOCK_SKEW))
         path = make_path(organisation, key)
         age = stopwatch.Stopwatch(self._clock)
         asked = await self._acquire(claim, path)
@@ -120,7 +117,7 @@
         return self._conclude(claim, path, attempt_id, asked)
 
     async def complete(self, attempt_id: str,
-                       answer: stored_answer.StoredAnswer) -> None:
+                       answer: claims.StoredAnswer) -> None:
         """Stores the answer of a held claim; see `ClaimStore.complete`.
 
         It returns after the first call to the service, and goes on in the
@@ -146,7 +143,7 @@
             path, claim = held
             await self._finish(claim, path, claim.release())
 
-    async def _acquire(self, claim: claim_module.Claim,
+    async def _acquire(self, claim: claims.Claim,
                        path: str) -> datetime.timedelta | None:
         """Runs a claim to its verdict; returns a delay asked by the service."""
         attempts = retries.Retries(self._clock, ACQUIRE_TIMEOUT)
@@ -158,37 +155,37 @@
                 return asked
             command, failed, delay = await self._run(claim, path, command)
             asked = delay or asked
-            repeated = isinstance(command, claim_command.Create)
+            repeated = isinstance(command, claims.Create)
             if command is not None and (failed or repeated):
                 await self._sleep(attempts.next_delay())
         return asked
 
-    def _conclude(self, claim: claim_module.Claim, path: str, attempt_id: str,
-                  asked: datetime.timedelta | None) -> claim_answer.ClaimAnswer:
+    def _conclude(self, claim: claims.Claim, path: str, attempt_id: str,
+                  asked: datetime.timedelta | None) -> claims.ClaimAnswer:
         if claim.is_held:
             self._held[attempt_id] = (path, claim)
         if claim.is_abandoned:
             defer.ensureDeferred(self._clean(claim, path))
         answer = claim.judge(self._clock.now())
-        if answer.verdict is claim_verdict.ClaimVerdict.UNAVAILABLE:
-            return _refuse(asked or claim_record.RETRY_DELAY)
+        if answer.verdict is claims.ClaimVerdict.UNAVAILABLE:
+            return _refuse(asked or claims.RETRY_DELAY)
         return answer
 
-    async def _finish(self, claim: claim_module.Claim, path: str,
-                      command: claim_module.Next) -> None:
+    async def _finish(self, claim: claims.Claim, path: str,
+                      command: _Next) -> None:
         """Runs the first call, and goes on in the background if it failed."""
         command, _, _ = await self._run(claim, path, command)
         if command is not None:
             defer.ensureDeferred(self._retry(claim, path, command))
 
-    async def _retry(self, claim: claim_module.Claim, path: str,
-                     command: claim_module.Next) -> None:
+    async def _retry(self, claim: claims.Claim, path: str,
+                     command: _Next) -> None:
         attempts = retries.Retries(self._clock, SETTLE_TIMEOUT)
         while command is not None and not attempts.is_over():
             await self._sleep(attempts.next_delay())
             command, _, _ = await self._run(claim, path, command)
 
-    async def _clean(self, claim: claim_module.Claim, path: str) -> None:
+    async def _clean(self, claim: claims.Claim, path: str) -> None:
         """Deletes records that an abandoned write left behind."""
         attempts = retries.Retries(self._clock, SETTLE_TIMEOUT)
         while not attempts.is_over():
@@ -198,8 +195,8 @@
                 command, _, _ = await self._run(claim, path, command)
 
     async def _run(
-        self, claim: claim_module.Claim, path: str, command: claim_module.Next
-    ) -> tuple[claim_module.Next, bool, datetime.timedelta | None]:
+            self, claim: claims.Claim, path: str,
+            command: _Next) -> tuple[_Next, bool, datetime.timedelta | None]:
         """Carries out a command and tells the claim what came of it.
 
         Returns:
@@ -217,15 +214,15 @@
         except errors.KeyValueError:
             return claim.unavailable(), True, None
 
-    async def _call(self, claim: claim_module.Claim, path: str,
-                    command: claim_module.Next) -> claim_module.Next:
-        if isinstance(command, claim_command.Read):
+    async def _call(self, claim: claims.Claim, path: str,
+                    command: _Next) -> _Next:
+        if isinstance(command, claims.Read):
             return await self._read(claim, path)
-        if isinstance(command, claim_command.Delete):
+        if isinstance(command, claims.Delete):
             await self._service.delete(
                 path, expected_revision=command.expected_revision)
             return claim.written(0)
-        if isinstance(command, claim_command.Replace):
+        if isinstance(command, claims.Replace):
             revision = await self._put(path, command.record,
                                        command.expected_revision)
             return claim.written(revision)
@@ -233,7 +230,7 @@
         revision = await self._put(path, command.record, 0)
         return claim.written(revision)
 
-    async def _put(self, path: str, record: claim_record.ClaimRecord,
+    async def _put(self, path: str, record: claims.ClaimRecord,
                    expected_revision: int) -> int:
         lease_id = await self._get_lease()
         try:
@@ -253,13 +250,12 @@
                 "No lease was granted for claims.",
                 "Send the request again later.") from error
 
-    async def _read(self, claim: claim_module.Claim,
-                    path: str) -> claim_module.Next:
+    async def _read(self, claim: claims.Claim, path: str) -> _Next:
         value = await self._service.get(path)
         if value is None:
             return claim.read(None, 0)
         try:
-            record = claim_record.ClaimRecord.from_json(value.value)
+            record = claims.ClaimRecord.from_json(value.value)
         except msgspec.MsgspecError as error:
             raise errors.UnavailableError(
                 f"The claim {path} can't be decoded.",
@@ -277,6 +273,5 @@
     return KEY_PREFIX + digest.hexdigest()
 
 
-def _refuse(wait: datetime.timedelta) -> claim_answer.ClaimAnswer:
-    return claim_answer.ClaimAnswer(claim_verdict.ClaimVerdict.UNAVAILABLE,
-                                    retry_after=wait)
+def _refuse(wait: datetime.timedelta) -> claims.ClaimAnswer:
+    return claims.ClaimAnswer(claims.ClaimVerdict.UNAVAILABLE, retry_after=wait)
--- a/mustardwood/claims/tests/test_key_value_claim_store.py
+++ b/mustardwood/claimstore/tests/test_key_value_claim_store.py
@@ -8,8 +8,9 @@
 from twisted.internet import task
 
 from mustardwood import claims
+from mustardwood import claimstore
 from mustardwood import timing
-from mustardwood.claims.tests import scripted_service
+from mustardwood.claimstore.tests import scripted_service
 
 VERDICT = claims.ClaimVerdict
 ANSWER = claims.StoredAnswer(status=200,
@@ -27,11 +28,11 @@
         self.timer = task.Clock()
 
     def make_store(self, vm="vm1", limit=None):
-        return claims.KeyValueClaimStore.from_service(self.service,
-                                                      self.clock,
-                                                      vm,
-                                                      limit=limit,
-                                                      timer=self.timer)
+        return claimstore.KeyValueClaimStore.from_service(self.service,
+                                                          self.clock,
+                                                          vm,
+                                                          limit=limit,
+                                                          timer=self.timer)
 
     def advance(self, seconds, step=0.5):
         for _ in range(int(seconds / step)):
@@ -138,7 +139,7 @@
 
 def test_own_write_limit_refuses_before_a_write():
     bench = Bench()
-    limit = claims.WriteLimit(rate=1.0, burst=2.0)
+    limit = claimstore.WriteLimit(rate=1.0, burst=2.0)
     store = bench.make_store(limit=limit)
     bench.acquire(store, "a")
     answer = bench.acquire(store, "b")
--- a/mustardwood/entry/main.py
+++ b/mustardwood/entry/main.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from mustardwood import claims
+from mustardwood import claimstore
 from mustardwood import messages
 from mustardwood import runtime
 from mustardwood import settings as settings_module
@@ -19,10 +19,10 @@
                                               clock)
     service = http_key_value_service.HttpKeyValueService.from_settings(
         settings, reactor, clock)
-    store = claims.KeyValueClaimStore.from_service(service,
-                                                   clock,
-                                                   settings.vm,
-                                                   timer=reactor)
+    store = claimstore.KeyValueClaimStore.from_service(service,
+                                                       clock,
+                                                       settings.vm,
+                                                       timer=reactor)
     return entry_daemon.EntryDaemon(settings, reactor, clock, link, store=store)
 
 
--- a/mustardwood/membership/failure_detector.py
+++ b/mustardwood/membership/failure_detector.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from mustardwood import messages
-from mustardwood import settings as settings_module
 from mustardwood import vmlist
 from mustardwood.membership import addressed
 from mustardwood.membership import fanout
@@ -90,20 +89,6 @@
         self._last_tick: datetime.timedelta | None = None
         self._listed_leaving = False
 
-    @classmethod
-    def from_settings(cls, settings: settings_module.Settings, incarnation: int,
-                      rng: random.Random) -> "FailureDetector":
-        """Makes the detector of a VM.
-
-        Args:
-            settings: Settings of the VM.
-            incarnation: Start time of the process, in nanoseconds since 1970.
-            rng: Source of randomness.
-        """
-        me = messages.Member(settings.vm, settings.ip, settings.zone,
-                             settings.region, _State.ALIVE, incarnation)
-        return cls(me, rng)
-
     def members(self) -> tuple[messages.Member, ...]:
         """Returns all VMs, this one included, by name."""
         return self._table.members()
--- a/mustardwood/membership/tests/network.py
+++ b/mustardwood/membership/tests/network.py
@@ -8,7 +8,6 @@
 
 from mustardwood import membership
 from mustardwood import messages
-from mustardwood import settings
 from mustardwood import vmlist
 
 _SECOND = datetime.timedelta(seconds=1)
@@ -44,9 +43,10 @@
     def start(self, vm: str, incarnation: int = 1) -> None:
         """Starts a VM's detector, which knows the list."""
         record = next(each for each in self.records if each.vm == vm)
-        plain = settings.Settings(vm, record.ip, record.zone, record.region, "")
-        detector = membership.FailureDetector.from_settings(
-            plain, incarnation, random.Random(self.rng.random()))
+        me = messages.Member(vm, record.ip, record.zone, record.region,
+                             messages.MemberState.ALIVE, incarnation)
+        detector = membership.FailureDetector(me,
+                                              random.Random(self.rng.random()))
         self.detectors[vm] = detector
         self.send(vm, detector.update_list(self.records, self.now))
         self._push(self._tick_period * self.rng.random(),
--- a/mustardwood/tests/test_imports.py
+++ b/mustardwood/tests/test_imports.py
@@ -22,7 +22,8 @@
     "operator", "random", "re", "statistics", "string", "types", "typing",
     "urllib", "uuid", "zlib"
 })
-_INTERFACES = frozenset({"mustardwood.keyvalue", "mustardwood.timing"})
+_INTERFACES = frozenset(
+    {"mustardwood.keyvalue", "mustardwood.timing", "mustardwood.vmlist"})
 """Packages that define only interfaces and data besides their adapter file."""
 
 
