Leave the libraries of TLS out where the settings need none

Cause: scheduler and agent together held 127.2 MB against a goal of 110; the TLS libraries for HTTP took some 11 MB of each, though links have their own. Change: once the command line is read, mustardwood.start starts the daemon and, where the settings need no TLS of HTTP, keeps the reactor from loading it. The agent needs it for a platform with an HTTPS URL; the scheduler where endpoints_tls is true, the default; the entry there, for callers' TLS and for such a platform. An endpoint with an HTTPS URL where it was left out counts as unreachable, and the log names the setting.

--- a/mustardwood/agent/main.py
+++ b/mustardwood/agent/main.py
@@ -27,7 +27,11 @@
 
 def main() -> None:
     """Runs the agent."""
-    runtime.run_command("agent", build_agent)
+    runtime.run_command("agent", build_agent, _needs_tls)
+
+
+def _needs_tls(settings: settings_module.Settings) -> bool:
+    return settings.platform_url.startswith("https:")
 
 
 if __name__ == "__main__":
--- a/mustardwood/benchmarks/path/__main__.py
+++ b/mustardwood/benchmarks/path/__main__.py
@@ -63,7 +63,7 @@
         fleet.start_engine(number, fleet_document.MODEL, *_ENGINE_OPTIONS).url
         for number in range(1, _ENGINES + 1)
     ]
-    fleet.start_vm(1, "zone-a")
+    fleet.start_vm(1, "zone-a", endpoints_tls=False)
     path = fleet.folder / "configuration.json"
     document = fleet_document.make_document(urls)
     path.write_text(configuration.dump_document(document), encoding="utf-8")
--- a/mustardwood/engines/http_client.py
+++ b/mustardwood/engines/http_client.py
@@ -2,15 +2,19 @@
 
 import typing
 
+from twisted.internet import defer
+from twisted.internet import error
 from twisted.web import client
 from twisted.web import http_headers
 
 from mustardwood import routing
+from mustardwood import runtime
 from mustardwood.engines import bytes_producer
 from mustardwood.engines import endpoint_client
 from mustardwood.engines import http_exchange
 
 _CONNECT_TIMEOUT_SECONDS = 2.0
+_log = runtime.make_logger("engines")
 
 
 class HttpClient:
@@ -36,7 +40,14 @@
         url = call.endpoint.url.rstrip("/") + call.path
         body = bytes_producer.make_producer(call.body)
         exchange = http_exchange.HttpExchange(receiver, events=call.events)
-        exchange.follow(
-            self._agent.request(call.method.encode("ascii"),
-                                url.encode("ascii"), headers, body))
+        exchange.follow(self._request(call.method, url, headers, body))
         return exchange
+
+    def _request(self, method: str, url: str, headers: http_headers.Headers,
+                 body: typing.Any) -> defer.Deferred:
+        try:
+            return self._agent.request(method.encode("ascii"),
+                                       url.encode("ascii"), headers, body)
+        except NotImplementedError:
+            _log.error("%s needs TLS: set endpoints_tls to true", url)
+            return defer.fail(error.ConnectError(string="TLS was left out"))
--- a/mustardwood/entry/main.py
+++ b/mustardwood/entry/main.py
@@ -28,7 +28,13 @@
 
 def main() -> None:
     """Runs the command line."""
-    runtime.run_command("entry", build_entry)
+    runtime.run_command("entry", build_entry, _needs_tls)
+
+
+def _needs_tls(settings: settings_module.Settings) -> bool:
+    has_callers_tls = settings.callers_tls is not None
+    has_platform_tls = settings.platform_url.startswith("https:")
+    return settings.endpoints_tls or has_callers_tls or has_platform_tls
 
 
 if __name__ == "__main__":
--- a/mustardwood/runtime/launcher.py
+++ b/mustardwood/runtime/launcher.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 
 from mustardwood import settings as settings_module
+from mustardwood import start as start_module
 from mustardwood import timing
 from mustardwood.runtime import command_line
 from mustardwood.runtime import daemon
@@ -22,11 +23,10 @@
     [settings_module.Settings, typing.Any, timing.Clock], daemon.Daemon]
 """Makes a daemon from its settings, the reactor and the clock."""
 
-_CHECKED = "--checked-settings"
-"""First argument of a process whose command line was read."""
+_Needs = collections.abc.Callable[[settings_module.Settings], bool]
 
 
-def run_command(part: str, build: BuildDaemon) -> None:
+def run_command(part: str, build: BuildDaemon, needs_tls: _Needs) -> None:
     """Runs the command line of a daemon.
 
     The reader of command lines takes some 20 MB. So once it has done its work
@@ -36,21 +36,25 @@
     Args:
         part: Name of the part, for logs and ``--help``.
         build: Makes the daemon.
+        needs_tls: Tells whether it uses TLS of HTTP; its libraries take some
+            11 MB and are left out otherwise.
     """
-    if sys.argv[1:2] == [_CHECKED]:
+    if sys.argv[1:2] == [start_module.CHECKED]:
         settings = settings_module.read_settings(pathlib.Path(sys.argv[2]))
         logs.configure_logging(settings)
         sys.exit(_run_daemon(part, settings, build))
-    command_line.run(part, lambda path: _start_anew(part, path))
+    command_line.run(part, lambda path: _start_anew(part, path, needs_tls))
 
 
-def _start_anew(part: str, path: pathlib.Path) -> None:
-    module = f"mustardwood.{part}.main"
+def _start_anew(part: str, path: pathlib.Path, needs_tls: _Needs) -> None:
+    settings = settings_module.read_settings(path)
+    security = (start_module.TLS if needs_tls(settings) else start_module.PLAIN)
     sys.stdout.flush()
     sys.stderr.flush()
-    os.execv(sys.executable,
-             [sys.executable, "-m", module, _CHECKED,
-              str(path)])
+    os.execv(
+        sys.executable,
+        [sys.executable, "-m", "mustardwood.start", part, security,
+         str(path)])
 
 
 def _run_daemon(part: str, settings: settings_module.Settings,
--- a/mustardwood/scheduler/load_poller.py
+++ b/mustardwood/scheduler/load_poller.py
@@ -64,7 +64,7 @@
         except (msgspec.MsgspecError, client.ResponseFailed,
                 client.RequestNotSent, internet_error.ConnectError,
                 internet_error.ConnectionClosed, defer.CancelledError,
-                OverflowError, ValueError) as error:
+                NotImplementedError, OverflowError, ValueError) as error:
             _log.debug("no load of endpoint %s: %s", endpoint.name, error)
         finally:
             self._outstanding.discard(endpoint.name)
--- a/mustardwood/scheduler/main.py
+++ b/mustardwood/scheduler/main.py
@@ -6,7 +6,8 @@
 
 def main() -> None:
     """Runs the command line."""
-    runtime.run_command("scheduler", daemon.SchedulerDaemon.from_settings)
+    runtime.run_command("scheduler", daemon.SchedulerDaemon.from_settings,
+                        lambda settings: settings.endpoints_tls)
 
 
 if __name__ == "__main__":
--- a/mustardwood/settings/settings.py
+++ b/mustardwood/settings/settings.py
@@ -27,6 +27,8 @@
             bearer token; empty for no check.
         callers_tls: TLS of the callers' HTTP; None for plain HTTP.
         links_tls: TLS between VMs; None for plain TCP.
+        endpoints_tls: Whether endpoints may have HTTPS URLs; false leaves the
+            libraries of TLS out where nothing else needs them.
         platform_timeout_seconds: Bound on one call to the platform.
         drain_seconds: Bound on a planned stop.
         log_level: Lowest level that is logged, as in ``INFO``.
@@ -48,6 +50,7 @@
     operators_token_hash: str = ""
     callers_tls: tls_files.TlsFiles | None = None
     links_tls: tls_files.TlsFiles | None = None
+    endpoints_tls: bool = True
     platform_timeout_seconds: float = 2.0
     drain_seconds: float = 600.0
     log_level: str = "INFO"
