--- a/mustardwood/configuration/locator.py
+++ b/mustardwood/configuration/locator.py
@@ -5,6 +5,7 @@
 if typing.TYPE_CHECKING:
     import tree_sitter
 
+_POSITION = re.compile(r"near (\d+)")
 _STEP = re.compile(r"\.([A-Za-z_][A-Za-z0-9_]*)|\[(\d+)\]")
 
 
@@ -35,6 +36,26 @@
     return node.start_point.row + 1
 
 
+def find_syntax_line(text: str, message: str) -> int | None:
+    """Finds the line of a syntax error.
+
+    Args:
+        text: The malformed document.
+        message: Message of the parser, which names a position.
+
+    Returns:
+        The line, from 1; None when the message names no position.
+
+    Examples:
+        >>> find_syntax_line("{\\n]", "Expected b'string' near 3")
+        2
+    """
+    position = _POSITION.search(message)
+    if position is None:
+        return None
+    return text.count("\n", 0, int(position.group(1))) + 1
+
+
 def _parse(text: str) -> "tree_sitter.Node":
     # Only the few processes that show an error need the parser.
     import tree_sitter
--- a/mustardwood/entry/entry_daemon.py
+++ b/mustardwood/entry/entry_daemon.py
@@ -21,6 +21,7 @@
 from mustardwood.entry import callers_site
 from mustardwood.entry import dispatcher
 from mustardwood.entry import entry_metrics
+from mustardwood.entry import listener_stop
 from mustardwood.entry import query_answerer
 from mustardwood.entry import unavailable_claims
 
@@ -77,6 +78,7 @@
         self._site = self._callers.make_site(reactor)
         self._sweep = task.LoopingCall(link.close_idle)
         self._sweep.clock = reactor
+        entry_metrics.show_version(registry, lambda: self._router.view.version)
         self._operators = runtime.OperatorsSite(settings, registry,
                                                 self.is_ready)
 
@@ -119,7 +121,7 @@
         self._sweep.start(_SWEEP_SECONDS, now=False)
         operators = await runtime.listen_http(
             self._reactor, server.Site(self._operators.app.resource()),
-            settings.ip, settings.entry_operators_port)
+            settings.ip, settings.entry_operators_port, settings.operators_tls)
         callers = await runtime.listen_http(self._reactor, self._site,
                                             settings.ip, settings.callers_port,
                                             settings.callers_tls)
@@ -129,7 +131,8 @@
         """Finishes every open request, bounded by the settings."""
         self._draining = True
         if self._listeners:
-            await _stop_listening(self._listeners[0])
+            await listener_stop.stop_listening(self._listeners[0],
+                                               self._reactor)
         begun = self._clock.monotonic()
         bound = datetime.timedelta(seconds=self._settings.drain_seconds)
         while not self._is_drained(self._clock.monotonic() - begun):
--- a/mustardwood/routing/answer_text.py
+++ b/mustardwood/routing/answer_text.py
@@ -69,12 +69,12 @@
             self._reported_tokens = event.usage.completion_tokens
             return b""
         own = _replace_id(data, event.id, self._request_id)
-        text = event.text
-        tokens = event.tokens if text else 0
+        tokens = event.token_count
         if event.finished or self.tail:
             self.tail.append(own)
             self._tail_tokens += tokens
             return b""
+        text = event.text
         if text:
             self._parts.append(text)
         self.tokens += tokens
--- a/mustardwood/runtime/listener.py
+++ b/mustardwood/runtime/listener.py
@@ -21,10 +21,7 @@
     if tls is None:
         endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
     else:
-        from twisted.internet import ssl
-        context = ssl.DefaultOpenSSLContextFactory(tls.key, tls.certificate)
-        endpoint = endpoints.SSL4ServerEndpoint(reactor,
-                                                port,
-                                                context,
-                                                interface=ip)
+        from mustardwood.runtime import tls_context
+        endpoint = endpoints.SSL4ServerEndpoint(
+            reactor, port, tls_context.make_tls_context(tls), interface=ip)
     return await endpoint.listen(site)
