Load TLS where the operators' pages need it

Cause: after the merge of operators_tls, test_operators_pages_by_tls failed: an agent without an HTTPS platform left the libraries out. Change: operators_tls counts for every daemon.

--- a/mustardwood/runtime/launcher.py
+++ b/mustardwood/runtime/launcher.py
@@ -48,7 +48,8 @@
 
 def _start_anew(part: str, path: pathlib.Path, needs_tls: _Needs) -> None:
     settings = settings_module.read_settings(path)
-    security = (start_module.TLS if needs_tls(settings) else start_module.PLAIN)
+    needed = settings.operators_tls is not None or needs_tls(settings)
+    security = start_module.TLS if needed else start_module.PLAIN
     sys.stdout.flush()
     sys.stderr.flush()
     os.execv(
