--- a/mustardwood/agent/configuration_keeper.py
+++ b/mustardwood/agent/configuration_keeper.py
@@ -52,6 +52,7 @@
         self._is_watcher = is_watcher
         self._on_adopt = on_adopt
         self._document: configuration.Document | None = None
+        self._loaded: tuple[str, configuration.Document] | None = None
         self._revision = 0
         self._must_read = True
         self._stopped = False
@@ -72,6 +73,11 @@
         held = self._replica.in_force
         return 0 if held is None else held.version
 
+    @property
+    def is_booting(self) -> bool:
+        """Whether it may still wait for a neighbour's configuration."""
+        return self._is_booting
+
     def stop(self) -> None:
         """Ends `run` after its present wait."""
         self._stopped = True
@@ -94,7 +100,8 @@
         if not self._is_usable(document):
             return
         now = self._clock.monotonic()
-        self._carry_out(self._replica.accept_neighbour(document, now))
+        commands = self._replica.accept_neighbour(document, now)
+        defer.ensureDeferred(self._try_all(commands))
 
     async def accept_stored(self, stored: keyvalue.StoredValue | None) -> None:
         """Takes what the platform holds; writes ours over an older state."""
@@ -113,9 +120,12 @@
         """Stops waiting for a neighbour's configuration at the start."""
         await self._sleeper.sleep(replication.BOOT_TIMEOUT)
         self._is_booting = False
-        now = self._clock.monotonic()
+        await self._try_all(self._replica.end_boot(self._clock.monotonic()))
+
+    async def _try_all(
+            self, commands: tuple[replication.ReplicaCommand, ...]) -> None:
         try:
-            await self._carry_out_all(self._replica.end_boot(now))
+            await self._carry_out_all(commands)
         except errors.KeyValueError as error:
             self._must_read = True
             _log.warning("%s", error)
@@ -163,7 +173,7 @@
                 self._adopt(each.document)
 
     def _adopt(self, document: configuration.VersionedDocument) -> None:
-        self._document = configuration.load_document(document.text)
+        self._document = self._load(document.text)
         _log.info("version %d is in force", document.version)
         self._on_adopt(document)
 
@@ -180,9 +190,15 @@
             return None
         return document if self._is_usable(document) else None
 
+    def _load(self, text: str) -> configuration.Document:
+        """Reads a document's text; the last one read is kept."""
+        if self._loaded is None or self._loaded[0] != text:
+            self._loaded = (text, configuration.load_document(text))
+        return self._loaded[1]
+
     def _is_usable(self, document: configuration.VersionedDocument) -> bool:
         try:
-            configuration.load_document(document.text)
+            self._load(document.text)
             return True
         except errors.ConfigurationError as error:
             _log.error("version %d is refused: %s", document.version, error)
--- a/mustardwood/agent/fleet_survey.py
+++ b/mustardwood/agent/fleet_survey.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from mustardwood import fleetstatus
 from mustardwood import messages
 from mustardwood import reports
 from mustardwood import runtime
@@ -39,7 +40,7 @@
     def __init__(
         self, me: messages.Peer, desk: question.QuestionDesk,
         list_members: collections.abc.Callable[[], tuple[messages.Member, ...]],
-        read_versions: collections.abc.Callable[[], vm_report.Versions],
+        read_versions: collections.abc.Callable[[], fleetstatus.Versions],
         list_handed: collections.abc.Callable[[str], tuple[reports.LevelRecord,
                                                            ...]]
     ) -> None:
--- a/mustardwood/agent/vm_report.py
+++ b/mustardwood/agent/vm_report.py
@@ -4,27 +4,10 @@
 
 import msgspec
 
+from mustardwood import fleetstatus
 from mustardwood import reports
 
 
-class Versions(msgspec.Struct, frozen=True):
-    """Configuration versions in force on a VM; 0 for none.
-
-    Attributes:
-        agent: Version at the agent.
-        entry: Version that the entry acknowledged.
-        scheduler: Version that the scheduler acknowledged.
-    """
-
-    agent: int = 0
-    entry: int = 0
-    scheduler: int = 0
-
-    def lowest(self) -> int:
-        """Returns the version that all three have at least."""
-        return min(self.agent, self.entry, self.scheduler)
-
-
 class VmReport(msgspec.Struct, frozen=True):
     """One VM's answer: its agent's, its entry's and its scheduler's.
 
@@ -35,7 +18,7 @@
         handed: Counts of service levels of entries that stopped.
     """
 
-    versions: Versions
+    versions: fleetstatus.Versions
     entry: dict[str, typing.Any] | None = None
     scheduler: dict[str, typing.Any] | None = None
     handed: tuple[reports.LevelRecord, ...] = ()
--- a/mustardwood/cli/report_command.py
+++ b/mustardwood/cli/report_command.py
@@ -27,6 +27,7 @@
 def burn(
     agent: session.AgentOption = None,
     token_file: session.TokenOption = None,
+    authority: session.AuthorityOption = None,
     as_json: typing.Annotated[
         bool, typer.Option("--json", help="Print JSON.")] = False,
     html: typing.Annotated[
@@ -45,7 +46,7 @@
         elif html is None:
             typer.echo(burn_text.format_report(report))
 
-    session.run_session(agent, token_file, run)
+    session.run_session(agent, token_file, authority, run)
 
 
 def _read_report(reply: agent_reply.AgentReply) -> reports.BurnReport:
--- a/mustardwood/entry/main.py
+++ b/mustardwood/entry/main.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from mustardwood import claims
+from mustardwood import claimstore
 from mustardwood import messages
 from mustardwood import runtime
 from mustardwood import settings as settings_module
@@ -19,16 +19,22 @@
                                               clock)
     service = http_key_value_service.HttpKeyValueService.from_settings(
         settings, reactor, clock)
-    store = claims.KeyValueClaimStore.from_service(service,
-                                                   clock,
-                                                   settings.vm,
-                                                   timer=reactor)
+    store = claimstore.KeyValueClaimStore.from_service(service,
+                                                       clock,
+                                                       settings.vm,
+                                                       timer=reactor)
     return entry_daemon.EntryDaemon(settings, reactor, clock, link, store=store)
 
 
 def main() -> None:
     """Runs the command line."""
-    runtime.run_command("entry", build_entry)
+    runtime.run_command("entry", build_entry, _needs_tls)
+
+
+def _needs_tls(settings: settings_module.Settings) -> bool:
+    has_callers_tls = settings.callers_tls is not None
+    has_platform_tls = settings.platform_url.startswith("https:")
+    return settings.endpoints_tls or has_callers_tls or has_platform_tls
 
 
 if __name__ == "__main__":
--- a/mustardwood/runtime/listener.py
+++ b/mustardwood/runtime/listener.py
@@ -4,7 +4,6 @@
 
 from twisted.internet import endpoints
 from twisted.internet import interfaces
-from twisted.internet import ssl
 from twisted.web import server
 
 from mustardwood import settings as settings_module
@@ -22,9 +21,7 @@
     if tls is None:
         endpoint = endpoints.TCP4ServerEndpoint(reactor, port, interface=ip)
     else:
-        context = ssl.DefaultOpenSSLContextFactory(tls.key, tls.certificate)
-        endpoint = endpoints.SSL4ServerEndpoint(reactor,
-                                                port,
-                                                context,
-                                                interface=ip)
+        from mustardwood.runtime import tls_context
+        endpoint = endpoints.SSL4ServerEndpoint(
+            reactor, port, tls_context.make_tls_context(tls), interface=ip)
     return await endpoint.listen(site)
