Tell a new owner in the bench which attempts have their first token

Cause: after the loss of an owner the bench's heartbeats said that no attempt had a token, so the new owner held the endpoints for stalled and cut their limits (traced by printing limits every 3 s: 24 to 6 to 1). The entry itself reports the tokens so far. Change: the bench's entry counts the first token. Conclusion: a fault of the bench, not of the policy.

--- a/mustardwood/benchmarks/bench_entry.py
+++ b/mustardwood/benchmarks/bench_entry.py
@@ -212,7 +212,8 @@
 
 def _describe_running(one: OpenRequest) -> messages.RunningAttempt:
     request = one.request
+    started = 0 if one.first_at is None else 1
     return messages.RunningAttempt(request.request_id, one.attempt,
                                    one.endpoint, request.request_class.name,
                                    request.organisation, request.prompt_tokens,
-                                   one.tokens)
+                                   one.tokens + started)
