Take a VM's callers' port from its own settings

Cause: Fleet.find_callers_url built empty settings to learn the default port, and ignored an override. Change: the fleet keeps each VM's settings.

--- a/mustardwood/standins/fleet/fleet.py
+++ b/mustardwood/standins/fleet/fleet.py
@@ -62,6 +62,7 @@
         self.addresses = address_plan.AddressPlan(network)
         self.children: dict[str, child_process.ChildProcess] = {}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardwood-"))
+        self._settings: dict[str, settings_module.Settings] = {}
         self._records: dict[str, vmlist.VmRecord] = {}
 
     def __enter__(self) -> typing.Self:
@@ -126,6 +127,7 @@
         )
         path = self.folder / f"{vm}.json"
         path.write_bytes(msgspec.json.encode(settings))
+        self._settings[vm] = settings
         self._records[vm] = vmlist.VmRecord(vm, ip, zone, region)
         self._publish_vms()
         ports = (settings.agent_operators_port,
@@ -146,8 +148,8 @@
 
     def find_callers_url(self, number: int) -> str:
         """Returns the base URL of the callers' HTTP of a VM."""
-        port = settings_module.Settings("", "", "", "", "").callers_port
-        return f"http://{self.addresses.find_vm(number)}:{port}"
+        settings = self._settings[f"vm-{number}"]
+        return f"http://{settings.ip}:{settings.callers_port}"
 
     def switch(self, name: str, **changes: typing.Any) -> None:
         """Posts to ``/switch`` of a stand-in."""
