--- a/mustardwood/scheduling/tests/test_starvation.py
+++ b/mustardwood/scheduling/tests/test_starvation.py
@@ -60,6 +60,16 @@
         assert _find_longest_gap(bench, each.name, 200.0) <= _MAX_WAIT
 
 
+def test_floor_is_kept_whatever_the_bound_on_waiting():
+    classes = bench_module.make_tiers(floor=0.05,
+                                      max_wait_seconds=10000.0,
+                                      queue_limit=20)
+    bench = _run_overload(classes, 200.0)
+    for each in classes:
+        share = (bench.count_grants(each.name) + 2) / len(bench.grants)
+        assert share >= each.floor, each.name
+
+
 def test_burst_of_one_organisation_leaves_room_for_another():
     classes = [configuration.RequestClass("t0", 0, 1.0, queue_limit=50)]
     bench = bench_module.Bench(
@@ -112,3 +122,41 @@
         bench.ask("long", max_tokens=4000)
     tag = bench.ask("tag")
     assert tag.request_id in bench.grants
+
+
+def test_unused_grants_are_not_charged():
+    classes = [configuration.RequestClass("t0", 0, 1.0)]
+    bench = bench_module.Bench(
+        bench_module.make_document(classes, concurrency=1))
+    for _ in range(5):
+        bench.withdraw(bench.ask("t0", organisation="a"))
+    running = bench.ask("t0", organisation="b")
+    bench.ask("t0", organisation="b")
+    bench.clock.advance(bench_module.TICK)
+    ask = bench.ask("t0", organisation="a")
+    bench.report(running.request_id)
+    assert ask.request_id in bench.grants
+
+
+def _run_backlog(count):
+    classes = [configuration.RequestClass("t0", 0, 1.0)]
+    bench = bench_module.Bench(
+        bench_module.make_document(classes, concurrency=1))
+    running = bench.ask("t0")
+    late = [bench.ask("t0") for _ in range(count)]
+    bench.advance(datetime.timedelta(seconds=2))
+    fresh = [bench.ask("t0") for _ in range(count)]
+    for _ in range(count):
+        bench.report(running.request_id)
+        running = bench.asks[list(bench.grants)[-1]]
+    return bench, late, fresh
+
+
+def test_requests_that_can_meet_the_target_go_before_late_ones():
+    bench, _, fresh = _run_backlog(8)
+    assert sum(each.request_id in bench.grants for each in fresh) >= 6
+
+
+def test_late_requests_keep_being_served():
+    bench, late, _ = _run_backlog(8)
+    assert sum(each.request_id in bench.grants for each in late) >= 2
