Keep one type for a message with its receiver

Cause: scheduling and membership each had their own Addressed. Change: messages.Addressed replaces both. Measured: the tests of scheduling, membership, messages, benchmarks and scheduler pass.

--- a/mustardwood/agent/agent.py
+++ b/mustardwood/agent/agent.py
@@ -311,7 +311,7 @@
                                                self._clock.monotonic()))
 
     def _send_all(self,
-                  sent: collections.abc.Iterable[membership.Addressed]) -> None:
+                  sent: collections.abc.Iterable[messages.Addressed]) -> None:
         for each in sent:
             self._link.send(each.peer, each.message)
 
--- a/mustardwood/agent/view_publisher.py
+++ b/mustardwood/agent/view_publisher.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from mustardwood import membership
 from mustardwood import messages
 
 REPEAT_PERIOD = datetime.timedelta(seconds=1)
@@ -48,7 +47,7 @@
         return {role: each.version for role, each in self._receivers.items()}
 
     def publish(self, content: messages.View,
-                now: datetime.timedelta) -> tuple[membership.Addressed, ...]:
+                now: datetime.timedelta) -> tuple[messages.Addressed, ...]:
         """Returns what to send.
 
         Args:
@@ -67,7 +66,7 @@
         return tuple(self._address(role, bare) for role in RECEIVERS)
 
     def accept_ack(self, sender: messages.Peer, incarnation: int,
-                   ack: messages.ViewAck) -> tuple[membership.Addressed, ...]:
+                   ack: messages.ViewAck) -> tuple[messages.Addressed, ...]:
         """Takes an acknowledgement; returns the whole view if it is needed."""
         receiver = self._receivers.get(sender.role)
         if receiver is None or sender.ip != self._ip:
@@ -84,8 +83,8 @@
         return (self._address(sender.role, self._content),)
 
     def _address(self, role: messages.Role,
-                 content: messages.View) -> membership.Addressed:
+                 content: messages.View) -> messages.Addressed:
         view = msgspec.structs.replace(content, sequence=self._sequence)
         if self._receivers[role].version >= content.version:
             view = msgspec.structs.replace(view, configuration=None)
-        return membership.Addressed(messages.Peer(self._ip, role), view)
+        return messages.Addressed(messages.Peer(self._ip, role), view)
--- a/mustardwood/benchmarks/capacity/scheduler_cost.py
+++ b/mustardwood/benchmarks/capacity/scheduler_cost.py
@@ -85,7 +85,7 @@
             self._take(
                 self._scheduler.accept_report(self._sender, report, self._now))
 
-    def _take(self, answers: tuple[scheduling.Addressed, ...]) -> None:
+    def _take(self, answers: tuple[messages.Addressed, ...]) -> None:
         self._running += [
             each.message
             for each in answers
--- a/mustardwood/benchmarks/router_policy.py
+++ b/mustardwood/benchmarks/router_policy.py
@@ -102,7 +102,7 @@
         sender = messages.Peer(vm, messages.Role.ENTRY)
         scheduler = self._scheduler
         now = self._now
-        answers: tuple[scheduling.Addressed, ...] = ()
+        answers: tuple[messages.Addressed, ...] = ()
         if isinstance(message, messages.Ask):
             answers = scheduler.accept_ask(sender, message, now)
         elif isinstance(message, messages.OpenWork):
@@ -113,7 +113,7 @@
             answers = scheduler.accept_withdrawal(sender, message, now)
         self._send_down(answers)
 
-    def _send_down(self, answers: tuple[scheduling.Addressed, ...]) -> None:
+    def _send_down(self, answers: tuple[messages.Addressed, ...]) -> None:
         for answer in answers:
             vm = self._peers[answer.peer]
             self._count(answer.message)
--- a/mustardwood/membership/__init__.py
+++ b/mustardwood/membership/__init__.py
@@ -1,13 +1,11 @@
 """Failure detection and the table of members, without I/O."""
 
-from mustardwood.membership.addressed import Addressed
 from mustardwood.membership.failure_detector import FailureDetector
 from mustardwood.membership.fanout import choose_peers
 from mustardwood.membership.fanout import SMALL_FLEET
 from mustardwood.membership.member_table import MemberTable
 
 __all__ = [
-    "Addressed",
     "FailureDetector",
     "MemberTable",
     "SMALL_FLEET",
--- a/mustardwood/membership/failure_detector.py
+++ b/mustardwood/membership/failure_detector.py
@@ -10,7 +10,6 @@
 
 from mustardwood import messages
 from mustardwood import vmlist
-from mustardwood.membership import addressed
 from mustardwood.membership import fanout
 from mustardwood.membership import member_table
 from mustardwood.membership import news_queue
@@ -50,7 +49,7 @@
 """Largest number of members told about in a message."""
 
 _State = messages.MemberState
-_Out = tuple[addressed.Addressed, ...]
+_Out = tuple[messages.Addressed, ...]
 
 
 class FailureDetector:
@@ -142,7 +141,7 @@
             return out
         news = self._choose_news(ack.vm)
         answer = messages.PingAck(relay.probe, ack.vm, ack.version, news)
-        return (*out, addressed.Addressed(relay.origin, answer))
+        return (*out, messages.Addressed(relay.origin, answer))
 
     def update_list(self, records: collections.abc.Iterable[vmlist.VmRecord],
                     now: datetime.timedelta) -> _Out:
@@ -200,7 +199,7 @@
         return (self._start_probe(self._rng.choice(dead), now),)
 
     def _start_probe(self, member: messages.Member,
-                     now: datetime.timedelta) -> addressed.Addressed:
+                     now: datetime.timedelta) -> messages.Addressed:
         number = self._count_probe()
         self._probes[number] = probe_module.Probe(member.vm, now)
         return self._make_ping(member, number)
@@ -215,7 +214,7 @@
             for number, each in self._relays.items()
             if now - each.sent_at < PROBE_TIMEOUT
         }
-        out: list[addressed.Addressed] = []
+        out: list[messages.Addressed] = []
         for number, each in tuple(self._probes.items()):
             if now - each.sent_at >= PROBE_TIMEOUT:
                 del self._probes[number]
@@ -245,7 +244,7 @@
 
     def _bury_suspects(self, now: datetime.timedelta) -> _Out:
         timeout = self._choose_suspicion_timeout()
-        out: list[addressed.Addressed] = []
+        out: list[messages.Addressed] = []
         for each in self._table.find_in_state(_State.SUSPECT):
             if now - self._table.changed_at(each.vm) >= timeout:
                 out += self._set_state(each, _State.DEAD, now)
@@ -334,23 +333,22 @@
         peers = fanout.choose_peers(others, self._me.vm, self._rng)
         ping = messages.Ping(self._count_probe(), self._me.version,
                              self._choose_news(""))
-        return tuple(addressed.Addressed(peer, ping) for peer in peers)
+        return tuple(messages.Addressed(peer, ping) for peer in peers)
 
     def _make_ping(self,
                    member: messages.Member,
                    number: int,
-                   target: str = "") -> addressed.Addressed:
+                   target: str = "") -> messages.Addressed:
         peer = messages.Peer(member.ip, messages.Role.AGENT)
         told = target or member.vm
         ping = messages.Ping(number, self._me.version, self._choose_news(told),
                              target)
-        return addressed.Addressed(peer, ping)
+        return messages.Addressed(peer, ping)
 
-    def _make_ack(self, peer: messages.Peer,
-                  number: int) -> addressed.Addressed:
+    def _make_ack(self, peer: messages.Peer, number: int) -> messages.Addressed:
         ack = messages.PingAck(number, self._me.vm, self._me.version,
                                self._choose_news(""))
-        return addressed.Addressed(peer, ack)
+        return messages.Addressed(peer, ack)
 
     def _choose_news(self, about: str) -> tuple[messages.Member, ...]:
         """Returns this VM's own state, that of `about`, and what is new."""
--- a/mustardwood/membership/tests/network.py
+++ b/mustardwood/membership/tests/network.py
@@ -53,7 +53,7 @@
                    lambda: self._tick(vm, detector))
 
     def send(self, vm: str,
-             sent: collections.abc.Iterable[membership.Addressed]) -> None:
+             sent: collections.abc.Iterable[messages.Addressed]) -> None:
         """Puts messages of a VM on the network."""
         sender = next(ip for ip, name in self._names.items()
                       if name == vm) if sent else ""
@@ -101,7 +101,7 @@
             self.send(vm, detector.tick(self.now))
         self._push(self._tick_period, lambda: self._tick(vm, detector))
 
-    def _deliver(self, sender: str, sent: membership.Addressed) -> None:
+    def _deliver(self, sender: str, sent: messages.Addressed) -> None:
         vm = self._names[sent.peer.ip]
         detector = self.detectors.get(vm)
         if detector is None or self.cut(self._names[sender], vm):
--- a/mustardwood/messages/__init__.py
+++ b/mustardwood/messages/__init__.py
@@ -1,5 +1,6 @@
 """Messages between the processes of the fleet."""
 
+from mustardwood.messages.addressed import Addressed
 from mustardwood.messages.ask import Ask
 from mustardwood.messages.attempt_report import AttemptReport
 from mustardwood.messages.configuration_pull import ConfigurationPull
@@ -35,6 +36,7 @@
 from mustardwood.messages.withdrawal import Withdrawal
 
 __all__ = [
+    "Addressed",
     "Ask",
     "AttemptReport",
     "ConfigurationPull",
--- a/mustardwood/scheduler/cell_table.py
+++ b/mustardwood/scheduler/cell_table.py
@@ -10,7 +10,7 @@
 from mustardwood import messages
 from mustardwood import scheduling
 
-_Answers = tuple[scheduling.Addressed, ...]
+_Answers = tuple[messages.Addressed, ...]
 
 
 class CellTable:
--- a/mustardwood/scheduler/daemon.py
+++ b/mustardwood/scheduler/daemon.py
@@ -88,7 +88,7 @@
         self._send(self._handler.handle(envelope))
         self._schedule_tick()
 
-    def _send(self, answers: tuple[scheduling.Addressed, ...]) -> None:
+    def _send(self, answers: tuple[messages.Addressed, ...]) -> None:
         for answer in answers:
             self._link.send(answer.peer, answer.message)
 
--- a/mustardwood/scheduling/__init__.py
+++ b/mustardwood/scheduling/__init__.py
@@ -1,6 +1,5 @@
 """The decisions inside a cell: order, limits, shedding and grants."""
 
-from mustardwood.scheduling.addressed import Addressed
 from mustardwood.scheduling.cell_scheduler import CellScheduler
 from mustardwood.scheduling.entry_ledger import ENTRY_TIMEOUT
 from mustardwood.scheduling.explanation_log import ExplanationEvent
@@ -12,7 +11,6 @@
 from mustardwood.scheduling.status import EndpointStatus
 
 __all__ = [
-    "Addressed",
     "CellScheduler",
     "CellStatus",
     "ENTRY_TIMEOUT",
--- a/mustardwood/scheduling/admission.py
+++ b/mustardwood/scheduling/admission.py
@@ -3,7 +3,6 @@
 import datetime
 
 from mustardwood import messages
-from mustardwood.scheduling import addressed
 from mustardwood.scheduling import cell_state
 from mustardwood.scheduling import refusals
 from mustardwood.scheduling import waiting_request
@@ -29,7 +28,7 @@
         self._state = state
 
     def admit(self, waiting: _Waiting,
-              now: datetime.timedelta) -> tuple[addressed.Addressed, ...]:
+              now: datetime.timedelta) -> tuple[messages.Addressed, ...]:
         """Queues a request, or refuses it or another one.
 
         Returns:
@@ -51,14 +50,14 @@
         self._enqueue(waiting, now)
         return (refusal,)
 
-    def trim(self, now: datetime.timedelta) -> tuple[addressed.Addressed, ...]:
+    def trim(self, now: datetime.timedelta) -> tuple[messages.Addressed, ...]:
         """Sheds what a new owner holds beyond the bound once it has learnt.
 
         While it learns it knows only some entries' requests, so that it can't
         tell which tier is the lowest.
         """
         queue = self._state.queue
-        refused: list[addressed.Addressed] = []
+        refused: list[messages.Addressed] = []
         while len(queue) > self._find_bound():
             lowest = queue.find_lowest_tier()
             assert lowest is not None
@@ -77,7 +76,7 @@
             f"{waiting.request_class.name}, {len(state.queue)} waiting.")
 
     def _refuse(self, waiting: _Waiting, reason: messages.RefusalReason,
-                now: datetime.timedelta) -> addressed.Addressed:
+                now: datetime.timedelta) -> messages.Addressed:
         return refusals.refuse_request(self._state, waiting, reason, now)
 
     def _is_too_late(self, waiting: _Waiting, now: datetime.timedelta) -> bool:
--- a/mustardwood/scheduling/cell_scheduler.py
+++ b/mustardwood/scheduling/cell_scheduler.py
@@ -6,7 +6,6 @@
 from mustardwood import cells
 from mustardwood import configuration
 from mustardwood import messages
-from mustardwood.scheduling import addressed
 from mustardwood.scheduling import admission
 from mustardwood.scheduling import attempt_ends
 from mustardwood.scheduling import cell_state
@@ -22,7 +21,7 @@
 from mustardwood.scheduling import takeover
 from mustardwood.scheduling import waiting_request
 
-_Answers = tuple[addressed.Addressed, ...]
+_Answers = tuple[messages.Addressed, ...]
 
 
 class CellScheduler:
@@ -126,7 +125,7 @@
                                        open_work.sequence,
                                        self._state.estimate_queue_delay(now),
                                        self._state.pool.learning)
-        return answers + (addressed.Addressed(sender, reply),)
+        return answers + (messages.Addressed(sender, reply),)
 
     def accept_load(self, endpoint_name: str, load: load_report.LoadReport,
                     now: datetime.timedelta) -> _Answers:
@@ -215,14 +214,14 @@
         if running is not None:
             if running.grant is None:
                 return ()
-            return (addressed.Addressed(sender, running.grant),)
+            return (messages.Addressed(sender, running.grant),)
         if state.queue.find(key) is not None:
             return ()
         if key in state.memory:
             refusal = state.memory.find_refusal(key)
             if refusal is None:
                 return ()
-            return (addressed.Addressed(sender, refusal),)
+            return (messages.Addressed(sender, refusal),)
         waiting = state.make_waiting(sender, ask, now)
         state.reserve.record_arrival(waiting.request_class.name, now)
         if ask.suspect:
@@ -271,13 +270,13 @@
 
     def _refuse_waiting(self, waiting: waiting_request.WaitingRequest,
                         reason: messages.RefusalReason,
-                        now: datetime.timedelta) -> addressed.Addressed:
+                        now: datetime.timedelta) -> messages.Addressed:
         self._state.queue.remove(waiting)
         self._ledger.end_work(waiting.sender, waiting.key)
         return refusals.refuse_request(self._state, waiting, reason, now)
 
     def _expire(self, now: datetime.timedelta) -> _Answers:
-        answers: list[addressed.Addressed] = []
+        answers: list[messages.Addressed] = []
         while (waiting := self._state.queue.find_expired(now)) is not None:
             answers.append(
                 self._refuse_waiting(waiting, messages.RefusalReason.DEADLINE,
@@ -297,6 +296,6 @@
             for each in stranded)
 
 
-def _get_key(answer: addressed.Addressed) -> waiting_request.AttemptKey:
+def _get_key(answer: messages.Addressed) -> waiting_request.AttemptKey:
     assert isinstance(answer.message, messages.Refusal)
     return answer.message.request_id, answer.message.attempt
--- a/mustardwood/scheduling/dispatcher.py
+++ b/mustardwood/scheduling/dispatcher.py
@@ -3,7 +3,6 @@
 import datetime
 
 from mustardwood import messages
-from mustardwood.scheduling import addressed
 from mustardwood.scheduling import cell_state
 from mustardwood.scheduling import endpoint_choice
 from mustardwood.scheduling import endpoint_record
@@ -25,10 +24,10 @@
         self._state = state
 
     def dispatch(self,
-                 now: datetime.timedelta) -> tuple[addressed.Addressed, ...]:
+                 now: datetime.timedelta) -> tuple[messages.Addressed, ...]:
         """Returns the grants that can be made now."""
         state = self._state
-        grants: list[addressed.Addressed] = []
+        grants: list[messages.Addressed] = []
         blocked: set[str] = set()
         aside: list[_Waiting] = []
         while state.queue:
@@ -101,7 +100,7 @@
         ]
 
     def _grant(self, waiting: _Waiting, eligible: list[_Record],
-               now: datetime.timedelta) -> addressed.Addressed:
+               now: datetime.timedelta) -> messages.Addressed:
         state = self._state
         ask = waiting.ask
         name = waiting.request_class.name
@@ -121,7 +120,7 @@
         self._start(waiting, grant, now)
         state.log.record(ask.request_id, now, reason)
         state.observer.record_grant(name, waited)
-        return addressed.Addressed(waiting.sender, grant)
+        return messages.Addressed(waiting.sender, grant)
 
     def _start(self, waiting: _Waiting, grant: messages.Grant,
                now: datetime.timedelta) -> None:
--- a/mustardwood/scheduling/refusals.py
+++ b/mustardwood/scheduling/refusals.py
@@ -3,7 +3,6 @@
 import datetime
 
 from mustardwood import messages
-from mustardwood.scheduling import addressed
 from mustardwood.scheduling import cell_state
 from mustardwood.scheduling import waiting_request
 
@@ -26,7 +25,7 @@
 def refuse_request(state: cell_state.CellState,
                    waiting: waiting_request.WaitingRequest,
                    reason: messages.RefusalReason,
-                   now: datetime.timedelta) -> addressed.Addressed:
+                   now: datetime.timedelta) -> messages.Addressed:
     """Makes, remembers and counts the refusal of a request not queued."""
     ask = waiting.ask
     sentence = _EXPLANATIONS[reason].format(cell=state.cell.name,
@@ -39,4 +38,4 @@
     state.log.record(ask.request_id, now, refusal.explanation)
     state.observer.record_refusal(waiting.request_class.name, reason)
     state.floor.record_refusal(waiting.request_class.name, now)
-    return addressed.Addressed(waiting.sender, refusal)
+    return messages.Addressed(waiting.sender, refusal)
