--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,8 @@
 check-model: $(VENV)/.ready
 	$(BIN)/python -m spec
 
-test: lint types check-model
+test: $(VENV)/.ready
+	$(MAKE) --jobs=3 --output-sync lint types check-model
 	$(BIN)/python -m pytest
 
 format: $(VENV)/.ready
