--- a/mustardwood/entry/tests/test_entry_processes.py
+++ b/mustardwood/entry/tests/test_entry_processes.py
@@ -17,7 +17,7 @@
 
 @pytest.fixture(name="fleet")
 def _start_fleet(tmp_path):
-    with fleet_package.Fleet("127.96.4") as fleet:
+    with fleet_package.Fleet("127.96.5") as fleet:
         fleet.start_platform()
         endpoints = []
         for number in (1, 2, 3):
@@ -44,10 +44,11 @@
 class Callers:
     """Streams the same request several times at once."""
 
-    def __init__(self, fleet, count):
+    def __init__(self, fleet, count, vm=1):
         self.answers = []
         self._client = openai.OpenAI(api_key=_KEY,
-                                     base_url=fleet.find_callers_url(1) + "/v1",
+                                     base_url=fleet.find_callers_url(vm) +
+                                     "/v1",
                                      max_retries=0)
         self._begun = threading.Event()
         self._threads = [
@@ -114,3 +115,11 @@
             break
         time.sleep(0.1)
     assert not fleet.children["vm-1/entry"].is_running
+
+
+@pytest.mark.processes
+def test_openai_client_streams_through_two_entries(fleet):
+    fleet.start_vm(2, zone="zone-b")
+    fleet.wait_until_ready("vm-2/entry")
+    answers = Callers(fleet, 2).finish() + Callers(fleet, 2, vm=2).finish()
+    check_whole(answers, 4)
