--- a/mustardwood/benchmarks/results_plot.py
+++ b/mustardwood/benchmarks/results_plot.py
@@ -47,5 +47,5 @@
     axis.set_xticks([place + 0.4 for place in range(len(scenarios))],
                     [name.replace(" ", "\n", 2) for name in scenarios],
                     fontsize=7)
-    axis.set_ylim(0, 1)
+    axis.set_ylim(0, 1.15)
     axis.legend(fontsize=7, ncols=len(policies))
