--- a/mustardwood/routing/run_error.py
+++ b/mustardwood/routing/run_error.py
@@ -22,36 +22,37 @@
 }
 
 
+def _make_come_back(code: errors.RequestCode, message: str,
+                    ran: errors.RunState,
+                    retry_after: datetime.timedelta) -> errors.RequestError:
+    return errors.RequestError(code,
+                               message,
+                               "Come back after the time in Retry-After.",
+                               ran=ran,
+                               retry_after=retry_after)
+
+
 def make_refused(refusal: messages.Refusal,
                  ran: errors.RunState) -> errors.RequestError:
     """Returns the error of a scheduler's refusal."""
     code, text = _REFUSALS.get(
         refusal.reason,
         (errors.RequestCode.NO_ENDPOINT, "no scheduler takes the request."))
-    return errors.RequestError(code,
-                               text,
-                               "Come back after the time in Retry-After.",
-                               ran=ran,
-                               retry_after=max(refusal.retry_after,
-                                               _RETRY_SOON))
+    return _make_come_back(code, text, ran, max(refusal.retry_after,
+                                                _RETRY_SOON))
 
 
 def make_no_endpoint(ran: errors.RunState) -> errors.RequestError:
     """Returns the error when no endpoint is left to try."""
-    return errors.RequestError(errors.RequestCode.NO_ENDPOINT,
-                               "no endpoint is left to try.",
-                               "Come back after the time in Retry-After.",
-                               ran=ran,
-                               retry_after=_RETRY_LATER)
+    return _make_come_back(errors.RequestCode.NO_ENDPOINT,
+                           "no endpoint is left to try.", ran, _RETRY_LATER)
 
 
 def make_deadline(ran: errors.RunState) -> errors.RequestError:
     """Returns the error of a passed deadline."""
-    return errors.RequestError(errors.RequestCode.DEADLINE_EXCEEDED,
-                               "the deadline of the request's class passed.",
-                               "Come back after the time in Retry-After.",
-                               ran=ran,
-                               retry_after=_RETRY_LATER)
+    return _make_come_back(errors.RequestCode.DEADLINE_EXCEEDED,
+                           "the deadline of the request's class passed.", ran,
+                           _RETRY_LATER)
 
 
 def make_poison(rest: datetime.timedelta,
@@ -67,20 +68,16 @@
 
 def make_endpoint_refused(ran: errors.RunState) -> errors.RequestError:
     """Returns the error when endpoints refused before they started."""
-    return errors.RequestError(errors.RequestCode.ENDPOINT_REFUSED,
-                               "the endpoints refused the request.",
-                               "Come back after the time in Retry-After.",
-                               ran=ran,
-                               retry_after=_RETRY_SOON)
+    return _make_come_back(errors.RequestCode.ENDPOINT_REFUSED,
+                           "the endpoints refused the request.", ran,
+                           _RETRY_SOON)
 
 
 def make_unreachable(ran: errors.RunState) -> errors.RequestError:
     """Returns the error when no connection to an endpoint was possible."""
-    return errors.RequestError(errors.RequestCode.ENDPOINT_FAILED,
-                               "no connection to an endpoint was possible.",
-                               "Come back after the time in Retry-After.",
-                               ran=ran,
-                               retry_after=_RETRY_SOON)
+    return _make_come_back(errors.RequestCode.ENDPOINT_FAILED,
+                           "no connection to an endpoint was possible.", ran,
+                           _RETRY_SOON)
 
 
 def make_incomplete() -> errors.RequestError:
