--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -63,8 +63,7 @@
             self.remove_endpoint(name)
         return missing
 
-    def list_usable(self,
-                    service: str) -> tuple[endpoint_module.Endpoint, ...]:
+    def list_usable(self, service: str) -> tuple[endpoint_module.Endpoint, ...]:
         """Returns the endpoints of a service that take new work."""
         self._drop_expired()
         known = self._by_service.get(service)
@@ -79,8 +78,10 @@
         self._drop_expired()
         return self._endpoints.get(name)
 
-    def __len__(self) -> int:
-        return len(self._endpoints)
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint is known."""
+        return not self._endpoints
 
     def _drop(self, name: str) -> bool:
         self._by_service.clear()
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -232,8 +232,7 @@
 
     def _repeat_unrun(self, attempt: attempt_record.AttemptRecord) -> None:
         reason = f"status {attempt.status}, not run"
-        if (self._sends < _MOST_SENDS and
-                self._context.retries.take_retry()):
+        if (self._sends < _MOST_SENDS and self._context.retries.take_retry()):
             self._send_next()
         else:
             self._give_up(reason, None)
@@ -253,8 +252,7 @@
         return (self._runs < self._request.most_runs and
                 self._sends < _MOST_SENDS)
 
-    def _give_up(self, reason: str,
-                 objection: refusal.Refusal | None) -> None:
+    def _give_up(self, reason: str, objection: refusal.Refusal | None) -> None:
         """Gives the final answer to a request that no endpoint answered."""
         if self._is_begun:
             self._caller.abort()
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -22,8 +22,7 @@
 class Caller(typing.Protocol):
     """The caller's side of a request."""
 
-    def begin(self, status: int, headers: Headers,
-              length: int | None) -> None:
+    def begin(self, status: int, headers: Headers, length: int | None) -> None:
         """Sends the head; `length` is None for a body of unknown length."""
 
     def write(self, data: bytes) -> None:
@@ -49,8 +48,8 @@
 class AttemptListener(typing.Protocol):
     """Learns what happens to an attempt."""
 
-    def receive_head(self, status: int, headers: Headers,
-                     is_verified: bool, was_not_run: bool) -> None:
+    def receive_head(self, status: int, headers: Headers, is_verified: bool,
+                     was_not_run: bool) -> None:
         """Takes the head of an answer.
 
         Args:
@@ -111,8 +110,8 @@
     """Tells whether a request is still allowed."""
 
     def find_objection(
-            self, request: general_request.GeneralRequest
-    ) -> refusal.Refusal | None:
+            self,
+            request: general_request.GeneralRequest) -> refusal.Refusal | None:
         """Returns why a request must not be sent now; None if it may."""
 
 
--- a/mustardwood/dispatch/load_table.py
+++ b/mustardwood/dispatch/load_table.py
@@ -21,15 +21,15 @@
     def __init__(self, clock: timing.Clock) -> None:
         self._clock = clock
         self._own: dict[str, endpoint_load.EndpointLoad] = {}
-        self._peers: dict[str, tuple[datetime.timedelta, dict[
-            str, endpoint_load.EndpointLoad]]] = {}
+        self._peers: dict[str, tuple[datetime.timedelta,
+                                     dict[str,
+                                          endpoint_load.EndpointLoad]]] = {}
 
     def add(self, endpoint: str, load: endpoint_load.EndpointLoad) -> None:
         """Adds work of this VM."""
         self._own[endpoint] = self._own.get(endpoint, _IDLE) + load
 
-    def subtract(self, endpoint: str,
-                 load: endpoint_load.EndpointLoad) -> None:
+    def subtract(self, endpoint: str, load: endpoint_load.EndpointLoad) -> None:
         """Removes work of this VM that has ended."""
         rest = self._own.get(endpoint, _IDLE) - load
         if rest == _IDLE:
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -85,9 +85,9 @@
             return min((self._weigh_plain(each) for each in candidates),
                        key=lambda choice: choice.cost)
         homes = self._find_homes(request, usable)
-        return min((self._weigh_prompt(request, each, homes)
-                    for each in candidates),
-                   key=lambda choice: choice.cost)
+        return min(
+            (self._weigh_prompt(request, each, homes) for each in candidates),
+            key=lambda choice: choice.cost)
 
     def _weigh_plain(self, endpoint: endpoint_module.Endpoint) -> Choice:
         load = self._loads.find_load(endpoint.name)
--- a/mustardwood/dispatch/prefix_memory.py
+++ b/mustardwood/dispatch/prefix_memory.py
@@ -17,8 +17,8 @@
 
     def __init__(self, clock: timing.Clock) -> None:
         self._clock = clock
-        self._seen: collections.OrderedDict[
-            tuple[str, str], datetime.timedelta] = collections.OrderedDict()
+        self._seen: collections.OrderedDict[tuple[
+            str, str], datetime.timedelta] = collections.OrderedDict()
 
     def record(self, endpoint: str,
                request: general_request.GeneralRequest) -> None:
--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -16,7 +16,8 @@
     """
 
     def __init__(
-        self, version: int, routes: collections.abc.Iterable[route_module.Route],
+        self, version: int,
+        routes: collections.abc.Iterable[route_module.Route],
         organisations: collections.abc.Iterable[
             organisation_module.Organisation]
     ) -> None:
@@ -35,13 +36,14 @@
                 return found
         return None
 
-    def find_organisation(
-            self, key: str) -> organisation_module.Organisation | None:
+    def find_organisation(self,
+                          key: str) -> organisation_module.Organisation | None:
         """Returns the organisation that holds a key."""
         return self._by_key.get(key)
 
     @property
     def services(self) -> frozenset[str]:
         """Names of the services that routes lead to."""
-        return frozenset(target.service for each in self._routes.values()
+        return frozenset(target.service
+                         for each in self._routes.values()
                          for target in each.targets)
--- a/mustardwood/http1/answer_channel.py
+++ b/mustardwood/http1/answer_channel.py
@@ -38,8 +38,7 @@
         """Whether an answer can still be sent."""
         return self._connection is not None
 
-    def notify_gone(self,
-                    function: collections.abc.Callable[[], None]) -> None:
+    def notify_gone(self, function: collections.abc.Callable[[], None]) -> None:
         """Has `function` called when the caller leaves before the end."""
         self._on_gone = function
 
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 import http
+import typing
 
 import h11
 from twisted.internet import protocol
@@ -27,6 +28,8 @@
 class CallerConnection(protocol.Protocol):
     """Reads requests one after the other and sends their answers."""
 
+    transport: typing.Any
+
     def __init__(self, service: caller_service.CallerService,
                  scheduler: forwarding_context.Scheduler) -> None:
         self._service = service
@@ -166,9 +169,8 @@
         self._body += event.data
         limits = self._service.find_limits()
         if len(self._body) > limits.body_bytes:
-            self._refuse(
-                http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f"The body is longer than {limits.body_bytes} bytes.")
+            self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                         f"The body is longer than {limits.body_bytes} bytes.")
             return
         self._arm(limits.idle_time, self._refuse_slow_head)
 
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -112,7 +112,7 @@
 class _Connecting:
     """A connection that is being opened."""
 
-    def __init__(self, connector: interfaces.IConnector) -> None:
+    def __init__(self, connector: typing.Any) -> None:
         self._connector = connector
 
     def abort(self) -> None:
@@ -132,7 +132,7 @@
         self._exchange = exchange
 
     def buildProtocol(  # pylint: disable=invalid-name
-            self, addr: interfaces.IAddress) -> protocol.Protocol:
+            self, addr: typing.Any) -> protocol.Protocol:
         """See `protocol.ClientFactory`."""
         return self._pool.make_connection(self._address, self._exchange)
 
@@ -142,5 +142,4 @@
         """See `protocol.ClientFactory`."""
         silent = reason.check(internet_error.TimeoutError) is not None
         self._exchange.fail(
-            False,
-            "no connection in time" if silent else "connection refused")
+            False, "no connection in time" if silent else "connection refused")
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 import re
+import typing
 
 import h11
 from twisted.internet import error as internet_error
@@ -31,12 +32,14 @@
         longest_idle: Idle time up to which the connection may be reused.
     """
 
-    def __init__(
-        self, clock: timing.Clock,
-        on_idle: collections.abc.Callable[["EndpointConnection"], None],
-        on_lost: collections.abc.Callable[["EndpointConnection"], None],
-        first: exchange_module.Exchange
-    ) -> None:
+    transport: typing.Any
+
+    def __init__(self, clock: timing.Clock,
+                 on_idle: collections.abc.Callable[["EndpointConnection"],
+                                                   None],
+                 on_lost: collections.abc.Callable[["EndpointConnection"],
+                                                   None],
+                 first: exchange_module.Exchange) -> None:
         self._clock = clock
         self._on_idle = on_idle
         self._on_lost = on_lost
@@ -103,8 +106,9 @@
         exchange, self._exchange = self._exchange, None
         self._on_lost(self)
         if exchange is not None:
-            exchange.fail(True, "connection closed" if is_clean else
-                          f"connection lost: {reason.getErrorMessage()}")
+            exchange.fail(
+                True, "connection closed"
+                if is_clean else f"connection lost: {reason.getErrorMessage()}")
 
     def abort(self) -> None:
         """Closes the connection at once."""
--- a/mustardwood/http1/reactor_scheduler.py
+++ b/mustardwood/http1/reactor_scheduler.py
@@ -4,13 +4,11 @@
 import datetime
 import typing
 
-from twisted.internet import interfaces
-
 
 class _Timer:
     """A delayed call that may be cancelled at any time."""
 
-    def __init__(self, call: interfaces.IDelayedCall) -> None:
+    def __init__(self, call: typing.Any) -> None:
         self._call = call
 
     def cancel(self) -> None:
--- a/mustardwood/platform/__main__.py
+++ b/mustardwood/platform/__main__.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import sys
+import typing
 
 from mustardwood import errors
 from mustardwood.platform import settings
@@ -24,7 +25,7 @@
         daemon.Daemon(reactor, pathlib.Path(path)).start()
     except errors.SettingsError as error:
         sys.exit(str(error))
-    reactor.run(installSignalHandlers=False)
+    typing.cast(typing.Any, reactor).run(installSignalHandlers=False)
 
 
 if __name__ == "__main__":
--- a/mustardwood/platform/authority.py
+++ b/mustardwood/platform/authority.py
@@ -24,8 +24,7 @@
         self._fails_closed = fails_closed
 
     def find_objection(
-            self,
-            request: dispatch.GeneralRequest) -> dispatch.Refusal | None:
+            self, request: dispatch.GeneralRequest) -> dispatch.Refusal | None:
         """See `forwarding_context.Authority`."""
         configuration = self._follower.configuration
         if configuration is None or not request.api_key:
--- a/mustardwood/platform/configuration_decoder.py
+++ b/mustardwood/platform/configuration_decoder.py
@@ -104,19 +104,19 @@
     is_stream = route.route_type == _STREAM
     targets = tuple(
         dispatch.Target(each.service, each.weight) for each in route.backends)
-    return dispatch.Route(
-        name=route.name,
-        host=route.hostname.lower(),
-        path_prefix=route.path_prefix,
-        targets=targets or (dispatch.Target(route.service, 1.0),),
-        tier=route.priority,
-        first_byte_aim=_to_span(route.goal_ms),
-        piece_aim=_to_span(route.itl_goal_ms),
-        time_limit=_to_span(route.timeout_ms),
-        repeat=_decode_repeat(route),
-        is_stream=is_stream,
-        most_runs=max(1, route.max_attempts),
-        needs_key=has_keys and not route.anonymous)
+    return dispatch.Route(name=route.name,
+                          host=route.hostname.lower(),
+                          path_prefix=route.path_prefix,
+                          targets=targets or
+                          (dispatch.Target(route.service, 1.0),),
+                          tier=route.priority,
+                          first_byte_aim=_to_span(route.goal_ms),
+                          piece_aim=_to_span(route.itl_goal_ms),
+                          time_limit=_to_span(route.timeout_ms),
+                          repeat=_decode_repeat(route),
+                          is_stream=is_stream,
+                          most_runs=max(1, route.max_attempts),
+                          needs_key=has_keys and not route.anonymous)
 
 
 def _decode_repeat(route: _Route) -> dispatch.RepeatPolicy:
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -95,17 +95,16 @@
                                              backlog=_BACKLOG,
                                              interface=host)
         self._follower.start()
-        signal.signal(
-            signal.SIGTERM,
-            lambda *_: self._reactor.callFromThread(self._begin_stop))
+        signal.signal(signal.SIGTERM,
+                      lambda *_: self._reactor.callFromThread(self._begin_stop))
         signal.signal(signal.SIGHUP,
                       lambda *_: self._reactor.callFromThread(self._reload))
         self._journal.write("start",
                             zone=self._settings.zone,
                             callers=listen.callers)
 
-    def _make_context(
-            self, pool: http1.ConnectionPool) -> dispatch.ForwardingContext:
+    def _make_context(self,
+                      pool: http1.ConnectionPool) -> dispatch.ForwardingContext:
         loads = dispatch.LoadTable(self._clock)
         bounds = self._settings.bounds
         return dispatch.ForwardingContext(
@@ -135,7 +134,7 @@
             return "The process is stopping."
         if self._follower.configuration is None:
             return "No configuration was read yet."
-        if not len(self._directory):
+        if self._directory.is_empty:
             return "No endpoint is registered."
         if (self._settings.bounds.keys_fail_closed and
                 not self._proof.is_current()):
--- a/mustardwood/platform/endpoint_calls.py
+++ b/mustardwood/platform/endpoint_calls.py
@@ -59,8 +59,9 @@
     def accepts(self, status: int, names: http1.Headers) -> bool:
         """Returns whether an answer carries the id of the request."""
         del status
-        return any(name.lower() == headers.ATTEMPT_ID and
-                   value == self._request_id for name, value in names)
+        return any(
+            name.lower() == headers.ATTEMPT_ID and value == self._request_id
+            for name, value in names)
 
     def receive_head(self, status: int, names: http1.Headers) -> None:
         """Passes on the head without what concerns the connection."""
--- a/mustardwood/platform/event_journal.py
+++ b/mustardwood/platform/event_journal.py
@@ -23,7 +23,9 @@
 class EventJournal:
     """Writes JSON lines without ever waiting for their reader."""
 
-    def __init__(self, clock: timing.Clock, vm: str,
+    def __init__(self,
+                 clock: timing.Clock,
+                 vm: str,
                  descriptor: int | None = None) -> None:
         self._clock = clock
         self._vm = vm
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -111,11 +111,11 @@
                            _read_number(counts[1]) or 0)
 
 
-def _list_passed_on(
-        message: http1.Message) -> tuple[tuple[bytes, bytes], ...]:
+def _list_passed_on(message: http1.Message) -> tuple[tuple[bytes, bytes], ...]:
     own = message.find_header(b"connection") or b""
     named = {each.strip().lower() for each in own.split(b",")} - headers.KEPT
     dropped = headers.ROUTER_ONLY | headers.CONNECTION_ONLY | named
-    return tuple((name, value) for name, value in message.headers
+    return tuple((name, value)
+                 for name, value in message.headers
                  if name.lower() not in dropped and
                  name.lower() != headers.LAST_EVENT_ID)
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -98,10 +98,11 @@
             f"The settings file {path} can't be read: {error.strerror}.",
             f"Set {PATH_VARIABLE} to a file that the process may read.")
     except (msgspec.MsgspecError, ValueError) as error:
-        raise errors.SettingsError(f"The settings file {path} is wrong: "
-                                   f"{error}.",
-                                   "Correct the value or its type.",
-                                   key=_find_key(str(error)))
+        raise errors.SettingsError(
+            f"The settings file {path} is wrong: "
+            f"{error}.",
+            "Correct the value or its type.",
+            key=_find_key(str(error)))
     for key, address in (("$.listen.front_addr", found.listen.callers),
                          ("$.listen.ready", found.listen.readiness),
                          ("$.platform.address", found.store.address)):
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -136,8 +136,8 @@
                                    "Read the keys again.")
         if status == 429:
             raise errors.RateLimitedError("The store refused the call.",
-                                          "Call again later.",
-                                          retry_after or _DEFAULT_RETRY_AFTER)
+                                          "Call again later.", retry_after or
+                                          _DEFAULT_RETRY_AFTER)
         if status not in (200, 404):
             raise errors.UnavailableError(
                 f"The store answered {path} with status {status}.",
@@ -165,8 +165,8 @@
     """Collects the answer to a call."""
 
     def __init__(self) -> None:
-        self.deferred: defer.Deferred[tuple[
-            int, bytes, datetime.timedelta | None]] = defer.Deferred()
+        self.deferred: defer.Deferred[tuple[int, bytes, datetime.timedelta |
+                                            None]] = defer.Deferred()
         self._status = 0
         self._retry_after: datetime.timedelta | None = None
         self._body = bytearray()
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -36,13 +36,12 @@
         configuration: The configuration in force; None before the first.
     """
 
-    def __init__(
-        self, client: store_client.StoreClient, clock: timing.Clock,
-        scheduler: forwarding_context.Scheduler,
-        directory: dispatch.EndpointDirectory, proof: dispatch.CurrencyProof,
-        journal: forwarding_context.Journal,
-        on_restart: collections.abc.Callable[[str], None]
-    ) -> None:
+    def __init__(self, client: store_client.StoreClient, clock: timing.Clock,
+                 scheduler: forwarding_context.Scheduler,
+                 directory: dispatch.EndpointDirectory,
+                 proof: dispatch.CurrencyProof,
+                 journal: forwarding_context.Journal,
+                 on_restart: collections.abc.Callable[[str], None]) -> None:
         """Creates a follower; `start` begins to follow.
 
         Args:
