Share load, proofs and configuration between VMs; split engines by load

Cause: a VM knew only its own requests, so it filled engines that others had filled, and refused all keyed requests 4.5 s after its own last proof. Change: datagrams with loads and proofs; registration under a lease; retries by service; placement by cost with a split that follows the brisk streams. Ruled out: an owner of each cell: it needs a call before each send.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from mustardwood.dispatch.endpoint_directory import EndpointDirectory
 from mustardwood.dispatch.endpoint_health import EndpointHealth
 from mustardwood.dispatch.endpoint_load import EndpointLoad
+from mustardwood.dispatch.engine_split import EngineSplit
 from mustardwood.dispatch.event_splitter import EventSplitter
 from mustardwood.dispatch.forwarding import Forwarding
 from mustardwood.dispatch.forwarding_context import Attempt
@@ -25,10 +26,12 @@
 from mustardwood.dispatch.prompt import PromptPart
 from mustardwood.dispatch.refusal import Refusal
 from mustardwood.dispatch.repeat_policy import RepeatPolicy
+from mustardwood.dispatch.retry_allowance import RetryAllowance
 from mustardwood.dispatch.retry_budget import RetryBudget
 from mustardwood.dispatch.route import Route
 from mustardwood.dispatch.route import Target
 from mustardwood.dispatch.route_table import RouteTable
+from mustardwood.dispatch.service_figures import ServiceFigures
 
 __all__ = [
     "Attempt",
@@ -38,6 +41,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoad",
+    "EngineSplit",
     "EventSplitter",
     "Forwarding",
     "ForwardingContext",
@@ -52,8 +56,10 @@
     "PromptPart",
     "Refusal",
     "RepeatPolicy",
+    "RetryAllowance",
     "RetryBudget",
     "Route",
     "RouteTable",
+    "ServiceFigures",
     "Target",
 ]
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -23,11 +23,10 @@
     """
 
     def __init__(self, choice: placement_module.Choice,
-                 sent_at: datetime.timedelta,
-                 load: endpoint_load.EndpointLoad) -> None:
+                 sent_at: datetime.timedelta) -> None:
         self.choice = choice
         self.sent_at = sent_at
-        self.load = load
+        self.load: endpoint_load.EndpointLoad = choice.load
         self.status = 0
         self.headers: forwarding_context.Headers = ()
         self.is_verified = False
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -15,8 +15,6 @@
 """Bound on sends of one request, those that were not run included."""
 _MOST_BUFFERED = 256 * 1024
 """Bytes of an answer that are kept so that a broken one can be replaced."""
-_BRISK_PIECE_AIM = datetime.timedelta(milliseconds=500)
-"""Pauses that a prefill of a long prompt would exceed."""
 _PLAIN_PATIENCE = 4
 """Times the aim after which an idempotent plain request is sent again."""
 _LEAST_PATIENCE = datetime.timedelta(milliseconds=600)
@@ -65,7 +63,7 @@
     def start(self) -> None:
         """Starts with the first attempt."""
         context = self._context
-        context.retries.add_request()
+        context.retries.add_request(self._request.service)
         left = self._request.expires - context.clock.monotonic()
         self._expiry = context.scheduler.call_later(
             max(left, datetime.timedelta()), self._expire)
@@ -164,18 +162,11 @@
         if choice is None:
             self._give_up("no endpoint left", None)
             return
-        load = endpoint_load.EndpointLoad(
-            prefill_tokens=choice.prefill_tokens,
-            places=1,
-            brisk_streams=int(request.is_stream and
-                              request.piece_aim <= _BRISK_PIECE_AIM),
-            held_tokens=request.prompt.input_tokens +
-            request.prompt.output_tokens)
-        attempt = attempt_record.AttemptRecord(choice, now, load)
+        attempt = attempt_record.AttemptRecord(choice, now)
         self._attempt = attempt
         self._sends += 1
         self._tried.add(attempt.endpoint)
-        context.loads.add(attempt.endpoint, load)
+        context.loads.add(attempt.endpoint, attempt.load)
         context.memory.record(attempt.endpoint, request)
         self._arm_patience()
         attempt.handle = context.client.send(
@@ -232,13 +223,15 @@
 
     def _repeat_unrun(self, attempt: attempt_record.AttemptRecord) -> None:
         reason = f"status {attempt.status}, not run"
-        if (self._sends < _MOST_SENDS and self._context.retries.take_retry()):
+        if (self._sends < _MOST_SENDS and
+                self._context.retries.take_retry(self._request.service)):
             self._send_next()
         else:
             self._give_up(reason, None)
 
     def _repeat_run(self, reason: str) -> None:
-        if self._may_run_again() and self._context.retries.take_retry():
+        if self._may_run_again() and self._context.retries.take_retry(
+                self._request.service):
             self._splitter.drop_rest()
             self._send_next()
         else:
@@ -322,7 +315,7 @@
                 self._request.service) if each.name not in self._tried
         ]
         if (not others or not self._may_run_again() or
-                not self._context.retries.take_retry()):
+                not self._context.retries.take_retry(self._request.service)):
             self._runs -= 1
             self._arm_patience()
             return
@@ -352,7 +345,7 @@
             "endpoint": attempt.endpoint,
             "cost": round(attempt.choice.cost, 3),
             "cached": attempt.choice.is_cached,
-            "prefill_tokens": attempt.choice.prefill_tokens,
+            "prefill_tokens": attempt.choice.load.prefill_tokens,
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -14,7 +14,7 @@
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import prefix_memory
 from mustardwood.dispatch import refusal
-from mustardwood.dispatch import retry_budget
+from mustardwood.dispatch import retry_allowance
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
@@ -135,5 +135,5 @@
     health: endpoint_health.EndpointHealth
     memory: prefix_memory.PrefixMemory
     placement: placement_module.Placement
-    retries: retry_budget.RetryBudget
+    retries: retry_allowance.RetryAllowance
     journal: Journal
--- a/mustardwood/dispatch/load_table.py
+++ b/mustardwood/dispatch/load_table.py
@@ -16,10 +16,14 @@
 
     Load pattern: callers spread unevenly over the VMs, so a VM that counts
     only its own requests sends them to endpoints that others have filled.
+
+    Attributes:
+        version: Changes with this VM's own work.
     """
 
     def __init__(self, clock: timing.Clock) -> None:
         self._clock = clock
+        self.version = 0
         self._own: dict[str, endpoint_load.EndpointLoad] = {}
         self._peers: dict[str, tuple[datetime.timedelta,
                                      dict[str,
@@ -27,10 +31,12 @@
 
     def add(self, endpoint: str, load: endpoint_load.EndpointLoad) -> None:
         """Adds work of this VM."""
+        self.version += 1
         self._own[endpoint] = self._own.get(endpoint, _IDLE) + load
 
     def subtract(self, endpoint: str, load: endpoint_load.EndpointLoad) -> None:
         """Removes work of this VM that has ended."""
+        self.version += 1
         rest = self._own.get(endpoint, _IDLE) - load
         if rest == _IDLE:
             self._own.pop(endpoint, None)
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -3,23 +3,27 @@
 import collections.abc
 import dataclasses
 import hashlib
+import math
 
+from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
+from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import engine_split
 from mustardwood.dispatch import general_request
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement_settings
 from mustardwood.dispatch import prefix_memory
+from mustardwood.dispatch import service_figures
 
 _DIGEST_BYTES = 8
-_FAILURE_COST = 2.0
-"""Seconds that an endpoint counts more if all its recent answers failed."""
-_QUEUE_COST = 1.0
-"""Seconds of wait for each full batch of requests ahead."""
-_STREAM_COST = 0.004
-"""Seconds that each running stream slows a new one's answer."""
-_HARM_COST = 0.1
-"""Weight of the delay that a prefill puts on each brisk stream."""
+_TIER_SHARES = (1.5, 1.0)
+"""Places that tiers may fill, relative to an engine's slots.
+
+What exceeds the slots waits in the engine's own queue, in order of tier; the
+last figure holds for all tiers that follow.
+"""
+_REST_SHARE = 0.9
 
 _Endpoints = collections.abc.Sequence[endpoint_module.Endpoint]
 
@@ -32,37 +36,46 @@
         endpoint: The endpoint.
         cost: Expected seconds, with the harm to others.
         is_cached: Whether it is believed to hold the shared parts.
-        prefill_tokens: Prompt tokens that it is expected to read.
+        load: The work that the request adds there.
     """
 
     endpoint: endpoint_module.Endpoint
     cost: float
     is_cached: bool
-    prefill_tokens: int
+    load: endpoint_load.EndpointLoad
 
 
 class Placement:
     """Chooses the endpoint with the least expected cost.
 
     Load patterns: long prompts stall the tokens of every stream beside them,
-    so they are kept on one end of a ranking of the engines that all VMs share;
-    requests that share a prompt go to the same engine by rendezvous hashing
-    [1]_ until the wait there costs more than reading the parts again.
+    so they are kept on one end of a ranking of the engines that all VMs share
+    (`EngineSplit`); requests that share a prompt go to the same engine by
+    rendezvous hashing [1]_ until the wait there costs more than reading the
+    parts again; in a rush, engines are filled to their slots and memory, and
+    what is beyond them is refused instead of queued.
 
     References:
         .. [1] D. Thaler and C. Ravishankar, "Using name-based mappings to
            increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
     """
 
-    def __init__(self, zone: str, loads: load_table.LoadTable,
-                 health: endpoint_health.EndpointHealth,
-                 memory: prefix_memory.PrefixMemory,
-                 settings: placement_settings.PlacementSettings) -> None:
+    def __init__(
+        self, zone: str, clock: timing.Clock, loads: load_table.LoadTable,
+        health: endpoint_health.EndpointHealth,
+        memory: prefix_memory.PrefixMemory,
+        settings: placement_settings.PlacementSettings,
+        find_service: collections.abc.Callable[[str],
+                                               service_figures.ServiceFigures]
+    ) -> None:
         self._zone = zone
+        self._clock = clock
         self._loads = loads
         self._health = health
         self._memory = memory
+        self._splits: dict[str, engine_split.EngineSplit] = {}
         self._settings = settings
+        self._find_service = find_service
 
     def choose(self, request: general_request.GeneralRequest,
                usable: _Endpoints,
@@ -73,64 +86,113 @@
             request: The request.
             usable: Endpoints of its service that take new work.
             tried: Names of the endpoints that it was sent to.
+
+        Returns:
+            The choice; None if no endpoint is left or none has room.
         """
         left = [each for each in usable if each.name not in tried]
         reachable = [
             each for each in left if not self._health.is_avoided(each.name)
         ]
         candidates = reachable or left
-        if not candidates:
-            return None
         if not request.prompt.input_tokens:
-            return min((self._weigh_plain(each) for each in candidates),
-                       key=lambda choice: choice.cost)
-        homes = self._find_homes(request, usable)
-        return min(
-            (self._weigh_prompt(request, each, homes) for each in candidates),
-            key=lambda choice: choice.cost)
+            choices = [self._weigh_plain(each) for each in candidates]
+        else:
+            choices = self._weigh_prompts(request, usable, candidates)
+        return min(choices, key=lambda choice: choice.cost, default=None)
+
+    def is_long(self, request: general_request.GeneralRequest) -> bool:
+        """Returns whether a prompt stalls the streams beside it."""
+        return request.prompt.input_tokens >= self._settings.long_prompt
+
+    def is_brisk(self, request: general_request.GeneralRequest) -> bool:
+        """Returns whether a request's stream is stalled by long prompts."""
+        return (request.is_stream and not self.is_long(request) and
+                request.piece_aim <= self._settings.brisk_aim)
 
     def _weigh_plain(self, endpoint: endpoint_module.Endpoint) -> Choice:
         load = self._loads.find_load(endpoint.name)
         cost = load.places / max(1, endpoint.slots) + self._base(endpoint)
-        return Choice(endpoint, cost, False, 0)
+        return Choice(endpoint, cost, False,
+                      endpoint_load.EndpointLoad(places=1))
+
+    def _weigh_prompts(self, request: general_request.GeneralRequest,
+                       usable: _Endpoints,
+                       candidates: _Endpoints) -> list[Choice]:
+        figures = self._find_service(request.service)
+        split = self._splits.get(request.service)
+        if split is None:
+            split = engine_split.EngineSplit(self._clock, self._loads,
+                                             self._settings)
+            self._splits[request.service] = split
+        long_engines = split.find_long_engines(usable)
+        home = self._find_home(request, usable, long_engines)
+        choices = []
+        for each in candidates:
+            choice = self._weigh_prompt(request, each, home, long_engines)
+            if self._has_room(request, choice, figures):
+                choices.append(choice)
+        return choices
 
     def _weigh_prompt(self, request: general_request.GeneralRequest,
-                      endpoint: endpoint_module.Endpoint,
-                      homes: _Endpoints) -> Choice:
+                      endpoint: endpoint_module.Endpoint, home: str,
+                      long_engines: collections.abc.Set[str]) -> Choice:
+        settings, prompt = self._settings, request.prompt
         load = self._loads.find_load(endpoint.name)
-        rate = self._settings.prefill_rate
-        prompt = request.prompt
-        is_home = bool(homes) and endpoint is homes[0]
-        cached = is_home or self._memory.holds(endpoint.name, request)
-        tokens = prompt.input_tokens - (prompt.shared_tokens if cached else 0)
+        cached = (endpoint.name == home or
+                  self._memory.holds(endpoint.name, request))
+        again = 0 if cached else prompt.shared_tokens
+        tokens = prompt.input_tokens - prompt.shared_tokens + again
+        rate = settings.prefill_rate
         cost = (load.prefill_tokens + tokens) / rate
-        cost += load.places * _STREAM_COST
+        cost += settings.rereading_streams * again / rate
+        cost += load.places * settings.stream_cost
         if load.places >= endpoint.slots:
-            cost += _QUEUE_COST * (load.places + 1) / max(1, endpoint.slots)
-        if self._is_long(request):
-            if endpoint not in homes:
-                cost += _HARM_COST * load.brisk_streams * tokens / rate
-                cost += request.first_byte_aim.total_seconds() / 4
-        return Choice(endpoint, cost + self._base(endpoint), cached, tokens)
+            cost += (settings.queue_cost * (load.places + 1) /
+                     max(1, endpoint.slots))
+        takes_long = endpoint.name in long_engines
+        if self.is_long(request) and not takes_long:
+            cost += settings.mixing_cost * load.brisk_streams * tokens / rate
+            cost += request.first_byte_aim.total_seconds() / 2
+        elif takes_long and self.is_brisk(request):
+            cost += settings.mixing_cost
+        return Choice(
+            endpoint, cost + self._base(endpoint), cached,
+            endpoint_load.EndpointLoad(
+                prefill_tokens=tokens,
+                places=1,
+                brisk_streams=int(self.is_brisk(request)),
+                held_tokens=tokens + prompt.output_tokens))
+
+    def _has_room(self, request: general_request.GeneralRequest, choice: Choice,
+                  figures: service_figures.ServiceFigures) -> bool:
+        load = self._loads.find_load(choice.endpoint.name)
+        share = (_TIER_SHARES[request.tier]
+                 if request.tier < len(_TIER_SHARES) else _REST_SHARE)
+        if load.places >= math.ceil(choice.endpoint.slots * share):
+            return False
+        if not figures.memory_tokens or not load.places:
+            return True
+        filled = load.held_tokens + choice.load.held_tokens
+        return filled <= figures.memory_tokens * self._settings.memory_share
 
     def _base(self, endpoint: endpoint_module.Endpoint) -> float:
-        cost = self._health.failure_share(endpoint.name) * _FAILURE_COST
+        cost = (self._health.failure_share(endpoint.name) *
+                self._settings.failure_cost)
         if endpoint.zone != self._zone:
             cost += self._settings.zone_cost
         return cost
 
-    def _is_long(self, request: general_request.GeneralRequest) -> bool:
-        return request.prompt.input_tokens >= self._settings.long_prompt
-
-    def _find_homes(self, request: general_request.GeneralRequest,
-                    usable: _Endpoints) -> list[endpoint_module.Endpoint]:
-        """Ranks the endpoints that should read a prompt, first choice first."""
-        pool = sorted(usable, key=lambda each: _hash("pool", each.name))
-        if self._is_long(request):
-            count = max(1, round(self._settings.long_share * len(pool)))
-            pool = pool[:count]
+    def _find_home(self, request: general_request.GeneralRequest,
+                   usable: _Endpoints,
+                   long_engines: collections.abc.Set[str]) -> str:
+        """Returns the endpoint that should read a prompt."""
+        is_long = self.is_long(request)
+        pool = [
+            each for each in usable if (each.name in long_engines) == is_long
+        ] or usable
         subject = request.prompt.subject or request.request_id
-        return sorted(pool, key=lambda each: _hash(subject, each.name))
+        return max(pool, key=lambda each: _hash(subject, each.name)).name
 
 
 def _hash(subject: str, name: str) -> bytes:
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -1,23 +1,45 @@
 """Figures that the placement of requests uses."""
 
 import dataclasses
+import datetime
 
 
 @dataclasses.dataclass(frozen=True)
 class PlacementSettings:
-    """What is known of the engines beforehand.
+    """What is known of the engines beforehand, and the weights of costs.
 
     Attributes:
         prefill_rate: Prompt tokens that an engine reads in a second; the
             users' data sheets say 48,200 and 55,000.
         long_prompt: Tokens from which a prompt delays the others' tokens by
             more than a piece may wait: two chunks of 2,048 tokens.
-        long_share: Share of the engines on which long prompts are read first.
+        brisk_aim: Pauses between pieces that a long prompt's prefill exceeds.
+        brisk_streams: Brisk streams for which one engine is kept free of long
+            prompts; a step with that many takes about 5 ms.
+        least_brisk_share: Part of the engines kept free of them at least.
+        most_brisk_share: Part of the engines kept free of them at most.
+        mixing_cost: Seconds that an engine with long prompts counts more for
+            a brisk stream: the prefill of about 5,000 tokens.
+        rereading_streams: Streams that wait while shared parts are read again.
+        stream_cost: Seconds by which each stream slows a new one's answer.
+        queue_cost: Seconds of wait for each full batch of requests ahead.
         zone_cost: Seconds that an endpoint in another zone counts more; the
             zones are about a millisecond apart, and bytes between them cost.
+        failure_cost: Seconds that an endpoint counts more if all its recent
+            answers failed.
+        memory_share: Part of an engine's memory that requests may fill.
     """
 
     prefill_rate: float = 50_000.0
     long_prompt: int = 4096
-    long_share: float = 0.5
+    brisk_aim: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    brisk_streams: int = 20
+    least_brisk_share: float = 0.2
+    most_brisk_share: float = 0.5
+    mixing_cost: float = 0.1
+    rereading_streams: float = 20.0
+    stream_cost: float = 0.004
+    queue_cost: float = 1.0
     zone_cost: float = 0.002
+    failure_cost: float = 2.0
+    memory_share: float = 0.9
--- a/mustardwood/dispatch/retry_budget.py
+++ b/mustardwood/dispatch/retry_budget.py
@@ -42,6 +42,11 @@
         """Adds the share of one request."""
         self._tokens = min(self._capacity, self._tokens + self._share)
 
+    def set_capacity(self, capacity: float) -> None:
+        """Changes how many retries can be saved up."""
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
     def take_retry(self) -> bool:
         """Takes one retry; returns False when the budget is used up."""
         if self._tokens < 1.0:
--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -4,6 +4,7 @@
 
 from mustardwood.dispatch import organisation as organisation_module
 from mustardwood.dispatch import route as route_module
+from mustardwood.dispatch import service_figures
 
 
 class RouteTable:
@@ -16,13 +17,16 @@
     """
 
     def __init__(
-        self, version: int,
+        self,
+        version: int,
         routes: collections.abc.Iterable[route_module.Route],
         organisations: collections.abc.Iterable[
-            organisation_module.Organisation]
+            organisation_module.Organisation],
+        services: collections.abc.Iterable[service_figures.ServiceFigures] = ()
     ) -> None:
         self.version = version
         self._routes = {(each.host, each.path_prefix): each for each in routes}
+        self._services = {each.name: each for each in services}
         self._by_key = {
             key: each for each in organisations for key in each.api_keys
         }
@@ -41,9 +45,6 @@
         """Returns the organisation that holds a key."""
         return self._by_key.get(key)
 
-    @property
-    def services(self) -> frozenset[str]:
-        """Names of the services that routes lead to."""
-        return frozenset(target.service
-                         for each in self._routes.values()
-                         for target in each.targets)
+    def find_service(self, name: str) -> service_figures.ServiceFigures:
+        """Returns the figures of a service; those of an unknown one are 0."""
+        return self._services.get(name) or service_figures.ServiceFigures(name)
--- a/mustardwood/http1/__init__.py
+++ b/mustardwood/http1/__init__.py
@@ -9,6 +9,8 @@
 from mustardwood.http1.exchange import ExchangeListener
 from mustardwood.http1.message import Headers
 from mustardwood.http1.message import Message
+from mustardwood.http1.page_server import Page
+from mustardwood.http1.page_server import PageServer
 from mustardwood.http1.reactor_scheduler import ReactorScheduler
 
 __all__ = [
@@ -21,5 +23,7 @@
     "ExchangeListener",
     "Headers",
     "Message",
+    "Page",
+    "PageServer",
     "ReactorScheduler",
 ]
--- a/mustardwood/platform/configuration_decoder.py
+++ b/mustardwood/platform/configuration_decoder.py
@@ -53,9 +53,21 @@
     priority: int | None = None
 
 
+class _Engine(msgspec.Struct, frozen=True):
+    kv_capacity: int = 0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    """A service on the wire; `runtime` tells of its engines."""
+
+    name: str
+    runtime: _Engine | None = None
+
+
 class _Document(msgspec.Struct, frozen=True):
     version: int
     routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
     tenants: tuple[_Tenant, ...] | None = None
 
@@ -91,6 +103,11 @@
             dispatch.Organisation(each.name, frozenset(each.api_keys),
                                   each.priority)
             for each in document.tenants or ()
+        ], [
+            dispatch.ServiceFigures(
+                each.name,
+                0 if each.runtime is None else each.runtime.kv_capacity)
+            for each in document.services
         ])
     limits = document.limits
     return Configuration(
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -1,23 +1,29 @@
 """The process of a VM on the platform."""
 
+import collections.abc
 import datetime
+import http
 import pathlib
 import random
 import signal
 import typing
 
+import msgspec
+
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import http1
+from mustardwood import peers
 from mustardwood import timing
 from mustardwood.platform import authority
 from mustardwood.platform import endpoint_calls
 from mustardwood.platform import event_journal
 from mustardwood.platform import front as front_module
-from mustardwood.platform import readiness
+from mustardwood.platform import peer_link
 from mustardwood.platform import settings as settings_module
 from mustardwood.platform import store_client
 from mustardwood.platform import store_follower
+from mustardwood.platform import vm_registration
 
 _PROOF_MARGIN = datetime.timedelta(milliseconds=500)
 """Part of the key removal time that is left for the way to the endpoint."""
@@ -32,13 +38,6 @@
 """Time before the signal to kill at which the process ends anyway."""
 _STOP_POLL = datetime.timedelta(milliseconds=50)
 """Interval between looks whether the last request has ended."""
-_SPARE_RETRIES = 2.0
-"""Retries of a VM besides its share, at most.
-
-All VMs share the allowance; it names two or more for each VM of a deployment.
-"""
-_USED_SHARE = 0.85
-"""Part of the allowed share of retries that is used; VMs count unevenly."""
 _BACKLOG = 512
 """Connections that may wait to be accepted."""
 
@@ -75,7 +74,17 @@
             self._scheduler)
         self._follower = store_follower.StoreFollower(
             client, self._clock, self._scheduler, self._directory, self._proof,
-            self._journal, self._forget_endpoint)
+            self._journal, self._forget_endpoint, self._set_vm)
+        self._loads = dispatch.LoadTable(self._clock)
+        self._peers = peer_link.PeerLink(
+            peers.NewsExchange(self._settings.vm,
+                               self._clock, self._loads, self._proof,
+                               random.Random()), self._loads, self._clock,
+            self._scheduler, pool, self._follower, self._journal,
+            self._settings.vm)
+        self._registration = vm_registration.VmRegistration(
+            client, self._scheduler, self._journal, self._settings.vm,
+            self._settings.listen.peers)
         self._front = front_module.Front(self._make_context(pool),
                                          self._follower)
         self._port: typing.Any = None
@@ -84,17 +93,20 @@
     def start(self) -> None:
         """Listens, follows the store, and installs the signal handlers."""
         listen = self._settings.listen
-        host, port = settings_module.parse_address(listen.readiness)
-        self._reactor.listenTCP(port,
-                                readiness.Readiness(self._scheduler,
-                                                    self._find_obstacle),
-                                interface=host)
+        self._serve_page(listen.readiness, "/readyz", self._build_readiness)
         host, port = settings_module.parse_address(listen.callers)
         self._port = self._reactor.listenTCP(port,
                                              self._front,
                                              backlog=_BACKLOG,
                                              interface=host)
         self._follower.start()
+        if listen.peers:
+            self._serve_page(listen.peers, peer_link.CONFIGURATION_PAGE,
+                             self._build_configuration)
+            host, port = settings_module.parse_address(listen.peers)
+            self._reactor.listenUDP(port, self._peers.port, interface=host)
+            self._registration.start()
+            self._peers.start()
         signal.signal(signal.SIGTERM,
                       lambda *_: self._reactor.callFromThread(self._begin_stop))
         signal.signal(signal.SIGHUP,
@@ -103,9 +115,31 @@
                             zone=self._settings.zone,
                             callers=listen.callers)
 
+    def _serve_page(self, address: str, path: str,
+                    build: collections.abc.Callable[[], http1.Page]) -> None:
+        host, port = settings_module.parse_address(address)
+        self._reactor.listenTCP(port,
+                                http1.PageServer(self._scheduler,
+                                                 {path: build}),
+                                interface=host)
+
+    def _build_readiness(self) -> http1.Page:
+        obstacle = self._find_obstacle()
+        if obstacle:
+            return http1.Page(http.HTTPStatus.SERVICE_UNAVAILABLE,
+                              obstacle.encode())
+        return http1.Page(http.HTTPStatus.OK, b"ready")
+
+    def _build_configuration(self) -> http1.Page:
+        if self._follower.item is None:
+            return http1.Page(http.HTTPStatus.SERVICE_UNAVAILABLE,
+                              b"No configuration was read yet.")
+        return http1.Page(http.HTTPStatus.OK,
+                          msgspec.json.encode(self._follower.item),
+                          "application/json")
+
     def _make_context(self,
                       pool: http1.ConnectionPool) -> dispatch.ForwardingContext:
-        loads = dispatch.LoadTable(self._clock)
         bounds = self._settings.bounds
         return dispatch.ForwardingContext(
             clock=self._clock,
@@ -114,17 +148,28 @@
             authority=authority.Authority(self._follower, self._proof,
                                           bounds.keys_fail_closed),
             directory=self._directory,
-            loads=loads,
+            loads=self._loads,
             health=self._health,
             memory=self._memory,
-            placement=dispatch.Placement(self._settings.zone, loads,
-                                         self._health, self._memory,
-                                         dispatch.PlacementSettings()),
-            retries=dispatch.RetryBudget(random.Random(),
-                                         bounds.retry_share * _USED_SHARE,
-                                         _SPARE_RETRIES),
+            placement=dispatch.Placement(self._settings.zone, self._clock,
+                                         self._loads, self._health,
+                                         self._memory,
+                                         dispatch.PlacementSettings(),
+                                         self._find_service),
+            retries=dispatch.RetryAllowance(random.Random(), bounds.retry_share,
+                                            bounds.spare_retries,
+                                            lambda: self._peers.count + 1),
             journal=self._journal)
 
+    def _find_service(self, name: str) -> dispatch.ServiceFigures:
+        configuration = self._follower.configuration
+        if configuration is None:
+            return dispatch.ServiceFigures(name)
+        return configuration.table.find_service(name)
+
+    def _set_vm(self, name: str, value: bytes | None) -> None:
+        self._peers.set_vm(name, value)
+
     def _forget_endpoint(self, name: str) -> None:
         self._health.forget(name)
         self._memory.forget(name)
@@ -156,6 +201,7 @@
         self._journal.write("stop_begins",
                             open_requests=self._front.open_requests)
         self._front.stop()
+        self._registration.end()
         self._scheduler.call_later(_LISTEN_ON, self._stop_listening)
         self._scheduler.call_later(self._settings.grace - _STOP_MARGIN,
                                    self._end)
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -17,6 +17,7 @@
 """Longest wait for an answer: a store slowed a hundredfold takes 0.4 s."""
 _DEFAULT_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 """Wait after a refusal that names none."""
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -55,6 +56,10 @@
     at: int = 0
 
 
+class _Lease(msgspec.Struct, frozen=True):
+    lease_id: int
+
+
 class HistoryLostError(errors.KeyValueError):
     """The store no longer holds the changes that were asked for."""
 
@@ -112,25 +117,73 @@
         changes = msgspec.json.decode(body, type=Changes)
         return decode_items(changes.events), changes.at
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str],
-        wait: datetime.timedelta = datetime.timedelta()
-    ) -> tuple[int, bytes]:
-        self.calls[path] += 1
-        target = f"{path}?{urllib.parse.urlencode(query)}"
-        host = f"{self._address[0]}:{self._address[1]}".encode()
-        message = http1.Message(method, target, [(b"Host", host)])
+    async def open_lease(self, lifetime: datetime.timedelta) -> int:
+        """Opens a lease and returns its id."""
+        body = {"ttl_ms": lifetime // _MILLISECOND}
+        _, answer = await self._call("POST", "/kv-lease", body=body)
+        return msgspec.json.decode(answer, type=_Lease).lease_id
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renews a lease.
+
+        Raises:
+            errors.LeaseLostError: If it has ended.
+        """
+        status, _ = await self._call("POST", f"/kv-keep/{lease}")
+        if status == 404:
+            raise errors.LeaseLostError("The lease has ended.",
+                                        "Open another one.")
+
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease; its keys are removed."""
+        await self._call("DELETE", f"/kv-lease-end/{lease}")
+
+    async def write_key(self, key: str, value: bytes, lease: int) -> None:
+        """Writes a key under a lease, whatever it holds.
+
+        Raises:
+            errors.LeaseLostError: If the lease has ended.
+        """
+        row = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease_id": lease,
+        }
+        body = {"expected_revision": [], "write": [row], "remove": []}
+        status, _ = await self._call("POST", "/kv-txn", body=body)
+        if status == 404:
+            raise errors.LeaseLostError("The lease has ended.",
+                                        "Open another one.")
+
+    async def _send(
+        self, message: http1.Message, timeout: datetime.timedelta
+    ) -> tuple[int, bytes, datetime.timedelta | None]:
         listener = _CallListener()
         exchange = self._pool.send(self._address, message, listener)
         timer = self._scheduler.call_later(
-            wait + CALL_TIMEOUT, lambda: _time_out(exchange, listener))
+            timeout, lambda: _time_out(exchange, listener))
         try:
-            status, body, retry_after = await listener.deferred
+            return await listener.deferred
         finally:
             timer.cancel()
+
+    async def _call(
+            self,
+            method: str,
+            path: str,
+            query: dict[str, str] | None = None,
+            wait: datetime.timedelta = datetime.timedelta(),
+            body: dict[str, typing.Any] | None = None) -> tuple[int, bytes]:
+        self.calls["/" + path.split("/")[1]] += 1
+        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        sent = [(b"Host", f"{self._address[0]}:{self._address[1]}".encode())]
+        content = b""
+        if body is not None:
+            sent.append((b"Content-Type", b"application/json"))
+            content = msgspec.json.encode(body)
+        message = http1.Message(method, target, sent, content)
+        status, answer, retry_after = await self._send(message,
+                                                       wait + CALL_TIMEOUT)
         if status == 410:
             raise HistoryLostError("The store has dropped its history.",
                                    "Read the keys again.")
@@ -142,7 +195,7 @@
             raise errors.UnavailableError(
                 f"The store answered {path} with status {status}.",
                 "Call again; it is tried until the store is back.")
-        return status, body
+        return status, answer
 
 
 def decode_items(rows: tuple[msgspec.Raw, ...]) -> list[Item]:
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -17,6 +17,8 @@
 
 CONFIGURATION_KEY = "op/config"
 """Key of the newest configuration."""
+VM_PREFIX = "vms/"
+"""Keys of this system's own VMs; the rest of the key is the VM's name."""
 WATCH_TIME = datetime.timedelta(seconds=2)
 """Longest wait of a watch; each end of one is a proof of currency."""
 _FIRST_DELAY = datetime.timedelta(milliseconds=60)
@@ -34,14 +36,16 @@
 
     Attributes:
         configuration: The configuration in force; None before the first.
+        item: The same as the store holds it.
     """
 
-    def __init__(self, client: store_client.StoreClient, clock: timing.Clock,
-                 scheduler: forwarding_context.Scheduler,
-                 directory: dispatch.EndpointDirectory,
-                 proof: dispatch.CurrencyProof,
-                 journal: forwarding_context.Journal,
-                 on_restart: collections.abc.Callable[[str], None]) -> None:
+    def __init__(
+            self, client: store_client.StoreClient, clock: timing.Clock,
+            scheduler: forwarding_context.Scheduler,
+            directory: dispatch.EndpointDirectory,
+            proof: dispatch.CurrencyProof, journal: forwarding_context.Journal,
+            on_restart: collections.abc.Callable[[str], None],
+            on_vm: collections.abc.Callable[[str, bytes | None], None]) -> None:
         """Creates a follower; `start` begins to follow.
 
         Args:
@@ -52,6 +56,8 @@
             proof: Gets the proofs of currency.
             journal: Gets a line for each change.
             on_restart: Called with the name of an endpoint that started anew.
+            on_vm: Called with the name of a VM and its registration, or None
+                when it is removed.
         """
         self._client = client
         self._clock = clock
@@ -60,11 +66,17 @@
         self._proof = proof
         self._journal = journal
         self._on_restart = on_restart
+        self._on_vm = on_vm
         self._rng = random.Random()
         self._failures = 0
         self._revisions: dict[str, int] = {}
-        self._rejected: dict[str, str] = {}
         self.configuration: Configuration | None = None
+        self.item: store_client.Item | None = None
+
+    @property
+    def revision(self) -> int:
+        """Revision of the configuration in force; 0 before the first."""
+        return 0 if self.item is None else self.item.revision
 
     def start(self) -> None:
         """Begins to follow the store."""
@@ -90,10 +102,12 @@
         item, revision = await self._client.read_key(CONFIGURATION_KEY)
         self._note_answer()
         if item is not None:
-            self._take_configuration(item)
+            self.take_configuration(item)
         items = await self._client.read_range(endpoint_decoder.PREFIX)
         for each in items:
             self._take_endpoint(each)
+        for each in await self._client.read_range(VM_PREFIX):
+            self._take_vm(each)
         missing = self._directory.keep_only(
             {each.key.removeprefix(endpoint_decoder.PREFIX) for each in items})
         self._journal.write("store_read",
@@ -107,12 +121,20 @@
         self._note_answer()
         for each in items:
             if each.key == CONFIGURATION_KEY:
-                self._take_configuration(each)
+                self.take_configuration(each)
             elif each.key.startswith(endpoint_decoder.PREFIX):
                 self._take_endpoint(each)
+            elif each.key.startswith(VM_PREFIX):
+                self._take_vm(each)
         return max(revision, at)
 
-    def _take_configuration(self, item: store_client.Item) -> None:
+    def _take_vm(self, item: store_client.Item) -> None:
+        if not self._is_old(item):
+            self._on_vm(item.key.removeprefix(VM_PREFIX),
+                        None if item.value is None else item.decode_value())
+
+    def take_configuration(self, item: store_client.Item) -> None:
+        """Takes over a configuration, from the store or from a peer."""
         if item.value is None or self._is_old(item):
             return
         try:
@@ -132,6 +154,7 @@
                                 error="The version is older.")
             return
         self.configuration = found
+        self.item = item
         self._journal.write("configuration",
                             revision=item.revision,
                             version=found.table.version)
