--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -53,6 +53,8 @@
         self._expiry: forwarding_context.Timer | None = None
         self._patience: forwarding_context.Timer | None = None
         self._first_byte: datetime.timedelta | None = None
+        self._last_piece: datetime.timedelta | None = None
+        self._longest_pause = datetime.timedelta()
         self._history: list[dict[str, typing.Any]] = []
 
     @property
@@ -180,6 +182,7 @@
             return
         if not self._is_begun:
             self._begin(attempt, None)
+        self._note_piece()
         self._caller.write(events)
 
     def _begin(self, attempt: attempt_record.AttemptRecord,
@@ -196,6 +199,13 @@
         if self._first_byte is None:
             self._first_byte = self._context.clock.monotonic()
 
+    def _note_piece(self) -> None:
+        now = self._context.clock.monotonic()
+        if self._last_piece is not None:
+            self._longest_pause = max(self._longest_pause,
+                                      now - self._last_piece)
+        self._last_piece = now
+
     def _handle_bad_answer(self, attempt: attempt_record.AttemptRecord) -> None:
         """Decides after a complete answer that is no success."""
         health = self._context.health
@@ -376,6 +386,9 @@
             took_ms=_to_ms(now - request.arrived),
             first_byte_ms=None if first is None else _to_ms(first -
                                                             request.arrived),
+            longest_pause_ms=_to_ms(self._longest_pause),
+            aims_ms=(_to_ms(request.first_byte_aim), _to_ms(request.piece_aim)),
+            prompt_tokens=request.prompt.input_tokens,
             attempts=self._history)
 
 
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -15,6 +15,8 @@
 
 CALL_TIMEOUT = datetime.timedelta(milliseconds=1500)
 """Longest wait for an answer: a store slowed a hundredfold takes 0.4 s."""
+_WATCH_MARGIN = datetime.timedelta(milliseconds=600)
+"""Time after a watch's wait at which its connection counts as dead."""
 _DEFAULT_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 """Wait after a refusal that names none."""
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -113,7 +115,10 @@
             "after": str(after),
             "wait_ms": str(wait // datetime.timedelta(milliseconds=1)),
         }
-        _, body = await self._call("GET", "/kv-watch", query, wait=wait)
+        _, body = await self._call("GET",
+                                   "/kv-watch",
+                                   query,
+                                   timeout=wait + _WATCH_MARGIN)
         changes = msgspec.json.decode(body, type=Changes)
         return decode_items(changes.events), changes.at
 
@@ -172,7 +177,7 @@
             method: str,
             path: str,
             query: dict[str, str] | None = None,
-            wait: datetime.timedelta = datetime.timedelta(),
+            timeout: datetime.timedelta = CALL_TIMEOUT,
             body: dict[str, typing.Any] | None = None) -> tuple[int, bytes]:
         self.calls["/" + path.split("/")[1]] += 1
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
@@ -182,8 +187,7 @@
             sent.append((b"Content-Type", b"application/json"))
             content = msgspec.json.encode(body)
         message = http1.Message(method, target, sent, content)
-        status, answer, retry_after = await self._send(message,
-                                                       wait + CALL_TIMEOUT)
+        status, answer, retry_after = await self._send(message, timeout)
         if status == 410:
             raise HistoryLostError("The store has dropped its history.",
                                    "Read the keys again.")
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -21,6 +21,12 @@
 """Keys of this system's own VMs; the rest of the key is the VM's name."""
 WATCH_TIME = datetime.timedelta(seconds=2)
 """Longest wait of a watch; each end of one is a proof of currency."""
+_FIRST_WATCH_SHARE = 0.25
+"""Least part of that wait after a change.
+
+A change wakes the watches of all VMs at once; unequal waits spread the next
+proofs, so that the newest one among all VMs is always young.
+"""
 _FIRST_DELAY = datetime.timedelta(milliseconds=60)
 """Delay before the first repeat of a failed call."""
 _LONGEST_DELAY = datetime.timedelta(milliseconds=500)
@@ -69,6 +75,7 @@
         self._on_vm = on_vm
         self._rng = random.Random()
         self._failures = 0
+        self._was_woken = True
         self._revisions: dict[str, int] = {}
         self.configuration: Configuration | None = None
         self.item: store_client.Item | None = None
@@ -117,7 +124,8 @@
         return revision
 
     async def _watch(self, revision: int) -> int:
-        items, at = await self._client.watch("", revision, WATCH_TIME)
+        items, at = await self._client.watch("", revision, self._draw_wait())
+        self._was_woken = bool(items)
         self._note_answer()
         for each in items:
             if each.key == CONFIGURATION_KEY:
@@ -128,6 +136,11 @@
                 self._take_vm(each)
         return max(revision, at)
 
+    def _draw_wait(self) -> datetime.timedelta:
+        if not self._was_woken:
+            return WATCH_TIME
+        return WATCH_TIME * self._rng.uniform(_FIRST_WATCH_SHARE, 1.0)
+
     def _take_vm(self, item: store_client.Item) -> None:
         if not self._is_old(item):
             self._on_vm(item.key.removeprefix(VM_PREFIX),
