--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -33,8 +33,8 @@
     prefill_rate: float = 50_000.0
     long_prompt: int = 4096
     brisk_aim: datetime.timedelta = datetime.timedelta(milliseconds=500)
-    brisk_streams: int = 20
-    least_brisk_share: float = 0.2
+    brisk_streams: int = 12
+    least_brisk_share: float = 0.3
     most_brisk_share: float = 0.5
     mixing_cost: float = 0.1
     rereading_streams: float = 20.0
