--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -144,6 +144,7 @@
         again = 0 if cached else prompt.shared_tokens
         tokens = prompt.input_tokens - prompt.shared_tokens + again
         rate = settings.prefill_rate
+        aim = request.first_byte_aim.total_seconds()
         cost = (load.prefill_tokens + tokens) / rate
         cost += settings.rereading_streams * again / rate
         cost += load.places * settings.stream_cost
@@ -153,7 +154,7 @@
         takes_long = endpoint.name in long_engines
         if self.is_long(request) and not takes_long:
             cost += settings.mixing_cost * load.brisk_streams * tokens / rate
-            cost += request.first_byte_aim.total_seconds() / 2
+            cost += settings.intrusion_aims * aim
         elif takes_long and self.is_brisk(request):
             cost += settings.mixing_cost
         return Choice(
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -20,6 +20,8 @@
         most_brisk_share: Part of the engines kept free of them at most.
         mixing_cost: Seconds that an engine with long prompts counts more for
             a brisk stream: the prefill of about 5,000 tokens.
+        intrusion_aims: Aims to the first byte that an engine kept free of long
+            prompts counts more for one of them.
         rereading_streams: Streams that wait while shared parts are read again.
         stream_cost: Seconds by which each stream slows a new one's answer.
         queue_cost: Seconds of wait for each full batch of requests ahead.
@@ -37,6 +39,7 @@
     least_brisk_share: float = 0.3
     most_brisk_share: float = 0.5
     mixing_cost: float = 0.1
+    intrusion_aims: float = 2.0
     rereading_streams: float = 20.0
     stream_cost: float = 0.004
     queue_cost: float = 1.0
