--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -147,7 +147,8 @@
         aim = request.first_byte_aim.total_seconds()
         cost = (load.prefill_tokens + tokens) / rate
         cost += settings.rereading_streams * again / rate
-        cost += load.places * settings.stream_cost
+        cost += load.places * (settings.long_stream_cost if
+                               self.is_long(request) else settings.stream_cost)
         if load.places >= endpoint.slots:
             cost += (settings.queue_cost * (load.places + 1) /
                      max(1, endpoint.slots))
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -24,6 +24,8 @@
             prompts counts more for one of them.
         rereading_streams: Streams that wait while shared parts are read again.
         stream_cost: Seconds by which each stream slows a new one's answer.
+        long_stream_cost: The same for a long prompt: streams beside it stand
+            for prefills that slow all of its several hundred steps.
         queue_cost: Seconds of wait for each full batch of requests ahead.
         zone_cost: Seconds that an endpoint in another zone counts more; the
             zones are about a millisecond apart, and bytes between them cost.
@@ -42,6 +44,7 @@
     intrusion_aims: float = 2.0
     rereading_streams: float = 20.0
     stream_cost: float = 0.004
+    long_stream_cost: float = 0.08
     queue_cost: float = 1.0
     zone_cost: float = 0.002
     failure_cost: float = 2.0
