--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -110,6 +110,16 @@
         return (request.is_stream and not self.is_long(request) and
                 request.piece_aim <= self._settings.brisk_aim)
 
+    def find_long_engines(self, service: str,
+                          usable: _Endpoints) -> frozenset[str]:
+        """Returns the names of the engines that take long prompts."""
+        split = self._splits.get(service)
+        if split is None:
+            split = engine_split.EngineSplit(self._clock, self._loads,
+                                             self._settings)
+            self._splits[service] = split
+        return split.find_long_engines(usable)
+
     def _weigh_plain(self, endpoint: endpoint_module.Endpoint) -> Choice:
         load = self._loads.find_load(endpoint.name)
         cost = load.places / max(1, endpoint.slots) + self._base(endpoint)
@@ -120,12 +130,7 @@
                        usable: _Endpoints,
                        candidates: _Endpoints) -> list[Choice]:
         figures = self._find_service(request.service)
-        split = self._splits.get(request.service)
-        if split is None:
-            split = engine_split.EngineSplit(self._clock, self._loads,
-                                             self._settings)
-            self._splits[request.service] = split
-        long_engines = split.find_long_engines(usable)
+        long_engines = self.find_long_engines(request.service, usable)
         home = self._find_home(request, usable, long_engines)
         choices = []
         for each in candidates:
--- /dev/null
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -0,0 +1,180 @@
+"""Where requests go under the loads that the placement answers."""
+
+import pytest
+
+from mustardwood import dispatch
+from mustardwood.dispatch.tests import world as world_module
+
+ms = world_module.ms
+
+
+def _choose(world, request, tried=()):
+    return world.placement.choose(request, world.usable(), set(tried))
+
+
+def _place(world, request):
+    choice = _choose(world, request)
+    if choice is not None:
+        world.loads.add(choice.endpoint.name, choice.load)
+        world.memory.record(choice.endpoint.name, request)
+    return choice
+
+
+def test_subject_returns_to_the_engine_that_read_it():
+    world = world_module.World(endpoints=6)
+    homes = {
+        _choose(world, world_module.make_long(world, "subject-7")).endpoint.name
+        for _ in range(5)
+    }
+    assert len(homes) == 1
+    other = world_module.World(endpoints=6)
+    assert {
+        _choose(other, world_module.make_long(other, "subject-7")).endpoint.name
+    } == homes
+
+
+def test_loss_of_an_engine_moves_only_its_own_subjects():
+    world = world_module.World(endpoints=8)
+    subjects = [f"subject-{index}" for index in range(60)]
+    before = {
+        each: _choose(world, world_module.make_long(world, each)).endpoint.name
+        for each in subjects
+    }
+    lost = before[subjects[0]]
+    world.directory.remove_endpoint(lost)
+    after = {
+        each: _choose(world, world_module.make_long(world, each)).endpoint.name
+        for each in subjects
+    }
+    moved = [each for each in subjects if before[each] != after[each]]
+    # One engine may change sides of the split besides the lost one.
+    assert len(moved) <= 2 * len(subjects) / 5
+
+
+def test_rush_of_long_prompts_stays_off_the_engines_of_brisk_streams():
+    world = world_module.World(endpoints=8)
+    for index in range(24):
+        _place(
+            world,
+            world_module.make_stream(world,
+                                     prompt=world_module.make_prompt(
+                                         f"q-{index}", 800, 200)))
+    world.clock.advance(ms(300))
+    engines = world.placement.find_long_engines("engine", world.usable())
+    places = [
+        _place(world, world_module.make_long(world, f"s-{index}"))
+        for index in range(40)
+    ]
+    assert 4 <= len(engines) <= 6
+    assert {each.endpoint.name for each in places} <= engines
+
+
+def test_brisk_streams_spread_before_one_engine_is_full():
+    world = world_module.World(endpoints=8)
+    for index in range(40):
+        _place(
+            world,
+            world_module.make_stream(world,
+                                     prompt=world_module.make_prompt(
+                                         f"q-{index}", 800, 200)))
+        world.clock.advance(ms(250))
+    most = max(load.places for load in world.loads.list_own().values())
+    assert most <= 20
+
+
+def test_long_prompt_leaves_its_home_when_waiting_costs_more_than_reading():
+    world = world_module.World(endpoints=6)
+    names = [
+        _place(world, world_module.make_long(world)).endpoint.name
+        for _ in range(60)
+    ]
+    # The home takes the first ones: a few prompts do not move the subject.
+    assert len(set(names[:8])) == 1
+    assert len(set(names)) > 1
+
+
+def test_load_of_peers_counts():
+    world = world_module.World(endpoints=2)
+    world.loads.set_peer("vm-2", {
+        "endpoint-0": dispatch.EndpointLoad(places=50),
+    })
+    choice = _choose(world, world_module.make_request(world))
+    assert choice.endpoint.name == "endpoint-1"
+
+
+def test_load_of_silent_peer_stops_counting():
+    world = world_module.World(endpoints=2)
+    world.loads.set_peer("vm-2", {
+        "endpoint-0": dispatch.EndpointLoad(places=50),
+    })
+    world.clock.advance(ms(1100))
+    assert world.loads.find_load("endpoint-0").places == 0
+    assert world.loads.count_peers() == 0
+
+
+def test_full_engines_leave_no_room_for_the_least_urgent():
+    world = world_module.World(endpoints=2, slots=10)
+    for name in ("endpoint-0", "endpoint-1"):
+        world.loads.add(name, dispatch.EndpointLoad(places=9))
+    assert _choose(world, world_module.make_long(world)) is None
+    assert _choose(world, world_module.make_stream(world, tier=0)) is not None
+
+
+def test_memory_bounds_what_an_engine_is_given():
+    world = world_module.World(endpoints=1, memory_tokens=100_000)
+    placed = 0
+    while _place(world, world_module.make_long(world, f"s-{placed}")):
+        placed += 1
+    assert 5 <= placed <= 12
+
+
+def test_failing_endpoint_is_last_but_not_excluded():
+    world = world_module.World(endpoints=2)
+    for _ in range(5):
+        world.health.record_failure("endpoint-0")
+    assert _choose(
+        world, world_module.make_request(world)).endpoint.name == "endpoint-1"
+    assert _choose(world, world_module.make_request(world),
+                   ["endpoint-1"]).endpoint.name == "endpoint-0"
+
+
+def test_unreachable_endpoint_is_tried_again_after_a_while():
+    world = world_module.World(endpoints=2)
+    world.health.record_unreachable("endpoint-0")
+    assert world.health.is_avoided("endpoint-0")
+    world.clock.advance(ms(800))
+    assert not world.health.is_avoided("endpoint-0")
+
+
+def test_restarted_endpoint_holds_nothing():
+    world = world_module.World(endpoints=2)
+    request = world_module.make_long(world)
+    world.memory.record("endpoint-0", request)
+    assert world.memory.holds("endpoint-0", request)
+    world.memory.forget("endpoint-0")
+    assert not world.memory.holds("endpoint-0", request)
+
+
+@pytest.mark.parametrize("share", [0.2, 0.8])
+def test_weights_divide_a_route(share):
+    route = dispatch.Route(
+        "r", "h",
+        "/", (dispatch.Target("a", share), dispatch.Target("b", 1 - share)), 0,
+        ms(1), ms(1), ms(1), dispatch.RepeatPolicy.IDEMPOTENT, False, 1, True)
+    count = sum(
+        route.choose_service(f"id-{index}") == "a" for index in range(2000))
+    assert abs(count / 2000 - share) < 0.04
+
+
+def test_longest_prefix_selects_the_route():
+    routes = [
+        dispatch.Route(name, "h", prefix, (dispatch.Target("a", 1),), 0, ms(1),
+                       ms(1), ms(1), dispatch.RepeatPolicy.IDEMPOTENT, False, 1,
+                       True)
+        for name, prefix in (("root", "/"), ("deep", "/a/b/"), ("mid", "/a/"))
+    ]
+    table = dispatch.RouteTable(1, routes, ())
+    assert table.find_route("h", "/a/b/c").name == "deep"
+    assert table.find_route("h", "/a/bc").name == "mid"
+    assert table.find_route("h", "/x").name == "root"
+    assert table.find_route("other", "/x") is None
--- /dev/null
+++ b/mustardwood/dispatch/tests/world.py
@@ -0,0 +1,273 @@
+"""Fakes around the decisions, in virtual time."""
+
+import collections.abc
+import datetime
+import heapq
+import itertools
+import random
+import typing
+
+from mustardwood import dispatch
+from mustardwood import timing
+
+
+def ms(count):
+    """Returns milliseconds as a time span."""
+    return datetime.timedelta(milliseconds=count)
+
+
+class FakeScheduler:
+    """Makes calls when the clock is moved past them."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self._calls = []
+        self._numbers = itertools.count()
+
+    def call_later(self, delay, function):
+        """Puts a call off."""
+        call = _Call(function)
+        heapq.heappush(
+            self._calls,
+            (self.clock.monotonic() + delay, next(self._numbers), call))
+        return call
+
+    def advance(self, span):
+        """Moves the clock, and makes the calls that fall due in order."""
+        until = self.clock.monotonic() + span
+        while self._calls and self._calls[0][0] <= until:
+            due, _, call = heapq.heappop(self._calls)
+            self.clock.advance(max(due - self.clock.monotonic(), ms(0)))
+            if not call.is_cancelled:
+                call.function()
+        self.clock.advance(until - self.clock.monotonic())
+
+
+class _Call:
+
+    def __init__(self, function: collections.abc.Callable[[], None]):
+        self.function = function
+        self.is_cancelled = False
+
+    def cancel(self):
+        """Cancels it."""
+        self.is_cancelled = True
+
+
+class FakeAttempt:
+    """A send that the test answers."""
+
+    def __init__(self, request, endpoint, left, resume_after, listener):
+        self.request = request
+        self.endpoint = endpoint
+        self.left = left
+        self.resume_after = resume_after
+        self.listener = listener
+        self.is_aborted = False
+
+    def abort(self):
+        """Closes the connection."""
+        self.is_aborted = True
+
+    def answer(self, status=200, body=b"", verified=True, not_run=False):
+        """Sends a whole answer."""
+        self.begin(status, verified, not_run)
+        if body:
+            self.listener.receive_data(body)
+        self.listener.receive_end()
+
+    def begin(self, status=200, verified=True, not_run=False):
+        """Sends a head."""
+        self.listener.receive_head(status, [(b"X-From", b"endpoint")], verified,
+                                   not_run)
+
+
+class FakeClient:
+    """Records what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, request, endpoint, left, resume_after, listener):
+        """Records a send."""
+        attempt = FakeAttempt(request, endpoint, left, resume_after, listener)
+        self.sent.append(attempt)
+        return attempt
+
+
+class FakeCaller:
+    """Records the answer."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b""
+        self.end = ""
+        self.refusal = None
+
+    def begin(self, status, headers, length):
+        """Takes the head."""
+        del headers, length
+        assert self.status is None, "two heads"
+        self.status = status
+
+    def write(self, data):
+        """Takes a part of the body."""
+        assert not self.end
+        self.body += data
+
+    def finish(self):
+        """Ends the answer as complete."""
+        assert not self.end
+        self.end = "complete"
+
+    def abort(self):
+        """Breaks the answer off."""
+        assert not self.end
+        self.end = "broken"
+
+    def refuse(self, answer):
+        """Takes an answer of the router's own."""
+        assert self.status is None and not self.end
+        self.status = int(answer.status)
+        self.refusal = answer
+        self.end = "complete"
+
+
+class FakeAuthority:
+    """Allows everything until told otherwise."""
+
+    def __init__(self):
+        self.objection = None
+
+    def find_objection(self, request):
+        """Returns the objection that was set."""
+        del request
+        return self.objection
+
+
+class FakeJournal:
+    """Keeps the lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        """Keeps a line."""
+        self.lines.append((event, fields))
+
+
+class World:
+    """A context whose parts the test can reach."""
+
+    def __init__(self,
+                 endpoints=3,
+                 spare_retries=100.0,
+                 memory_tokens=0,
+                 slots=64):
+        self.clock = timing.ManualClock()
+        self.scheduler = FakeScheduler(self.clock)
+        self.client = FakeClient()
+        self.authority = FakeAuthority()
+        self.journal = FakeJournal()
+        self.directory = dispatch.EndpointDirectory(self.clock)
+        self.loads = dispatch.LoadTable(self.clock)
+        self.health = dispatch.EndpointHealth(self.clock)
+        self.memory = dispatch.PrefixMemory(self.clock)
+        self.settings = dispatch.PlacementSettings()
+        self.placement = dispatch.Placement(
+            "zone-a", self.clock, self.loads, self.health, self.memory,
+            self.settings,
+            lambda name: dispatch.ServiceFigures(name, memory_tokens))
+        self.context = dispatch.ForwardingContext(
+            clock=self.clock,
+            scheduler=self.scheduler,
+            client=self.client,
+            authority=self.authority,
+            directory=self.directory,
+            loads=self.loads,
+            health=self.health,
+            memory=self.memory,
+            placement=self.placement,
+            retries=dispatch.RetryAllowance(random.Random(1), 0.2,
+                                            spare_retries, lambda: 1),
+            journal=self.journal)
+        for index in range(endpoints):
+            self.directory.set_endpoint(make_endpoint(index, slots))
+
+    def usable(self):
+        """Returns the endpoints."""
+        return self.directory.list_usable("engine")
+
+    def start(self, request=None):
+        """Starts a request; returns its forwarding and its caller."""
+        caller = FakeCaller()
+        forwarding = dispatch.Forwarding(
+            make_request(self) if request is None else request, caller,
+            self.context)
+        forwarding.start()
+        return forwarding, caller
+
+
+def make_endpoint(index, slots=64, **changes) -> dispatch.Endpoint:
+    """Returns an endpoint of the service named engine."""
+    fields: dict[str, typing.Any] = {
+        "name": f"endpoint-{index}",
+        "service": "engine",
+        "host": "192.0.2.1",
+        "port": 8000 + index,
+        "zone": "zone-a",
+        "slots": slots,
+    }
+    return dispatch.Endpoint(**{**fields, **changes})
+
+
+def make_request(world, **changes) -> dispatch.GeneralRequest:
+    """Returns an idempotent plain request that arrives now."""
+    now = world.clock.monotonic()
+    fields: dict[str, typing.Any] = {
+        "request_id": f"id-{len(world.client.sent)}",
+        "route": "route",
+        "service": "engine",
+        "organisation": "organisation",
+        "api_key": "key",
+        "tier": 1,
+        "first_byte_aim": ms(200),
+        "piece_aim": ms(0),
+        "arrived": now,
+        "expires": now + ms(10_000),
+        "repeat": dispatch.RepeatPolicy.IDEMPOTENT,
+        "most_runs": 2,
+    }
+    return dispatch.GeneralRequest(**{**fields, **changes})
+
+
+def make_stream(world, **changes) -> dispatch.GeneralRequest:
+    """Returns a resumable stream with a short prompt."""
+    fields: dict[str, typing.Any] = {
+        "is_stream": True,
+        "repeat": dispatch.RepeatPolicy.RESUMABLE,
+        "first_byte_aim": ms(300),
+        "piece_aim": ms(250),
+        "prompt": make_prompt("subject", 800, 200),
+    }
+    return make_request(world, **{**fields, **changes})
+
+
+def make_long(world, subject="subject", tokens=12_000, **changes):
+    """Returns a stream with a long prompt that may run only once."""
+    fields: dict[str, typing.Any] = {
+        "is_stream": True,
+        "repeat": dispatch.RepeatPolicy.AT_MOST_ONCE,
+        "tier": 2,
+        "first_byte_aim": ms(2500),
+        "piece_aim": ms(1000),
+        "prompt": make_prompt(subject, tokens, 5_000),
+    }
+    return make_request(world, **{**fields, **changes})
+
+
+def make_prompt(subject, tokens, shared) -> dispatch.Prompt:
+    """Returns a prompt with one shared part."""
+    return dispatch.Prompt((dispatch.PromptPart(
+        subject, shared), dispatch.PromptPart("own", tokens - shared)), tokens,
+                           400)
--- /dev/null
+++ b/mustardwood/peers/tests/test_news_exchange.py
@@ -0,0 +1,127 @@
+"""What a VM concludes from its peers' messages."""
+
+import datetime
+import random
+
+from mustardwood import dispatch
+from mustardwood import peers
+from mustardwood import timing
+
+_LONGEST = datetime.timedelta(seconds=5)
+_MARGIN = datetime.timedelta(milliseconds=500)
+
+
+def _ms(count):
+    return datetime.timedelta(milliseconds=count)
+
+
+class _Vm:
+
+    def __init__(self, name, seed=1):
+        self.name = name
+        self.clock = timing.ManualClock()
+        self.loads = dispatch.LoadTable(self.clock)
+        self.proof = dispatch.CurrencyProof(self.clock, _LONGEST, _MARGIN)
+        self.exchange = peers.NewsExchange(name, self.clock, self.loads,
+                                           self.proof, random.Random(seed))
+        self.revision = 10
+
+    def tell(self, other):
+        """Returns a message for another VM."""
+        return self.exchange.build_news(other.name, self.revision)
+
+    def hear(self, data):
+        """Takes over a message."""
+        return self.exchange.take_news(data, self.revision)
+
+
+def _advance(span, *vms):
+    for each in vms:
+        each.clock.advance(span)
+
+
+def test_peers_proof_is_taken_over():
+    cut, sound = _Vm("cut"), _Vm("sound", 2)
+    question = cut.tell(sound)
+    _advance(_ms(100), cut, sound)
+    sound.proof.record(sound.clock.monotonic())
+    sound.hear(question)
+    _advance(_ms(100), cut, sound)
+    cut.hear(sound.tell(cut))
+    # The proof is at least as new as the question that the peer answered.
+    assert cut.proof.age() == _ms(200)
+
+
+def test_peers_old_proof_stays_old():
+    cut, sound = _Vm("cut"), _Vm("sound", 2)
+    sound.proof.record(sound.clock.monotonic())
+    _advance(_ms(3000), cut, sound)
+    sound.hear(cut.tell(sound))
+    cut.hear(sound.tell(cut))
+    assert cut.proof.age() == _ms(3000)
+
+
+def test_message_that_waited_through_suspension_proves_nothing_new():
+    frozen, sound = _Vm("frozen"), _Vm("sound", 2)
+    sound.hear(frozen.tell(sound))
+    sound.proof.record(sound.clock.monotonic())
+    late = sound.tell(frozen)
+    _advance(_ms(8000), frozen, sound)
+    frozen.hear(late)
+    assert frozen.proof.age() == _ms(8000)
+    assert not frozen.proof.is_current()
+
+
+def test_proof_of_newer_configuration_does_not_count_for_an_older_one():
+    behind, ahead = _Vm("behind"), _Vm("ahead", 2)
+    ahead.revision = 11
+    ahead.hear(behind.tell(ahead))
+    ahead.proof.record(ahead.clock.monotonic())
+    behind.hear(ahead.tell(behind))
+    assert behind.proof.age() is None
+
+
+def test_message_without_echo_proves_nothing():
+    new, sound = _Vm("new"), _Vm("sound", 2)
+    sound.proof.record(sound.clock.monotonic())
+    new.hear(sound.tell(new))
+    assert new.proof.age() is None
+
+
+def test_echo_from_before_a_restart_names_no_message_of_the_new_process():
+    old, sound = _Vm("vm"), _Vm("sound", 2)
+    sound.hear(old.tell(sound))
+    sound.proof.record(sound.clock.monotonic())
+    restarted = _Vm("vm", 3)
+    restarted.tell(sound)
+    restarted.hear(sound.tell(old))
+    assert restarted.proof.age() is None
+
+
+def test_repeated_and_reordered_messages_are_dropped():
+    here, there = _Vm("here"), _Vm("there", 2)
+    here.hear(there.tell(here))
+    there.hear(here.tell(there))
+    there.loads.add("engine-1", dispatch.EndpointLoad(places=1))
+    first = there.tell(here)
+    there.loads.add("engine-1", dispatch.EndpointLoad(places=1))
+    second = there.tell(here)
+    assert here.hear(second) is not None
+    assert here.hear(first) is None
+    assert here.hear(second) is None
+    assert here.loads.find_load("engine-1").places == 2
+
+
+def test_restarted_peer_is_heard_again():
+    here, there = _Vm("here"), _Vm("there", 2)
+    here.hear(there.tell(here))
+    restarted = _Vm("there", 4)
+    restarted.loads.add("engine-1", dispatch.EndpointLoad(places=3))
+    assert here.hear(restarted.tell(here)) is not None
+    assert here.loads.find_load("engine-1").places == 3
+
+
+def test_unreadable_datagram_is_ignored():
+    here = _Vm("here")
+    assert here.hear(b"\xc1garbage") is None
+    assert here.hear(b"") is None
