Serve metrics, watch the settings file, and log unforeseen errors

Cause: an exception in the follower of the store would have ended it silently; the settings may change without a signal; no metrics were served.

--- a/mustardwood/dispatch/currency_proof.py
+++ b/mustardwood/dispatch/currency_proof.py
@@ -28,6 +28,11 @@
         self._longest = longest - margin
         self._asked_at: datetime.timedelta | None = None
 
+    def set_longest(self, longest: datetime.timedelta,
+                    margin: datetime.timedelta) -> None:
+        """Changes the bounds; the proof that was given holds."""
+        self._longest = longest - margin
+
     def record(self, asked_at: datetime.timedelta) -> None:
         """Takes over a proof; an older one than known changes nothing."""
         if self._asked_at is None or asked_at > self._asked_at:
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -21,6 +21,9 @@
 """Bound below; about four times a plain service's slowest usual answer."""
 _STREAM_PATIENCE = datetime.timedelta(milliseconds=1200)
 """Silence after which a stream is resumed; callers leave after two seconds."""
+_ANSWERED = "answered"
+_CALLER_GONE = "caller gone"
+_COMPLETE = "complete"
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run."""
 _DEFAULT_RETURN = datetime.timedelta(seconds=1)
@@ -75,8 +78,8 @@
         """Ends the work, since the caller has gone."""
         if self._is_done:
             return
-        self._drop_attempt("caller gone")
-        self._finish("caller gone", 0)
+        self._drop_attempt(_CALLER_GONE)
+        self._finish(_CALLER_GONE, 0)
 
     def receive_head(self, status: int, headers: forwarding_context.Headers,
                      is_verified: bool, was_not_run: bool) -> None:
@@ -120,7 +123,7 @@
         if not attempt.is_success:
             self._handle_bad_answer(attempt)
             return
-        self._end_attempt("complete")
+        self._end_attempt(_COMPLETE)
         self._context.health.record_success(attempt.endpoint)
         if self._request.is_stream:
             if not self._is_begun:
@@ -131,7 +134,7 @@
             self._begin(attempt, len(attempt.body))
             self._caller.write(bytes(attempt.body))
         self._caller.finish()
-        self._finish("answered", attempt.status)
+        self._finish(_ANSWERED, attempt.status)
 
     def receive_failure(self, was_sent: bool, reason: str) -> None:
         """See `forwarding_context.AttemptListener`."""
@@ -350,6 +353,9 @@
         self._attempt = None
         self._cancel_patience()
         self._context.loads.subtract(attempt.endpoint, attempt.load)
+        self._context.metrics.count_attempt(
+            self._request.service, _COMPLETE if reason == _COMPLETE else
+            "status" if attempt.status >= 400 else "broken")
         now = self._context.clock.monotonic()
         self._history.append({
             "endpoint": attempt.endpoint,
@@ -375,6 +381,10 @@
         request = self._request
         now = self._context.clock.monotonic()
         first = self._first_byte
+        self._context.metrics.count_request(
+            request.tier, _classify(outcome,
+                                    status), int(status), now - request.arrived,
+            None if first is None else first - request.arrived)
         self._context.journal.write(
             "request",
             request_id=request.request_id,
@@ -392,5 +402,12 @@
             attempts=self._history)
 
 
+def _classify(outcome: str, status: int) -> str:
+    """Returns the kind of an outcome, for the metrics."""
+    if outcome in (_ANSWERED, _CALLER_GONE):
+        return outcome.replace(" ", "_")
+    return "refused" if status in _PROMISES else "failed"
+
+
 def _to_ms(span: datetime.timedelta) -> int:
     return round(span / datetime.timedelta(milliseconds=1))
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -122,6 +122,27 @@
         """Writes a line."""
 
 
+class Metrics(typing.Protocol):
+    """Counts what happens to requests."""
+
+    def count_request(self, tier: int, outcome: str, status: int,
+                      took: datetime.timedelta,
+                      first_byte: datetime.timedelta | None) -> None:
+        """Counts a request at its end.
+
+        Args:
+            tier: Its rank.
+            outcome: ``answered``, ``refused``, ``failed`` or ``caller_gone``.
+            status: Status that the caller got; 0 if the answer broke off.
+            took: Time since its arrival.
+            first_byte: Time to the first byte of the answer.
+        """
+
+    def count_attempt(self, service: str, end: str) -> None:
+        """Counts an attempt at its end: ``complete``, ``status`` or ``broken``.
+        """
+
+
 @dataclasses.dataclass(frozen=True)
 class ForwardingContext:
     """The parts that all requests of a process share."""
@@ -137,3 +158,4 @@
     placement: placement_module.Placement
     retries: retry_allowance.RetryAllowance
     journal: Journal
+    metrics: Metrics
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -223,3 +223,14 @@
     assert event == "request"
     assert [each["end"] for each in fields["attempts"]] == ["reset", "complete"]
     assert fields["outcome"] == "answered"
+
+
+def test_metrics_count_each_end():
+    world = world_module.World()
+    world.start()
+    world.client.sent[0].listener.receive_failure(True, "reset")
+    world.client.sent[1].answer(body=b"data")
+    forwarding, _ = world.start()
+    forwarding.stop_for_caller()
+    assert world.metrics.attempts == ["broken", "complete", "broken"]
+    assert world.metrics.requests == [("answered", 200), ("caller_gone", 0)]
--- a/mustardwood/dispatch/tests/world.py
+++ b/mustardwood/dispatch/tests/world.py
@@ -156,6 +156,24 @@
         self.lines.append((event, fields))
 
 
+class FakeMetrics:
+    """Keeps the counts."""
+
+    def __init__(self):
+        self.requests = []
+        self.attempts = []
+
+    def count_request(self, tier, outcome, status, took, first_byte):
+        """Keeps a request."""
+        del tier, took, first_byte
+        self.requests.append((outcome, status))
+
+    def count_attempt(self, service, end):
+        """Keeps an attempt."""
+        del service
+        self.attempts.append(end)
+
+
 class World:
     """A context whose parts the test can reach."""
 
@@ -169,6 +187,7 @@
         self.client = FakeClient()
         self.authority = FakeAuthority()
         self.journal = FakeJournal()
+        self.metrics = FakeMetrics()
         self.directory = dispatch.EndpointDirectory(self.clock)
         self.loads = dispatch.LoadTable(self.clock)
         self.health = dispatch.EndpointHealth(self.clock)
@@ -190,7 +209,8 @@
             placement=self.placement,
             retries=dispatch.RetryAllowance(random.Random(1), 0.2,
                                             spare_retries, lambda: 1),
-            journal=self.journal)
+            journal=self.journal,
+            metrics=self.metrics)
         for index in range(endpoints):
             self.directory.set_endpoint(make_endpoint(index, slots))
 
--- a/mustardwood/http1/tests/fake_transport.py
+++ b/mustardwood/http1/tests/fake_transport.py
@@ -16,14 +16,14 @@
         super().__init__()
         self.closed = ""
 
-    def getHandle(self):
+    def getHandle(self):  # pylint: disable=invalid-name
         """Returns a socket that takes every option."""
         return _Handle()
 
-    def setTcpNoDelay(self, enabled):
+    def setTcpNoDelay(self, enabled):  # pylint: disable=invalid-name
         """Takes the option."""
 
-    def loseWriteConnection(self):
+    def loseWriteConnection(self):  # pylint: disable=invalid-name
         """Ends the writing half."""
         self.closed = self.closed or "written"
 
--- a/mustardwood/platform/authority.py
+++ b/mustardwood/platform/authority.py
@@ -23,6 +23,10 @@
         self._proof = proof
         self._fails_closed = fails_closed
 
+    def set_fails_closed(self, fails_closed: bool) -> None:
+        """Sets whether keys are refused without a current proof."""
+        self._fails_closed = fails_closed
+
     def find_objection(
             self, request: dispatch.GeneralRequest) -> dispatch.Refusal | None:
         """See `forwarding_context.Authority`."""
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -3,12 +3,15 @@
 import collections.abc
 import datetime
 import http
+import math
+import os
 import pathlib
 import random
 import signal
 import typing
 
 import msgspec
+from twisted import logger
 
 from mustardwood import dispatch
 from mustardwood import errors
@@ -19,6 +22,7 @@
 from mustardwood.platform import endpoint_calls
 from mustardwood.platform import event_journal
 from mustardwood.platform import front as front_module
+from mustardwood.platform import metrics
 from mustardwood.platform import peer_link
 from mustardwood.platform import settings as settings_module
 from mustardwood.platform import store_client
@@ -38,6 +42,10 @@
 """Time before the signal to kill at which the process ends anyway."""
 _STOP_POLL = datetime.timedelta(milliseconds=50)
 """Interval between looks whether the last request has ended."""
+_SETTINGS_INTERVAL = datetime.timedelta(seconds=1)
+"""Interval of looks at the settings file, which may change unannounced."""
+_ABSENT = (0, 0, 0)
+"""Stands for a settings file that is missing."""
 _BACKLOG = 512
 """Connections that may wait to be accepted."""
 
@@ -85,9 +93,13 @@
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
             self._settings.listen.peers)
+        self._authority = authority.Authority(
+            self._follower, self._proof, self._settings.bounds.keys_fail_closed)
+        self._metrics = metrics.ProcessMetrics()
         self._front = front_module.Front(self._make_context(pool),
                                          self._follower)
         self._port: typing.Any = None
+        self._settings_change = _find_change(path)
         self._is_stopping = False
 
     def start(self) -> None:
@@ -111,6 +123,11 @@
                       lambda *_: self._reactor.callFromThread(self._begin_stop))
         signal.signal(signal.SIGHUP,
                       lambda *_: self._reactor.callFromThread(self._reload))
+        logger.globalLogBeginner.beginLoggingTo([self._journal.observe_twisted],
+                                                discardBuffer=True,
+                                                redirectStandardIO=False)
+        self._serve_metrics()
+        self._watch_settings()
         self._journal.write("start",
                             zone=self._settings.zone,
                             callers=listen.callers)
@@ -145,8 +162,7 @@
             clock=self._clock,
             scheduler=self._scheduler,
             client=endpoint_calls.EndpointCalls(pool),
-            authority=authority.Authority(self._follower, self._proof,
-                                          bounds.keys_fail_closed),
+            authority=self._authority,
             directory=self._directory,
             loads=self._loads,
             health=self._health,
@@ -159,7 +175,8 @@
             retries=dispatch.RetryAllowance(random.Random(), bounds.retry_share,
                                             bounds.spare_retries,
                                             lambda: self._peers.count + 1),
-            journal=self._journal)
+            journal=self._journal,
+            metrics=self._metrics)
 
     def _find_service(self, name: str) -> dispatch.ServiceFigures:
         configuration = self._follower.configuration
@@ -192,7 +209,46 @@
         except errors.SettingsError as error:
             self._journal.write("reload_failed", error=str(error))
             return
-        self._journal.write("reload")
+        self._proof.set_longest(self._settings.key_removal_time, _PROOF_MARGIN)
+        self._authority.set_fails_closed(self._settings.bounds.keys_fail_closed)
+        self._journal.write("reload", path=str(self._path))
+
+    def _watch_settings(self) -> None:
+        """Reloads the settings when their file was replaced or changed."""
+        changed = _find_change(self._path)
+        if changed not in (self._settings_change, _ABSENT):
+            self._settings_change = changed
+            self._reload()
+        self._scheduler.call_later(_SETTINGS_INTERVAL, self._watch_settings)
+
+    def _serve_metrics(self) -> None:
+        port = os.environ.get(settings_module.METRICS_PORT_VARIABLE, "")
+        if not port.isdecimal():
+            return
+        for name, text, read in (
+            ("mustardwood_open_requests", "Requests without a final answer.",
+             lambda: float(self._front.open_requests)),
+            ("mustardwood_proof_age_seconds",
+             "Age of the proof that the configuration is the newest.",
+             self._read_proof_age),
+            ("mustardwood_configuration_version", "Version in force.",
+             self._read_version),
+            ("mustardwood_peers", "Peers whose loads count.",
+             lambda: float(self._loads.count_peers())),
+            ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
+             lambda: float(self._journal.dropped)),
+        ):
+            self._metrics.add_gauge(name, text, read)
+        self._serve_page(f"{self._settings.ip}:{port}", metrics.PATH,
+                         self._metrics.build_page)
+
+    def _read_proof_age(self) -> float:
+        age = self._proof.age()
+        return math.inf if age is None else age.total_seconds()
+
+    def _read_version(self) -> float:
+        configuration = self._follower.configuration
+        return 0.0 if configuration is None else configuration.table.version
 
     def _begin_stop(self) -> None:
         if self._is_stopping:
@@ -224,3 +280,13 @@
         if self._reactor.running:
             self._journal.write("stop", open_requests=self._front.open_requests)
             self._reactor.stop()
+
+
+def _find_change(path: pathlib.Path) -> tuple[int, int, int]:
+    """Returns what differs after a change of a file; `_ABSENT` without one."""
+    try:
+        found = path.stat()
+    except OSError:
+        # A file that is being replaced is looked at again a moment later.
+        return _ABSENT
+    return found.st_mtime_ns, found.st_size, found.st_ino
--- a/mustardwood/platform/event_journal.py
+++ b/mustardwood/platform/event_journal.py
@@ -64,6 +64,15 @@
         self._pending_bytes += len(line)
         self._flush()
 
+    def observe_twisted(self, event: typing.Any) -> None:
+        """Writes the errors that the event loop caught, with tracebacks."""
+        found = event.get("log_failure")
+        if found is not None:
+            self.write("error",
+                       part="event_loop",
+                       error=found.getErrorMessage(),
+                       traceback=found.getTraceback())
+
     def _flush(self) -> None:
         while self._pending:
             line = self._pending[0]
--- /dev/null
+++ b/mustardwood/platform/metrics.py
@@ -0,0 +1,64 @@
+"""Counters and histograms of the process."""
+
+import collections.abc
+import datetime
+import http
+
+import prometheus_client
+
+from mustardwood import http1
+
+PATH = "/metrics"
+"""Path of the page."""
+_BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0, 15.0)
+"""Seconds; they hold the aims of the users' request classes."""
+
+
+class ProcessMetrics:
+    """Counts requests and attempts; implements `forwarding_context.Metrics`."""
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "mustardwood_requests",
+            "Requests with their final answer.", ["tier", "outcome", "status"],
+            registry=self._registry)
+        self._attempts = prometheus_client.Counter(
+            "mustardwood_attempts",
+            "Attempts at endpoints, by their end.", ["service", "end"],
+            registry=self._registry)
+        self._took = prometheus_client.Histogram(
+            "mustardwood_request_seconds",
+            "Time to the end of the answer.", ["tier"],
+            buckets=_BUCKETS,
+            registry=self._registry)
+        self._first_byte = prometheus_client.Histogram(
+            "mustardwood_first_byte_seconds",
+            "Time to the first byte.", ["tier"],
+            buckets=_BUCKETS,
+            registry=self._registry)
+
+    def add_gauge(self, name: str, text: str,
+                  read: collections.abc.Callable[[], float]) -> None:
+        """Adds a figure that is read when the page is asked for."""
+        gauge = prometheus_client.Gauge(name, text, registry=self._registry)
+        gauge.set_function(read)
+
+    def count_request(self, tier: int, outcome: str, status: int,
+                      took: datetime.timedelta,
+                      first_byte: datetime.timedelta | None) -> None:
+        """See `forwarding_context.Metrics`."""
+        self._requests.labels(tier, outcome, status).inc()
+        self._took.labels(tier).observe(took.total_seconds())
+        if first_byte is not None:
+            self._first_byte.labels(tier).observe(first_byte.total_seconds())
+
+    def count_attempt(self, service: str, end: str) -> None:
+        """See `forwarding_context.Metrics`."""
+        self._attempts.labels(service, end).inc()
+
+    def build_page(self) -> http1.Page:
+        """Returns the page in the text format of Prometheus."""
+        return http1.Page(http.HTTPStatus.OK,
+                          prometheus_client.generate_latest(self._registry),
+                          prometheus_client.CONTENT_TYPE_LATEST)
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -10,6 +10,10 @@
 PATH_VARIABLE = "MUSTARDWOOD_BOOT"
 """Environment variable with the path of the settings file."""
 
+METRICS_PORT_VARIABLE = "MUSTARDWOOD_METRICS_PORT"
+"""Environment variable with the port of the metrics; none are served without.
+"""
+
 
 class Listen(msgspec.Struct, frozen=True):
     """Addresses to listen on, as IP:PORT.
@@ -59,6 +63,7 @@
     Attributes:
         vm: Name of the VM.
         zone: Its availability zone.
+        ip: Its IP address.
         listen: Addresses to listen on.
         store: The store.
         bounds: Figures that the platform holds the system to.
@@ -67,6 +72,7 @@
 
     vm: str = msgspec.field(name="node_name")
     zone: str
+    ip: str
     listen: Listen
     store: Store = msgspec.field(name="platform")
     bounds: Bounds = Bounds()
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from twisted.internet import defer
+from twisted.python import failure
 
 from mustardwood import dispatch
 from mustardwood import errors
@@ -87,7 +88,15 @@
 
     def start(self) -> None:
         """Begins to follow the store."""
-        defer.Deferred.fromCoroutine(self._follow())
+        defer.Deferred.fromCoroutine(self._follow()).addErrback(self._restart)
+
+    def _restart(self, reason: failure.Failure) -> None:
+        """Follows on after an error that nobody foresaw."""
+        self._journal.write("error",
+                            part="store_follower",
+                            error=reason.getErrorMessage(),
+                            traceback=reason.getTraceback())
+        self._scheduler.call_later(_LONGEST_DELAY, self.start)
 
     async def _follow(self) -> None:
         revision: int | None = None
--- /dev/null
+++ b/mustardwood/platform/tests/test_decoders.py
@@ -0,0 +1,167 @@
+"""Configurations, registrations and requests from the wire."""
+
+import datetime
+import json
+
+import pytest
+
+from mustardwood import dispatch
+from mustardwood import errors
+from mustardwood import http1
+from mustardwood.platform import configuration_decoder
+from mustardwood.platform import endpoint_decoder
+from mustardwood.platform import request_decoder
+from mustardwood.platform.tests import documents
+
+_START = datetime.timedelta(seconds=100)
+
+
+def _decode(**changes):
+    return configuration_decoder.decode_configuration(
+        json.dumps(documents.make_document(**changes)).encode())
+
+
+def _make_message(path, headers=(), method="POST"):
+    sent = {
+        b"Host": documents.HOST.encode(),
+        b"Mustardwood-Attempt-Id": b"a1",
+        b"Authorization": b"Bearer key-1",
+        b"Mustardwood-Deadline-Ms": b"5000",
+    }
+    sent.update(headers)
+    return http1.Message(method, path, list(sent.items()), b"body")
+
+
+def _decode_request(path, headers=(), table=None):
+    return request_decoder.decode_request(_make_message(path, headers), table or
+                                          _decode().table, _START)
+
+
+def test_kinds_of_routes_tell_what_may_be_repeated():
+    table = _decode().table
+    expected = {
+        "/stream/x": dispatch.RepeatPolicy.RESUMABLE,
+        "/post/x": dispatch.RepeatPolicy.AT_MOST_ONCE,
+        "/open/x": dispatch.RepeatPolicy.IDEMPOTENT,
+    }
+    for path, repeat in expected.items():
+        assert table.find_route(documents.HOST, path).repeat is repeat
+
+
+def test_stream_that_may_not_be_resumed_runs_once():
+    document = documents.make_document()
+    document["routes"][0]["resumable"] = False
+    found = configuration_decoder.decode_configuration(
+        json.dumps(document).encode())
+    route = found.table.find_route(documents.HOST, "/stream/x")
+    assert route.repeat is dispatch.RepeatPolicy.AT_MOST_ONCE
+
+
+@pytest.mark.parametrize("value", [
+    b"", b"{", b"[]", b"null", b"\xff\xfe", b'{"version": "x"}',
+    b'{"version": 3, "routes": [{}]}', b'{"version": 3, "routes": 4}'
+])
+def test_unreadable_configuration_is_an_error_that_names_a_remedy(value):
+    with pytest.raises(errors.ConfigurationError) as caught:
+        configuration_decoder.decode_configuration(value)
+    assert caught.value.remedy
+
+
+@pytest.mark.parametrize("changes", [{
+    "address": 4
+}, {
+    "address": "nowhere"
+}, {
+    "state": "paused"
+}, {
+    "state": None
+}, {
+    "service": 3
+}, {
+    "slots": "many"
+}, {
+    "born": "yesterday"
+}])
+def test_registration_of_another_writer_names_no_endpoint(changes):
+    value = json.dumps(documents.make_registration(**changes)).encode()
+    with pytest.raises(errors.ConfigurationError):
+        endpoint_decoder.decode_endpoint("servers/i-1", value)
+
+
+def test_registration_without_needless_fields_names_an_endpoint():
+    entry = {"service": "api", "address": "192.0.2.5:80", "state": "draining"}
+    found = endpoint_decoder.decode_endpoint("servers/i-1",
+                                             json.dumps(entry).encode())
+    assert (found.name, found.is_leaving) == ("i-1", True)
+
+
+def test_request_takes_time_from_route_and_caller():
+    assert _decode_request("/stream/x").expires == _START + datetime.timedelta(
+        seconds=5)
+    assert _decode_request("/post/x").expires == _START + datetime.timedelta(
+        milliseconds=1200)
+
+
+def test_organisation_decides_the_tier_before_the_route():
+    assert _decode_request("/stream/x").tier == 1
+    other = _decode_request("/stream/x", {b"Authorization": b"Bearer key-3"})
+    assert other.tier == 0
+
+
+@pytest.mark.parametrize("headers, status", [
+    ({
+        b"Authorization": b"Bearer unknown"
+    }, 401),
+    ({
+        b"Authorization": b"Basic key-1"
+    }, 401),
+    ({
+        b"Host": b"other.example"
+    }, 404),
+])
+def test_wrong_key_and_wrong_host_are_refused(headers, status):
+    assert _decode_request("/stream/x", headers).status == status
+
+
+def test_vm_without_configuration_says_that_it_is_not_ready():
+    found = request_decoder.decode_request(_make_message("/stream/x"), None,
+                                           _START)
+    assert found.status == 503
+    assert found.retry_after is not None
+
+
+def test_what_is_the_routers_to_set_is_taken_off():
+    headers = {
+        b"Mustardwood-Tenant": b"forged",
+        b"mustardwood-cache-retention": b"1",
+        b"MUSTARDWOOD-PIN-MS": b"100",
+        b"Kv-From": b"192.0.2.1:1/1",
+        b"Mustardwood-Kv-Backup": b"192.0.2.1:1",
+        b"Mustardwood-Request-Priority": b"0",
+        b"Mustardwood-Expect-Replica": b"i-9",
+        b"Connection": b"X-Own, Mustardwood-Attempt-Id",
+        b"X-Own": b"1",
+        b"X-Kept": b"2",
+        b"Transfer-Encoding": b"chunked",
+    }
+    request = _decode_request("/stream/x", headers)
+    assert sorted(name.lower() for name, _ in request.headers) == [
+        b"host", b"mustardwood-attempt-id", b"x-kept"
+    ]
+
+
+def test_prompt_parts_and_sizes_are_read():
+    request = _decode_request(
+        "/stream/x", {
+            b"Mustardwood-Token-Usage": b"1460,80",
+            b"Mustardwood-Prompt-Prefix": b"5c:800,91:410,e4:250",
+        })
+    assert request.prompt.subject == "91"
+    assert request.prompt.shared_tokens == 1210
+    assert request.prompt.output_tokens == 80
+
+
+@pytest.mark.parametrize("value", [b"", b"x", b"1,2,3", b"-4,5", b",,"])
+def test_unreadable_sizes_do_not_refuse_the_request(value):
+    request = _decode_request("/stream/x", {b"Mustardwood-Token-Usage": value})
+    assert request.prompt.input_tokens == 0
--- a/mustardwood/platform/vm_registration.py
+++ b/mustardwood/platform/vm_registration.py
@@ -3,6 +3,7 @@
 import datetime
 
 from twisted.internet import defer
+from twisted.python import failure
 
 from mustardwood import errors
 from mustardwood.dispatch import forwarding_context
@@ -34,7 +35,15 @@
 
     def start(self) -> None:
         """Begins to register."""
-        defer.Deferred.fromCoroutine(self._keep())
+        defer.Deferred.fromCoroutine(self._keep()).addErrback(self._restart)
+
+    def _restart(self, reason: failure.Failure) -> None:
+        """Registers on after an error that nobody foresaw."""
+        self._journal.write("error",
+                            part="vm_registration",
+                            error=reason.getErrorMessage(),
+                            traceback=reason.getTraceback())
+        self._scheduler.call_later(_RETRY, self.start)
 
     def end(self) -> None:
         """Removes the entry."""
