--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -32,6 +32,7 @@
 from mustardwood.dispatch.route import Target
 from mustardwood.dispatch.route_table import RouteTable
 from mustardwood.dispatch.service_figures import ServiceFigures
+from mustardwood.dispatch.waiting_room import WaitingRoom
 
 __all__ = [
     "Attempt",
@@ -62,4 +63,5 @@
     "RouteTable",
     "ServiceFigures",
     "Target",
+    "WaitingRoom",
 ]
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -9,6 +9,7 @@
 from mustardwood.dispatch import event_splitter
 from mustardwood.dispatch import forwarding_context
 from mustardwood.dispatch import general_request
+from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import refusal
 
 _MOST_SENDS = 4
@@ -26,6 +27,12 @@
 _COMPLETE = "complete"
 _PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run."""
+_LONGEST_WAIT_AIMS = 1.6
+"""Aims to the first byte for which a request waits for room at most.
+
+It is late by then, but an answer is still worth having; beyond a third of its
+time it is refused, so that its caller can come back.
+"""
 _DEFAULT_RETURN = datetime.timedelta(seconds=1)
 """When to come back if nothing better is known: an endpoint's restart."""
 
@@ -55,6 +62,7 @@
         self._is_done = False
         self._expiry: forwarding_context.Timer | None = None
         self._patience: forwarding_context.Timer | None = None
+        self._room_timer: forwarding_context.Timer | None = None
         self._first_byte: datetime.timedelta | None = None
         self._last_piece: datetime.timedelta | None = None
         self._longest_pause = datetime.timedelta()
@@ -165,8 +173,13 @@
             request, context.directory.list_usable(request.service),
             self._tried)
         if choice is None:
-            self._give_up("no endpoint left", None)
+            self._wait_for_room()
             return
+        self._send(choice, now, left)
+
+    def _send(self, choice: placement_module.Choice, now: datetime.timedelta,
+              left: datetime.timedelta) -> None:
+        context, request = self._context, self._request
         attempt = attempt_record.AttemptRecord(choice, now)
         self._attempt = attempt
         self._sends += 1
@@ -178,6 +191,38 @@
             request, choice.endpoint, left,
             self._splitter.last_id if self._is_begun else None, self)
 
+    def _wait_for_room(self) -> None:
+        """Waits for an endpoint with room, if one is left."""
+        context, request = self._context, self._request
+        usable = context.directory.list_usable(request.service)
+        if all(each.name in self._tried for each in usable):
+            self._give_up("no endpoint left", None)
+            return
+        if self._room_timer is None:
+            limit = min(request.first_byte_aim * _LONGEST_WAIT_AIMS,
+                        (request.expires - request.arrived) / 3)
+            waited = context.clock.monotonic() - request.arrived
+            self._room_timer = context.scheduler.call_later(
+                max(limit - waited, datetime.timedelta()), self._refuse_waiting)
+            context.waiting.add(request, self._retry_waiting)
+
+    def _retry_waiting(self) -> bool:
+        self._send_next()
+        if self._attempt is None and not self._is_done:
+            return False
+        self._leave_room()
+        return True
+
+    def _refuse_waiting(self) -> None:
+        self._leave_room()
+        self._give_up("no room", None)
+
+    def _leave_room(self) -> None:
+        if self._room_timer is not None:
+            self._room_timer.cancel()
+            self._room_timer = None
+            self._context.waiting.remove(self._request)
+
     def _pass_events(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
         events = self._splitter.add(data)
@@ -375,6 +420,7 @@
 
     def _finish(self, outcome: str, status: int) -> None:
         self._is_done = True
+        self._leave_room()
         if self._expiry is not None:
             self._expiry.cancel()
             self._expiry = None
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -143,6 +143,17 @@
         """
 
 
+class Queue(typing.Protocol):
+    """Keeps requests until an endpoint has room."""
+
+    def add(self, request: general_request.GeneralRequest,
+            retry: collections.abc.Callable[[], bool]) -> None:
+        """Adds a request; `retry` returns whether it need not wait on."""
+
+    def remove(self, request: general_request.GeneralRequest) -> None:
+        """Removes a request, if it waits."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ForwardingContext:
     """The parts that all requests of a process share."""
@@ -157,5 +168,6 @@
     memory: prefix_memory.PrefixMemory
     placement: placement_module.Placement
     retries: retry_allowance.RetryAllowance
+    waiting: Queue
     journal: Journal
     metrics: Metrics
--- a/mustardwood/dispatch/general_request.py
+++ b/mustardwood/dispatch/general_request.py
@@ -7,7 +7,7 @@
 from mustardwood.dispatch import repeat_policy
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, eq=False)
 class GeneralRequest:
     """One caller's request after its checks.
 
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -82,6 +82,9 @@
                tried: collections.abc.Set[str]) -> Choice | None:
         """Returns the choice among the endpoints that were not tried yet.
 
+        A long prompt waits for the engine that suits it best rather than go
+        to another one that has room, until it has waited long.
+
         Args:
             request: The request.
             usable: Endpoints of its service that take new work.
@@ -99,7 +102,10 @@
             choices = [self._weigh_plain(each) for each in candidates]
         else:
             choices = self._weigh_prompts(request, usable, candidates)
-        return min(choices, key=lambda choice: choice.cost, default=None)
+        best = min(choices, key=lambda choice: choice.cost, default=None)
+        if best is not None and self._is_prefill_full(request, best):
+            return None
+        return best
 
     def is_long(self, request: general_request.GeneralRequest) -> bool:
         """Returns whether a prompt stalls the streams beside it."""
@@ -151,7 +157,8 @@
         rate = settings.prefill_rate
         aim = request.first_byte_aim.total_seconds()
         cost = (load.prefill_tokens + tokens) / rate
-        cost += settings.rereading_streams * again / rate
+        cost += (settings.rereading_streams * again / rate *
+                 self._find_reluctance(request))
         cost += load.places * (settings.long_stream_cost if
                                self.is_long(request) else settings.stream_cost)
         if load.places >= endpoint.slots:
@@ -171,6 +178,21 @@
                 brisk_streams=int(self.is_brisk(request)),
                 held_tokens=tokens + prompt.output_tokens))
 
+    def _is_prefill_full(self, request: general_request.GeneralRequest,
+                         choice: Choice) -> bool:
+        if not self.is_long(request):
+            return False
+        load = self._loads.find_load(choice.endpoint.name)
+        filled = load.prefill_tokens + choice.load.prefill_tokens
+        return load.prefill_tokens > 0 and filled > self._settings.most_prefill
+
+    def _find_reluctance(self,
+                         request: general_request.GeneralRequest) -> float:
+        """Returns the share that the cost of reading again still counts."""
+        waited = self._clock.monotonic() - request.arrived
+        limit = request.first_byte_aim * self._settings.moving_aims
+        return max(0.0, 1.0 - waited / limit) if limit else 0.0
+
     def _has_room(self, request: general_request.GeneralRequest, choice: Choice,
                   figures: service_figures.ServiceFigures) -> bool:
         load = self._loads.find_load(choice.endpoint.name)
--- a/mustardwood/dispatch/tests/world.py
+++ b/mustardwood/dispatch/tests/world.py
@@ -187,6 +187,7 @@
         self.client = FakeClient()
         self.authority = FakeAuthority()
         self.journal = FakeJournal()
+        self.waiting = dispatch.WaitingRoom(self.clock, self.scheduler)
         self.metrics = FakeMetrics()
         self.directory = dispatch.EndpointDirectory(self.clock)
         self.loads = dispatch.LoadTable(self.clock)
@@ -209,6 +210,7 @@
             placement=self.placement,
             retries=dispatch.RetryAllowance(random.Random(1), 0.2,
                                             spare_retries, lambda: 1),
+            waiting=self.waiting,
             journal=self.journal,
             metrics=self.metrics)
         for index in range(endpoints):
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -123,9 +123,10 @@
                       lambda *_: self._reactor.callFromThread(self._begin_stop))
         signal.signal(signal.SIGHUP,
                       lambda *_: self._reactor.callFromThread(self._reload))
-        logger.globalLogBeginner.beginLoggingTo([self._journal.observe_twisted],
-                                                discardBuffer=True,
-                                                redirectStandardIO=False)
+        logger.globalLogBeginner.beginLoggingTo(
+            [typing.cast(typing.Any, self._journal.observe_twisted)],
+            discardBuffer=True,
+            redirectStandardIO=False)
         self._serve_metrics()
         self._watch_settings()
         self._journal.write("start",
@@ -175,6 +176,7 @@
             retries=dispatch.RetryAllowance(random.Random(), bounds.retry_share,
                                             bounds.spare_retries,
                                             lambda: self._peers.count + 1),
+            waiting=dispatch.WaitingRoom(self._clock, self._scheduler),
             journal=self._journal,
             metrics=self._metrics)
 
--- a/mustardwood/platform/event_journal.py
+++ b/mustardwood/platform/event_journal.py
@@ -64,7 +64,7 @@
         self._pending_bytes += len(line)
         self._flush()
 
-    def observe_twisted(self, event: typing.Any) -> None:
+    def observe_twisted(self, event: dict[str, typing.Any]) -> None:
         """Writes the errors that the event loop caught, with tracebacks."""
         found = event.get("log_failure")
         if found is not None:
