--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -42,9 +42,9 @@
     prefill_rate: float = 50_000.0
     long_prompt: int = 4096
     brisk_aim: datetime.timedelta = datetime.timedelta(milliseconds=500)
-    brisk_streams: int = 12
+    brisk_streams: int = 10
     least_brisk_share: float = 0.3
-    most_brisk_share: float = 0.5
+    most_brisk_share: float = 0.65
     mixing_cost: float = 0.1
     intrusion_aims: float = 2.0
     rereading_streams: float = 20.0
