--- a/mustardwood/dispatch/engine_split.py
+++ b/mustardwood/dispatch/engine_split.py
@@ -34,20 +34,28 @@
         self._settings = settings
         self._looked: datetime.timedelta | None = None
         self._streams = 0.0
+        self._tightest: datetime.timedelta | None = None
         self._ranked: tuple[endpoint_module.Endpoint, ...] = ()
         self._names: list[str] = []
 
-    def find_long_engines(self, usable: _Endpoints) -> frozenset[str]:
+    def note_brisk_aim(self, piece_aim: datetime.timedelta) -> None:
+        """Takes over the longest pause that a brisk stream bears."""
+        if self._tightest is None or piece_aim < self._tightest:
+            self._tightest = piece_aim
+
+    def find_long_engines(self, usable: _Endpoints,
+                          piece_tokens: int) -> frozenset[str]:
         """Returns the names of the engines that take long prompts.
 
         Args:
             usable: The engines of one service.
+            piece_tokens: Tokens in a piece of a stream.
         """
         if tuple(usable) != self._ranked:
             self._ranked = tuple(usable)
             self._names = sorted((each.name for each in usable), key=_hash)
         self._look()
-        return frozenset(self._names[self._count_free():])
+        return frozenset(self._names[self._count_free(piece_tokens):])
 
     def _look(self) -> None:
         now = self._clock.monotonic()
@@ -58,13 +66,27 @@
             self._loads.find_load(name).brisk_streams for name in self._names)
         self._streams += _WEIGHT * (streams - self._streams)
 
-    def _count_free(self) -> int:
+    def _count_free(self, piece_tokens: int) -> int:
         settings, count = self._settings, len(self._names)
-        wanted = math.ceil(self._streams / settings.brisk_streams)
+        wanted = math.ceil(self._streams / self._find_streams(piece_tokens))
         least = round(settings.least_brisk_share * count)
         most = math.floor(settings.most_brisk_share * count)
         return min(max(wanted, least), most)
 
+    def _find_streams(self, piece_tokens: int) -> float:
+        """Returns how many brisk streams bear a chunk of a prompt each step.
+
+        A piece takes as many steps as it has tokens.
+        """
+        settings = self._settings
+        if self._tightest is None:
+            return settings.most_brisk_streams
+        step = self._tightest.total_seconds() / piece_tokens
+        chunk = settings.chunk_tokens / settings.prefill_rate
+        spare = (step - chunk - settings.step_time) / settings.stream_step_time
+        return min(max(spare, settings.least_brisk_streams),
+                   settings.most_brisk_streams)
+
 
 def _hash(name: str) -> bytes:
     return hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES).digest()
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -119,12 +119,17 @@
     def find_long_engines(self, service: str,
                           usable: _Endpoints) -> frozenset[str]:
         """Returns the names of the engines that take long prompts."""
+        return self._find_split(service).find_long_engines(
+            usable,
+            self._find_service(service).piece_tokens)
+
+    def _find_split(self, service: str) -> engine_split.EngineSplit:
         split = self._splits.get(service)
         if split is None:
             split = engine_split.EngineSplit(self._clock, self._loads,
                                              self._settings)
             self._splits[service] = split
-        return split.find_long_engines(usable)
+        return split
 
     def _weigh_plain(self, endpoint: endpoint_module.Endpoint) -> Choice:
         load = self._loads.find_load(endpoint.name)
@@ -136,6 +141,8 @@
                        usable: _Endpoints,
                        candidates: _Endpoints) -> list[Choice]:
         figures = self._find_service(request.service)
+        if self.is_brisk(request):
+            self._find_split(request.service).note_brisk_aim(request.piece_aim)
         long_engines = self.find_long_engines(request.service, usable)
         home = self._find_home(request, usable, long_engines)
         choices = []
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -14,8 +14,12 @@
         long_prompt: Tokens from which a prompt delays the others' tokens by
             more than a piece may wait: two chunks of 2,048 tokens.
         brisk_aim: Pauses between pieces that a long prompt's prefill exceeds.
-        brisk_streams: Brisk streams for which one engine is kept free of long
-            prompts; a step with that many takes about 5 ms.
+        chunk_tokens: Prompt tokens that an engine reads in one step.
+        step_time: Seconds of a step without prompts, by the data sheets.
+        stream_step_time: Seconds that each stream adds to a step.
+        least_brisk_streams: Brisk streams for which one engine is kept free of
+            long prompts at least, however tight their aims are.
+        most_brisk_streams: The same at most.
         least_brisk_share: Part of the engines kept free of them at least.
         most_brisk_share: Part of the engines kept free of them at most.
         mixing_cost: Seconds that an engine with long prompts counts more for
@@ -42,7 +46,11 @@
     prefill_rate: float = 50_000.0
     long_prompt: int = 4096
     brisk_aim: datetime.timedelta = datetime.timedelta(milliseconds=500)
-    brisk_streams: int = 10
+    chunk_tokens: int = 2048
+    step_time: float = 0.0029
+    stream_step_time: float = 0.0001
+    least_brisk_streams: int = 10
+    most_brisk_streams: int = 20
     least_brisk_share: float = 0.3
     most_brisk_share: float = 0.65
     mixing_cost: float = 0.1
--- a/mustardwood/dispatch/service_figures.py
+++ b/mustardwood/dispatch/service_figures.py
@@ -10,7 +10,9 @@
     Attributes:
         name: Name of the service.
         memory_tokens: Tokens that fit an engine's memory; 0 if unknown.
+        piece_tokens: Tokens in a piece of a stream.
     """
 
     name: str
     memory_tokens: int = 0
+    piece_tokens: int = 1
--- a/mustardwood/platform/configuration_decoder.py
+++ b/mustardwood/platform/configuration_decoder.py
@@ -54,7 +54,10 @@
 
 
 class _Engine(msgspec.Struct, frozen=True):
+    """Figures of an engine; `stride` is the number of tokens in an event."""
+
     kv_capacity: int = 0
+    stride: int = 1
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -103,12 +106,7 @@
             dispatch.Organisation(each.name, frozenset(each.api_keys),
                                   each.priority)
             for each in document.tenants or ()
-        ], [
-            dispatch.ServiceFigures(
-                each.name,
-                0 if each.runtime is None else each.runtime.kv_capacity)
-            for each in document.services
-        ])
+        ], [_decode_service(each) for each in document.services])
     limits = document.limits
     return Configuration(
         table,
@@ -136,6 +134,13 @@
                           needs_key=has_keys and not route.anonymous)
 
 
+def _decode_service(service: _Service) -> dispatch.ServiceFigures:
+    if service.runtime is None:
+        return dispatch.ServiceFigures(service.name)
+    return dispatch.ServiceFigures(service.name, service.runtime.kv_capacity,
+                                   max(1, service.runtime.stride))
+
+
 def _decode_repeat(route: _Route) -> dispatch.RepeatPolicy:
     if route.route_type == _STREAM and route.resumable:
         return dispatch.RepeatPolicy.RESUMABLE
