--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -445,7 +445,8 @@
             longest_pause_ms=_to_ms(self._longest_pause),
             aims_ms=(_to_ms(request.first_byte_aim), _to_ms(request.piece_aim)),
             prompt_tokens=request.prompt.input_tokens,
-            attempts=self._history)
+            attempts=self._history,
+            **self._context.authority.describe())
 
 
 def _classify(outcome: str, status: int) -> str:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -114,6 +114,9 @@
             request: general_request.GeneralRequest) -> refusal.Refusal | None:
         """Returns why a request must not be sent now; None if it may."""
 
+    def describe(self) -> dict[str, typing.Any]:
+        """Returns what the answer rests on, for the log."""
+
 
 class Journal(typing.Protocol):
     """Takes one structured line for each decision."""
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -223,6 +223,7 @@
     assert event == "request"
     assert [each["end"] for each in fields["attempts"]] == ["reset", "complete"]
     assert fields["outcome"] == "answered"
+    assert (fields["version"], fields["proof_age_ms"]) == (7, 100)
 
 
 def test_metrics_count_each_end():
--- a/mustardwood/dispatch/tests/world.py
+++ b/mustardwood/dispatch/tests/world.py
@@ -144,6 +144,10 @@
         del request
         return self.objection
 
+    def describe(self):
+        """Returns the version that a real one would name."""
+        return {"version": 7, "proof_age_ms": 100}
+
 
 class FakeJournal:
     """Keeps the lines."""
--- a/mustardwood/platform/authority.py
+++ b/mustardwood/platform/authority.py
@@ -2,10 +2,12 @@
 
 import datetime
 import http
+import typing
 
 from mustardwood import dispatch
 from mustardwood.platform import store_follower
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 _RETURN = datetime.timedelta(seconds=1)
 """When to come back to a VM without a proof: other VMs may have one."""
 
@@ -27,6 +29,17 @@
         """Sets whether keys are refused without a current proof."""
         self._fails_closed = fails_closed
 
+    def describe(self) -> dict[str, typing.Any]:
+        """See `forwarding_context.Authority`."""
+        configuration = self._follower.configuration
+        age = self._proof.age()
+        return {
+            "version":
+                0 if configuration is None else configuration.table.version,
+            "proof_age_ms":
+                None if age is None else age // _MILLISECOND,
+        }
+
     def find_objection(
             self, request: dispatch.GeneralRequest) -> dispatch.Refusal | None:
         """See `forwarding_context.Authority`."""
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -20,8 +20,12 @@
 """Key of the newest configuration."""
 VM_PREFIX = "vms/"
 """Keys of this system's own VMs; the rest of the key is the VM's name."""
-WATCH_TIME = datetime.timedelta(seconds=2)
-"""Longest wait of a watch; each end of one is a proof of currency."""
+WATCH_TIME = datetime.timedelta(milliseconds=1500)
+"""Longest wait of a watch; each end of one is a proof of currency.
+
+A proof counts from the question, so this is how old the newest one is when the
+store goes away; it leaves three of the five seconds in which a key must die.
+"""
 _FIRST_WATCH_SHARE = 0.25
 """Least part of that wait after a change.
 
