--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -2,7 +2,6 @@
 
 import datetime
 import http
-import typing
 
 from mustardwood.dispatch import attempt_record
 from mustardwood.dispatch import endpoint_load
@@ -11,6 +10,7 @@
 from mustardwood.dispatch import general_request
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import refusal
+from mustardwood.dispatch import request_record
 
 _MOST_SENDS = 4
 """Bound on sends of one request, those that were not run included."""
@@ -22,11 +22,6 @@
 """Bound below; about four times a plain service's slowest usual answer."""
 _STREAM_PATIENCE = datetime.timedelta(milliseconds=1200)
 """Silence after which a stream is resumed; callers leave after two seconds."""
-_ANSWERED = "answered"
-_CALLER_GONE = "caller gone"
-_COMPLETE = "complete"
-_PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that promise that a request has not run."""
 _LONGEST_WAIT_AIMS = 1.6
 """Aims to the first byte for which a request waits for room at most.
 
@@ -63,10 +58,7 @@
         self._expiry: forwarding_context.Timer | None = None
         self._patience: forwarding_context.Timer | None = None
         self._room_timer: forwarding_context.Timer | None = None
-        self._first_byte: datetime.timedelta | None = None
-        self._last_piece: datetime.timedelta | None = None
-        self._longest_pause = datetime.timedelta()
-        self._history: list[dict[str, typing.Any]] = []
+        self._record = request_record.RequestRecord(request, context)
 
     @property
     def is_done(self) -> bool:
@@ -86,8 +78,8 @@
         """Ends the work, since the caller has gone."""
         if self._is_done:
             return
-        self._drop_attempt(_CALLER_GONE)
-        self._finish(_CALLER_GONE, 0)
+        self._drop_attempt(request_record.CALLER_GONE)
+        self._finish(request_record.CALLER_GONE, 0)
 
     def receive_head(self, status: int, headers: forwarding_context.Headers,
                      is_verified: bool, was_not_run: bool) -> None:
@@ -131,7 +123,7 @@
         if not attempt.is_success:
             self._handle_bad_answer(attempt)
             return
-        self._end_attempt(_COMPLETE)
+        self._end_attempt(request_record.COMPLETE)
         self._context.health.record_success(attempt.endpoint)
         if self._request.is_stream:
             if not self._is_begun:
@@ -142,7 +134,7 @@
             self._begin(attempt, len(attempt.body))
             self._caller.write(bytes(attempt.body))
         self._caller.finish()
-        self._finish(_ANSWERED, attempt.status)
+        self._finish(request_record.ANSWERED, attempt.status)
 
     def receive_failure(self, was_sent: bool, reason: str) -> None:
         """See `forwarding_context.AttemptListener`."""
@@ -230,7 +222,7 @@
             return
         if not self._is_begun:
             self._begin(attempt, None)
-        self._note_piece()
+        self._record.note_piece()
         self._caller.write(events)
 
     def _begin(self, attempt: attempt_record.AttemptRecord,
@@ -244,15 +236,7 @@
                 prefill_tokens=attempt.load.prefill_tokens)
             self._context.loads.subtract(attempt.endpoint, done)
             attempt.load = attempt.load - done
-        if self._first_byte is None:
-            self._first_byte = self._context.clock.monotonic()
-
-    def _note_piece(self) -> None:
-        now = self._context.clock.monotonic()
-        if self._last_piece is not None:
-            self._longest_pause = max(self._longest_pause,
-                                      now - self._last_piece)
-        self._last_piece = now
+        self._record.note_first_byte()
 
     def _handle_bad_answer(self, attempt: attempt_record.AttemptRecord) -> None:
         """Decides after a complete answer that is no success."""
@@ -264,12 +248,13 @@
             self._repeat_unrun(attempt)
             return
         self._runs += 1
-        if 400 <= attempt.status < 500 and attempt.status not in _PROMISES:
+        is_promise = attempt.status in request_record.PROMISES
+        if 400 <= attempt.status < 500 and not is_promise:
             self._failed = attempt
             self._give_up("refused by the endpoint", None)
             return
         health.record_failure(attempt.endpoint)
-        if attempt.status >= 500 and attempt.status not in _PROMISES:
+        if attempt.status >= 500 and not is_promise:
             self._failed = attempt
         self._repeat_run(f"status {attempt.status}")
 
@@ -398,20 +383,7 @@
         self._attempt = None
         self._cancel_patience()
         self._context.loads.subtract(attempt.endpoint, attempt.load)
-        self._context.metrics.count_attempt(
-            self._request.service, _COMPLETE if reason == _COMPLETE else
-            "status" if attempt.status >= 400 else "broken")
-        now = self._context.clock.monotonic()
-        self._history.append({
-            "endpoint": attempt.endpoint,
-            "cost": round(attempt.choice.cost, 3),
-            "cached": attempt.choice.is_cached,
-            "prefill_tokens": attempt.choice.load.prefill_tokens,
-            "after_ms": _to_ms(attempt.sent_at - self._request.arrived),
-            "for_ms": _to_ms(now - attempt.sent_at),
-            "status": attempt.status,
-            "end": reason,
-        })
+        self._record.add_attempt(attempt, reason)
 
     def _cancel_patience(self) -> None:
         if self._patience is not None:
@@ -424,37 +396,4 @@
         if self._expiry is not None:
             self._expiry.cancel()
             self._expiry = None
-        request = self._request
-        now = self._context.clock.monotonic()
-        first = self._first_byte
-        self._context.metrics.count_request(
-            request.tier, _classify(outcome,
-                                    status), int(status), now - request.arrived,
-            None if first is None else first - request.arrived)
-        self._context.journal.write(
-            "request",
-            request_id=request.request_id,
-            route=request.route,
-            organisation=request.organisation,
-            tier=request.tier,
-            outcome=outcome,
-            status=int(status),
-            took_ms=_to_ms(now - request.arrived),
-            first_byte_ms=None if first is None else _to_ms(first -
-                                                            request.arrived),
-            longest_pause_ms=_to_ms(self._longest_pause),
-            aims_ms=(_to_ms(request.first_byte_aim), _to_ms(request.piece_aim)),
-            prompt_tokens=request.prompt.input_tokens,
-            attempts=self._history,
-            **self._context.authority.describe())
-
-
-def _classify(outcome: str, status: int) -> str:
-    """Returns the kind of an outcome, for the metrics."""
-    if outcome in (_ANSWERED, _CALLER_GONE):
-        return outcome.replace(" ", "_")
-    return "refused" if status in _PROMISES else "failed"
-
-
-def _to_ms(span: datetime.timedelta) -> int:
-    return round(span / datetime.timedelta(milliseconds=1))
+        self._record.finish(outcome, status)
