Let 15,000 prompt tokens wait on an engine; test the real process

Change: the bound; tests start the real process before stand-ins of the store and an endpoint. They found that a planned stop logged the store as lost after its last line; the follower now ends first.

--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -36,7 +36,7 @@
         failure_cost: Seconds that an endpoint counts more if all its recent
             answers failed.
         most_prefill: Prompt tokens that may wait on an engine when a long
-            prompt is sent there: half a second's worth, so that the order of
+            prompt is sent there: 0.3 seconds' worth, so that the order of
             the rest stays open and a brisk stream beside them is soon on.
         moving_aims: Aims to the first byte after which a waiting request no
             longer counts what its shared parts cost to read again.
@@ -61,6 +61,6 @@
     queue_cost: float = 1.0
     zone_cost: float = 0.002
     failure_cost: float = 2.0
-    most_prefill: int = 25_000
+    most_prefill: int = 15_000
     moving_aims: float = 0.5
     memory_share: float = 0.9
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -280,6 +280,7 @@
 
     def _end(self) -> None:
         if self._reactor.running:
+            self._follower.end()
             self._journal.write("stop", open_requests=self._front.open_requests)
             self._reactor.stop()
 
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -79,6 +79,7 @@
         self._on_restart = on_restart
         self._on_vm = on_vm
         self._rng = random.Random()
+        self._is_ended = False
         self._failures = 0
         self._was_woken = True
         self._revisions: dict[str, int] = {}
@@ -94,6 +95,10 @@
         """Begins to follow the store."""
         defer.Deferred.fromCoroutine(self._follow()).addErrback(self._restart)
 
+    def end(self) -> None:
+        """Stops following; the process is about to end."""
+        self._is_ended = True
+
     def _restart(self, reason: failure.Failure) -> None:
         """Follows on after an error that nobody foresaw."""
         self._journal.write("error",
@@ -104,7 +109,7 @@
 
     async def _follow(self) -> None:
         revision: int | None = None
-        while True:
+        while not self._is_ended:
             asked = self._clock.monotonic()
             try:
                 if revision is None:
@@ -116,7 +121,8 @@
                 self._journal.write("store_history_lost", error=error.message)
                 revision = None
             except (errors.KeyValueError, msgspec.MsgspecError) as error:
-                await self._wait_after(error)
+                if not self._is_ended:
+                    await self._wait_after(error)
 
     async def _read_all(self) -> int:
         item, revision = await self._client.read_key(CONFIGURATION_KEY)
--- /dev/null
+++ b/mustardwood/platform/tests/stand_ins.py
@@ -0,0 +1,167 @@
+"""A store and an endpoint for tests with real processes."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, handler):
+        super().__init__(("127.0.0.1", 0), handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        """Writes nothing about callers that left."""
+
+    @property
+    def address(self):
+        """IP:PORT."""
+        return f"127.0.0.1:{self.server_address[1]}"
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, format, *args):  # pylint: disable=redefined-builtin
+        """Writes nothing."""
+
+    def read_body(self):
+        """Returns the body of the request."""
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def send(self, status, body, headers=()):
+        """Sends a whole answer."""
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class StoreStandIn:
+    """The calls of the platform's store that a VM makes."""
+
+    def __init__(self):
+        self._condition = threading.Condition()
+        self._items = {}
+        self._changes = []
+        self._revision = 1
+        self.is_down = False
+        store = self
+
+        class Handler(_Handler):
+            """Answers the calls."""
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                """Reads and watches."""
+                self._answer()
+
+            do_POST = do_GET
+            do_DELETE = do_GET
+
+            def _answer(self):
+                body = self.read_body()
+                if store.is_down:
+                    self.send(503, b"{}")
+                    return
+                parts = urllib.parse.urlsplit(self.path)
+                query = dict(urllib.parse.parse_qsl(parts.query, True))
+                status, answer = store.answer(parts.path, query, body)
+                self.send(status, json.dumps(answer).encode())
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """IP:PORT."""
+        return self._server.address
+
+    def put(self, key, value):
+        """Writes a key."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self._condition:
+            self._revision += 1
+            item = {
+                "key": key,
+                "value": base64.b64encode(data).decode(),
+                "revision": self._revision,
+            }
+            self._items[key] = item
+            self._changes.append(item)
+            self._condition.notify_all()
+
+    def answer(self, path, query, body):
+        """Returns status and body of a call."""
+        with self._condition:
+            if path == "/kv-key":
+                item = self._items.get(query["key"])
+                if item is None:
+                    return 404, {"at": self._revision}
+                return 200, {**item, "at": self._revision}
+            if path == "/kv-range":
+                return 200, {
+                    "entries": [
+                        item for key, item in sorted(self._items.items())
+                        if key.startswith(query["path_prefix"])
+                    ],
+                    "has_more": False,
+                    "at": self._revision
+                }
+            if path == "/kv-watch":
+                return 200, self._watch(query)
+        if path == "/kv-lease":
+            return 200, {"lease_id": 1, "ttl_ms": 12000}
+        if path == "/kv-txn":
+            for row in json.loads(body)["write"]:
+                self.put(row["key"], base64.b64decode(row["value"]))
+        return 200, {"revision": self._revision}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            found = [
+                each for each in self._changes if each["revision"] > after and
+                each["key"].startswith(query["path_prefix"])
+            ]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return {"events": found, "at": self._revision}
+            self._condition.wait(left)
+
+
+class EndpointStandIn:
+    """An endpoint whose answers take the time that the path names."""
+
+    def __init__(self):
+        self.ran = []
+        endpoint = self
+
+        class Handler(_Handler):
+            """Answers requests."""
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                """Answers after the milliseconds that the path ends with."""
+                self.read_body()
+                endpoint.ran.append(dict(self.headers.items()))
+                time.sleep(int(self.path.rpartition("/")[2] or 0) / 1000)
+                self.send(200, b"answer to " + self.path.encode(), [
+                    ("Mustardwood-Attempt-Id",
+                     self.headers["Mustardwood-Attempt-Id"]),
+                    ("Mustardwood-Replica-Signature", "signed"),
+                ])
+
+            do_POST = do_GET
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """IP:PORT."""
+        return self._server.address
--- /dev/null
+++ b/mustardwood/platform/tests/test_process.py
@@ -0,0 +1,189 @@
+"""The real process before stand-ins of the store and an endpoint."""
+
+import concurrent.futures
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from mustardwood.platform import settings
+from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import stand_ins
+
+pytestmark = pytest.mark.processes
+
+_PATIENCE = 30.0
+"""Seconds after which a state that should come counts as missing."""
+
+
+def _find_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class _Vm:
+
+    def __init__(self, tmp_path, store):
+        self.callers, self.ready, self.peers = (_find_port() for _ in range(3))
+        self._path = tmp_path / "settings.toml"
+        self._path.write_text(f"""
+node_name = "vm-1"
+zone = "a"
+ip = "127.0.0.1"
+[listen]
+front_addr = "127.0.0.1:{self.callers}"
+ready = "127.0.0.1:{self.ready}"
+control_plane = "127.0.0.1:{self.peers}"
+[bounds]
+grace_s = 8
+revoke_ms = 3000
+fail_closed = true
+retry_ratio = 0.2
+retry_burst = 10
+[platform]
+address = "{store.address}"
+""",
+                              encoding="utf-8")
+        self._log = open(tmp_path / "log", "wb")  # pylint: disable=consider-using-with
+        self.process = None
+
+    def start(self):
+        """Starts the process and waits until it is ready."""
+        self.process = subprocess.Popen(  # pylint: disable=consider-using-with
+            [sys.executable, "-m", "mustardwood.platform"],
+            env={
+                **os.environ, settings.PATH_VARIABLE: str(self._path)
+            },
+            stdout=self._log)
+        self.wait_until(lambda: self.read_readiness() == 200)
+
+    def end(self):
+        """Ends the process."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self._log.close()
+
+    def read_log(self):
+        """Returns the lines of the log."""
+        with open(self._log.name, encoding="utf-8") as log:
+            return [json.loads(line) for line in log]
+
+    def read_readiness(self):
+        """Returns the status of the balancer's question; 0 for no answer."""
+        connection = http.client.HTTPConnection("127.0.0.1",
+                                                self.ready,
+                                                timeout=5)
+        try:
+            connection.request("GET", "/readyz")
+            return connection.getresponse().status
+        except OSError:
+            return 0
+        finally:
+            connection.close()
+
+    def wait_until(self, holds):
+        """Waits for a state."""
+        until = time.monotonic() + _PATIENCE
+        while not holds():
+            assert time.monotonic() < until, "the state did not come"
+            time.sleep(0.05)
+
+    def call(self, path, key="key-1"):
+        """Returns status, headers and body of a request."""
+        connection = http.client.HTTPConnection("127.0.0.1",
+                                                self.callers,
+                                                timeout=_PATIENCE)
+        connection.request("POST",
+                           path,
+                           body=b"body",
+                           headers={
+                               "Host": documents.HOST,
+                               "Mustardwood-Attempt-Id": f"id{path}",
+                               "Authorization": f"Bearer {key}"
+                           })
+        answer = connection.getresponse()
+        found = answer.status, dict(answer.getheaders()), answer.read()
+        connection.close()
+        return found
+
+
+@pytest.fixture(name="store")
+def _make_store():
+    return stand_ins.StoreStandIn()
+
+
+@pytest.fixture(name="endpoint")
+def _make_endpoint(store):
+    endpoint = stand_ins.EndpointStandIn()
+    document = documents.make_document()
+    document["routes"][1]["timeout_ms"] = 20_000
+    document["routes"][1]["backends"] = [{"service": "api", "weight": 1}]
+    store.put("op/config", document)
+    store.put("servers/i-1",
+              documents.make_registration(address=endpoint.address))
+    return endpoint
+
+
+@pytest.fixture(name="vm")
+def _make_vm(tmp_path, store, endpoint):
+    del endpoint
+    vm = _Vm(tmp_path, store)
+    vm.start()
+    yield vm
+    vm.end()
+
+
+def test_request_reaches_the_endpoint_and_its_answer_comes_back(vm, endpoint):
+    status, headers, body = vm.call("/post/0")
+    assert (status, body) == (200, b"answer to /post/0")
+    assert headers["Mustardwood-Replica-Signature"] == "signed"
+    sent, = endpoint.ran
+    assert sent["Mustardwood-Tenant"] == "tatra"
+    assert sent["Mustardwood-Expect-Replica"] == "i-1"
+    assert "Authorization" not in sent
+
+
+def test_planned_stop_cuts_no_answer_and_ends_by_itself(vm):
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        calls = [pool.submit(vm.call, "/post/3500") for _ in range(4)]
+        vm.wait_until(lambda: len(vm.read_log()) > 0)
+        time.sleep(0.5)
+        vm.process.send_signal(signal.SIGTERM)
+        vm.wait_until(lambda: vm.read_readiness() != 200)
+        assert [each.result()[0] for each in calls] == [200] * 4
+    assert vm.process.wait(_PATIENCE) == 0
+    assert vm.read_log()[-1]["event"] == "stop"
+
+
+def test_key_that_was_taken_away_is_refused(vm, store):
+    document = documents.make_document(version=8)
+    document["tenants"] = [{"name": "strih", "api_keys": ["key-3"]}]
+    store.put("op/config", document)
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 401)
+
+
+def test_keys_are_refused_while_the_store_is_away_and_honoured_after(vm, store):
+    store.is_down = True
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 503)
+    vm.wait_until(lambda: vm.read_readiness() == 503)
+    store.is_down = False
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 200)
+    events = [line["event"] for line in vm.read_log()]
+    assert events.count("store_lost") == 1
+    assert "store_regained" in events
+
+
+def test_unreadable_entries_harm_nobody(vm, store):
+    store.put("servers/i-2", b"\xff\xfe")
+    store.put("op/config", b"{")
+    vm.wait_until(lambda: {"endpoint_rejected", "configuration_rejected"} <=
+                  {line["event"] for line in vm.read_log()})
+    assert vm.call("/post/0")[0] == 200
