Count prompts that are never answered as read after their aim

Change: after its aim an attempt's prompt no longer counts, and the endpoint counts as failing once. The new test fails without it.

--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -18,6 +18,7 @@
         headers: Headers of the answer.
         is_verified: Whether the answer is marked as the endpoint's own.
         was_not_run: Whether the endpoint states that it did not run it.
+        is_doubted: Whether the endpoint has been silent for too long.
         body: Body of an answer that is not passed on as it comes.
         handle: The connection's side of it.
     """
@@ -31,6 +32,7 @@
         self.headers: forwarding_context.Headers = ()
         self.is_verified = False
         self.was_not_run = False
+        self.is_doubted = False
         self.body = bytearray()
         self.handle: forwarding_context.Attempt | None = None
 
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -101,7 +101,8 @@
             if len(attempt.body) <= _MOST_BUFFERED:
                 attempt.body += data
             return
-        self._note_first_byte(attempt)
+        self._release_prefill(attempt)
+        self._record.note_first_byte()
         if self._request.is_stream:
             self._arm_patience()
             self._pass_events(attempt, data)
@@ -230,13 +231,12 @@
         self._is_begun = True
         self._caller.begin(attempt.status, attempt.headers, length)
 
-    def _note_first_byte(self, attempt: attempt_record.AttemptRecord) -> None:
+    def _release_prefill(self, attempt: attempt_record.AttemptRecord) -> None:
         if attempt.load.prefill_tokens:
             done = endpoint_load.EndpointLoad(
                 prefill_tokens=attempt.load.prefill_tokens)
             self._context.loads.subtract(attempt.endpoint, done)
             attempt.load = attempt.load - done
-        self._record.note_first_byte()
 
     def _handle_bad_answer(self, attempt: attempt_record.AttemptRecord) -> None:
         """Decides after a complete answer that is no success."""
@@ -336,11 +336,10 @@
     def _arm_patience(self) -> None:
         self._cancel_patience()
         request = self._request
-        if not request.repeat.allows_second_run:
-            return
         if request.is_stream:
-            wait = max(_STREAM_PATIENCE, 2 * request.first_byte_aim,
-                       2 * request.piece_aim)
+            aims = 2 if request.repeat.allows_second_run else 1
+            wait = max(_STREAM_PATIENCE, aims * request.first_byte_aim,
+                       aims * request.piece_aim)
         else:
             wait = max(_LEAST_PATIENCE,
                        _PLAIN_PATIENCE * request.first_byte_aim)
@@ -352,6 +351,9 @@
         attempt = self._attempt
         if attempt is None:
             return
+        self._doubt(attempt)
+        if not self._request.repeat.allows_second_run:
+            return
         self._runs += 1
         others = [
             each for each in self._context.directory.list_usable(
@@ -367,6 +369,18 @@
         self._splitter.drop_rest()
         self._send_next()
 
+    def _doubt(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Counts a silent endpoint as failing, and its prompt as read.
+
+        Load pattern: an endpoint that never answers part of its requests.
+        Their prompts would count as waiting there until the callers leave,
+        and keep other requests from an engine that has room.
+        """
+        if not attempt.is_doubted:
+            attempt.is_doubted = True
+            self._context.health.record_failure(attempt.endpoint)
+            self._release_prefill(attempt)
+
     def _drop_attempt(self, reason: str) -> None:
         attempt = self._attempt
         if attempt is None:
--- a/mustardwood/dispatch/tests/test_waiting_room.py
+++ b/mustardwood/dispatch/tests/test_waiting_room.py
@@ -59,6 +59,20 @@
     assert not world.client.sent
 
 
+def test_prompts_that_are_never_answered_do_not_block_their_engine():
+    world = world_module.World(endpoints=1)
+    for index in range(2):
+        world.start(world_module.make_long(world, request_id=f"hung-{index}"))
+    _, caller = world.start(world_module.make_long(world, request_id="next"))
+    assert len(world.client.sent) == 2
+    world.scheduler.advance(ms(2600))
+    assert [each.request.request_id for each in world.client.sent
+           ][2:] == ["next"]
+    assert world.health.failure_share("endpoint-0") > 0
+    assert not any(each.is_aborted for each in world.client.sent)
+    assert caller.status is None
+
+
 def test_caller_that_leaves_waits_no_longer():
     world = world_module.World(endpoints=1)
     load = _fill(world)
