--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -14,8 +14,13 @@
 from mustardwood.dispatch.forwarding import Forwarding
 from mustardwood.dispatch.forwarding_context import Attempt
 from mustardwood.dispatch.forwarding_context import AttemptListener
+from mustardwood.dispatch.forwarding_context import Caller
 from mustardwood.dispatch.forwarding_context import ForwardingContext
 from mustardwood.dispatch.forwarding_context import Headers
+from mustardwood.dispatch.forwarding_context import Journal
+from mustardwood.dispatch.forwarding_context import Metrics
+from mustardwood.dispatch.forwarding_context import Scheduler
+from mustardwood.dispatch.forwarding_context import Timer
 from mustardwood.dispatch.general_request import GeneralRequest
 from mustardwood.dispatch.load_table import LoadTable
 from mustardwood.dispatch.organisation import Organisation
@@ -37,6 +42,7 @@
 __all__ = [
     "Attempt",
     "AttemptListener",
+    "Caller",
     "CurrencyProof",
     "Endpoint",
     "EndpointDirectory",
@@ -48,7 +54,9 @@
     "ForwardingContext",
     "GeneralRequest",
     "Headers",
+    "Journal",
     "LoadTable",
+    "Metrics",
     "Organisation",
     "Placement",
     "PlacementSettings",
@@ -61,7 +69,9 @@
     "RetryBudget",
     "Route",
     "RouteTable",
+    "Scheduler",
     "ServiceFigures",
     "Target",
+    "Timer",
     "WaitingRoom",
 ]
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -62,5 +62,5 @@
     zone_cost: float = 0.002
     failure_cost: float = 2.0
     most_prefill: int = 15_000
-    moving_aims: float = 0.5
+    moving_aims: float = 1.0
     memory_share: float = 0.9
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -10,7 +10,6 @@
 from twisted.python import failure
 
 from mustardwood import dispatch
-from mustardwood.dispatch import forwarding_context
 from mustardwood.http1 import answer_channel
 from mustardwood.http1 import caller_service
 from mustardwood.http1 import message as message_module
@@ -31,7 +30,7 @@
     transport: typing.Any
 
     def __init__(self, service: caller_service.CallerService,
-                 scheduler: forwarding_context.Scheduler) -> None:
+                 scheduler: dispatch.Scheduler) -> None:
         self._service = service
         self._scheduler = scheduler
         limits = service.find_limits()
@@ -39,7 +38,7 @@
         self._request: h11.Request | None = None
         self._body = bytearray()
         self._channel: answer_channel.AnswerChannel | None = None
-        self._timer: forwarding_context.Timer | None = None
+        self._timer: dispatch.Timer | None = None
         self._has_bytes = False
         self._is_lingering = False
         self._unread = 0
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -8,8 +8,8 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from mustardwood import dispatch
 from mustardwood import timing
-from mustardwood.dispatch import forwarding_context
 from mustardwood.http1 import endpoint_connection
 from mustardwood.http1 import exchange as exchange_module
 from mustardwood.http1 import message as message_module
@@ -26,7 +26,7 @@
     """Reuses connections, the last used first, and opens new ones."""
 
     def __init__(self, reactor: typing.Any, clock: timing.Clock,
-                 scheduler: forwarding_context.Scheduler) -> None:
+                 scheduler: dispatch.Scheduler) -> None:
         self._reactor = reactor
         self._clock = clock
         self._scheduler = scheduler
--- a/mustardwood/http1/page_server.py
+++ b/mustardwood/http1/page_server.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import protocol
 
-from mustardwood.dispatch import forwarding_context
+from mustardwood import dispatch
 from mustardwood.http1 import answer_channel
 from mustardwood.http1 import caller_connection
 from mustardwood.http1 import connection_limits
@@ -37,8 +37,7 @@
 
     noisy = False
 
-    def __init__(self, scheduler: forwarding_context.Scheduler,
-                 pages: _Pages) -> None:
+    def __init__(self, scheduler: dispatch.Scheduler, pages: _Pages) -> None:
         """Creates the factory.
 
         Args:
--- a/mustardwood/platform/authority.py
+++ b/mustardwood/platform/authority.py
@@ -30,7 +30,7 @@
         self._fails_closed = fails_closed
 
     def describe(self) -> dict[str, typing.Any]:
-        """See `forwarding_context.Authority`."""
+        """See `dispatch.forwarding_context.Authority`."""
         configuration = self._follower.configuration
         age = self._proof.age()
         return {
@@ -42,7 +42,7 @@
 
     def find_objection(
             self, request: dispatch.GeneralRequest) -> dispatch.Refusal | None:
-        """See `forwarding_context.Authority`."""
+        """See `dispatch.forwarding_context.Authority`."""
         configuration = self._follower.configuration
         if configuration is None or not request.api_key:
             return None
--- a/mustardwood/platform/endpoint_calls.py
+++ b/mustardwood/platform/endpoint_calls.py
@@ -27,7 +27,7 @@
              endpoint: dispatch.Endpoint, left: datetime.timedelta,
              resume_after: int | None,
              listener: dispatch.AttemptListener) -> dispatch.Attempt:
-        """See `forwarding_context.EndpointClient`."""
+        """See `dispatch.forwarding_context.EndpointClient`."""
         sent = list(request.headers)
         milliseconds = max(1, left // datetime.timedelta(milliseconds=1))
         sent.append((b"Mustardwood-Deadline-Ms", str(milliseconds).encode()))
--- a/mustardwood/platform/metrics.py
+++ b/mustardwood/platform/metrics.py
@@ -6,6 +6,7 @@
 
 import prometheus_client
 
+from mustardwood import dispatch
 from mustardwood import http1
 
 PATH = "/metrics"
@@ -15,7 +16,7 @@
 
 
 class ProcessMetrics:
-    """Counts requests and attempts; implements `forwarding_context.Metrics`."""
+    """Counts requests and attempts; implements `dispatch.Metrics`."""
 
     def __init__(self) -> None:
         self._registry = prometheus_client.CollectorRegistry()
@@ -47,14 +48,14 @@
     def count_request(self, tier: int, outcome: str, status: int,
                       took: datetime.timedelta,
                       first_byte: datetime.timedelta | None) -> None:
-        """See `forwarding_context.Metrics`."""
+        """See `dispatch.Metrics`."""
         self._requests.labels(tier, outcome, status).inc()
         self._took.labels(tier).observe(took.total_seconds())
         if first_byte is not None:
             self._first_byte.labels(tier).observe(first_byte.total_seconds())
 
     def count_attempt(self, service: str, end: str) -> None:
-        """See `forwarding_context.Metrics`."""
+        """See `dispatch.Metrics`."""
         self._attempts.labels(service, end).inc()
 
     def build_page(self) -> http1.Page:
--- a/mustardwood/platform/peer_link.py
+++ b/mustardwood/platform/peer_link.py
@@ -10,7 +10,6 @@
 from mustardwood import http1
 from mustardwood import peers
 from mustardwood import timing
-from mustardwood.dispatch import forwarding_context
 from mustardwood.platform import settings
 from mustardwood.platform import store_client
 from mustardwood.platform import store_follower
@@ -37,10 +36,10 @@
     """
 
     def __init__(self, exchange: peers.NewsExchange, loads: dispatch.LoadTable,
-                 clock: timing.Clock, scheduler: forwarding_context.Scheduler,
+                 clock: timing.Clock, scheduler: dispatch.Scheduler,
                  pool: http1.ConnectionPool,
                  follower: store_follower.StoreFollower,
-                 journal: forwarding_context.Journal, vm: str) -> None:
+                 journal: dispatch.Journal, vm: str) -> None:
         self._exchange = exchange
         self._loads = loads
         self._clock = clock
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -9,9 +9,9 @@
 import msgspec
 from twisted.internet import defer
 
+from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import http1
-from mustardwood.dispatch import forwarding_context
 
 CALL_TIMEOUT = datetime.timedelta(milliseconds=1500)
 """Longest wait for an answer: a store slowed a hundredfold takes 0.4 s."""
@@ -76,7 +76,7 @@
     """
 
     def __init__(self, address: tuple[str, int], pool: http1.ConnectionPool,
-                 scheduler: forwarding_context.Scheduler) -> None:
+                 scheduler: dispatch.Scheduler) -> None:
         self._address = address
         self._pool = pool
         self._scheduler = scheduler
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -11,7 +11,6 @@
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import timing
-from mustardwood.dispatch import forwarding_context
 from mustardwood.platform import configuration_decoder
 from mustardwood.platform import endpoint_decoder
 from mustardwood.platform import store_client
@@ -52,9 +51,9 @@
 
     def __init__(
             self, client: store_client.StoreClient, clock: timing.Clock,
-            scheduler: forwarding_context.Scheduler,
+            scheduler: dispatch.Scheduler,
             directory: dispatch.EndpointDirectory,
-            proof: dispatch.CurrencyProof, journal: forwarding_context.Journal,
+            proof: dispatch.CurrencyProof, journal: dispatch.Journal,
             on_restart: collections.abc.Callable[[str], None],
             on_vm: collections.abc.Callable[[str, bytes | None], None]) -> None:
         """Creates a follower; `start` begins to follow.
--- a/mustardwood/platform/vm_registration.py
+++ b/mustardwood/platform/vm_registration.py
@@ -5,8 +5,8 @@
 from twisted.internet import defer
 from twisted.python import failure
 
+from mustardwood import dispatch
 from mustardwood import errors
-from mustardwood.dispatch import forwarding_context
 from mustardwood.platform import store_client
 from mustardwood.platform import store_follower
 
@@ -22,9 +22,8 @@
     """Keeps a key with this VM's address for as long as the process runs."""
 
     def __init__(self, client: store_client.StoreClient,
-                 scheduler: forwarding_context.Scheduler,
-                 journal: forwarding_context.Journal, vm: str,
-                 address: str) -> None:
+                 scheduler: dispatch.Scheduler, journal: dispatch.Journal,
+                 vm: str, address: str) -> None:
         self._client = client
         self._scheduler = scheduler
         self._journal = journal
