--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -117,7 +117,7 @@
         assert choice.endpoint.name == home
     waiting = world_module.make_long(world)
     assert _choose(world, waiting) is None
-    world.clock.advance(ms(1300))
+    world.clock.advance(world.settings.moving_aims * waiting.first_byte_aim)
     assert _choose(world, waiting).endpoint.name != home
 
 
--- a/mustardwood/platform/metrics.py
+++ b/mustardwood/platform/metrics.py
@@ -6,7 +6,6 @@
 
 import prometheus_client
 
-from mustardwood import dispatch
 from mustardwood import http1
 
 PATH = "/metrics"
