Spread the returns of refused callers, the most urgent first

Cause: every refusal named the same second, so a refused rush came back as one. Change: returns are drawn by tier and by the time that is left; the generators of random numbers are passed in, so that tests are seeded.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -33,6 +33,7 @@
 from mustardwood.dispatch.repeat_policy import RepeatPolicy
 from mustardwood.dispatch.retry_allowance import RetryAllowance
 from mustardwood.dispatch.retry_budget import RetryBudget
+from mustardwood.dispatch.return_time import ReturnTime
 from mustardwood.dispatch.route import Route
 from mustardwood.dispatch.route import Target
 from mustardwood.dispatch.route_table import RouteTable
@@ -67,6 +68,7 @@
     "RepeatPolicy",
     "RetryAllowance",
     "RetryBudget",
+    "ReturnTime",
     "Route",
     "RouteTable",
     "Scheduler",
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -28,8 +28,6 @@
 It is late by then, but an answer is still worth having; beyond a third of its
 time it is refused, so that its caller can come back.
 """
-_DEFAULT_RETURN = datetime.timedelta(seconds=1)
-"""When to come back if nothing better is known: an endpoint's restart."""
 
 
 class Forwarding:
@@ -298,7 +296,8 @@
             answer = objection or refusal.Refusal(
                 http.HTTPStatus.SERVICE_UNAVAILABLE,
                 "No endpoint took the request; it has not run. "
-                "Send it again after the given time.", _DEFAULT_RETURN)
+                "Send it again after the given time.",
+                self._context.returns.draw(self._request))
             self._caller.refuse(answer)
             self._finish(reason, answer.status)
         elif self._failed is not None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -15,6 +15,7 @@
 from mustardwood.dispatch import prefix_memory
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import retry_allowance
+from mustardwood.dispatch import return_time
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
@@ -171,6 +172,7 @@
     memory: prefix_memory.PrefixMemory
     placement: placement_module.Placement
     retries: retry_allowance.RetryAllowance
+    returns: return_time.ReturnTime
     waiting: Queue
     journal: Journal
     metrics: Metrics
--- a/mustardwood/dispatch/tests/world.py
+++ b/mustardwood/dispatch/tests/world.py
@@ -214,6 +214,7 @@
             placement=self.placement,
             retries=dispatch.RetryAllowance(random.Random(1), 0.2,
                                             spare_retries, lambda: 1),
+            returns=dispatch.ReturnTime(random.Random(2)),
             waiting=self.waiting,
             journal=self.journal,
             metrics=self.metrics)
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -67,6 +67,7 @@
         self._path = path
         self._settings = settings_module.read_settings(path)
         self._clock = timing.SuspendAwareClock()
+        self._rng = random.Random()
         self._scheduler = http1.ReactorScheduler(reactor)
         self._journal = event_journal.EventJournal(self._clock,
                                                    self._settings.vm)
@@ -82,13 +83,12 @@
             self._scheduler)
         self._follower = store_follower.StoreFollower(
             client, self._clock, self._scheduler, self._directory, self._proof,
-            self._journal, self._forget_endpoint, self._set_vm)
+            self._journal, self._forget_endpoint, self._set_vm, self._rng)
         self._loads = dispatch.LoadTable(self._clock)
         self._peers = peer_link.PeerLink(
-            peers.NewsExchange(self._settings.vm,
-                               self._clock, self._loads, self._proof,
-                               random.Random()), self._loads, self._clock,
-            self._scheduler, pool, self._follower, self._journal,
+            peers.NewsExchange(self._settings.vm, self._clock, self._loads,
+                               self._proof, self._rng), self._loads,
+            self._clock, self._scheduler, pool, self._follower, self._journal,
             self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
@@ -173,9 +173,10 @@
                                          self._memory,
                                          dispatch.PlacementSettings(),
                                          self._find_service),
-            retries=dispatch.RetryAllowance(random.Random(), bounds.retry_share,
+            retries=dispatch.RetryAllowance(self._rng, bounds.retry_share,
                                             bounds.spare_retries,
                                             lambda: self._peers.count + 1),
+            returns=dispatch.ReturnTime(self._rng),
             waiting=dispatch.WaitingRoom(self._clock, self._scheduler),
             journal=self._journal,
             metrics=self._metrics)
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -49,13 +49,13 @@
         item: The same as the store holds it.
     """
 
-    def __init__(
-            self, client: store_client.StoreClient, clock: timing.Clock,
-            scheduler: dispatch.Scheduler,
-            directory: dispatch.EndpointDirectory,
-            proof: dispatch.CurrencyProof, journal: dispatch.Journal,
-            on_restart: collections.abc.Callable[[str], None],
-            on_vm: collections.abc.Callable[[str, bytes | None], None]) -> None:
+    def __init__(self, client: store_client.StoreClient, clock: timing.Clock,
+                 scheduler: dispatch.Scheduler,
+                 directory: dispatch.EndpointDirectory,
+                 proof: dispatch.CurrencyProof, journal: dispatch.Journal,
+                 on_restart: collections.abc.Callable[[str], None],
+                 on_vm: collections.abc.Callable[[str, bytes | None], None],
+                 rng: random.Random) -> None:
         """Creates a follower; `start` begins to follow.
 
         Args:
@@ -68,6 +68,7 @@
             on_restart: Called with the name of an endpoint that started anew.
             on_vm: Called with the name of a VM and its registration, or None
                 when it is removed.
+            rng: Draws waits and delays.
         """
         self._client = client
         self._clock = clock
@@ -77,7 +78,7 @@
         self._journal = journal
         self._on_restart = on_restart
         self._on_vm = on_vm
-        self._rng = random.Random()
+        self._rng = rng
         self._is_ended = False
         self._failures = 0
         self._was_woken = True
--- a/mustardwood/platform/tests/test_store_follower.py
+++ b/mustardwood/platform/tests/test_store_follower.py
@@ -1,6 +1,7 @@
 """The store's changes, outages and unreadable entries."""
 
 import datetime
+import random
 
 from twisted.internet import defer
 
@@ -58,7 +59,7 @@
 
 class _Case:
 
-    def __init__(self):
+    def __init__(self, seed=1):
         self.clock = timing.ManualClock()
         self.scheduler = world_module.FakeScheduler(self.clock)
         self.client = _Client()
@@ -71,7 +72,8 @@
         self.vms = {}
         self.follower = store_follower.StoreFollower(
             self.client, self.clock, self.scheduler, self.directory, self.proof,
-            self.journal, self.restarted.append, self.vms.__setitem__)
+            self.journal, self.restarted.append, self.vms.__setitem__,
+            random.Random(seed))
         self.follower.start()
 
     @property
@@ -186,8 +188,8 @@
 
 def test_waits_after_a_change_are_unequal_so_that_proofs_spread():
     waits = set()
-    for _ in range(20):
-        case = _Case()
+    for seed in range(20):
+        case = _Case(seed)
         case.client.deliver([], 10)
         waits.add(case.client.watches[0][2])
         assert case.client.watches[1][2] == store_follower.WATCH_TIME
