--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -176,7 +176,7 @@
         self._sends += 1
         self._tried.add(attempt.endpoint)
         context.loads.add(attempt.endpoint, attempt.load)
-        context.memory.record(attempt.endpoint, request)
+        context.memory.record(attempt.endpoint, request, choice.is_home)
         self._arm_patience()
         attempt.handle = context.client.send(
             request, choice.endpoint, left,
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -35,12 +35,14 @@
     Attributes:
         endpoint: The endpoint.
         cost: Expected seconds, with the harm to others.
+        is_home: Whether all VMs expect the prompt's subject there.
         is_cached: Whether it is believed to hold the shared parts.
         load: The work that the request adds there.
     """
 
     endpoint: endpoint_module.Endpoint
     cost: float
+    is_home: bool
     is_cached: bool
     load: endpoint_load.EndpointLoad
 
@@ -134,7 +136,7 @@
     def _weigh_plain(self, endpoint: endpoint_module.Endpoint) -> Choice:
         load = self._loads.find_load(endpoint.name)
         cost = load.places / max(1, endpoint.slots) + self._base(endpoint)
-        return Choice(endpoint, cost, False,
+        return Choice(endpoint, cost, True, False,
                       endpoint_load.EndpointLoad(places=1))
 
     def _weigh_prompts(self, request: general_request.GeneralRequest,
@@ -178,7 +180,8 @@
         elif takes_long and self.is_brisk(request):
             cost += settings.mixing_cost
         return Choice(
-            endpoint, cost + self._base(endpoint), cached,
+            endpoint, cost + self._base(endpoint), endpoint.name == home,
+            cached,
             endpoint_load.EndpointLoad(
                 prefill_tokens=tokens,
                 places=1,
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -16,7 +16,7 @@
     choice = _choose(world, request)
     if choice is not None:
         world.loads.add(choice.endpoint.name, choice.load)
-        world.memory.record(choice.endpoint.name, request)
+        world.memory.record(choice.endpoint.name, request, choice.is_home)
     return choice
 
 
@@ -188,7 +188,7 @@
 def test_restarted_endpoint_holds_nothing():
     world = world_module.World(endpoints=2)
     request = world_module.make_long(world)
-    world.memory.record("endpoint-0", request)
+    world.memory.record("endpoint-0", request, is_home=True)
     assert world.memory.holds("endpoint-0", request)
     world.memory.forget("endpoint-0")
     assert not world.memory.holds("endpoint-0", request)
--- a/mustardwood/peers/news.py
+++ b/mustardwood/peers/news.py
@@ -18,6 +18,8 @@
             asked for afterwards, -1 without a proof.
         revision: Revision of the configuration that the sender has in force.
         loads: The sender's own work by endpoint.
+        moves: Endpoints with the subjects that the sender lately sent there
+            although they are expected elsewhere.
     """
 
     sender: str
@@ -26,3 +28,4 @@
     proof_lead_ms: int
     revision: int
     loads: dict[str, Figures]
+    moves: list[tuple[str, str]] = []
--- a/mustardwood/peers/news_exchange.py
+++ b/mustardwood/peers/news_exchange.py
@@ -45,6 +45,7 @@
             vm: Name of this VM.
             clock: Its monotonic time counts suspension.
             loads: This VM's own work, and its peers'.
+            memory: Where prompts were read.
             proof: Gets the peers' proofs.
             rng: Draws the first message number, so that an echo of a number
                 from before a restart names no message of this process.
@@ -52,6 +53,7 @@
         self._vm = vm
         self._clock = clock
         self._loads = loads
+        self._memory = memory
         self._proof = proof
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_NUMBER_BITS)
@@ -76,7 +78,8 @@
         }
         return msgspec.msgpack.encode(
             news_module.News(self._vm, self._sequence, peer.heard,
-                             self._find_lead(peer), revision, loads))
+                             self._find_lead(peer), revision, loads,
+                             self._memory.list_moves()))
 
     def take_news(self, data: bytes, revision: int) -> news_module.News | None:
         """Takes over a message.
@@ -103,6 +106,8 @@
                 name: dispatch.EndpointLoad(*figures)
                 for name, figures in found.loads.items()
             })
+        for endpoint, subject in found.moves:
+            self._memory.record_subject(endpoint, subject)
         asked_from = peer.sent.get(found.echo)
         if (asked_from is not None and found.proof_lead_ms >= 0 and
                 found.revision <= revision):
--- a/mustardwood/peers/tests/test_news_exchange.py
+++ b/mustardwood/peers/tests/test_news_exchange.py
@@ -6,6 +6,7 @@
 from mustardwood import dispatch
 from mustardwood import peers
 from mustardwood import timing
+from mustardwood.dispatch.tests import world as world_module
 
 _LONGEST = datetime.timedelta(seconds=5)
 _MARGIN = datetime.timedelta(milliseconds=500)
@@ -22,8 +23,10 @@
         self.clock = timing.ManualClock()
         self.loads = dispatch.LoadTable(self.clock)
         self.proof = dispatch.CurrencyProof(self.clock, _LONGEST, _MARGIN)
+        self.memory = dispatch.PrefixMemory(self.clock)
         self.exchange = peers.NewsExchange(name, self.clock, self.loads,
-                                           self.proof, random.Random(seed))
+                                           self.memory, self.proof,
+                                           random.Random(seed))
         self.revision = 10
 
     def tell(self, other):
@@ -121,6 +124,18 @@
     assert here.loads.find_load("engine-1").places == 3
 
 
+def test_subject_that_left_its_home_is_told_to_peers():
+    here, there = _Vm("here"), _Vm("there", 2)
+    request = world_module.make_long(world_module.World(), "subject")
+    there.memory.record("engine-1", request, is_home=True)
+    there.memory.record("engine-2", request, is_home=False)
+    here.hear(there.tell(here))
+    assert here.memory.holds("engine-2", request)
+    assert not here.memory.holds("engine-1", request)
+    _advance(_ms(1100), here, there)
+    assert not there.memory.list_moves()
+
+
 def test_unreadable_datagram_is_ignored():
     here = _Vm("here")
     assert here.hear(b"\xc1garbage") is None
