--- a/mustardwood/peers/news_exchange.py
+++ b/mustardwood/peers/news_exchange.py
@@ -38,7 +38,8 @@
     """
 
     def __init__(self, vm: str, clock: timing.Clock, loads: dispatch.LoadTable,
-                 proof: dispatch.CurrencyProof, rng: random.Random) -> None:
+                 memory: dispatch.PrefixMemory, proof: dispatch.CurrencyProof,
+                 rng: random.Random) -> None:
         """Creates an exchange without peers.
 
         Args:
