--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -87,9 +87,9 @@
         self._loads = dispatch.LoadTable(self._clock)
         self._peers = peer_link.PeerLink(
             peers.NewsExchange(self._settings.vm, self._clock, self._loads,
-                               self._proof, self._rng), self._loads,
-            self._clock, self._scheduler, pool, self._follower, self._journal,
-            self._settings.vm)
+                               self._memory, self._proof, self._rng),
+            self._loads, self._clock, self._scheduler, pool, self._follower,
+            self._journal, self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
             self._settings.listen.peers)
