--- /dev/null
+++ b/mustardwood/platform/tests/test_endpoint_calls.py
@@ -0,0 +1,99 @@
+"""What goes to endpoints, and what their answers mean."""
+
+import datetime
+
+import pytest
+
+from mustardwood import dispatch
+from mustardwood.dispatch.tests import world as world_module
+from mustardwood.platform import endpoint_calls
+
+ms = world_module.ms
+_ID = (b"Mustardwood-Attempt-Id", b"a1")
+_SIGNED = (b"Mustardwood-Replica-Signature", b"s")
+
+
+class _Pool:
+
+    def __init__(self):
+        self.sent = None
+
+    def send(self, address, message, listener, longest_idle):
+        """Keeps the send."""
+        self.sent = address, message, listener, longest_idle
+
+
+class _Listener:
+
+    def __init__(self):
+        self.head = None
+
+    def receive_head(self, status, headers, is_verified, was_not_run):
+        """Keeps the head."""
+        self.head = status, headers, is_verified, was_not_run
+
+
+def _send(resume_after=None, **changes):
+    world = world_module.World(endpoints=1)
+    request = world_module.make_stream(world, request_id="a1", **changes)
+    pool, listener = _Pool(), _Listener()
+    endpoint_calls.EndpointCalls(pool).send(request,
+                                            world_module.make_endpoint(0),
+                                            ms(1234), resume_after, listener)
+    return pool.sent, listener
+
+
+def _find(message, name):
+    return [value for key, value in message.headers if key == name]
+
+
+def test_endpoint_learns_time_name_and_organisation():
+    (address, message, _, _), _ = _send(headers=((b"X-Kept", b"1"),))
+    assert address == ("192.0.2.1", 8000)
+    assert _find(message, b"X-Kept") == [b"1"]
+    assert _find(message, b"Mustardwood-Deadline-Ms") == [b"1234"]
+    assert _find(message, b"Mustardwood-Expect-Replica") == [b"endpoint-0"]
+    assert _find(message, b"Mustardwood-Tenant") == [b"organisation"]
+    assert _find(message, b"Mustardwood-Request-Priority") == [b"1"]
+
+
+@pytest.mark.parametrize("tier, rank", [(0, b"0"), (9, b"9"), (40, b"9"),
+                                        (-3, b"0")])
+def test_rank_stays_within_what_engines_know(tier, rank):
+    (_, message, _, _), _ = _send(tier=tier)
+    assert _find(message, b"Mustardwood-Request-Priority") == [rank]
+
+
+@pytest.mark.parametrize("own, after, sent", [(None, None, []),
+                                              (4, None, [b"4"]), (4, 9, [b"9"]),
+                                              (None, 9, [b"9"])])
+def test_resumption_starts_after_what_the_caller_has(own, after, sent):
+    (_, message, _, _), _ = _send(resume_after=after, last_event=own)
+    assert _find(message, b"Last-Event-Id") == sent
+
+
+def test_request_that_may_run_once_gets_a_fresh_connection():
+    (_, _, _, idle), _ = _send(repeat=dispatch.RepeatPolicy.AT_MOST_ONCE)
+    assert idle <= datetime.timedelta(seconds=1)
+
+
+@pytest.mark.parametrize("status, headers, verified, not_run", [
+    (200, [_SIGNED], True, False),
+    (200, [], False, False),
+    (200, [_SIGNED, (b"Content-Encoding", b"gzip")], False, False),
+    (503, [(b"Mustardwood-Not-Executed", b"1")], False, True),
+    (503, [], False, False),
+    (421, [], False, True),
+    (500, [_SIGNED], True, False),
+])
+def test_meaning_of_answers(status, headers, verified, not_run):
+    (_, _, decoder, _), listener = _send()
+    assert decoder.accepts(status, [_ID, *headers])
+    decoder.receive_head(status, [_ID, *headers, (b"Connection", b"close")])
+    assert listener.head == (status, [_ID, *headers], verified, not_run)
+
+
+@pytest.mark.parametrize("headers", [[], [(b"Mustardwood-Attempt-Id", b"b2")]])
+def test_answer_without_the_id_belongs_to_no_request(headers):
+    (_, _, decoder, _), _ = _send()
+    assert not decoder.accepts(200, headers)
--- /dev/null
+++ b/mustardwood/platform/tests/test_vm_registration.py
@@ -0,0 +1,85 @@
+"""A VM's own entry while the store loses leases and answers."""
+
+from mustardwood import errors
+from mustardwood import timing
+from mustardwood.dispatch.tests import world as world_module
+from mustardwood.platform import vm_registration
+
+ms = world_module.ms
+
+
+class _Client:
+
+    def __init__(self):
+        self.calls = []
+        self.error = None
+
+    def _call(self, *call):
+        self.calls.append(call)
+        if self.error is not None:
+            raise self.error
+
+    async def open_lease(self, lifetime):
+        """Opens a lease."""
+        self._call("open", lifetime)
+        return len(self.calls)
+
+    async def write_key(self, key, value, lease):
+        """Writes the entry."""
+        self._call("write", key, value, lease)
+
+    async def renew_lease(self, lease):
+        """Renews the lease."""
+        self._call("renew", lease)
+
+    async def end_lease(self, lease):
+        """Ends the lease."""
+        self._call("end", lease)
+
+
+def _start():
+    scheduler = world_module.FakeScheduler(timing.ManualClock())
+    client = _Client()
+    registration = vm_registration.VmRegistration(client, scheduler,
+                                                  world_module.FakeJournal(),
+                                                  "vm-1", "192.0.2.1:8229")
+    registration.start()
+    return scheduler, client, registration
+
+
+def _list_names(client):
+    return [each[0] for each in client.calls]
+
+
+def test_entry_is_written_once_and_its_lease_renewed():
+    scheduler, client, _ = _start()
+    scheduler.advance(ms(12_500))
+    assert _list_names(client) == ["open", "write", "renew", "renew", "renew"]
+    assert client.calls[1][1:3] == ("vms/vm-1", b"192.0.2.1:8229")
+
+
+def test_lost_lease_leads_to_a_new_entry():
+    scheduler, client, _ = _start()
+    client.error = errors.LeaseLostError("Ended.", "Open another one.")
+    scheduler.advance(ms(4000))
+    client.error = None
+    client.calls.clear()
+    scheduler.advance(ms(1000))
+    assert _list_names(client) == ["open", "write"]
+
+
+def test_store_that_is_away_is_asked_each_second():
+    scheduler, client, _ = _start()
+    client.calls.clear()
+    client.error = errors.UnavailableError("Away.", "Call again.")
+    scheduler.advance(ms(8000))
+    assert 4 <= len(client.calls) <= 6
+
+
+def test_planned_stop_ends_the_lease():
+    scheduler, client, registration = _start()
+    registration.end()
+    assert client.calls[-1][0] == "end"
+    client.calls.clear()
+    scheduler.advance(ms(20_000))
+    assert not client.calls
