Stop requests that crash endpoints, and mend four known faults

A request that crashes whatever runs it was limited by its route only; a VM of 40 or more whose work stayed the same sent nothing for ten intervals, longer than its figures count; a failed answer longer than 256 KiB was passed on short; a starting VM refused keyed requests until the lists were read although the configuration was. Change: CrashRecord (three endpoints lost before the head of an answer, losses told to peers, a success clears); unchanged work is told again after 0.2 s; cut failures become 502; the proof is recorded when the configuration is read. Ruled out: counting broken answers with a head (endpoints spoil answers for other reasons); convictions without regard to successes (a request of many callers would be stopped for a minute after an outage of all endpoints). The test of the allowance sent sixty times the same failing request, which is now stopped; it sends different ones, with the same bounds. Figures: none measured; each has a test that failed first.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -4,6 +4,7 @@
 interfaces of `ForwardingContext`.
 """
 
+from mustardwood.dispatch.crash_record import CrashRecord
 from mustardwood.dispatch.currency_proof import CurrencyProof
 from mustardwood.dispatch.endpoint import Endpoint
 from mustardwood.dispatch.endpoint_directory import EndpointDirectory
@@ -23,6 +24,7 @@
 from mustardwood.dispatch.forwarding_context import Timer
 from mustardwood.dispatch.general_request import GeneralRequest
 from mustardwood.dispatch.load_table import LoadTable
+from mustardwood.dispatch.load_table import PEER_LIFETIME
 from mustardwood.dispatch.organisation import Organisation
 from mustardwood.dispatch.placement import Placement
 from mustardwood.dispatch.placement_settings import PlacementSettings
@@ -41,9 +43,11 @@
 from mustardwood.dispatch.waiting_room import WaitingRoom
 
 __all__ = [
+    "PEER_LIFETIME",
     "Attempt",
     "AttemptListener",
     "Caller",
+    "CrashRecord",
     "CurrencyProof",
     "Endpoint",
     "EndpointDirectory",
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -20,6 +20,7 @@
         was_not_run: Whether the endpoint states that it did not run it.
         is_doubted: Whether the endpoint has been silent for too long.
         body: Body of an answer that is not passed on as it comes.
+        is_cut: Whether the rest of the body was dropped.
         handle: The connection's side of it.
     """
 
@@ -34,6 +35,7 @@
         self.was_not_run = False
         self.is_doubted = False
         self.body = bytearray()
+        self.is_cut = False
         self.handle: forwarding_context.Attempt | None = None
 
     @property
--- a/mustardwood/dispatch/final_answers.py
+++ b/mustardwood/dispatch/final_answers.py
@@ -22,6 +22,14 @@
         "effect before sending it again.")
 
 
+def report_crashing() -> refusal.Refusal:
+    """Returns the answer to a request that crashed several endpoints."""
+    return refusal.Refusal(
+        http.HTTPStatus.BAD_GATEWAY,
+        "Several endpoints were lost while they ran this request; it is sent "
+        "to no other for a minute. Change it before sending it again.")
+
+
 def report_timeout(may_have_run: bool) -> refusal.Refusal:
     """Returns the answer to a request whose time is up."""
     if may_have_run:
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -4,6 +4,7 @@
 import http
 
 from mustardwood.dispatch import attempt_record
+from mustardwood.dispatch import crash_record
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import event_splitter
 from mustardwood.dispatch import final_answers
@@ -45,6 +46,7 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._runs = 0
+        self._fingerprint = crash_record.find_fingerprint(request)
         self._splitter = event_splitter.EventSplitter(request.last_event)
         self._is_begun = False
         self._is_through = False
@@ -92,7 +94,9 @@
         if attempt is None:
             return
         if not attempt.is_success:
-            if len(attempt.body) <= _MOST_BUFFERED:
+            attempt.is_cut = (attempt.is_cut or
+                              len(attempt.body) + len(data) > _MOST_BUFFERED)
+            if not attempt.is_cut:
                 attempt.body += data
             return
         self._release_prefill(attempt)
@@ -120,6 +124,7 @@
             return
         self._end_attempt(request_record.COMPLETE)
         self._context.health.record_success(attempt.endpoint)
+        self._context.crashes.record_success(self._fingerprint)
         if self._request.is_stream:
             if not self._is_begun:
                 self._begin(attempt, None)
@@ -143,6 +148,9 @@
             return
         self._context.health.record_failure(attempt.endpoint)
         self._runs += 1
+        if not attempt.status:
+            self._context.crashes.record_loss(self._fingerprint,
+                                              attempt.endpoint)
         self._repeat_run(reason)
 
     def _send_next(self) -> None:
@@ -151,6 +159,9 @@
         if objection is not None:
             self._give_up("no longer allowed", objection)
             return
+        if context.crashes.is_convicted(self._fingerprint):
+            self._give_up("crashes endpoints", final_answers.report_crashing())
+            return
         now = context.clock.monotonic()
         left = request.expires - now
         if left <= datetime.timedelta():
@@ -243,13 +254,13 @@
             return
         self._runs += 1
         is_promise = attempt.status in request_record.PROMISES
-        if 400 <= attempt.status < 500 and not is_promise:
+        is_failure = attempt.status >= 400 and not is_promise
+        if is_failure and not attempt.is_cut:
             self._failed = attempt
+        if is_failure and attempt.status < 500:
             self._give_up("refused by the endpoint", None)
             return
         health.record_failure(attempt.endpoint)
-        if attempt.status >= 500 and not is_promise:
-            self._failed = attempt
         self._repeat_run(f"status {attempt.status}")
 
     def _repeat_unsent(self, reason: str) -> None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -6,6 +6,7 @@
 import typing
 
 from mustardwood import timing
+from mustardwood.dispatch import crash_record
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_directory
 from mustardwood.dispatch import endpoint_health
@@ -170,6 +171,7 @@
     loads: load_table.LoadTable
     health: endpoint_health.EndpointHealth
     memory: prefix_memory.PrefixMemory
+    crashes: crash_record.CrashRecord
     placement: placement_module.Placement
     retries: retry_allowance.RetryAllowance
     returns: return_time.ReturnTime
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -81,6 +81,21 @@
     assert (caller.status, caller.body) == (500, b"reason")
 
 
+@pytest.mark.parametrize("status", (404, 500))
+def test_failure_too_long_to_keep_is_not_passed_on_short(status):
+    world = world_module.World()
+    request = world_module.make_request(
+        world, repeat=dispatch.RepeatPolicy.AT_MOST_ONCE, most_runs=1)
+    _, caller = world.start(request)
+    attempt = world.client.sent[0]
+    attempt.begin(status)
+    for _ in range(300):
+        attempt.listener.receive_data(bytes(1024))
+    attempt.listener.receive_end()
+    assert caller.status == 502
+    assert len(caller.body) < 1024
+
+
 def test_success_without_the_endpoints_mark_is_not_passed_on():
     world = world_module.World(endpoints=1)
     _, caller = world.start()
@@ -103,7 +118,7 @@
     repeated = 0
     for _ in range(60):
         before = len(world.client.sent)
-        world.start()
+        world.start(world_module.make_request(world, target=f"/{before}"))
         world.client.sent[before].listener.receive_failure(True, "reset")
         repeated += len(world.client.sent) - before - 1
     # Two are spare, and 17% of the requests may be repeated.
--- a/mustardwood/dispatch/tests/world.py
+++ b/mustardwood/dispatch/tests/world.py
@@ -197,6 +197,7 @@
         self.loads = dispatch.LoadTable(self.clock)
         self.health = dispatch.EndpointHealth(self.clock)
         self.memory = dispatch.PrefixMemory(self.clock)
+        self.crashes = dispatch.CrashRecord(self.clock)
         self.settings = dispatch.PlacementSettings()
         self.placement = dispatch.Placement(
             "zone-a", self.clock, self.loads, self.health, self.memory,
@@ -211,6 +212,7 @@
             loads=self.loads,
             health=self.health,
             memory=self.memory,
+            crashes=self.crashes,
             placement=self.placement,
             retries=dispatch.RetryAllowance(random.Random(1), 0.2,
                                             spare_retries, lambda: 1),
--- a/mustardwood/peers/news.py
+++ b/mustardwood/peers/news.py
@@ -20,6 +20,8 @@
         loads: The sender's own work by endpoint.
         moves: Endpoints with the subjects that the sender lately sent there
             although they are expected elsewhere.
+        losses: Fingerprints of requests with the endpoints that the sender
+            lately lost while they ran them.
     """
 
     sender: str
@@ -29,3 +31,4 @@
     revision: int
     loads: dict[str, Figures]
     moves: list[tuple[str, str]] = []
+    losses: list[tuple[str, str]] = []
--- a/mustardwood/peers/news_exchange.py
+++ b/mustardwood/peers/news_exchange.py
@@ -38,8 +38,8 @@
     """
 
     def __init__(self, vm: str, clock: timing.Clock, loads: dispatch.LoadTable,
-                 memory: dispatch.PrefixMemory, proof: dispatch.CurrencyProof,
-                 rng: random.Random) -> None:
+                 memory: dispatch.PrefixMemory, crashes: dispatch.CrashRecord,
+                 proof: dispatch.CurrencyProof, rng: random.Random) -> None:
         """Creates an exchange without peers.
 
         Args:
@@ -47,6 +47,7 @@
             clock: Its monotonic time counts suspension.
             loads: This VM's own work, and its peers'.
             memory: Where prompts were read.
+            crashes: Which requests crash endpoints.
             proof: Gets the peers' proofs.
             rng: Draws the first message number, so that an echo of a number
                 from before a restart names no message of this process.
@@ -55,6 +56,7 @@
         self._clock = clock
         self._loads = loads
         self._memory = memory
+        self._crashes = crashes
         self._proof = proof
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_NUMBER_BITS)
@@ -80,7 +82,8 @@
         return msgspec.msgpack.encode(
             news_module.News(self._vm, self._sequence, peer.heard,
                              self._find_lead(peer), revision, loads,
-                             self._memory.list_moves()))
+                             self._memory.list_moves(),
+                             self._crashes.list_news()))
 
     def take_news(self, data: bytes, revision: int) -> news_module.News | None:
         """Takes over a message.
@@ -109,6 +112,8 @@
             })
         for endpoint, subject in found.moves:
             self._memory.record_subject(endpoint, subject)
+        for fingerprint, endpoint in found.losses:
+            self._crashes.record_peer_loss(fingerprint, endpoint)
         asked_from = peer.sent.get(found.echo)
         if (asked_from is not None and found.proof_lead_ms >= 0 and
                 found.revision <= revision):
--- a/mustardwood/peers/tests/test_news_exchange.py
+++ b/mustardwood/peers/tests/test_news_exchange.py
@@ -24,9 +24,10 @@
         self.loads = dispatch.LoadTable(self.clock)
         self.proof = dispatch.CurrencyProof(self.clock, _LONGEST, _MARGIN)
         self.memory = dispatch.PrefixMemory(self.clock)
+        self.crashes = dispatch.CrashRecord(self.clock)
         self.exchange = peers.NewsExchange(name, self.clock, self.loads,
-                                           self.memory, self.proof,
-                                           random.Random(seed))
+                                           self.memory, self.crashes,
+                                           self.proof, random.Random(seed))
         self.revision = 10
 
     def tell(self, other):
@@ -140,3 +141,13 @@
     here = _Vm("here")
     assert here.hear(b"\xc1garbage") is None
     assert here.hear(b"") is None
+
+
+def test_requests_that_crash_endpoints_are_known_to_all_vms():
+    vms = [_Vm(name, seed) for seed, name in enumerate("abc")]
+    for number, vm in enumerate(vms):
+        vm.crashes.record_loss("poison", f"engine-{number}")
+        for other in vms:
+            if other is not vm:
+                other.hear(vm.tell(other))
+    assert all(vm.crashes.is_convicted("poison") for vm in vms)
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -67,6 +67,7 @@
         self._directory = dispatch.EndpointDirectory(self._clock)
         self._health = dispatch.EndpointHealth(self._clock)
         self._memory = dispatch.PrefixMemory(self._clock)
+        self._crashes = dispatch.CrashRecord(self._clock)
         pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
         client = store_client.StoreClient(
             settings_module.parse_address(self._settings.store.address), pool,
@@ -77,9 +78,10 @@
         self._loads = dispatch.LoadTable(self._clock)
         self._peers = peer_link.PeerLink(
             peers.NewsExchange(self._settings.vm, self._clock, self._loads,
-                               self._memory, self._proof, self._rng),
-            self._loads, self._clock, self._scheduler, pool, self._follower,
-            self._journal, self._settings.vm)
+                               self._memory, self._crashes, self._proof,
+                               self._rng), self._loads, self._clock,
+            self._scheduler, pool, self._follower, self._journal,
+            self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
             self._settings.listen.peers)
@@ -159,6 +161,7 @@
             loads=self._loads,
             health=self._health,
             memory=self._memory,
+            crashes=self._crashes,
             placement=dispatch.Placement(self._settings.zone, self._clock,
                                          self._loads, self._health,
                                          self._memory,
--- a/mustardwood/platform/peer_link.py
+++ b/mustardwood/platform/peer_link.py
@@ -20,8 +20,12 @@
 """Shortest interval of messages: a tenth of a long prompt's prefill."""
 _TICK_A_PEER = datetime.timedelta(milliseconds=2.5)
 """Interval for each peer: bounds a VM at 400 datagrams a second each way."""
-_IDLE_TICKS = 10
-"""Ticks without a change of load after which a message is sent anyway."""
+_IDLE = datetime.timedelta(milliseconds=200)
+"""Time without a change of load after which a message is sent anyway.
+
+It is a fifth of the time for which a message counts, whatever the number of
+peers.
+"""
 _SILENCE = datetime.timedelta(seconds=15)
 """Silence after which an unregistered peer is forgotten."""
 _PULL_DELAY = datetime.timedelta(milliseconds=200)
@@ -53,7 +57,7 @@
         self._heard: dict[str, datetime.timedelta] = {}
         self._is_pulling = False
         self._sent_version = -1
-        self._quiet_ticks = 0
+        self._sent_at = datetime.timedelta()
         self.port = peers.DatagramPort(self._take)
 
     @property
@@ -83,11 +87,11 @@
             self._journal.write("peer", peer=name, address=address)
 
     def _tick(self) -> None:
-        self._quiet_ticks += 1
+        now = self._clock.monotonic()
         if (self._loads.version != self._sent_version or
-                self._quiet_ticks >= _IDLE_TICKS):
+                now - self._sent_at >= _IDLE):
             self._sent_version = self._loads.version
-            self._quiet_ticks = 0
+            self._sent_at = now
             for name, address in self._addresses.items():
                 self.port.send(
                     self._exchange.build_news(name, self._follower.revision),
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -125,10 +125,13 @@
                     await self._wait_after(error)
 
     async def _read_all(self) -> int:
+        asked = self._clock.monotonic()
         item, revision = await self._client.read_key(CONFIGURATION_KEY)
         self._note_answer()
         if item is not None:
             self.take_configuration(item)
+        # The lists take longer; keyed requests need not wait for them.
+        self._proof.record(asked)
         items = await self._client.read_range(endpoint_decoder.PREFIX)
         for each in items:
             self._take_endpoint(each)
--- a/mustardwood/platform/tests/test_peer_link.py
+++ b/mustardwood/platform/tests/test_peer_link.py
@@ -52,8 +52,8 @@
         self.journal = world_module.FakeJournal()
         self.sent = []
         self.link = peer_link.PeerLink(
-            peers.NewsExchange(name, self.clock,
-                               self.loads, self.memory, self.proof,
+            peers.NewsExchange(name, self.clock, self.loads, self.memory,
+                               dispatch.CrashRecord(self.clock), self.proof,
                                random.Random(name)), self.loads, self.clock,
             self.scheduler, self.pool, self.follower, self.journal, name)
         self.link.port.send = lambda data, address: self.sent.append(
@@ -81,6 +81,18 @@
     assert 3 <= len(vm.sent) <= 6
 
 
+def test_idle_vm_of_a_large_deployment_still_counts():
+    """At 60 VMs, ten rounds of messages last longer than a message counts."""
+    vm = _Vm("vm-1")
+    for number in range(59):
+        _join(vm, f"peer-{number}", b"192.0.2.%d:8229" % (number + 10))
+    vm.link.start()
+    vm.sent.clear()
+    lifetime = dispatch.PEER_LIFETIME
+    vm.scheduler.advance(10 * lifetime)
+    assert len(vm.sent) >= 2 * 10 * 59
+
+
 def test_own_registration_is_no_peer():
     vm = _Vm("vm-1")
     _join(vm, "vm-1")
--- a/mustardwood/platform/tests/test_store_follower.py
+++ b/mustardwood/platform/tests/test_store_follower.py
@@ -57,12 +57,21 @@
         self.watches[-1][3].errback(error)
 
 
+class _SlowLists(_Client):
+    """A store whose lists don't come."""
+
+    async def read_range(self, prefix):
+        """Waits for ever."""
+        del prefix
+        return await defer.Deferred()
+
+
 class _Case:
 
-    def __init__(self, seed=1):
+    def __init__(self, seed=1, client=None):
         self.clock = timing.ManualClock()
         self.scheduler = world_module.FakeScheduler(self.clock)
-        self.client = _Client()
+        self.client = client or _Client()
         self.directory = dispatch.EndpointDirectory(self.clock)
         self.proof = dispatch.CurrencyProof(self.clock,
                                             datetime.timedelta(seconds=5),
@@ -153,6 +162,12 @@
     assert case.proof.age() == ms(1000)
 
 
+def test_proof_does_not_wait_for_the_lists():
+    case = _Case(client=_SlowLists())
+    assert not case.usable()
+    assert case.proof.is_current()
+
+
 def test_lost_history_is_read_anew():
     case = _Case()
     case.client.ranges["servers/"] = []
