Leave breaks between prompts for tight streams; prove currency by reads

Half of the store's calls were watches woken by each change and ended each 1.5 s for the proof. Change: an engine with such streams gets no further prompt once its prompts would follow each other for longer than the chunks that a piece bears; the request waits at the VM. A rest of 0.3 s between a change and the next watch; watches of 3 s; the configuration is read when the newest proof is old, at an age that each VM draws, so that one VM reads for all.

--- a/mustardwood/dispatch/engine_split.py
+++ b/mustardwood/dispatch/engine_split.py
@@ -59,6 +59,33 @@
         self._look()
         return frozenset(self._names[self._count_free(piece_tokens):])
 
+    def find_longest_run(self, piece_tokens: int) -> datetime.timedelta | None:
+        """Returns for how long an engine with brisk streams may read prompts.
+
+        Load pattern: a piece takes as many steps as it has tokens, and a step
+        that reads a chunk of a prompt takes ten times as long. If all steps of
+        a piece do so it is late by a little, and with it each brisk stream
+        beside the prompts; with one step less none is.
+
+        Args:
+            piece_tokens: Tokens in a piece of a stream.
+
+        Returns:
+            Time in which the chunks that a piece bears are read; None if it
+            bears one in each step.
+        """
+        settings = self._settings
+        if self._tightest is None:
+            return None
+        chunk = settings.chunk_tokens / settings.prefill_rate
+        step = (settings.step_time +
+                settings.stream_step_time * settings.most_brisk_streams)
+        spare = self._tightest.total_seconds() - piece_tokens * step
+        chunks = math.floor(spare / chunk)
+        if chunks >= piece_tokens:
+            return None
+        return datetime.timedelta(seconds=max(1, chunks) * chunk)
+
     def _look(self) -> None:
         now = self._clock.monotonic()
         if self._looked is not None and now - self._looked < _INTERVAL:
--- a/mustardwood/dispatch/load_table.py
+++ b/mustardwood/dispatch/load_table.py
@@ -10,6 +10,9 @@
 PEER_LIFETIME = datetime.timedelta(seconds=1)
 """Age from which a peer's figures no longer count: ten missed messages."""
 
+_RUN_TOKENS = 2048
+"""Prompt tokens that an engine reads in one step."""
+
 _IDLE = endpoint_load.EndpointLoad()
 
 
@@ -23,8 +26,19 @@
         version: Changes with this VM's own work.
     """
 
-    def __init__(self, clock: timing.Clock) -> None:
+    def __init__(self,
+                 clock: timing.Clock,
+                 run_tokens: int = _RUN_TOKENS) -> None:
+        """Creates a table without work.
+
+        Args:
+            clock: Tells how old reports are.
+            run_tokens: Prompt tokens from which an engine is reading prompts
+                without a break; fewer are read in one step.
+        """
         self._clock = clock
+        self._run_tokens = run_tokens
+        self._runs: dict[str, datetime.timedelta] = {}
         self.version = 0
         self._own: dict[str, endpoint_load.EndpointLoad] = {}
         self._totals: dict[str, endpoint_load.EndpointLoad] = {}
@@ -36,7 +50,7 @@
         """Adds work of this VM."""
         self.version += 1
         _add(self._own, endpoint, load)
-        _add(self._totals, endpoint, load)
+        self._add_total(endpoint, load)
 
     def subtract(self, endpoint: str, load: endpoint_load.EndpointLoad) -> None:
         """Removes work of this VM that has ended."""
@@ -49,9 +63,11 @@
     def set_peer(self, peer: str,
                  loads: dict[str, endpoint_load.EndpointLoad]) -> None:
         """Takes over a peer's report."""
-        self._drop_peer(peer)
-        for endpoint, load in loads.items():
-            _add(self._totals, endpoint, load)
+        _, known = self._peers.pop(peer, (None, {}))
+        for endpoint in known.keys() | loads.keys():
+            self._add_total(
+                endpoint,
+                loads.get(endpoint, _IDLE) - known.get(endpoint, _IDLE))
         self._peers[peer] = (self._clock.monotonic(), loads)
 
     def confirm_peer(self, peer: str) -> bool:
@@ -82,6 +98,13 @@
         """Returns the work on an endpoint of this VM and its peers."""
         return self.list_totals().get(endpoint, _IDLE)
 
+    def find_run(self, endpoint: str) -> datetime.timedelta:
+        """Returns for how long an engine has read prompts without a break."""
+        since = self._runs.get(endpoint)
+        if since is None:
+            return datetime.timedelta()
+        return self._clock.monotonic() - since
+
     def count_peers(self) -> int:
         """Returns the number of peers whose figures count."""
         self._drop_expired()
@@ -98,13 +121,22 @@
     def _drop_peer(self, peer: str) -> None:
         _, loads = self._peers.pop(peer, (None, {}))
         for endpoint, load in loads.items():
-            _add(self._totals, endpoint, _IDLE - load)
+            self._add_total(endpoint, _IDLE - load)
+
+    def _add_total(self, endpoint: str,
+                   load: endpoint_load.EndpointLoad) -> None:
+        total = _add(self._totals, endpoint, load)
+        if total.prefill_tokens < self._run_tokens:
+            self._runs.pop(endpoint, None)
+        elif endpoint not in self._runs:
+            self._runs[endpoint] = self._clock.monotonic()
 
 
 def _add(loads: dict[str, endpoint_load.EndpointLoad], endpoint: str,
-         load: endpoint_load.EndpointLoad) -> None:
+         load: endpoint_load.EndpointLoad) -> endpoint_load.EndpointLoad:
     total = loads.get(endpoint, _IDLE) + load
     if total == _IDLE:
         loads.pop(endpoint, None)
     else:
         loads[endpoint] = total
+    return total
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -134,10 +134,12 @@
             self._find_split(request.service).note_brisk_aim(request.piece_aim)
         long_engines = self.find_long_engines(request.service, usable)
         home = self._find_home(request, usable, long_engines)
+        figures = self._find_service(request.service)
         costs = prompt_cost.PromptCost(
-            request, self._settings, self._loads.list_totals(), self._memory,
-            home, long_engines, self._find_reluctance(request),
-            self._find_service(request.service).memory_tokens)
+            request, self._settings, self._loads, self._memory, home,
+            long_engines, self._find_reluctance(request), figures.memory_tokens,
+            self._find_split(request.service).find_longest_run(
+                figures.piece_tokens))
         best, least = None, math.inf
         for each in candidates:
             cost = costs.find_cost(each)
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -32,6 +32,8 @@
         stream_cost: Seconds by which each stream slows a new one's answer.
         long_stream_cost: The same for a long prompt: streams beside it stand
             for prefills that slow all of its several hundred steps.
+        break_cost: Seconds of wait for a break in an engine's prompts: half of
+            the chunks that a piece bears.
         queue_cost: Seconds of wait for each full batch of requests ahead.
         zone_cost: Seconds that an endpoint in another zone counts more; the
             zones are about a millisecond apart, and bytes between them cost.
@@ -60,6 +62,7 @@
     rereading_streams: float = 20.0
     stream_cost: float = 0.004
     long_stream_cost: float = 0.08
+    break_cost: float = 0.1
     queue_cost: float = 1.0
     zone_cost: float = 0.002
     failure_cost: float = 2.0
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -1,11 +1,13 @@
 """What a prompt costs on each engine."""
 
 import collections.abc
+import datetime
 import math
 
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import general_request
+from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement_settings
 from mustardwood.dispatch import prefix_memory
 
@@ -28,27 +30,30 @@
 
     def __init__(self, request: general_request.GeneralRequest,
                  settings: placement_settings.PlacementSettings,
-                 loads: collections.abc.Mapping[str,
-                                                endpoint_load.EndpointLoad],
+                 table: load_table.LoadTable,
                  memory: prefix_memory.PrefixMemory, home: str,
                  long_engines: collections.abc.Set[str], reluctance: float,
-                 memory_tokens: int) -> None:
+                 memory_tokens: int,
+                 longest_run: datetime.timedelta | None) -> None:
         """Prepares the weighing.
 
         Args:
             request: The request.
             settings: Figures of engines and weights.
-            loads: Work on the busy engines.
+            table: Work on the engines.
             memory: Where prompts were read.
             home: The engine that should read the prompt.
             long_engines: The engines that take long prompts.
             reluctance: Share that the cost of reading again still counts.
             memory_tokens: Memory of an engine; 0 if it is not known.
+            longest_run: Time for which an engine with brisk streams may read
+                prompts without a break; None for any.
         """
         prompt = request.prompt
         self._request = request
         self._settings = settings
-        self._loads = loads
+        self._table = table
+        self._loads = table.list_totals()
         self._memory = memory
         self._home = home
         self._long_engines = long_engines
@@ -63,6 +68,7 @@
                              if self._is_long else settings.stream_cost)
         self._share = (_TIER_SHARES[request.tier]
                        if request.tier < len(_TIER_SHARES) else _REST_SHARE)
+        self._longest_run = longest_run
         self._memory_limit = memory_tokens * settings.memory_share
 
     def find_cost(self, endpoint: endpoint_module.Endpoint) -> float | None:
@@ -89,6 +95,8 @@
             cost += settings.intrusion_aims * self._aim
         elif takes_long and self._is_brisk:
             cost += settings.mixing_cost
+        if self._stalls_streams(endpoint, load, tokens):
+            cost += settings.break_cost
         return cost
 
     def is_cached(self, endpoint: endpoint_module.Endpoint) -> bool:
@@ -109,9 +117,21 @@
                                           self._request.prompt.output_tokens)
 
     def is_prefill_full(self, endpoint: endpoint_module.Endpoint) -> bool:
-        """Returns whether a long prompt should wait rather than go there."""
-        if not self._is_long:
-            return False
-        waiting = self._loads.get(endpoint.name, _IDLE).prefill_tokens
+        """Returns whether the request should wait rather than go there."""
+        load = self._loads.get(endpoint.name, _IDLE)
         added = self.find_load(endpoint).prefill_tokens
-        return waiting > 0 and waiting + added > self._settings.most_prefill
+        if self._stalls_streams(endpoint, load, added):
+            return True
+        return (self._is_long and load.prefill_tokens > 0 and
+                load.prefill_tokens + added > self._settings.most_prefill)
+
+    def _stalls_streams(self, endpoint: endpoint_module.Endpoint,
+                        load: endpoint_load.EndpointLoad, added: int) -> bool:
+        """Returns whether one more prompt would leave streams no break."""
+        settings = self._settings
+        if (self._longest_run is None or not load.brisk_streams or
+                load.prefill_tokens < settings.chunk_tokens):
+            return False
+        left = (load.prefill_tokens + added) / settings.prefill_rate
+        run = self._table.find_run(endpoint.name).total_seconds() + left
+        return run > self._longest_run.total_seconds()
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -20,6 +20,13 @@
     return choice
 
 
+def _read(world, choice):
+    """Ends the prefill of a choice."""
+    world.loads.subtract(
+        choice.endpoint.name,
+        dispatch.EndpointLoad(prefill_tokens=choice.load.prefill_tokens))
+
+
 def test_subject_returns_to_the_engine_that_read_it():
     world = world_module.World(endpoints=6)
     homes = {
@@ -61,6 +68,39 @@
         world.clock.advance(ms(250))
 
 
+def test_streams_with_tight_pauses_get_a_break_between_prompts():
+    """Prompts that follow each other would delay every piece by a little."""
+    world = world_module.World(endpoints=1)
+    stream = world_module.make_stream(world,
+                                      piece_aim=ms(250),
+                                      prompt=world_module.make_prompt(
+                                          "brisk", 800, 200))
+    _read(world, _place(world, stream))
+    prompt = world_module.make_prompt("other", 3000, 0)
+    placed = []
+    for _ in range(3):
+        placed.append(
+            _place(world, world_module.make_stream(world, prompt=prompt)))
+    assert None not in placed
+    # Ten thousand tokens are five chunks; a piece has six tokens.
+    world.clock.advance(ms(60))
+    _read(world, placed[0])
+    assert _place(world, world_module.make_stream(world, prompt=prompt)) is None
+    world.clock.advance(ms(120))
+    for choice in placed[1:]:
+        _read(world, choice)
+    assert _place(world, world_module.make_stream(world, prompt=prompt))
+
+
+def test_prompts_follow_each_other_where_no_stream_is_tight():
+    world = world_module.World(endpoints=1)
+    prompt = world_module.make_prompt("other", 3000, 0)
+    for _ in range(6):
+        assert _place(
+            world,
+            world_module.make_stream(world, piece_aim=ms(1000), prompt=prompt))
+
+
 def test_rush_of_long_prompts_stays_off_the_engines_of_brisk_streams():
     world = world_module.World(endpoints=8)
     _start_brisk_streams(world, 24)
@@ -80,12 +120,13 @@
 def test_tighter_pauses_keep_more_engines_free_of_long_prompts(piece_aim, most):
     world = world_module.World(endpoints=10)
     for index in range(60):
-        _place(
+        choice = _place(
             world,
             world_module.make_stream(world,
                                      piece_aim=ms(piece_aim),
                                      prompt=world_module.make_prompt(
                                          f"q-{index}", 800, 200)))
+        _read(world, choice)
         world.clock.advance(ms(250))
     engines = world.placement.find_long_engines("engine", world.usable())
     assert most - 1 <= len(engines) <= most
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -19,6 +19,7 @@
 from mustardwood import peers
 from mustardwood import timing
 from mustardwood.platform import authority
+from mustardwood.platform import currency_reader
 from mustardwood.platform import endpoint_calls
 from mustardwood.platform import event_journal
 from mustardwood.platform import front as front_module
@@ -72,10 +73,13 @@
         client = store_client.StoreClient(
             settings_module.parse_address(self._settings.store.address), pool,
             self._scheduler)
+        self._loads = dispatch.LoadTable(self._clock)
         self._follower = store_follower.StoreFollower(
             client, self._clock, self._scheduler, self._directory, self._proof,
             self._journal, self._forget_endpoint, self._set_vm, self._rng)
-        self._loads = dispatch.LoadTable(self._clock)
+        self._reader = currency_reader.CurrencyReader(
+            client, self._clock, self._scheduler, self._proof, self._follower,
+            self._loads.count_peers, self._journal, self._rng)
         self._peers = peer_link.PeerLink(
             peers.NewsExchange(self._settings.vm, self._clock, self._loads,
                                self._memory, self._crashes, self._proof,
@@ -105,6 +109,7 @@
                                              backlog=_BACKLOG,
                                              interface=host)
         self._follower.start()
+        self._reader.start()
         if listen.peers:
             self._serve_page(listen.peers, peer_link.CONFIGURATION_PAGE,
                              self._build_configuration)
--- a/mustardwood/platform/store_follower.py
+++ b/mustardwood/platform/store_follower.py
@@ -19,11 +19,18 @@
 """Key of the newest configuration."""
 VM_PREFIX = "vms/"
 """Keys of this system's own VMs; the rest of the key is the VM's name."""
-WATCH_TIME = datetime.timedelta(milliseconds=1500)
-"""Longest wait of a watch; each end of one is a proof of currency.
+WATCH_TIME = datetime.timedelta(seconds=3)
+"""Longest wait of a watch, after which a silent connection is noticed.
 
-A proof counts from the question, so this is how old the newest one is when the
-store goes away; it leaves three of the five seconds in which a key must die.
+A proof counts from the question, so a watch gives old ones; `CurrencyReader`
+asks for younger ones.
+"""
+_REST = datetime.timedelta(milliseconds=300)
+"""Rest between a change and the next watch.
+
+Load pattern: many endpoints and VMs register at once, and each change would
+wake all VMs, at one priced call each. The changes of a rest come with one call;
+it is a tenth of the three seconds in which changes must take effect.
 """
 _FIRST_WATCH_SHARE = 0.25
 """Least part of that wait after a change.
@@ -86,6 +93,11 @@
         self.configuration: Configuration | None = None
         self.item: store_client.Item | None = None
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store answered the last watch."""
+        return not self._failures
+
     @property
     def revision(self) -> int:
         """Revision of the configuration in force; 0 before the first."""
@@ -117,6 +129,8 @@
                 else:
                     revision = await self._watch(revision)
                 self._proof.record(asked)
+                if self._was_woken:
+                    await self._wait(_REST)
             except store_client.HistoryLostError as error:
                 self._journal.write("store_history_lost", error=error.message)
                 revision = None
@@ -250,6 +264,9 @@
         delay *= 0.5 + 0.5 * self._rng.random()
         if isinstance(error, errors.RateLimitedError):
             delay = max(delay, min(error.retry_after, _LONGEST_DELAY))
+        return self._wait(delay)
+
+    def _wait(self, delay: datetime.timedelta) -> defer.Deferred[None]:
         waited: defer.Deferred[None] = defer.Deferred()
         self._scheduler.call_later(delay, lambda: waited.callback(None))
         return waited
--- /dev/null
+++ b/mustardwood/platform/tests/test_currency_reader.py
@@ -0,0 +1,112 @@
+"""Reads that prove that the configuration is the newest one."""
+
+import random
+
+from twisted.internet import defer
+
+from mustardwood import dispatch
+from mustardwood import errors
+from mustardwood import timing
+from mustardwood.dispatch.tests import world as world_module
+from mustardwood.platform import currency_reader
+from mustardwood.platform.tests import documents
+
+ms = world_module.ms
+
+
+class _Client:
+
+    def __init__(self):
+        self.reads = []
+
+    async def read_key(self, key):
+        """Waits for the test."""
+        assert key == "op/config"
+        self.reads.append(defer.Deferred())
+        return await self.reads[-1]
+
+
+class _Follower:
+
+    def __init__(self):
+        self.is_in_touch = True
+        self.taken = []
+
+    def take_configuration(self, item):
+        """Keeps what was read."""
+        self.taken.append(item)
+
+
+class _Vm:
+
+    def __init__(self, seed=1, peers=0, clock=None, scheduler=None):
+        self.clock = clock or timing.ManualClock()
+        self.scheduler = scheduler or world_module.FakeScheduler(self.clock)
+        self.proof = dispatch.CurrencyProof(self.clock, ms(5000), ms(500))
+        self.proof.record(self.clock.monotonic())
+        self.client = _Client()
+        self.follower = _Follower()
+        self.journal = world_module.FakeJournal()
+        self.reader = currency_reader.CurrencyReader(self.client, self.clock,
+                                                     self.scheduler, self.proof,
+                                                     self.follower,
+                                                     lambda: peers,
+                                                     self.journal,
+                                                     random.Random(seed))
+        self.reader.start()
+
+
+def _item():
+    return documents.make_item("op/config", documents.make_document(), 5)
+
+
+def test_old_proof_is_replaced_by_one_as_old_as_the_question():
+    vm = _Vm()
+    vm.scheduler.advance(ms(700))
+    vm.client.reads[0].callback((_item(), 9))
+    assert vm.follower.taken == [_item()]
+    assert vm.proof.age() == ms(100)
+
+
+def test_young_proof_of_a_peer_saves_the_read():
+    vm = _Vm()
+    for _ in range(20):
+        vm.scheduler.advance(ms(100))
+        vm.proof.record(vm.clock.monotonic() - ms(300))
+    assert not vm.client.reads
+
+
+def test_one_read_at_a_time_and_none_while_the_store_is_lost():
+    vm = _Vm()
+    vm.scheduler.advance(ms(3000))
+    assert len(vm.client.reads) == 1
+    vm.follower.is_in_touch = False
+    vm.client.reads[0].errback(errors.UnavailableError("Lost.", "Wait."))
+    vm.scheduler.advance(ms(3000))
+    assert len(vm.client.reads) == 1
+    assert vm.journal.lines[0][0] == "proof_failed"
+    assert vm.proof.age() == ms(6000)
+
+
+def test_reads_of_a_large_deployment_do_not_grow_with_its_vms():
+    """News of a proof reach the others within 0.2 s."""
+    reads = {}
+    for count in (9, 60):
+        clock = timing.ManualClock()
+        scheduler = world_module.FakeScheduler(clock)
+        vms = [_Vm(seed, count - 1, clock, scheduler) for seed in range(count)]
+        done = 0
+        for _ in range(600):
+            scheduler.advance(ms(100))
+            proofs = []
+            for vm in vms:
+                while vm.client.reads:
+                    vm.client.reads.pop().callback((_item(), 9))
+                    done += 1
+                proofs.append(clock.monotonic() - vm.proof.age())
+            for vm in vms:
+                vm.proof.record(max(proofs))
+            assert clock.monotonic() - max(proofs) < ms(3000)
+        reads[count] = done
+    assert reads[60] < 4 * reads[9]
+    assert reads[9] < 2 * 60
--- a/mustardwood/platform/tests/test_store_follower.py
+++ b/mustardwood/platform/tests/test_store_follower.py
@@ -14,6 +14,7 @@
 from mustardwood.platform.tests import documents
 
 ms = world_module.ms
+_REST = ms(300)
 _CONFIGURATION = store_follower.CONFIGURATION_KEY
 
 
@@ -84,6 +85,12 @@
             self.journal, self.restarted.append, self.vms.__setitem__,
             random.Random(seed))
         self.follower.start()
+        self.scheduler.advance(_REST)
+
+    def deliver(self, items, at):
+        """Ends the open watch with changes, and waits for the next one."""
+        self.client.deliver(items, at)
+        self.scheduler.advance(_REST)
 
     @property
     def version(self):
@@ -108,7 +115,7 @@
 
 def test_newer_configuration_is_in_force_at_once():
     case = _Case()
-    case.client.deliver([
+    case.deliver([
         documents.make_item(_CONFIGURATION, documents.make_document(version=9),
                             11)
     ], 11)
@@ -119,7 +126,7 @@
 def test_configuration_never_goes_back():
     case = _Case()
     for version, revision in ((9, 11), (8, 12), (7, 4)):
-        case.client.deliver([
+        case.deliver([
             documents.make_item(_CONFIGURATION,
                                 documents.make_document(version=version),
                                 revision)
@@ -129,7 +136,7 @@
 
 def test_unreadable_configuration_leaves_the_last_one():
     case = _Case()
-    case.client.deliver([documents.make_item(_CONFIGURATION, b"{", 11)], 11)
+    case.deliver([documents.make_item(_CONFIGURATION, b"{", 11)], 11)
     assert case.version == 7
     assert any(
         event == "configuration_rejected" for event, _ in case.journal.lines)
@@ -137,7 +144,7 @@
 
 def test_unreadable_registration_removes_only_its_endpoint():
     case = _Case()
-    case.client.deliver([
+    case.deliver([
         documents.make_item("servers/i-2", documents.make_registration(), 11),
         documents.make_item("servers/i-1", b"\xff", 12),
         documents.make_item("servers/i-3", {"service": "api"}, 13),
@@ -147,7 +154,7 @@
 
 def test_restart_under_the_same_id_is_told():
     case = _Case()
-    case.client.deliver([
+    case.deliver([
         documents.make_item("servers/i-1",
                             documents.make_registration(born=1700000009999), 11)
     ], 11)
@@ -168,6 +175,16 @@
     assert case.proof.is_current()
 
 
+def test_changes_of_a_moment_come_with_one_call():
+    """Sixty VMs that register one after the other wake nobody sixty times."""
+    case = _Case()
+    case.client.deliver([documents.make_item("vms/edge-2", b"a:1", 11)], 11)
+    assert len(case.client.watches) == 1
+    case.scheduler.advance(_REST)
+    assert len(case.client.watches) == 2
+    assert case.client.watches[1][1] == 11
+
+
 def test_lost_history_is_read_anew():
     case = _Case()
     case.client.ranges["servers/"] = []
@@ -184,7 +201,7 @@
     case.client.fail(_unavailable())
     case.scheduler.advance(ms(600))
     removal = store_client.Item("servers/i-1", None, 12)
-    case.client.deliver([removal], 12)
+    case.deliver([removal], 12)
     assert case.usable() == ["i-1"]
     case.scheduler.advance(ms(2300))
     assert not case.usable()
@@ -195,7 +212,7 @@
     for _ in range(3):
         case.client.fail(_unavailable())
         case.scheduler.advance(ms(600))
-    case.client.deliver([], 10)
+    case.deliver([], 10)
     events = [event for event, _ in case.journal.lines]
     assert events.count("store_lost") == 1
     assert events.count("store_regained") == 1
@@ -205,7 +222,7 @@
     waits = set()
     for seed in range(20):
         case = _Case(seed)
-        case.client.deliver([], 10)
+        case.deliver([], 10)
         waits.add(case.client.watches[0][2])
         assert case.client.watches[1][2] == store_follower.WATCH_TIME
     assert len(waits) > 10
@@ -217,14 +234,14 @@
     case.client.fail(RuntimeError("unforeseen"))
     event, fields = case.journal.lines[-1]
     assert (event, fields["error"]) == ("error", "unforeseen")
-    case.scheduler.advance(ms(500))
+    case.scheduler.advance(ms(500) + _REST)
     assert case.client.reads == 2
     assert len(case.client.watches) == 2
 
 
 def test_vms_are_told_with_their_addresses():
     case = _Case()
-    case.client.deliver([
+    case.deliver([
         documents.make_item("vms/edge-2", b"192.0.2.7:8229", 11),
         store_client.Item("vms/edge-3", None, 12)
     ], 12)
