Weigh a sample of many engines, and send news less often to many peers

Waiting requests are weighed on all 70 engines up to 400 times a second a VM; 60 VMs sent 24,000 datagrams a second; and all of them would choose the one engine that was least loaded in news 0.15 s old. Change: EnginePool keeps homes and both sides of the split, and of more than 16 engines a sample is weighed besides those that hold the subject; holders are found by subject; beyond eight peers the interval of news grows by 5 ms a peer, up to 0.5 s. Ruled out: a mesh of groups for the news (at 60 VMs the same number of datagrams gives 0.1 s instead of 0.14 s of age on average).

--- a/mustardwood/dispatch/endpoint_health.py
+++ b/mustardwood/dispatch/endpoint_health.py
@@ -1,5 +1,6 @@
 """What recent answers say about endpoints."""
 
+import collections.abc
 import dataclasses
 import datetime
 
@@ -57,9 +58,15 @@
 
     def is_avoided(self, endpoint: str) -> bool:
         """Returns whether a connection failed a moment ago."""
-        record = self._records.get(endpoint)
-        return record is not None and self._clock.monotonic(
-        ) < record.avoid_until
+        return endpoint in self.list_avoided()
+
+    def list_avoided(self) -> collections.abc.Set[str]:
+        """Returns the endpoints to which a connection failed a moment ago."""
+        now = self._clock.monotonic()
+        return {
+            name for name, record in self._records.items()
+            if now < record.avoid_until
+        }
 
     def failure_share(self, endpoint: str) -> float:
         """Returns the decayed share of failures, from 0 to 1."""
--- a/mustardwood/dispatch/engine_split.py
+++ b/mustardwood/dispatch/engine_split.py
@@ -39,6 +39,8 @@
         self._tightest: datetime.timedelta | None = None
         self._ranked: tuple[endpoint_module.Endpoint, ...] = ()
         self._names: list[str] = []
+        self._free = 0
+        self._long: frozenset[str] | None = None
 
     def note_brisk_aim(self, piece_aim: datetime.timedelta) -> None:
         """Takes over the longest pause that a brisk stream bears."""
@@ -56,8 +58,13 @@
         if tuple(usable) != self._ranked:
             self._ranked = tuple(usable)
             self._names = sorted((each.name for each in usable), key=_hash)
+            self._long = None
         self._look()
-        return frozenset(self._names[self._count_free(piece_tokens):])
+        count = self._count_free(piece_tokens)
+        if count != self._free or self._long is None:
+            self._free = count
+            self._long = frozenset(self._names[count:])
+        return self._long
 
     def find_longest_run(self, piece_tokens: int) -> datetime.timedelta | None:
         """Returns for how long an engine with brisk streams may read prompts.
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -2,13 +2,14 @@
 
 import collections.abc
 import dataclasses
-import hashlib
 import math
+import random
 
 from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import engine_pool
 from mustardwood.dispatch import engine_split
 from mustardwood.dispatch import general_request
 from mustardwood.dispatch import load_table
@@ -17,7 +18,6 @@
 from mustardwood.dispatch import prompt_cost
 from mustardwood.dispatch import service_figures
 
-_DIGEST_BYTES = 8
 _IDLE = endpoint_load.EndpointLoad()
 
 _Endpoints = collections.abc.Sequence[endpoint_module.Endpoint]
@@ -57,14 +57,14 @@
            increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
     """
 
-    def __init__(
-        self, zone: str, clock: timing.Clock, loads: load_table.LoadTable,
-        health: endpoint_health.EndpointHealth,
-        memory: prefix_memory.PrefixMemory,
-        settings: placement_settings.PlacementSettings,
-        find_service: collections.abc.Callable[[str],
-                                               service_figures.ServiceFigures]
-    ) -> None:
+    def __init__(self, zone: str, clock: timing.Clock,
+                 loads: load_table.LoadTable,
+                 health: endpoint_health.EndpointHealth,
+                 memory: prefix_memory.PrefixMemory,
+                 settings: placement_settings.PlacementSettings,
+                 find_service: collections.abc.Callable[
+                     [str], service_figures.ServiceFigures],
+                 rng: random.Random) -> None:
         self._zone = zone
         self._clock = clock
         self._loads = loads
@@ -73,6 +73,8 @@
         self._splits: dict[str, engine_split.EngineSplit] = {}
         self._settings = settings
         self._find_service = find_service
+        self._rng = rng
+        self._pools: dict[str, engine_pool.EnginePool] = {}
 
     def choose(self, request: general_request.GeneralRequest,
                usable: _Endpoints,
@@ -90,10 +92,11 @@
         Returns:
             The choice; None if no endpoint is left or none has room.
         """
-        left = [each for each in usable if each.name not in tried]
-        reachable = [
-            each for each in left if not self._health.is_avoided(each.name)
-        ]
+        left = ([each for each in usable if each.name not in tried]
+                if tried else usable)
+        avoided = self._health.list_avoided()
+        reachable = ([each for each in left if each.name not in avoided]
+                     if avoided else left)
         candidates = reachable or left
         if not request.prompt.input_tokens:
             return self._choose_plain(candidates)
@@ -106,6 +109,16 @@
             usable,
             self._find_service(service).piece_tokens)
 
+    def _find_pool(self, service: str,
+                   usable: _Endpoints) -> engine_pool.EnginePool:
+        long_engines = self.find_long_engines(service, usable)
+        pool = self._pools.get(service)
+        if (pool is None or pool.usable is not usable or
+                pool.long_engines != long_engines):
+            pool = engine_pool.EnginePool(usable, long_engines)
+            self._pools[service] = pool
+        return pool
+
     def _find_split(self, service: str) -> engine_split.EngineSplit:
         split = self._splits.get(service)
         if split is None:
@@ -132,22 +145,26 @@
                        candidates: _Endpoints) -> Choice | None:
         if self._settings.is_brisk(request):
             self._find_split(request.service).note_brisk_aim(request.piece_aim)
-        long_engines = self.find_long_engines(request.service, usable)
-        home = self._find_home(request, usable, long_engines)
+        pool = self._find_pool(request.service, usable)
+        is_long = self._settings.is_long(request)
+        home = pool.find_home(request.prompt.subject or request.request_id,
+                              is_long)
+        cached = self._memory.list_holders(request) | {home}
         figures = self._find_service(request.service)
         costs = prompt_cost.PromptCost(
-            request, self._settings, self._loads, self._memory, home,
-            long_engines, self._find_reluctance(request), figures.memory_tokens,
+            request, self._settings, self._loads, cached, pool.long_engines,
+            self._find_reluctance(request), figures.memory_tokens,
             self._find_split(request.service).find_longest_run(
                 figures.piece_tokens))
         best, least = None, math.inf
-        for each in candidates:
+        for each in pool.narrow(candidates, cached, is_long,
+                                self._settings.weighed_engines, self._rng):
             cost = costs.find_cost(each)
             if cost is not None and cost + self._base(each) < least:
                 best, least = each, cost + self._base(each)
         if best is None or costs.is_prefill_full(best):
             return None
-        return Choice(best, least, best.name == home, costs.is_cached(best),
+        return Choice(best, least, best.name == home, best.name in cached,
                       costs.find_load(best))
 
     def _find_reluctance(self,
@@ -163,19 +180,3 @@
         if endpoint.zone != self._zone:
             cost += self._settings.zone_cost
         return cost
-
-    def _find_home(self, request: general_request.GeneralRequest,
-                   usable: _Endpoints,
-                   long_engines: collections.abc.Set[str]) -> str:
-        """Returns the endpoint that should read a prompt."""
-        is_long = self._settings.is_long(request)
-        pool = [
-            each for each in usable if (each.name in long_engines) == is_long
-        ] or usable
-        subject = request.prompt.subject or request.request_id
-        return max(pool, key=lambda each: _hash(subject, each.name)).name
-
-
-def _hash(subject: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{subject}\0{name}".encode(),
-                           digest_size=_DIGEST_BYTES).digest()
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -44,6 +44,8 @@
             the rest stays open and a brisk stream beside them is soon on.
         moving_aims: Aims to the first byte after which a waiting request no
             longer counts what its shared parts cost to read again.
+        weighed_engines: Engines of which all are weighed; of more, half as many
+            that suit the prompt and a quarter of the others.
         memory_share: Part of an engine's memory that requests may fill.
     """
 
@@ -68,6 +70,7 @@
     failure_cost: float = 2.0
     most_prefill: int = 15_000
     moving_aims: float = 1.0
+    weighed_engines: int = 16
     memory_share: float = 0.9
 
     def is_long(self, request: general_request.GeneralRequest) -> bool:
--- a/mustardwood/dispatch/prefix_memory.py
+++ b/mustardwood/dispatch/prefix_memory.py
@@ -10,7 +10,7 @@
 """Age from which a part is taken as evicted: engines hold many subjects."""
 _NEWS_TIME = datetime.timedelta(seconds=1)
 """Time for which a move is told to peers; it makes up for lost datagrams."""
-_MOST_ENTRIES = 4096
+_MOST_SUBJECTS = 4096
 """Bound on memory; about ten times the subjects of a deployment."""
 _MOST_MOVES = 64
 """Bound on the moves that are told at once: about a kilobyte."""
@@ -28,8 +28,8 @@
 
     def __init__(self, clock: timing.Clock) -> None:
         self._clock = clock
-        self._seen: collections.OrderedDict[
-            _Place, datetime.timedelta] = collections.OrderedDict()
+        self._seen: collections.OrderedDict[str, dict[
+            str, datetime.timedelta]] = collections.OrderedDict()
         self._moves: collections.OrderedDict[
             _Place, datetime.timedelta] = collections.OrderedDict()
 
@@ -45,35 +45,36 @@
         subject = request.prompt.subject
         self.record_subject(endpoint, subject)
         if subject and not is_home:
-            _keep(self._moves, (endpoint, subject), self._clock.monotonic(),
-                  _MOST_MOVES)
+            self._moves[endpoint, subject] = self._clock.monotonic()
+            self._moves.move_to_end((endpoint, subject))
+            if len(self._moves) > _MOST_MOVES:
+                self._moves.popitem(last=False)
 
     def record_subject(self, endpoint: str, subject: str) -> None:
         """Records that an endpoint has read a subject's parts."""
-        _keep(self._seen, (endpoint, subject), self._clock.monotonic(),
-              _MOST_ENTRIES)
+        if not subject:
+            return
+        self._seen.setdefault(subject, {})[endpoint] = self._clock.monotonic()
+        self._seen.move_to_end(subject)
+        if len(self._seen) > _MOST_SUBJECTS:
+            self._seen.popitem(last=False)
 
     def list_moves(self) -> list[_Place]:
         """Returns the subjects that this VM lately sent away from home."""
         oldest = self._clock.monotonic() - _NEWS_TIME
         return [place for place, time in self._moves.items() if time >= oldest]
 
-    def holds(self, endpoint: str,
-              request: general_request.GeneralRequest) -> bool:
-        """Returns whether an endpoint likely holds the shared parts."""
-        seen = self._seen.get((endpoint, request.prompt.subject))
-        return seen is not None and self._clock.monotonic() - seen < _LIFETIME
+    def list_holders(self, request: general_request.GeneralRequest) -> set[str]:
+        """Returns the endpoints that likely hold the shared parts."""
+        seen = self._seen.get(request.prompt.subject)
+        if not seen:
+            return set()
+        oldest = self._clock.monotonic() - _LIFETIME
+        return {name for name, time in seen.items() if time > oldest}
 
     def forget(self, endpoint: str) -> None:
         """Forgets an endpoint that started anew."""
-        for known in (self._seen, self._moves):
-            for place in [each for each in known if each[0] == endpoint]:
-                del known[place]
-
-
-def _keep(known: "collections.OrderedDict[_Place, datetime.timedelta]",
-          place: _Place, time: datetime.timedelta, most: int) -> None:
-    known[place] = time
-    known.move_to_end(place)
-    if len(known) > most:
-        known.popitem(last=False)
+        for seen in self._seen.values():
+            seen.pop(endpoint, None)
+        for place in [each for each in self._moves if each[0] == endpoint]:
+            del self._moves[place]
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -9,7 +9,6 @@
 from mustardwood.dispatch import general_request
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement_settings
-from mustardwood.dispatch import prefix_memory
 
 _TIER_SHARES = (1.5, 1.0)
 """Places that tiers may fill, relative to an engine's slots.
@@ -30,8 +29,7 @@
 
     def __init__(self, request: general_request.GeneralRequest,
                  settings: placement_settings.PlacementSettings,
-                 table: load_table.LoadTable,
-                 memory: prefix_memory.PrefixMemory, home: str,
+                 table: load_table.LoadTable, cached: collections.abc.Set[str],
                  long_engines: collections.abc.Set[str], reluctance: float,
                  memory_tokens: int,
                  longest_run: datetime.timedelta | None) -> None:
@@ -41,8 +39,7 @@
             request: The request.
             settings: Figures of engines and weights.
             table: Work on the engines.
-            memory: Where prompts were read.
-            home: The engine that should read the prompt.
+            cached: Names of the engines believed to hold the shared parts.
             long_engines: The engines that take long prompts.
             reluctance: Share that the cost of reading again still counts.
             memory_tokens: Memory of an engine; 0 if it is not known.
@@ -54,8 +51,7 @@
         self._settings = settings
         self._table = table
         self._loads = table.list_totals()
-        self._memory = memory
-        self._home = home
+        self._cached = cached
         self._long_engines = long_engines
         self._is_long = settings.is_long(request)
         self._is_brisk = settings.is_brisk(request)
@@ -77,7 +73,7 @@
         load = self._loads.get(endpoint.name, _IDLE)
         if load.places >= math.ceil(endpoint.slots * self._share):
             return None
-        again = 0 if self.is_cached(endpoint) else self._shared
+        again = 0 if endpoint.name in self._cached else self._shared
         tokens = self._tokens + again
         if (self._memory_limit and load.places and
                 load.held_tokens + tokens + self._request.prompt.output_tokens
@@ -99,17 +95,12 @@
             cost += settings.break_cost
         return cost
 
-    def is_cached(self, endpoint: endpoint_module.Endpoint) -> bool:
-        """Returns whether an engine is believed to hold the shared parts."""
-        return (endpoint.name == self._home or
-                self._memory.holds(endpoint.name, self._request))
-
     def find_load(
             self,
             endpoint: endpoint_module.Endpoint) -> endpoint_load.EndpointLoad:
         """Returns the work that the request adds to an engine."""
-        tokens = self._tokens + (0
-                                 if self.is_cached(endpoint) else self._shared)
+        again = 0 if endpoint.name in self._cached else self._shared
+        tokens = self._tokens + again
         return endpoint_load.EndpointLoad(prefill_tokens=tokens,
                                           places=1,
                                           brisk_streams=int(self._is_brisk),
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -230,9 +230,9 @@
     world = world_module.World(endpoints=2)
     request = world_module.make_long(world)
     world.memory.record("endpoint-0", request, is_home=True)
-    assert world.memory.holds("endpoint-0", request)
+    assert "endpoint-0" in world.memory.list_holders(request)
     world.memory.forget("endpoint-0")
-    assert not world.memory.holds("endpoint-0", request)
+    assert "endpoint-0" not in world.memory.list_holders(request)
 
 
 @pytest.mark.parametrize("share", [0.2, 0.8])
--- a/mustardwood/dispatch/tests/world.py
+++ b/mustardwood/dispatch/tests/world.py
@@ -202,7 +202,8 @@
         self.placement = dispatch.Placement(
             "zone-a", self.clock, self.loads, self.health, self.memory,
             self.settings,
-            lambda name: dispatch.ServiceFigures(name, memory_tokens, 6))
+            lambda name: dispatch.ServiceFigures(name, memory_tokens, 6),
+            random.Random(3))
         self.context = dispatch.ForwardingContext(
             clock=self.clock,
             scheduler=self.scheduler,
--- a/mustardwood/peers/tests/test_news_exchange.py
+++ b/mustardwood/peers/tests/test_news_exchange.py
@@ -131,8 +131,8 @@
     there.memory.record("engine-1", request, is_home=True)
     there.memory.record("engine-2", request, is_home=False)
     here.hear(there.tell(here))
-    assert here.memory.holds("engine-2", request)
-    assert not here.memory.holds("engine-1", request)
+    assert "engine-2" in here.memory.list_holders(request)
+    assert "engine-1" not in here.memory.list_holders(request)
     _advance(_ms(1100), here, there)
     assert not there.memory.list_moves()
 
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -171,7 +171,7 @@
                                          self._loads, self._health,
                                          self._memory,
                                          dispatch.PlacementSettings(),
-                                         self._find_service),
+                                         self._find_service, self._rng),
             retries=dispatch.RetryAllowance(self._rng, bounds.retry_share,
                                             bounds.spare_retries,
                                             lambda: self._peers.count + 1),
--- a/mustardwood/platform/peer_link.py
+++ b/mustardwood/platform/peer_link.py
@@ -18,8 +18,13 @@
 """Path at which peers read the configuration in force."""
 _TICK = datetime.timedelta(milliseconds=20)
 """Shortest interval of messages: a tenth of a long prompt's prefill."""
-_TICK_A_PEER = datetime.timedelta(milliseconds=2.5)
-"""Interval for each peer: bounds a VM at 400 datagrams a second each way."""
+_TICK_A_PEER = datetime.timedelta(milliseconds=5)
+"""Longer interval for each peer beyond `_FEW_PEERS`: about 200 datagrams a
+second each way, a hundredth of the smallest VM's link and processor."""
+_FEW_PEERS = 8
+"""Peers that get a message at each tick."""
+_LONGEST_TICK = datetime.timedelta(milliseconds=500)
+"""Bound on the interval: half of the time for which a message counts."""
 _IDLE = datetime.timedelta(milliseconds=200)
 """Time without a change of load after which a message is sent anyway.
 
@@ -96,8 +101,9 @@
                     self._addresses, self._follower.revision):
                 self.port.send(news, self._addresses[name])
             self._forget_silent()
+        more = max(0, len(self._addresses) - _FEW_PEERS)
         self._scheduler.call_later(
-            max(_TICK, _TICK_A_PEER * len(self._addresses)), self._tick)
+            min(_TICK + _TICK_A_PEER * more, _LONGEST_TICK), self._tick)
 
     def _forget_silent(self) -> None:
         oldest = self._clock.monotonic() - _SILENCE
