--- a/mustardwood/dispatch/engine_pool.py
+++ b/mustardwood/dispatch/engine_pool.py
@@ -68,6 +68,8 @@
                  rng.sample(others, min(count // 4, len(others))))
         names = {each.name for each in drawn} | kept
         found = [each for each in candidates if each.name in names]
+        # Equal costs go to the first, which must not be the same at each VM.
+        rng.shuffle(found)
         return found or candidates
 
 
