Leave out endpoints that another one replaced

Change: an endpoint whose address answers 421 is left out until it registers a new start, for 10 s at most. Ruled out: waiting for the registration to lapse, which takes three heartbeats.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -11,6 +11,9 @@
 
 Source: the platform promises two seconds; the rest covers the watch's delay.
 """
+_REPLACED_TIME = datetime.timedelta(seconds=10)
+"""Time for which an endpoint counts as replaced: registrations of endpoints that
+crashed lapse after three heartbeats, which is less."""
 
 
 class EndpointDirectory:
@@ -26,6 +29,8 @@
         self._clock = clock
         self._endpoints: dict[str, endpoint_module.Endpoint] = {}
         self._removals: dict[str, datetime.timedelta] = {}
+        self._replaced: dict[str, tuple[endpoint_module.Endpoint,
+                                        datetime.timedelta]] = {}
         self._grace_ends: datetime.timedelta | None = None
         self._by_service: dict[str, tuple[endpoint_module.Endpoint, ...]] = {}
 
@@ -63,13 +68,25 @@
             self.remove_endpoint(name)
         return missing
 
+    def mark_replaced(self, endpoint: endpoint_module.Endpoint) -> None:
+        """Learns that another endpoint answers at an endpoint's address.
+
+        Load pattern: many endpoints crash and are back at once under new ids;
+        until the old registrations lapse, each VM would send to them again and
+        again. The mark ends when the endpoint registers a new start.
+        """
+        self._replaced[endpoint.name] = (endpoint, self._clock.monotonic() +
+                                         _REPLACED_TIME)
+        self._by_service.clear()
+
     def list_usable(self, service: str) -> tuple[endpoint_module.Endpoint, ...]:
         """Returns the endpoints of a service that take new work."""
         self._drop_expired()
         known = self._by_service.get(service)
         if known is None:
             known = tuple(each for _, each in sorted(self._endpoints.items())
-                          if each.service == service and not each.is_leaving)
+                          if each.service == service and not each.is_leaving and
+                          not self._is_replaced(each))
             self._by_service[service] = known
         return known
 
@@ -87,10 +104,18 @@
         self._by_service.clear()
         return self._endpoints.pop(name, None) is not None
 
+    def _is_replaced(self, endpoint: endpoint_module.Endpoint) -> bool:
+        marked = self._replaced.get(endpoint.name)
+        return marked is not None and marked[0].started == endpoint.started
+
     def _drop_expired(self) -> None:
+        now = self._clock.monotonic()
+        for name, (_, due) in list(self._replaced.items()):
+            if now >= due:
+                del self._replaced[name]
+                self._by_service.clear()
         if not self._removals:
             return
-        now = self._clock.monotonic()
         for name, due in list(self._removals.items()):
             if now >= due:
                 del self._removals[name]
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -245,11 +245,10 @@
 
     def _handle_bad_answer(self, attempt: attempt_record.AttemptRecord) -> None:
         """Decides after a complete answer that is no success."""
-        health = self._context.health
         self._end_attempt(f"status {attempt.status}")
         if attempt.was_not_run:
             if attempt.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-                health.record_unreachable(attempt.endpoint)
+                self._context.directory.mark_replaced(attempt.choice.endpoint)
             self._repeat_unrun(attempt)
             return
         self._runs += 1
@@ -260,7 +259,7 @@
         if is_failure and attempt.status < 500:
             self._give_up("refused by the endpoint", None)
             return
-        health.record_failure(attempt.endpoint)
+        self._context.health.record_failure(attempt.endpoint)
         self._repeat_run(f"status {attempt.status}")
 
     def _repeat_unsent(self, reason: str) -> None:
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -81,6 +81,39 @@
     assert (caller.status, caller.body) == (500, b"reason")
 
 
+def test_endpoint_that_another_replaced_gets_nothing_more():
+    """Its registration lapses seconds later."""
+    world = world_module.World(endpoints=2)
+    _, caller = world.start()
+    replaced = world.client.sent[0].endpoint
+    world.client.sent[0].answer(status=421, not_run=True)
+    world.client.sent[1].answer(body=b"whole")
+    assert caller.status == 200
+    for _ in range(20):
+        world.scheduler.advance(ms(200))
+        world.start()
+        assert world.client.sent[-1].endpoint != replaced
+        world.client.sent[-1].answer(body=b"whole")
+
+
+def test_endpoint_that_starts_again_under_its_id_is_used_again():
+    world = world_module.World(endpoints=1)
+    world.start()
+    world.client.sent[0].answer(status=421, not_run=True)
+    assert not world.usable()
+    world.directory.set_endpoint(world_module.make_endpoint(0, started=7))
+    assert world.usable()
+
+
+def test_mark_of_a_replaced_endpoint_ends():
+    """An endpoint without a start can't be told from the one before."""
+    world = world_module.World(endpoints=1)
+    world.start()
+    world.client.sent[0].answer(status=421, not_run=True)
+    world.scheduler.advance(ms(10_100))
+    assert world.usable()
+
+
 @pytest.mark.parametrize("status", (404, 500))
 def test_failure_too_long_to_keep_is_not_passed_on_short(status):
     world = world_module.World()
