Keep long prompts from engines with brisk streams, also in a rush

Change: an engine with more than one brisk stream that is kept free of long prompts has no room for one; the request waits, and is refused as others are.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := mustardwood spec
 
-.PHONY: demo test format lint types check-model measure measure-path measure-capacity clean
+.PHONY: demo test format lint types check-model measure measure-path measure-streams measure-capacity clean
 
 $(VENV)/.ready: pyproject.toml requirements.txt
 	python3 -m venv $(VENV)
@@ -37,6 +37,9 @@
 measure-path: $(VENV)/.ready
 	$(BIN)/python -m mustardwood.benchmarks.path
 
+measure-streams: $(VENV)/.ready
+	$(BIN)/python -m mustardwood.benchmarks.streams
+
 measure-capacity: $(VENV)/.ready
 	$(BIN)/python -m mustardwood.benchmarks.capacity
 
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -30,6 +30,8 @@
             a brisk stream: the prefill of about 5,000 tokens.
         intrusion_aims: Aims to the first byte that an engine kept free of long
             prompts counts more for one of them.
+        borne_streams: Brisk streams that a long prompt may delay: one is worth
+            about as much as its own answer.
         rereading_streams: Streams that wait while shared parts are read again.
         stream_cost: Seconds by which each stream slows a new one's answer.
         long_stream_cost: The same for a long prompt: streams beside it stand
@@ -64,6 +66,7 @@
     most_brisk_share: float = 0.65
     mixing_cost: float = 0.1
     intrusion_aims: float = 2.0
+    borne_streams: int = 1
     rereading_streams: float = 20.0
     stream_cost: float = 0.004
     long_stream_cost: float = 0.08
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -73,6 +73,8 @@
         load = self._loads.get(endpoint.name, _IDLE)
         if load.places >= math.ceil(endpoint.slots * self._share):
             return None
+        if self._intrudes(endpoint, load):
+            return None
         again = 0 if endpoint.name in self._cached else self._shared
         tokens = self._tokens + again
         if (self._memory_limit and load.places and
@@ -116,6 +118,17 @@
         return (self._is_long and load.prefill_tokens > 0 and
                 load.prefill_tokens + added > self._settings.most_prefill)
 
+    def _intrudes(self, endpoint: endpoint_module.Endpoint,
+                  load: endpoint_load.EndpointLoad) -> bool:
+        """Returns whether a long prompt would delay brisk streams there.
+
+        Load pattern: engines of long prompts crash in a rush, and the others
+        have no memory left. Each prompt that goes elsewhere delays all streams
+        there, while engines are back after a moment.
+        """
+        return (self._is_long and endpoint.name not in self._long_engines and
+                load.brisk_streams > self._settings.borne_streams)
+
     def _stalls_streams(self, endpoint: endpoint_module.Endpoint,
                         load: endpoint_load.EndpointLoad, added: int) -> bool:
         """Returns whether one more prompt would leave streams no break."""
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -116,6 +116,29 @@
     assert None in places
 
 
+def test_long_prompt_waits_rather_than_delay_the_streams_of_other_engines():
+    """Engines of long prompts crash in a rush, and the last one is full."""
+    world = world_module.World(endpoints=9)
+    for index in range(60):
+        prompt = world_module.make_prompt(f"q-{index}", 800, 200)
+        _read(world,
+              _place(world, world_module.make_stream(world, prompt=prompt)))
+        world.clock.advance(ms(250))
+    long_engines = world.placement.find_long_engines("engine", world.usable())
+    for each in world.usable():
+        if each.name not in long_engines:
+            world.loads.add(each.name,
+                            dispatch.EndpointLoad(places=5, brisk_streams=5))
+    for lost in sorted(long_engines)[:-1]:
+        world.health.record_unreachable(lost)
+    world.loads.add(max(long_engines), dispatch.EndpointLoad(places=64))
+    request = world_module.make_long(world, "rush")
+    assert _choose(world, request) is None
+    # The lost engines are tried again after a moment.
+    world.clock.advance(ms(800))
+    assert _choose(world, request).endpoint.name in long_engines
+
+
 @pytest.mark.parametrize("piece_aim, most", [(250, 5), (400, 7)])
 def test_tighter_pauses_keep_more_engines_free_of_long_prompts(piece_aim, most):
     world = world_module.World(endpoints=10)
