--- a/mustardwood/platform/peer_link.py
+++ b/mustardwood/platform/peer_link.py
@@ -19,8 +19,8 @@
 _TICK = datetime.timedelta(milliseconds=20)
 """Shortest interval of messages: a tenth of a long prompt's prefill."""
 _TICK_A_PEER = datetime.timedelta(milliseconds=5)
-"""Longer interval for each peer beyond `_FEW_PEERS`: about 200 datagrams a
-second each way, a hundredth of the smallest VM's link and processor."""
+"""Longer interval for each peer beyond `_FEW_PEERS`: it bounds 60 VMs at some
+200 datagrams a second each way, half of what eight peers get."""
 _FEW_PEERS = 8
 """Peers that get a message at each tick."""
 _LONGEST_TICK = datetime.timedelta(milliseconds=500)
