Log the tiers, the known load and the limit waited for of a request

What callers saw: urgent requests preempted or refused while less urgent ones ran. The log line of a request could not tell why: it had one tier, not those of the route and the organisation it follows from; not the load that the VM knew an engine to have at the send; and not the limit for which a refused request had waited.

Change: Placement.choose names the limit that keeps a request from being placed instead of returning None, and the request's line has route_tier, organisation_tier, queued_ms, waited_for, and for each send engine_requests, engine_prefill_tokens and engine_slots. No decision differs.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -27,6 +27,7 @@
 from mustardwood.dispatch.load_table import PEER_REPORT_LIFETIME
 from mustardwood.dispatch.organisation import Organisation
 from mustardwood.dispatch.placement import Placement
+from mustardwood.dispatch.placement_limit import PlacementLimit
 from mustardwood.dispatch.placement_queue import PlacementQueue
 from mustardwood.dispatch.placement_settings import PlacementSettings
 from mustardwood.dispatch.prefix_cache_index import PrefixCacheIndex
@@ -64,6 +65,7 @@
     "Metrics",
     "Organisation",
     "Placement",
+    "PlacementLimit",
     "PlacementQueue",
     "PlacementSettings",
     "PrefixCacheIndex",
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -9,6 +9,7 @@
 from mustardwood.dispatch import event_splitter
 from mustardwood.dispatch import forwarding_context
 from mustardwood.dispatch import placement as placement_module
+from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import request_record
 from mustardwood.dispatch import router_refusals
@@ -174,8 +175,8 @@
         choice = context.placement.choose(
             request, context.directory.list_usable(request.service),
             self._tried_endpoints)
-        if choice is None:
-            self._wait_in_queue()
+        if isinstance(choice, placement_limit.PlacementLimit):
+            self._wait_in_queue(choice)
             return
         self._send(choice, now, time_left)
 
@@ -194,19 +195,21 @@
             request, choice.endpoint, time_left,
             self._splitter.last_id if self._is_head_sent else None, self)
 
-    def _wait_in_queue(self) -> None:
+    def _wait_in_queue(self, limit: placement_limit.PlacementLimit) -> None:
         """Queues the request, or gives up if it was sent to all endpoints."""
         context, request = self._context, self._request
+        self._record.record_wait(limit)
         usable = context.directory.list_usable(request.service)
         if all(each.name in self._tried_endpoints for each in usable):
             self._give_up("no endpoint left", None)
             return
         if self._queue_timer is None:
-            limit = min(request.first_byte_target * _MAX_WAIT_TARGETS,
-                        (request.expires_at - request.arrived_at) / 3)
+            max_wait = min(request.first_byte_target * _MAX_WAIT_TARGETS,
+                           (request.expires_at - request.arrived_at) / 3)
             waited = context.clock.monotonic() - request.arrived_at
             self._queue_timer = context.scheduler.call_later(
-                max(limit - waited, datetime.timedelta()), self._refuse_queued)
+                max(max_wait - waited, datetime.timedelta()),
+                self._refuse_queued)
             context.queue.add(request, self._retry_queued)
 
     def _retry_queued(self) -> bool:
@@ -224,6 +227,7 @@
         if self._queue_timer is not None:
             self._queue_timer.cancel()
             self._queue_timer = None
+            self._record.end_wait()
             self._context.queue.remove(self._request)
 
     def _forward_events(self, attempt: attempt_record.AttemptRecord,
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -1,5 +1,6 @@
 """Placement, which chooses an endpoint for each request."""
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -12,6 +13,7 @@
 from mustardwood.dispatch import engine_partition
 from mustardwood.dispatch import engine_pool
 from mustardwood.dispatch import load_table
+from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import placement_settings
 from mustardwood.dispatch import prefix_cache_index
 from mustardwood.dispatch import prompt_cost
@@ -35,6 +37,7 @@
             prefix, where all VMs expect it to be cached.
         is_cached: Whether it probably has the shared prefix in its cache.
         load: The load that the request adds there.
+        known_load: The load that was known to be there before.
     """
 
     endpoint: endpoint_module.Endpoint
@@ -42,6 +45,7 @@
     is_preferred: bool
     is_cached: bool
     load: endpoint_load.EndpointLoad
+    known_load: endpoint_load.EndpointLoad = _IDLE
 
 
 class Placement:
@@ -79,9 +83,10 @@
         self._rng = rng
         self._pools: dict[str, engine_pool.EnginePool] = {}
 
-    def choose(self, request: service_request.ServiceRequest,
-               usable: _Endpoints,
-               tried: collections.abc.Set[str]) -> Choice | None:
+    def choose(
+        self, request: service_request.ServiceRequest, usable: _Endpoints,
+        tried: collections.abc.Set[str]
+    ) -> Choice | placement_limit.PlacementLimit:
         """Returns the best of the endpoints that were not tried before.
 
         A long prompt waits for the engine with the lowest cost instead of
@@ -94,7 +99,8 @@
             tried: Names of the endpoints that it was sent to before.
 
         Returns:
-            The choice; None if all endpoints were tried or none has room.
+            The choice; the limit that keeps the request from being placed if
+            all endpoints were tried or none has room.
         """
         untried = ([each for each in usable if each.name not in tried]
                    if tried else usable)
@@ -136,7 +142,9 @@
             self._partitions[service] = partition
         return partition
 
-    def _choose_plain_endpoint(self, candidates: _Endpoints) -> Choice | None:
+    def _choose_plain_endpoint(
+            self,
+            candidates: _Endpoints) -> Choice | placement_limit.PlacementLimit:
         loads = self._loads.list_total_loads()
         best, least_cost = None, math.inf
         for each in candidates:
@@ -146,13 +154,14 @@
             if cost < least_cost:
                 best, least_cost = each, cost
         if best is None:
-            return None
+            return placement_limit.PlacementLimit.NO_ENDPOINT
         return Choice(best, least_cost, True, False,
-                      endpoint_load.EndpointLoad(requests=1))
+                      endpoint_load.EndpointLoad(requests=1),
+                      loads.get(best.name, _IDLE))
 
-    def _choose_engine(self, request: service_request.ServiceRequest,
-                       usable: _Endpoints,
-                       candidates: _Endpoints) -> Choice | None:
+    def _choose_engine(
+            self, request: service_request.ServiceRequest, usable: _Endpoints,
+            candidates: _Endpoints) -> Choice | placement_limit.PlacementLimit:
         if self._settings.is_interactive(request):
             self._find_partition(request.service).record_inter_event_target(
                 request.inter_event_target)
@@ -169,17 +178,24 @@
             self._find_partition(request.service).find_max_prefill_duration(
                 parameters.event_tokens))
         best, least_cost = None, math.inf
+        limits: collections.Counter[placement_limit.PlacementLimit] = (
+            collections.Counter())
         for each in pool.sample_engines(candidates, holders, is_long,
                                         self._settings.max_evaluated_engines,
                                         self._rng):
             cost = costs.find_cost(each)
-            if cost is not None and cost + self._find_base_cost(
-                    each) < least_cost:
+            if isinstance(cost, placement_limit.PlacementLimit):
+                limits[cost] += 1
+            elif cost + self._find_base_cost(each) < least_cost:
                 best, least_cost = each, cost + self._find_base_cost(each)
-        if best is None or costs.should_wait(best):
-            return None
+        if best is None:
+            return (limits.most_common(1)[0][0]
+                    if limits else placement_limit.PlacementLimit.NO_ENDPOINT)
+        if costs.should_wait(best):
+            return placement_limit.PlacementLimit.PREFILL
         return Choice(best, least_cost, best.name == preferred, best.name
-                      in holders, costs.find_added_load(best))
+                      in holders, costs.find_added_load(best),
+                      self._loads.find_load(best.name))
 
     def _find_cache_weight(self,
                            request: service_request.ServiceRequest) -> float:
--- /dev/null
+++ b/mustardwood/dispatch/placement_limit.py
@@ -0,0 +1,21 @@
+"""Limits that keep a request from being placed on an endpoint."""
+
+import enum
+
+
+class PlacementLimit(enum.StrEnum):
+    """The limit because of which a request has to wait.
+
+    Attributes:
+        SLOTS: The engine has as many requests as it may have.
+        MEMORY: The engine's KV cache has no room for the request.
+        PREFILL: The engine has as many prompt tokens to prefill as it may have.
+        RESERVED: The engine is reserved for interactive streams.
+        NO_ENDPOINT: There is no endpoint that was not tried before.
+    """
+
+    SLOTS = "slots"
+    MEMORY = "memory"
+    PREFILL = "prefill"
+    RESERVED = "reserved"
+    NO_ENDPOINT = "no endpoint"
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -7,6 +7,7 @@
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import load_table
+from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import placement_settings
 from mustardwood.dispatch import service_request
 
@@ -73,25 +74,28 @@
         self._max_prefill_duration = max_prefill_duration
         self._memory_limit = memory_tokens * settings.memory_share
 
-    def find_cost(self, endpoint: endpoint_module.Endpoint) -> float | None:
+    def find_cost(
+        self, endpoint: endpoint_module.Endpoint
+    ) -> float | placement_limit.PlacementLimit:
         """Returns the cost of the request on an engine.
 
         Returns:
             Expected seconds to the first token, plus the delay caused for
-            other requests; None if the engine has no room.
+            other requests; the limit that was reached if the engine has no
+            room.
         """
         settings = self._settings
         load = self._loads.get(endpoint.name, _IDLE)
         if load.requests >= math.ceil(endpoint.slots * self._slot_factor):
-            return None
+            return placement_limit.PlacementLimit.SLOTS
         if self._disturbs_reserved_engine(endpoint, load):
-            return None
+            return placement_limit.PlacementLimit.RESERVED
         missing = 0 if endpoint.name in self._holders else self._shared_tokens
         tokens = self._own_tokens + missing
         if (self._memory_limit and load.requests and
                 load.held_tokens + tokens + self._request.prompt.output_tokens
                 > self._memory_limit):
-            return None
+            return placement_limit.PlacementLimit.MEMORY
         cost = ((load.prefill_tokens + tokens) / settings.prefill_rate +
                 self._cache_miss_cost * missing +
                 load.requests * self._stream_cost)
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -5,6 +5,7 @@
 
 from mustardwood.dispatch import attempt_record
 from mustardwood.dispatch import forwarding_context
+from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import service_request
 
 ANSWERED = "answered"
@@ -27,6 +28,9 @@
         self._first_byte_at: datetime.timedelta | None = None
         self._last_events_at: datetime.timedelta | None = None
         self._longest_pause = datetime.timedelta()
+        self._wait_started_at: datetime.timedelta | None = None
+        self._waited = datetime.timedelta()
+        self._limit: placement_limit.PlacementLimit | None = None
         self._attempts: list[dict[str, typing.Any]] = []
 
     def record_first_byte(self) -> None:
@@ -42,6 +46,19 @@
                                       now - self._last_events_at)
         self._last_events_at = now
 
+    def record_wait(self, limit: placement_limit.PlacementLimit) -> None:
+        """Records that no endpoint had room, and which limit was reached."""
+        self._limit = limit
+        if self._wait_started_at is None:
+            self._wait_started_at = self._context.clock.monotonic()
+
+    def end_wait(self) -> None:
+        """Records that the request no longer waits for an endpoint."""
+        if self._wait_started_at is not None:
+            self._waited += (self._context.clock.monotonic() -
+                             self._wait_started_at)
+            self._wait_started_at = None
+
     def add_attempt(self, attempt: attempt_record.AttemptRecord,
                     end: str) -> None:
         """Adds an attempt that has ended.
@@ -59,6 +76,9 @@
             "cost": round(attempt.choice.cost, 3),
             "cached": attempt.choice.is_cached,
             "prefill_tokens": attempt.choice.load.prefill_tokens,
+            "engine_requests": attempt.choice.known_load.requests,
+            "engine_prefill_tokens": attempt.choice.known_load.prefill_tokens,
+            "engine_slots": attempt.choice.endpoint.slots,
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
@@ -86,6 +106,8 @@
             route=request.route,
             organisation=request.organisation,
             tier=request.tier,
+            route_tier=request.route_tier,
+            organisation_tier=request.organisation_tier,
             outcome=outcome,
             status=int(status),
             took_ms=_to_ms(took),
@@ -94,6 +116,8 @@
             aims_ms=(_to_ms(request.first_byte_target),
                      _to_ms(request.inter_event_target)),
             prompt_tokens=request.prompt.input_tokens,
+            queued_ms=_to_ms(self._waited),
+            waited_for=self._limit,
             attempts=self._attempts,
             **self._context.authorizer.describe())
 
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -18,6 +18,9 @@
         organisation: Name of the caller's organisation; empty for none.
         api_key: The caller's API key; empty on routes without keys.
         tier: Priority; 0 is the most urgent.
+        route_tier: Priority of the route, for the log.
+        organisation_tier: Priority of the organisation, for the log; None if
+            it has none.
         first_byte_target: Latency target for the first byte of the response.
         inter_event_target: Latency target between two events of a stream.
         arrived_at: Monotonic time of arrival.
@@ -53,3 +56,5 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
     last_event_id: int | None = None
+    route_tier: int = 0
+    organisation_tier: int | None = None
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -278,6 +278,44 @@
     assert (fields["version"], fields["proof_age_ms"]) == (7, 100)
 
 
+def test_log_line_names_the_tiers_and_the_load_known_at_the_send():
+    harness = harness_module.Harness(endpoints=1, slots=12)
+    harness.loads.add("endpoint-0",
+                      dispatch.EndpointLoad(requests=5, prefill_tokens=700))
+    harness.start(
+        harness_module.make_stream_request(harness,
+                                           tier=1,
+                                           route_tier=0,
+                                           organisation_tier=1))
+    harness.client.sent[0].respond(body=b"id: 1\ndata: a\n\n")
+    _, fields = harness.journal.lines[-1]
+    assert (fields["tier"], fields["route_tier"],
+            fields["organisation_tier"]) == (1, 0, 1)
+    attempt = fields["attempts"][0]
+    assert (attempt["engine_requests"], attempt["engine_prefill_tokens"],
+            attempt["engine_slots"]) == (5, 700, 12)
+
+
+@pytest.mark.parametrize("load, expected", [
+    (dispatch.EndpointLoad(requests=12), "slots"),
+    (dispatch.EndpointLoad(requests=1, held_tokens=95_000), "memory"),
+    (dispatch.EndpointLoad(requests=1, prefill_tokens=14_000), "prefill"),
+])
+def test_log_line_names_the_limit_for_which_a_request_waited(load, expected):
+    harness = harness_module.Harness(endpoints=1,
+                                     slots=12,
+                                     memory_tokens=100_000)
+    harness.loads.add("endpoint-0", load)
+    harness.start(harness_module.make_long_request(harness))
+    harness.scheduler.advance(ms(400))
+    harness.loads.subtract("endpoint-0", load)
+    harness.scheduler.advance(ms(20))
+    harness.client.sent[0].respond(body=b"id: 1\ndata: a\n\n")
+    _, fields = harness.journal.lines[-1]
+    assert fields["waited_for"] == expected
+    assert 400 <= fields["queued_ms"] <= 420
+
+
 def test_metrics_count_the_end_of_each_attempt_and_request():
     harness = harness_module.Harness()
     harness.start()
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -3,13 +3,16 @@
 import pytest
 
 from mustardwood import dispatch
+from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch.tests import harness as harness_module
 
 ms = harness_module.ms
 
 
 def _choose(harness, request, tried=()):
-    return harness.placement.choose(request, harness.list_usable(), set(tried))
+    choice = harness.placement.choose(request, harness.list_usable(),
+                                      set(tried))
+    return choice if isinstance(choice, placement_module.Choice) else None
 
 
 def _place(harness, request):
--- a/mustardwood/dispatch/tests/test_placement_queue.py
+++ b/mustardwood/dispatch/tests/test_placement_queue.py
@@ -83,7 +83,8 @@
     harness = harness_module.Harness(endpoints=1)
     _fill_engine(harness)
     expires_at = harness.clock.monotonic() + ms(1000)
-    harness.placement.choose = lambda *arguments: None
+    harness.placement.choose = (
+        lambda *arguments: dispatch.PlacementLimit.SLOTS)
     forwarding, caller = harness.start(
         harness_module.make_long_request(harness,
                                          expires_at=expires_at,
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -80,7 +80,9 @@
         headers=_select_forwarded_headers(http_request),
         body=http_request.body,
         last_event_id=_parse_number(
-            http_request.find_header(headers.LAST_EVENT_ID)))
+            http_request.find_header(headers.LAST_EVENT_ID)),
+        route_tier=route.tier,
+        organisation_tier=organisation.tier if organisation else None)
 
 
 def _read_api_key(http_request: http1.HttpRequest) -> str:
