Move the choice of a request's tier from the adapter to the route table

The adapter decided how the priorities of route and organisation make up the tier of a request. No behaviour differs.

--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -49,6 +49,18 @@
         """Returns the organisation that an API key belongs to."""
         return self._by_key.get(key)
 
+    def find_tier(self, route: route_module.Route,
+                  organisation: organisation_module.Organisation | None) -> int:
+        """Returns the tier of an organisation's requests on a route.
+
+        Args:
+            route: The route.
+            organisation: The caller's organisation; None if it is unknown.
+        """
+        if organisation is not None and organisation.tier is not None:
+            return organisation.tier
+        return route.tier
+
     def find_service(self, name: str) -> service_parameters.ServiceParameters:
         """Returns a service's parameters; defaults for an unknown service."""
         return self._services.get(name) or service_parameters.ServiceParameters(
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -48,17 +48,16 @@
             return dispatch.Refusal(
                 http.HTTPStatus.UNAUTHORIZED,
                 "The API key is missing or unknown; send a valid one.")
-    return _build_request(http_request, route, organisation, key, arrived_at)
+    return _build_request(http_request, table, route, organisation, key,
+                          arrived_at)
 
 
-def _build_request(http_request: http1.HttpRequest, route: dispatch.Route,
+def _build_request(http_request: http1.HttpRequest, table: dispatch.RouteTable,
+                   route: dispatch.Route,
                    organisation: dispatch.Organisation | None, key: str,
                    arrived_at: datetime.timedelta) -> dispatch.ServiceRequest:
     request_id = (http_request.find_header(headers.ATTEMPT_ID) or
                   b"").decode("latin-1")
-    tier = route.tier
-    if organisation is not None and organisation.tier is not None:
-        tier = organisation.tier
     deadline = _read_deadline(http_request) or _DEFAULT_DEADLINE
     return dispatch.ServiceRequest(
         request_id=request_id,
@@ -66,7 +65,7 @@
         service=route.choose_service(request_id),
         organisation=organisation.name if organisation else "",
         api_key=key,
-        tier=tier,
+        tier=table.find_tier(route, organisation),
         first_byte_target=route.first_byte_target,
         inter_event_target=route.inter_event_target,
         arrived_at=arrived_at,
