Model preemption, and organisations with priorities, in the stream benchmark

The modelled engine never preempted a request and all modelled callers were of one organisation, so no simulation could show that a request is preempted while a less urgent one runs. The engine now preempts the newest of the least urgent requests when slots or memory run out, and prefills it again; a load profile names the priorities of organisations; and the outcome counts preemptions, those in the wrong order, and the requests of each kind that are served. Outcomes without priorities of organisations have the same draws as before.

--- a/mustardwood/benchmarks/streams/run.py
+++ b/mustardwood/benchmarks/streams/run.py
@@ -18,6 +18,7 @@
         held_tokens: Size of the request in the KV cache, in tokens.
         generated_tokens: Number of output tokens generated.
         last_event_id: Id of the last event sent; 0 before the first.
+        submitted_at: Simulated time at which the engine got it, in seconds.
     """
 
     request: service_request.ServiceRequest
@@ -27,3 +28,4 @@
     held_tokens: int = 0
     generated_tokens: int = 0
     last_event_id: int = 0
+    submitted_at: float = 0.0
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -5,6 +5,7 @@
 import datetime
 import functools
 import itertools
+import math
 import random
 
 from mustardwood import dispatch
@@ -16,12 +17,12 @@
 from mustardwood.benchmarks.streams import stream_engine
 from mustardwood.benchmarks.streams import stream_kind
 
-_PEER_UPDATE_INTERVAL_SECONDS = 0.02
-"""Time between two load updates of a VM to its peers, as in `platform`."""
 _SIZE_SIGMA = 0.5
 """Standard deviation of the logarithm of sizes; assumed, not from users."""
 _DRAIN_SECONDS = 20.0
 """Time after the last arrival until all requests have ended."""
+_LARGEST_SHARE = 0.1
+"""Share of the requests of a kind that count as its largest."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,11 +49,15 @@
     Attributes:
         kinds: Kinds of requests.
         bursts: Periods with a higher arrival rate.
+        organisation_tiers: Priorities of the organisations, which send equal
+            shares of the requests; None for an organisation without its own.
         crashes: Times at which one engine after another crashes and restarts
             at once, in seconds.
         seconds: Time during which requests arrive, in seconds.
         vms: Number of VMs.
         engines: Number of engines.
+        peer_update_interval: Time between two load updates of a VM to its
+            peers, in seconds.
         parameters: Speed and capacity of the engines.
         max_slowdown: Slowdown factor of the slowest engine; those of the other
             engines are spread evenly from 1.
@@ -60,10 +65,12 @@
 
     kinds: tuple[stream_kind.StreamKind, ...] = stream_kind.ACCOUNTING_TRAFFIC
     bursts: tuple[Burst, ...] = ()
+    organisation_tiers: tuple[int | None, ...] = (None,)
     crashes: tuple[float, ...] = ()
     seconds: float = 20.0
     vms: int = 9
     engines: int = 6
+    peer_update_interval: float = 0.02
     parameters: engine_parameters.EngineParameters = (
         engine_parameters.EngineParameters())
     max_slowdown: float = 1.15
@@ -81,6 +88,12 @@
             events exceeded the target.
         failed: Number of requests without a complete response.
         prefilled_tokens: Number of prompt tokens that engines prefilled.
+        preemptions: Number of requests that engines preempted.
+        inverted_preemptions: Number of them while a less urgent request ran.
+        served_share_by_kind: Share of the requests of a kind with a complete
+            response.
+        served_share_of_largest: The same for the tenth of them with the
+            longest prompts.
     """
 
     credit_share: float
@@ -88,6 +101,10 @@
     late_pauses: int
     failed: int
     prefilled_tokens: int
+    preemptions: int
+    inverted_preemptions: int
+    served_share_by_kind: dict[str, float]
+    served_share_of_largest: dict[str, float]
 
 
 def simulate_load(profile: LoadProfile,
@@ -104,6 +121,7 @@
                  settings: dispatch.PlacementSettings, seed: int) -> None:
         self._profile = profile
         self._rng = random.Random(seed)
+        self._organisation_rng = random.Random(seed)
         self._timeline = timeline_module.Timeline()
         self._scheduler = scheduler_module.Scheduler(self._timeline)
         steps = max(1, profile.engines - 1)
@@ -122,8 +140,14 @@
                                    profile.vms, random.Random(seed + number))
             for number in range(profile.vms)
         ]
-        self._callers: list[tuple[stream_kind.StreamKind,
-                                  modelled_caller.ModelledCaller]] = []
+        self._routes = {each.name: _make_route(each) for each in profile.kinds}
+        self._organisations = [
+            dispatch.Organisation(f"organisation-{number}", frozenset(), tier)
+            for number, tier in enumerate(profile.organisation_tiers)
+        ]
+        self._table = dispatch.RouteTable(1, self._routes.values(),
+                                          self._organisations)
+        self._callers: list[_SentRequest] = []
         self._numbers = itertools.count()
 
     def run(self) -> Outcome:
@@ -137,7 +161,7 @@
             self._timeline.call_at(crash_time, engine.crash)
         for vm in self._vms:
             self._timeline.call_at(
-                self._rng.uniform(0.0, _PEER_UPDATE_INTERVAL_SECONDS),
+                self._rng.uniform(0.0, profile.peer_update_interval),
                 functools.partial(self._send_peer_updates, vm))
         self._timeline.run_until(profile.seconds + _DRAIN_SECONDS)
         return self._compute_outcome()
@@ -146,7 +170,7 @@
         for other in self._vms:
             if other is not vm:
                 vm.send_peer_update(other)
-        self._timeline.call_later(_PEER_UPDATE_INTERVAL_SECONDS,
+        self._timeline.call_later(self._profile.peer_update_interval,
                                   lambda: self._send_peer_updates(vm))
 
     def _handle_arrival(self, kind: stream_kind.StreamKind) -> None:
@@ -171,35 +195,37 @@
             (dispatch.PromptPart(prefix_key, shared),
              dispatch.PromptPart(f"own-{next(self._numbers)}", own)),
             shared + own, events * self._profile.parameters.event_tokens)
+        organisation = self._organisation_rng.choice(self._organisations)
         caller = modelled_caller.ModelledCaller(
             kind, self._scheduler, lambda caller, time_left: self._send(
-                kind, prompt, caller, time_left))
-        self._callers.append((kind, caller))
+                kind, organisation, prompt, caller, time_left))
+        self._callers.append(_SentRequest(kind, caller, prompt.input_tokens))
         caller.send()
 
-    def _send(self, kind: stream_kind.StreamKind, prompt: dispatch.Prompt,
+    def _send(self, kind: stream_kind.StreamKind,
+              organisation: dispatch.Organisation, prompt: dispatch.Prompt,
               caller: dispatch.Caller, time_left: datetime.timedelta) -> None:
         now = self._scheduler.monotonic()
-        retry_policy = (dispatch.RetryPolicy.RESUMABLE if kind.is_resumable else
-                        dispatch.RetryPolicy.AT_MOST_ONCE)
         number = next(self._numbers)
-        request = dispatch.ServiceRequest(request_id=f"request-{number}",
-                                          route=kind.name,
-                                          service=modelled_vm.SERVICE,
-                                          organisation="",
-                                          api_key="",
-                                          tier=kind.tier,
-                                          first_byte_target=datetime.timedelta(
-                                              seconds=kind.first_byte_target),
-                                          inter_event_target=datetime.timedelta(
-                                              seconds=kind.inter_event_target),
-                                          arrived_at=now,
-                                          expires_at=now + time_left,
-                                          retry_policy=retry_policy,
-                                          is_stream=True,
-                                          max_runs=2,
-                                          prompt=prompt,
-                                          target=f"/{number}")
+        route = self._routes[kind.name]
+        request = dispatch.ServiceRequest(
+            request_id=f"request-{number}",
+            route=route.name,
+            service=modelled_vm.SERVICE,
+            organisation=organisation.name,
+            api_key="",
+            tier=self._table.find_tier(route, organisation),
+            first_byte_target=route.first_byte_target,
+            inter_event_target=route.inter_event_target,
+            arrived_at=now,
+            expires_at=now + time_left,
+            retry_policy=route.retry_policy,
+            is_stream=True,
+            max_runs=route.max_runs,
+            prompt=prompt,
+            target=f"/{number}",
+            route_tier=route.tier,
+            organisation_tier=organisation.tier)
         vm = self._rng.choice(self._vms)
         dispatch.Forwarding(request, caller, vm.context).start()
 
@@ -210,22 +236,64 @@
     def _compute_outcome(self) -> Outcome:
         earned: dict[str, float] = {}
         possible: dict[str, float] = {}
-        for kind, caller in self._callers:
-            earned[kind.name] = earned.get(kind.name, 0.0) + caller.credit
-            possible[kind.name] = possible.get(kind.name,
-                                               0.0) + kind.on_time_credit
-        callers: collections.abc.Iterable[modelled_caller.ModelledCaller] = [
-            caller for _, caller in self._callers
-        ]
+        by_kind: dict[str, list[_SentRequest]] = {}
+        for each in self._callers:
+            kind, name = each.kind, each.kind.name
+            earned[name] = earned.get(name, 0.0) + each.caller.credit
+            possible[name] = possible.get(name, 0.0) + kind.on_time_credit
+            by_kind.setdefault(name, []).append(each)
         return Outcome(
             credit_share=sum(earned.values()) /
             max(1e-9, sum(possible.values())),
             credit_share_by_kind={
                 name: earned[name] / each for name, each in possible.items()
             },
-            late_pauses=sum(each.is_complete and
-                            each.longest_pause > kind.inter_event_target
-                            for kind, each in self._callers),
-            failed=sum(not each.is_complete for each in callers),
+            late_pauses=sum(
+                each.caller.is_complete and
+                each.caller.longest_pause > each.kind.inter_event_target
+                for each in self._callers),
+            failed=sum(not each.caller.is_complete for each in self._callers),
             prefilled_tokens=sum(
-                each.prefilled_tokens for each in self._engines.values()))
+                each.prefilled_tokens for each in self._engines.values()),
+            preemptions=sum(
+                each.preemptions for each in self._engines.values()),
+            inverted_preemptions=sum(
+                each.inverted_preemptions for each in self._engines.values()),
+            served_share_by_kind={
+                name: _compute_served_share(sent)
+                for name, sent in by_kind.items()
+            },
+            served_share_of_largest={
+                name: _compute_served_share(_list_largest(sent))
+                for name, sent in by_kind.items()
+            })
+
+
+@dataclasses.dataclass(frozen=True)
+class _SentRequest:
+    kind: stream_kind.StreamKind
+    caller: modelled_caller.ModelledCaller
+    prompt_tokens: int
+
+
+def _make_route(kind: stream_kind.StreamKind) -> dispatch.Route:
+    retry_policy = (dispatch.RetryPolicy.RESUMABLE
+                    if kind.is_resumable else dispatch.RetryPolicy.AT_MOST_ONCE)
+    return dispatch.Route(kind.name, "host", f"/{kind.name}/",
+                          (dispatch.RouteTarget(modelled_vm.SERVICE, 1.0),),
+                          kind.tier,
+                          datetime.timedelta(seconds=kind.first_byte_target),
+                          datetime.timedelta(seconds=kind.inter_event_target),
+                          datetime.timedelta(seconds=kind.deadline),
+                          retry_policy, True, 2, True)
+
+
+def _list_largest(
+        sent: collections.abc.Sequence[_SentRequest]) -> list[_SentRequest]:
+    by_size = sorted(sent, key=lambda each: each.prompt_tokens, reverse=True)
+    return by_size[:math.ceil(len(by_size) * _LARGEST_SHARE)]
+
+
+def _compute_served_share(
+        sent: collections.abc.Collection[_SentRequest]) -> float:
+    return sum(each.caller.is_complete for each in sent) / max(1, len(sent))
--- a/mustardwood/benchmarks/streams/stream_engine.py
+++ b/mustardwood/benchmarks/streams/stream_engine.py
@@ -14,11 +14,16 @@
     """Runs requests step by step, after [1]_.
 
     A step generates a token for each decoding request and prefills a chunk of
-    one prompt, the most urgent first. Preemption, late load reports and timing
-    noise of the users' engines are not modelled.
+    one prompt, the most urgent first. If slots or memory run out, a waiting
+    request preempts less urgent ones: the newest of the least urgent, which is
+    queued and prefilled again. Late load reports and timing noise of the users'
+    engines are not modelled.
 
     Attributes:
         prefilled_tokens: Number of prompt tokens prefilled.
+        preemptions: Number of requests preempted.
+        inverted_preemptions: Number of requests preempted while a request ran
+            on whose organisation and route are less urgent.
 
     References:
         .. [1] A. Agrawal et al., "Taming throughput-latency tradeoff in LLM
@@ -28,6 +33,8 @@
     def __init__(self, parameters: engine_parameters.EngineParameters,
                  timeline: timeline_module.Timeline) -> None:
         self.prefilled_tokens = 0
+        self.preemptions = 0
+        self.inverted_preemptions = 0
         self._parameters = parameters
         self._timeline = timeline
         self._cache = prompt_cache.PromptCache()
@@ -40,6 +47,7 @@
         """Queues a request; returns False if the queue is full."""
         if len(self._waiting) >= _MAX_WAITING:
             return False
+        run.submitted_at = self._timeline.seconds
         self._waiting.append(run)
         self._waiting.sort(key=_rank)
         self._start_step()
@@ -90,7 +98,8 @@
             if prefilling_run.remaining_prefill_tokens <= 0:
                 self._prefilling.remove(prefilling_run)
                 self._decoding.append(prefilling_run)
-                prefilling_run.listener.receive_head(200, [], True, False)
+                if not prefilling_run.generated_tokens:
+                    prefilling_run.listener.receive_head(200, [], True, False)
                 self._add_token(prefilling_run)
         self._start_step()
 
@@ -113,19 +122,52 @@
         while self._waiting:
             running = self._prefilling + self._decoding
             held = sum(each.held_tokens for each in running)
-            tokens = self._waiting[0].request.prompt.input_tokens
+            tokens = _count_tokens(self._waiting[0])
             if (len(running) >= parameters.slots or
                 (running and held + tokens > parameters.memory_tokens)):
-                return
+                if not self._preempt_for(self._waiting[0]):
+                    return
+                continue
             run = self._waiting.pop(0)
             run.remaining_prefill_tokens = max(
-                1, self._cache.admit_prompt(run.request.prompt))
+                1,
+                self._cache.admit_prompt(run.request.prompt) +
+                run.generated_tokens)
             run.held_tokens = tokens
             self._cache.evict_to(max(0, parameters.memory_tokens - held))
             self._prefilling.append(run)
             self._prefilling.sort(key=_rank)
 
+    def _preempt_for(self, waiting: run_module.Run) -> bool:
+        """Preempts a request that is less urgent than a waiting one, if any."""
+        running = self._prefilling + self._decoding
+        victim = max(running, key=_rank)
+        if victim.request.tier <= waiting.request.tier:
+            return False
+        for group in (self._prefilling, self._decoding):
+            if victim in group:
+                group.remove(victim)
+        victim.held_tokens = 0
+        self._waiting.append(victim)
+        self._waiting.sort(key=_rank)
+        self.preemptions += 1
+        if any(_find_urgency(each) > _find_urgency(victim) for each in running):
+            self.inverted_preemptions += 1
+        return True
+
+
+def _count_tokens(run: run_module.Run) -> int:
+    return run.request.prompt.input_tokens + run.generated_tokens
+
 
 def _rank(run: run_module.Run) -> tuple[int, float]:
     request: service_request.ServiceRequest = run.request
-    return request.tier, request.arrived_at.total_seconds()
+    return request.tier, run.submitted_at
+
+
+def _find_urgency(run: run_module.Run) -> tuple[int, int]:
+    """Returns the priorities of organisation and route; less is more urgent."""
+    request: service_request.ServiceRequest = run.request
+    organisation_tier = (request.route_tier if request.organisation_tier is None
+                         else request.organisation_tier)
+    return organisation_tier, request.route_tier
--- a/mustardwood/benchmarks/streams/tests/test_stream_engine.py
+++ b/mustardwood/benchmarks/streams/tests/test_stream_engine.py
@@ -138,3 +138,37 @@
     case.engine.cancel(run)
     case.clock.run_until(1.0)
     assert len(listener.events) == count and not listener.end
+
+
+def test_urgent_request_preempts_the_newest_of_the_least_urgent():
+    case = _Case(slots=3)
+    case.submit(own=100, output=100, tier=1)
+    older, _ = case.submit(own=100, output=100, tier=2)
+    case.clock.run_until(0.05)
+    newer, _ = case.submit(own=110, output=100, tier=2)
+    case.clock.run_until(0.1)
+    prefilled = case.engine.prefilled_tokens
+    urgent, _ = case.submit(own=100, output=5, tier=0)
+    case.clock.run_until(0.2)
+    assert urgent.end == "whole"
+    assert case.engine.preemptions == 1
+    case.clock.run_until(4.0)
+    assert (older.end, newer.end) == ("whole", "whole")
+    # The preempted request prefills its generated tokens too.
+    assert case.engine.prefilled_tokens > prefilled + 100
+    assert _find_longest_pause(newer) > _find_longest_pause(older)
+
+
+def test_equally_urgent_request_waits_instead_of_preempting():
+    case = _Case(slots=1)
+    case.submit(own=100, output=20, tier=1)
+    case.clock.run_until(0.05)
+    waiting, _ = case.submit(own=100, output=5, tier=1)
+    case.clock.run_until(0.1)
+    assert not waiting.events
+    assert case.engine.preemptions == 0
+
+
+def _find_longest_pause(listener):
+    return max(after - before
+               for before, after in zip(listener.events, listener.events[1:]))
