Rank requests by the priorities of organisation and route together

Cause: the priority of an organisation replaced that of the route, so all routes of an organisation had one tier. Engines, which preempt the newest of the least urgent, got the same priority for all of them, and a request of a more urgent organisation preempted whichever had come last.

At 10.601 s, engine 1f4105a074 had full slots; a request of an organisation of priority 0 preempted the newest request there, a class-query that had just started, while nine ledger-recon requests of equal tier ran on. All VMs had the same configuration, and the load known at the send was 8 requests where 15 were, so slots ran out because of old reports, but the choice of the victim followed from the equal tiers.

Change: the tier is the rank of a request by the priority of its organisation first and that of its route among equals. RouteTable ranks the combinations that its routes and organisations allow; each place that compares tiers follows: priority on engines, placement queue, slots, Retry-After, metrics. If there are more tiers than engine priorities, neighbours share one.

The test of the decoder that wanted the organisation's priority alone as the tier held that mistake; it now wants the order of four requests, with their number of tiers.

--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -224,6 +224,7 @@
             max_runs=route.max_runs,
             prompt=prompt,
             target=f"/{number}",
+            tier_count=self._table.tier_count,
             route_tier=route.tier,
             organisation_tier=organisation.tier)
         vm = self._rng.choice(self._vms)
--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -10,8 +10,13 @@
 class RouteTable:
     """Lookup of routes by host and path, and of organisations by API key.
 
+    Requests are ordered by the priority of their organisation and, among equal
+    ones, by that of their route. The tier of a request is its rank in this
+    order, so that wherever tiers are compared, both priorities count.
+
     Attributes:
         version: Version of the configuration.
+        tier_count: Number of tiers; the last one is the least urgent.
 
     Examples:
         >>> table = RouteTable(7, (), ())
@@ -19,6 +24,8 @@
         True
     """
 
+    tier_count: int
+
     def __init__(
         self,
         version: int,
@@ -31,9 +38,12 @@
         self.version = version
         self._routes = {(each.host, each.path_prefix): each for each in routes}
         self._services = {each.name: each for each in services}
+        organisations = tuple(organisations)
         self._by_key = {
             key: each for each in organisations for key in each.api_keys
         }
+        self._tiers = _rank_priorities(self._routes.values(), organisations)
+        self.tier_count = max(1, len(self._tiers))
 
     def find_route(self, host: str, path: str) -> route_module.Route | None:
         """Returns the host's route with the longest prefix of a path."""
@@ -54,14 +64,42 @@
         """Returns the tier of an organisation's requests on a route.
 
         Args:
-            route: The route.
-            organisation: The caller's organisation; None if it is unknown.
+            route: The route, one of the table's.
+            organisation: The caller's organisation, one of the table's; None
+                on a route that needs no API key.
+
+        Returns:
+            The tier; 0 is the most urgent.
         """
-        if organisation is not None and organisation.tier is not None:
-            return organisation.tier
-        return route.tier
+        organisation_tier = None if organisation is None else organisation.tier
+        return self._tiers[_combine_priorities(route.tier, organisation_tier)]
 
     def find_service(self, name: str) -> service_parameters.ServiceParameters:
         """Returns a service's parameters; defaults for an unknown service."""
         return self._services.get(name) or service_parameters.ServiceParameters(
             name)
+
+
+def _rank_priorities(
+    routes: collections.abc.Iterable[route_module.Route],
+    organisations: collections.abc.Iterable[organisation_module.Organisation]
+) -> dict[tuple[int, int], int]:
+    """Returns the ranks of all combined priorities; 0 is the most urgent."""
+    organisation_tiers = {each.tier for each in organisations}
+    combined = set()
+    for needs_key, route_tier in {(each.needs_key, each.tier) for each in routes
+                                 }:
+        for organisation_tier in organisation_tiers if needs_key else (None,):
+            combined.add(_combine_priorities(route_tier, organisation_tier))
+    return {each: rank for rank, each in enumerate(sorted(combined))}
+
+
+def _combine_priorities(route_tier: int,
+                        organisation_tier: int | None) -> tuple[int, int]:
+    """Returns the priorities by which a request is ordered.
+
+    Without a priority of its own, an organisation has that of the route.
+    """
+    if organisation_tier is None:
+        return route_tier, route_tier
+    return organisation_tier, route_tier
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -17,7 +17,9 @@
         service: Name of the service whose endpoints may run the request.
         organisation: Name of the caller's organisation; empty for none.
         api_key: The caller's API key; empty on routes without keys.
-        tier: Priority; 0 is the most urgent.
+        tier: Rank by the priorities of organisation and route; 0 is the most
+            urgent.
+        tier_count: Number of tiers in the configuration.
         route_tier: Priority of the route, for the log.
         organisation_tier: Priority of the organisation, for the log; None if
             it has none.
@@ -56,5 +58,6 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
     last_event_id: int | None = None
+    tier_count: int = 1
     route_tier: int = 0
     organisation_tier: int | None = None
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -42,9 +42,8 @@
             request_headers.append(
                 (b"Mustardwood-Tenant", request.organisation.encode()))
         if request.prompt.input_tokens:
-            priority = max(0, min(request.tier, _PRIORITY_COUNT - 1))
-            request_headers.append(
-                (b"Mustardwood-Request-Priority", str(priority).encode()))
+            request_headers.append((b"Mustardwood-Request-Priority",
+                                    b"%d" % _find_engine_priority(request)))
         last = request.last_event_id if resume_after is None else resume_after
         if last is not None:
             request_headers.append((b"Last-Event-Id", str(last).encode()))
@@ -58,6 +57,17 @@
                                max_idle_time)
 
 
+def _find_engine_priority(request: dispatch.ServiceRequest) -> int:
+    """Returns the priority of a request on an engine.
+
+    If there are more tiers than priorities, neighbouring tiers share one.
+    """
+    priority = request.tier
+    if request.tier_count > _PRIORITY_COUNT:
+        priority = request.tier * _PRIORITY_COUNT // request.tier_count
+    return max(0, min(priority, _PRIORITY_COUNT - 1))
+
+
 class _ResponseDecoder:
     """Interprets a response's headers for a listener."""
 
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -80,6 +80,7 @@
         body=http_request.body,
         last_event_id=_parse_number(
             http_request.find_header(headers.LAST_EVENT_ID)),
+        tier_count=table.tier_count,
         route_tier=route.tier,
         organisation_tier=organisation.tier if organisation else None)
 
--- a/mustardwood/platform/tests/test_decoders.py
+++ b/mustardwood/platform/tests/test_decoders.py
@@ -103,10 +103,16 @@
         milliseconds=1200)
 
 
-def test_tier_of_the_organisation_overrides_that_of_the_route():
-    assert _decode_request("/stream/x").tier == 1
-    other = _decode_request("/stream/x", {b"Authorization": b"Bearer key-3"})
-    assert other.tier == 0
+def test_tier_ranks_the_organisation_before_the_route():
+    other_key = {b"Authorization": b"Bearer key-3"}
+    requests = [
+        _decode_request("/stream/x", other_key),
+        _decode_request("/stream/x"),
+        _decode_request("/post/x"),
+        _decode_request("/post/x", other_key),
+    ]
+    assert [each.tier for each in requests] == [0, 1, 2, 3]
+    assert {each.tier_count for each in requests} == {4}
 
 
 @pytest.mark.parametrize("headers, status", [
--- a/mustardwood/platform/tests/test_request_priority.py
+++ b/mustardwood/platform/tests/test_request_priority.py
@@ -49,7 +49,7 @@
     http_request = http1.HttpRequest(
         "POST", f"/{route_priority}/x",
         [(b"Host", documents.HOST.encode()),
-         (b"Authorization", b"Bearer key-%d" % organisation_priority),
+         (b"Authorization", f"Bearer key-{organisation_priority}".encode()),
          (b"Mustardwood-Attempt-Id", b"a1"),
          (b"Mustardwood-Token-Usage", b"100,10")], b"")
     request = request_decoder.decode_request(http_request, table,
@@ -73,3 +73,22 @@
     ]
     # The organisation's priority comes before that of the route.
     assert priorities == sorted(set(priorities))
+
+
+def test_more_tiers_than_engine_priorities_keep_their_order():
+    table = _make_table(range(6), range(6))
+    priorities = [
+        _find_engine_priority(table, organisation, route)
+        for organisation in range(6)
+        for route in range(6)
+    ]
+    assert priorities == sorted(priorities)
+    assert set(priorities) == set(range(10))
+
+
+def test_organisation_without_priority_has_that_of_the_route():
+    table = _make_table((None, 1), (0, 2))
+    assert [
+        _find_engine_priority(table, organisation, route)
+        for organisation, route in ((None, 0), (1, 0), (1, 2), (None, 2))
+    ] == [0, 1, 2, 3]
