Give more urgent requests room that less urgent ones may not take

Cause: an engine had room, or not, by its total load, and the bound was the same for all tiers from the third on (0.9 times the slots), for all tiers in the waiting prompt tokens (15,000) and in memory. Whoever came first took the room, at this VM or another: ledger-recon, which is the most. The largest invoice-tag prompts (4,096 tokens and more) share engines with them.

Change: EngineLimits. The limits of slots, waiting prompts and memory grow with the urgency of the tier, from today's values for the least urgent one to 1.5 times the slots (today's value for tier 0), 3 times the waiting prompts and the whole memory. An engine that is full for a tier is then full for all less urgent ones too. This takes only total loads, which are known with a delay.

--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -55,17 +55,28 @@
             them is charged.
         failure_cost: Added cost of an endpoint whose recent responses all
             failed.
+        min_slot_factor: Requests that an engine may have, relative to its
+            slots, before it is given one of the least urgent tier.
+        max_slot_factor: The same for the most urgent tier. Values for tiers
+            between them are interpolated.
         max_prefill_tokens: Maximum number of prompt tokens that wait on an
-            engine when a long prompt is sent there. They take 0.3 seconds, so
-            that the other prompts can still be reordered by the router and a
-            new interactive stream on the engine starts soon.
+            engine when a long prompt of the least urgent tier is sent there.
+            They take 0.3 seconds, so that the other prompts can still be
+            reordered by the router and a new interactive stream on the engine
+            starts soon.
+        urgent_prefill_factor: Factor on `max_prefill_tokens` for the most
+            urgent tier, whose prompts the engine prefills before those that
+            wait there. Values for tiers between are interpolated.
         affinity_targets: Time, in multiples of the first-byte target, after
             which a waiting request ignores the delay that prefilling its shared
             prefix again causes for others.
         max_evaluated_engines: Number of engines up to which all are evaluated;
             of more engines, half this number of suitable ones and a quarter of
             it of the others are sampled.
-        memory_share: Share of an engine's KV cache that requests may fill.
+        min_memory_share: Share of an engine's KV cache that requests may fill
+            before it is given one of the least urgent tier.
+        max_memory_share: The same for the most urgent tier. Values for tiers
+            between them are interpolated.
     """
 
     prefill_rate: float = 50_000.0
@@ -90,10 +101,14 @@
     queue_cost: float = 1.0
     zone_cost: float = 0.002
     failure_cost: float = 2.0
+    min_slot_factor: float = 0.9
+    max_slot_factor: float = 1.5
     max_prefill_tokens: int = 15_000
+    urgent_prefill_factor: float = 3.0
     affinity_targets: float = 1.0
     max_evaluated_engines: int = 16
-    memory_share: float = 0.9
+    min_memory_share: float = 0.9
+    max_memory_share: float = 1.0
 
     def is_long(self, request: service_request.ServiceRequest) -> bool:
         """Returns whether a request's prefill stalls other streams."""
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -6,20 +6,12 @@
 
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import engine_limits
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import placement_settings
 from mustardwood.dispatch import service_request
 
-_TIER_SLOT_FACTORS = (1.5, 1.0)
-"""Requests that an engine may have, relative to its slots, by tier.
-
-The value for a tier bounds the load that the engine has before it is given a
-request of that tier. Requests in excess of the slots wait in the engine's own
-queue, in order of tier.
-"""
-_OTHER_TIERS_SLOT_FACTOR = 0.9
-"""The same for all less urgent tiers."""
 _IDLE = endpoint_load.EndpointLoad()
 
 
@@ -68,11 +60,10 @@
                                  settings.prefill_rate) * cache_weight
         self._stream_cost = (settings.long_prompt_stream_cost
                              if self._is_long else settings.stream_cost)
-        self._slot_factor = (_TIER_SLOT_FACTORS[request.tier]
-                             if request.tier < len(_TIER_SLOT_FACTORS) else
-                             _OTHER_TIERS_SLOT_FACTOR)
+        self._limits = engine_limits.EngineLimits.from_settings(
+            settings, request.urgency)
         self._max_prefill_duration = max_prefill_duration
-        self._memory_limit = memory_tokens * settings.memory_share
+        self._memory_limit = memory_tokens * self._limits.memory_share
 
     def find_cost(
         self, endpoint: endpoint_module.Endpoint
@@ -86,7 +77,8 @@
         """
         settings = self._settings
         load = self._loads.get(endpoint.name, _IDLE)
-        if load.requests >= math.ceil(endpoint.slots * self._slot_factor):
+        if load.requests >= math.ceil(endpoint.slots *
+                                      self._limits.slot_factor):
             return placement_limit.PlacementLimit.SLOTS
         if self._disturbs_reserved_engine(endpoint, load):
             return placement_limit.PlacementLimit.RESERVED
@@ -136,7 +128,7 @@
             return True
         return (self._is_long and load.prefill_tokens > 0 and
                 load.prefill_tokens + added_tokens
-                > self._settings.max_prefill_tokens)
+                > self._limits.prefill_tokens)
 
     def _disturbs_reserved_engine(self, endpoint: endpoint_module.Endpoint,
                                   load: endpoint_load.EndpointLoad) -> bool:
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -61,3 +61,10 @@
     tier_count: int = 1
     route_tier: int = 0
     organisation_tier: int | None = None
+
+    @property
+    def urgency(self) -> float:
+        """Position of the tier: 1 for the most urgent, 0 for the least."""
+        if self.tier_count < 2:
+            return 1.0
+        return 1.0 - min(self.tier / (self.tier_count - 1), 1.0)
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -266,6 +266,7 @@
         "organisation": "organisation",
         "api_key": "key",
         "tier": 1,
+        "tier_count": 3,
         "first_byte_target": ms(200),
         "inter_event_target": ms(0),
         "arrived_at": now,
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -255,6 +255,33 @@
                                                       tier=0)) is not None
 
 
+@pytest.mark.parametrize("field, step, count", [("requests", 1, 40),
+                                                ("prefill_tokens", 500, 120),
+                                                ("held_tokens", 500, 220)])
+def test_each_more_urgent_tier_has_room_where_a_less_urgent_one_has_none(
+        field, step, count):
+    """Requests of the least urgent tier fill the engine during a burst."""
+    tier_count = 6
+    limits = []
+    for tier in range(tier_count):
+        harness = harness_module.Harness(endpoints=1,
+                                         slots=12,
+                                         memory_tokens=100_000)
+        request = harness_module.make_long_request(harness,
+                                                   tokens=5_000,
+                                                   tier=tier,
+                                                   tier_count=tier_count)
+        harness.loads.add("endpoint-0", dispatch.EndpointLoad(requests=1))
+        added = 0
+        while _choose(harness, request) is not None and added < count:
+            harness.loads.add("endpoint-0",
+                              dispatch.EndpointLoad(**{field: step}))
+            added += 1
+        limits.append(added)
+    assert limits == sorted(set(limits), reverse=True)
+    assert limits[0] < count
+
+
 def test_requests_on_an_engine_are_limited_by_its_memory():
     harness = harness_module.Harness(endpoints=1, memory_tokens=100_000)
     placed = 0
