Let urgent requests wait on engines, and less urgent prefills end sooner

Cause: the limit of requests was a multiple of the slots, so on engines of 12 slots a class-query could be sent beside at most 13 others, although engines queue 24 and more in order of priority and preempt less urgent ones. The gap between prefills was the same for all tiers: who came first took it.

Change: the most urgent tier may have up to 16 requests beyond the slots, the least urgent one takes up to 0.9 of the slots as before; continuous prefill beside interactive streams ends at 0.75 of its longest duration for the least urgent tier. Longer durations for urgent tiers instead were tried and dropped: they cost the streams their gaps (test_placement, the test of gaps).

The new test failed before (equal for all tiers).

--- a/mustardwood/dispatch/engine_limits.py
+++ b/mustardwood/dispatch/engine_limits.py
@@ -1,6 +1,7 @@
 """Limits of an engine's load, by the urgency of a request."""
 
 import dataclasses
+import math
 
 from mustardwood.dispatch import placement_settings
 
@@ -20,16 +21,22 @@
            1991.
 
     Attributes:
-        slot_factor: Maximum number of requests relative to the slots. Requests
-            in excess of the slots wait in the engine's own queue.
+        slot_share: Share of the slots that requests may take.
+        queued_requests: Number of requests in excess of that share. Those in
+            excess of the slots preempt less urgent ones or wait in the engine's
+            own queue.
         prefill_tokens: Maximum number of prompt tokens that wait on an engine
             when a long prompt is sent there.
         memory_share: Share of the KV cache that requests may fill.
+        prefill_duration_factor: Factor on the longest continuous prefill of an
+            engine with interactive streams.
     """
 
-    slot_factor: float
+    slot_share: float
+    queued_requests: float
     prefill_tokens: float
     memory_share: float
+    prefill_duration_factor: float
 
     @classmethod
     def from_settings(cls, settings: placement_settings.PlacementSettings,
@@ -42,12 +49,20 @@
                 1 for the most urgent one.
         """
         return cls(
-            _interpolate(settings.min_slot_factor, settings.max_slot_factor,
-                         urgency),
+            _interpolate(settings.min_slot_share, 1.0, urgency),
+            _interpolate(0.0, settings.max_queued_requests, urgency),
             settings.max_prefill_tokens *
             _interpolate(1.0, settings.urgent_prefill_factor, urgency),
-            _interpolate(settings.min_memory_share, settings.max_memory_share,
-                         urgency))
+            _interpolate(settings.min_memory_share, 1.0, urgency),
+            _interpolate(settings.min_duration_factor, 1.0, urgency))
+
+    def find_max_requests(self, slots: int) -> int:
+        """Returns the maximum number of requests of an engine.
+
+        Args:
+            slots: Number of slots of the engine.
+        """
+        return math.ceil(slots * self.slot_share + self.queued_requests)
 
 
 def _interpolate(least_urgent: float, most_urgent: float,
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -55,10 +55,13 @@
             them is charged.
         failure_cost: Added cost of an endpoint whose recent responses all
             failed.
-        min_slot_factor: Requests that an engine may have, relative to its
-            slots, before it is given one of the least urgent tier.
-        max_slot_factor: The same for the most urgent tier. Values for tiers
-            between them are interpolated.
+        min_slot_share: Share of an engine's slots that may be taken before it
+            is given a request of the least urgent tier; the most urgent tier
+            may take all. Values for tiers between them are interpolated, here
+            and below.
+        max_queued_requests: Number of requests in excess of its slots that an
+            engine may have before it is given one of the most urgent tier;
+            engines queue at least 24.
         max_prefill_tokens: Maximum number of prompt tokens that wait on an
             engine when a long prompt of the least urgent tier is sent there.
             They take 0.3 seconds, so that the other prompts can still be
@@ -66,7 +69,9 @@
             starts soon.
         urgent_prefill_factor: Factor on `max_prefill_tokens` for the most
             urgent tier, whose prompts the engine prefills before those that
-            wait there. Values for tiers between are interpolated.
+            wait there.
+        min_duration_factor: Factor on the longest continuous prefill for the
+            least urgent tier.
         affinity_targets: Time, in multiples of the first-byte target, after
             which a waiting request ignores the delay that prefilling its shared
             prefix again causes for others.
@@ -74,9 +79,8 @@
             of more engines, half this number of suitable ones and a quarter of
             it of the others are sampled.
         min_memory_share: Share of an engine's KV cache that requests may fill
-            before it is given one of the least urgent tier.
-        max_memory_share: The same for the most urgent tier. Values for tiers
-            between them are interpolated.
+            before it is given one of the least urgent tier; the most urgent
+            tier may fill all.
     """
 
     prefill_rate: float = 50_000.0
@@ -101,14 +105,14 @@
     queue_cost: float = 1.0
     zone_cost: float = 0.002
     failure_cost: float = 2.0
-    min_slot_factor: float = 0.9
-    max_slot_factor: float = 1.5
+    min_slot_share: float = 0.9
+    max_queued_requests: int = 16
     max_prefill_tokens: int = 15_000
     urgent_prefill_factor: float = 3.0
+    min_duration_factor: float = 0.75
     affinity_targets: float = 1.0
     max_evaluated_engines: int = 16
     min_memory_share: float = 0.9
-    max_memory_share: float = 1.0
 
     def is_long(self, request: service_request.ServiceRequest) -> bool:
         """Returns whether a request's prefill stalls other streams."""
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import datetime
-import math
 
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
@@ -77,8 +76,7 @@
         """
         settings = self._settings
         load = self._loads.get(endpoint.name, _IDLE)
-        if load.requests >= math.ceil(endpoint.slots *
-                                      self._limits.slot_factor):
+        if load.requests >= self._limits.find_max_requests(endpoint.slots):
             return placement_limit.PlacementLimit.SLOTS
         if self._disturbs_reserved_engine(endpoint, load):
             return placement_limit.PlacementLimit.RESERVED
@@ -159,4 +157,5 @@
         remaining = (load.prefill_tokens + added_tokens) / settings.prefill_rate
         duration = self._table.find_prefill_duration(
             endpoint.name).total_seconds() + remaining
-        return duration > self._max_prefill_duration.total_seconds()
+        return duration > (self._max_prefill_duration.total_seconds() *
+                           self._limits.prefill_duration_factor)
--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -282,6 +282,26 @@
     assert limits[0] < count
 
 
+def test_each_more_urgent_tier_may_prolong_continuous_prefill():
+    tier_count = 6
+    longest = []
+    for tier in range(tier_count):
+        harness = harness_module.Harness(endpoints=1)
+        request = harness_module.make_stream_request(harness,
+                                                     tier=tier,
+                                                     tier_count=tier_count)
+        _finish_prefill(harness, _place(harness, request))
+        harness.loads.add("endpoint-0",
+                          dispatch.EndpointLoad(prefill_tokens=4_000))
+        waited = 0
+        while _choose(harness, request) is not None and waited < 1_000:
+            harness.clock.advance(ms(1))
+            waited += 1
+        longest.append(waited)
+    assert longest == sorted(set(longest), reverse=True)
+    assert longest[0] < 1_000
+
+
 def test_requests_on_an_engine_are_limited_by_its_memory():
     harness = harness_module.Harness(endpoints=1, memory_tokens=100_000)
     placed = 0
