Reserve retries for more urgent requests

Cause: the retry budget of a service is used in order of failures. On 60 VMs a VM may retry twice in a burst, and when endpoints crash, requests of the most frequent, least urgent kind take these retries.

Change: a request of the least urgent tier leaves one retry, one of the most urgent tier leaves none. The sustained rate of retries is the same. The new test failed before. Its effect on a deployment has not been measured by itself.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -284,20 +284,22 @@
 
     def _retry_not_run(self, attempt: attempt_record.AttemptRecord) -> None:
         reason = f"status {attempt.status}, not run"
-        if (self._sends < _MAX_SENDS and
-                self._context.retry_budgets.take_retry(self._request.service)):
+        if self._sends < _MAX_SENDS and self._take_retry():
             self._send_next()
         else:
             self._give_up(reason, None)
 
     def _retry_after_run(self, reason: str) -> None:
-        if self._may_run_again() and self._context.retry_budgets.take_retry(
-                self._request.service):
+        if self._may_run_again() and self._take_retry():
             self._splitter.drop_rest()
             self._send_next()
         else:
             self._give_up(reason, None)
 
+    def _take_retry(self) -> bool:
+        return self._context.retry_budgets.take_retry(self._request.service,
+                                                      self._request.urgency)
+
     def _may_run_again(self) -> bool:
         if not self._request.retry_policy.allows_rerun or self._is_unbuffered:
             return False
@@ -362,9 +364,7 @@
             each for each in self._context.directory.list_usable(
                 self._request.service) if each.name not in self._tried_endpoints
         ]
-        if (not others or not self._may_run_again() or
-                not self._context.retry_budgets.take_retry(
-                    self._request.service)):
+        if not others or not self._may_run_again() or not self._take_retry():
             self._runs -= 1
             self._start_stall_timer()
             return
--- a/mustardwood/dispatch/retry_budget.py
+++ b/mustardwood/dispatch/retry_budget.py
@@ -47,9 +47,13 @@
         self._capacity = capacity
         self._tokens = min(self._tokens, capacity)
 
-    def take_retry(self) -> bool:
-        """Takes one retry; returns False if the budget is used up."""
-        if self._tokens < 1.0:
+    def take_retry(self, reserved: float = 0.0) -> bool:
+        """Takes one retry; returns False if the budget is used up.
+
+        Args:
+            reserved: Number of retries that must be left.
+        """
+        if self._tokens < 1.0 + reserved:
             return False
         self._tokens -= 1.0
         return True
--- a/mustardwood/dispatch/service_retry_budgets.py
+++ b/mustardwood/dispatch/service_retry_budgets.py
@@ -12,6 +12,8 @@
 """
 _USED_BURST_SHARE = 0.8
 """Share of the allowed burst that is used; the rest is for unknown VMs."""
+_RESERVED_RETRIES = 1.0
+"""Retries that requests of the least urgent tier leave for more urgent ones."""
 _MIN_BURST = 2.0
 """Minimum burst of one VM; deployments allow two or more for each VM."""
 
@@ -21,6 +23,9 @@
 
     Failure: one service fails some of its requests while another one works;
     the retries of the first must not use up those of the second.
+
+    Failure: endpoints crash, and many requests are retried at the same time;
+    those of less urgent tiers must not use up the retries of more urgent ones.
     """
 
     def __init__(self, rng: random.Random, ratio: float, burst: float,
@@ -43,11 +48,17 @@
         """Adds the retries that a request to a service allows to its budget."""
         self._find_budget(service).add_request()
 
-    def take_retry(self, service: str) -> bool:
-        """Takes a retry of a service; returns False if its budget is empty."""
+    def take_retry(self, service: str, urgency: float) -> bool:
+        """Takes a retry of a service; returns False if its budget is used up.
+
+        Args:
+            service: Name of the service.
+            urgency: Urgency of the request, from 0 for the least urgent tier to
+                1 for the most urgent one.
+        """
         budget = self._find_budget(service)
         budget.set_capacity(self._find_capacity())
-        return budget.take_retry()
+        return budget.take_retry((1 - urgency) * _RESERVED_RETRIES)
 
     def _find_budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -162,6 +162,22 @@
     assert 8 <= retried <= 12
 
 
+def test_retries_of_less_urgent_requests_leave_one_for_an_urgent_one():
+    """Engines crash, and their addresses reject all that is still sent there."""
+    harness = harness_module.Harness(endpoints=4, retry_burst=4.0)
+    for _ in range(8):
+        harness.start(harness_module.make_long_request(harness))
+        harness.client.sent[-1].respond(503, not_run=True)
+    _, patient = harness.start(harness_module.make_long_request(harness))
+    harness.client.sent[-1].respond(503, not_run=True)
+    assert patient.status == 503
+    _, urgent = harness.start(
+        harness_module.make_stream_request(harness, tier=0))
+    harness.client.sent[-1].respond(503, not_run=True)
+    harness.client.sent[-1].respond(body=b"id: 1\ndata: a\n\n")
+    assert urgent.status == 200
+
+
 def test_stream_is_resumed_after_the_last_complete_event():
     harness = harness_module.Harness()
     _, caller = harness.start(harness_module.make_stream_request(harness))
