--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -60,8 +60,8 @@
             may take all. Values for tiers between them are interpolated, here
             and below.
         max_queued_requests: Number of requests in excess of its slots that an
-            engine may have before it is given one of the most urgent tier;
-            engines queue at least 24.
+            engine may have before it is given one of the most urgent tier; the
+            users' engines queue 24 or more.
         max_prefill_tokens: Maximum number of prompt tokens that wait on an
             engine when a long prompt of the least urgent tier is sent there.
             They take 0.3 seconds, so that the other prompts can still be
