--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -163,7 +163,7 @@
 
 
 def test_retries_of_less_urgent_requests_leave_one_for_an_urgent_one():
-    """Engines crash, and their addresses reject all that is still sent there."""
+    """Engines crash, and their addresses reject all that is still sent."""
     harness = harness_module.Harness(endpoints=4, retry_burst=4.0)
     for _ in range(8):
         harness.start(harness_module.make_long_request(harness))
