Say which priorities are compared, and what the limits apply to

Caller impact: none. Read as a newcomer: `_find_urgency` returned priorities, which fall as urgency rises, so it is `_find_priorities` now. The comment on `EngineLimits` says why total loads suffice.

--- a/mustardwood/benchmarks/streams/stream_engine.py
+++ b/mustardwood/benchmarks/streams/stream_engine.py
@@ -151,7 +151,9 @@
         self._waiting.append(victim)
         self._waiting.sort(key=_rank)
         self.preemptions += 1
-        if any(_find_urgency(each) > _find_urgency(victim) for each in running):
+        if any(
+                _find_priorities(each) > _find_priorities(victim)
+                for each in running):
             self.inverted_preemptions += 1
         return True
 
@@ -165,8 +167,8 @@
     return request.tier, run.submitted_at
 
 
-def _find_urgency(run: run_module.Run) -> tuple[int, int]:
-    """Returns the priorities of organisation and route; less is more urgent."""
+def _find_priorities(run: run_module.Run) -> tuple[int, int]:
+    """Returns the priorities of organisation and route; 0 is the most urgent."""
     request: service_request.ServiceRequest = run.request
     organisation_tier = (request.route_tier if request.organisation_tier is None
                          else request.organisation_tier)
--- a/mustardwood/dispatch/engine_limits.py
+++ b/mustardwood/dispatch/engine_limits.py
@@ -13,8 +13,9 @@
     Load pattern: a burst of less urgent requests fills the engines. Each more
     urgent tier may load an engine further than the tiers after it, which is
     known as trunk reservation [1]_, so that it has room where they have none.
-    The engine then serves it first or preempts a less urgent request. This
-    takes only the total load of an engine, which is known with a delay.
+    The engine then serves it first or preempts a less urgent request. The
+    limits apply to the total load of an engine, so that VMs need not report
+    their loads by tier.
 
     References:
         .. [1] F. P. Kelly, "Loss networks", Annals of Applied Probability 1(3),
--- a/mustardwood/dispatch/retry_budget.py
+++ b/mustardwood/dispatch/retry_budget.py
@@ -51,7 +51,7 @@
         """Takes one retry; returns False if the budget is used up.
 
         Args:
-            reserved: Number of retries that must be left.
+            reserved: Number of retries that must remain afterwards.
         """
         if self._tokens < 1.0 + reserved:
             return False
