--- a/mustardwood/benchmarks/streams/stream_engine.py
+++ b/mustardwood/benchmarks/streams/stream_engine.py
@@ -168,7 +168,7 @@
 
 
 def _find_priorities(run: run_module.Run) -> tuple[int, int]:
-    """Returns the priorities of organisation and route; 0 is the most urgent."""
+    """Returns the priorities of organisation and route; 0 is most urgent."""
     request: service_request.ServiceRequest = run.request
     organisation_tier = (request.route_tier if request.organisation_tier is None
                          else request.organisation_tier)
