Add failing tests of streams that are cut because their endpoint is silent

What callers saw: a stream ended without its end and without a refusal while its endpoint was silent for a moment and would have gone on.

The tests give a stream one event, let its endpoint be silent for 1.3 to 1.9 s, and let the other endpoint have no room or refuse. On this code the caller's connection is aborted in all four cases.

--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -225,6 +225,69 @@
     assert harness.client.sent[1].resume_after == 1
 
 
+def test_silent_endpoint_keeps_its_stream_if_no_other_has_room():
+    """A sound endpoint may send nothing for a second and then continue."""
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    _fill_other_endpoints(harness, first)
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(1900))
+    first.listener.receive_data(b"id: 2\ndata: b\n\n")
+    first.listener.receive_end()
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert caller.end == "complete"
+
+
+def test_stalled_stream_is_resumed_when_another_endpoint_gets_room():
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    load = _fill_other_endpoints(harness, first)
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(1500))
+    assert len(harness.client.sent) == 1
+    harness.loads.subtract(_find_other_endpoint(harness, first), load)
+    harness.scheduler.advance(ms(100))
+    assert harness.client.sent[1].resume_after == 1
+    harness.client.sent[1].respond(body=b"id: 2\ndata: b\n\n")
+    assert first.is_aborted
+    assert caller.end == "complete"
+
+
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_silent_endpoint_keeps_its_stream_if_the_next_one_refuses(is_connected):
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(1300))
+    if is_connected:
+        harness.client.sent[1].respond(503, not_run=True)
+    else:
+        harness.client.sent[1].listener.receive_failure(False, "refused")
+    first.listener.receive_data(b"id: 2\ndata: b\n\n")
+    first.listener.receive_end()
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert caller.end == "complete"
+
+
+def _find_other_endpoint(harness, attempt):
+    other, = {each.name for each in harness.list_usable()
+             } - {attempt.endpoint.name}
+    return other
+
+
+def _fill_other_endpoints(harness, attempt):
+    """Uses up all slots of the endpoint that is not the attempt's."""
+    load = dispatch.EndpointLoad(requests=200)
+    harness.loads.add(_find_other_endpoint(harness, attempt), load)
+    return load
+
+
 def test_stalled_at_most_once_request_is_not_aborted():
     harness = harness_module.Harness()
     request = harness_module.make_request(
