Keep a silent attempt until another endpoint has taken the request

What callers saw: a stream was cut, without its end and without a refusal, while its endpoint was silent for a second or so and would have gone on.

Cause: after the stall timeout the attempt was aborted first, and only then was another endpoint looked for. If none had room, the time in the queue, counted from the request's arrival, was over, and the caller was cut at once. The same followed if the other endpoint refused the request or the connection. The class of fault: something that works is given up before its replacement is certain.

Change: the placement is asked first. Without room the request waits in the queue and the silent attempt stays open. With room, the silent attempt stays open for up to 250 ms, in which an endpoint that refuses has done so; whichever of the two sends the response first is kept. The retry is taken from the budget only when a request is sent.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -27,6 +27,13 @@
 waits for no more than a third of the time until its deadline and is refused
 then, so that its caller has time for a retry.
 """
+_HANDOVER_TIME = datetime.timedelta(milliseconds=250)
+"""Time for which a silent attempt stays open beside its successor.
+
+An endpoint that refuses a request does so within a few round trips. Until then
+the silent attempt may still go on; after that, two endpoints would run the
+request.
+"""
 
 
 class Forwarding:
@@ -36,6 +43,9 @@
     another one as far as its retry policy and the retry budget allow. A
     resumable stream continues after the last complete event that the caller
     received.
+
+    An endpoint that is only silent may go on. Its attempt therefore stays open
+    until another endpoint has room for the request and has not refused it.
     """
 
     def __init__(self, request: service_request.ServiceRequest,
@@ -45,6 +55,7 @@
         self._caller = caller
         self._context = context
         self._attempt: attempt_record.AttemptRecord | None = None
+        self._silent_attempt: attempt_record.AttemptRecord | None = None
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._tried_endpoints: set[str] = set()
         self._sends = 0
@@ -56,7 +67,9 @@
         self._is_done = False
         self._deadline_timer: forwarding_context.Timer | None = None
         self._stall_timer: forwarding_context.Timer | None = None
+        self._handover_timer: forwarding_context.Timer | None = None
         self._queue_timer: forwarding_context.Timer | None = None
+        self._is_queued = False
         self._record = request_record.RequestRecord(request, context)
 
     @property
@@ -77,25 +90,12 @@
         """Aborts the request because its caller has disconnected."""
         if self._is_done:
             return
-        self._abort_attempt(request_record.CALLER_GONE)
+        self._abort_attempts(request_record.CALLER_GONE)
         self._finish(request_record.CALLER_GONE, 0)
 
-    def receive_head(self, status: int, headers: forwarding_context.Headers,
-                     is_verified: bool, was_not_run: bool) -> None:
-        """See `forwarding_context.AttemptListener`."""
-        attempt = self._attempt
-        if attempt is None:
-            return
-        attempt.status = status
-        attempt.headers = headers
-        attempt.is_verified = is_verified
-        attempt.was_not_run = was_not_run
-
-    def receive_data(self, data: bytes) -> None:
-        """See `forwarding_context.AttemptListener`."""
-        attempt = self._attempt
-        if attempt is None:
-            return
+    def receive_data(self, attempt: attempt_record.AttemptRecord,
+                     data: bytes) -> None:
+        """Handles a part of the response's body of an open attempt."""
         if not attempt.is_success:
             attempt.is_truncated = (attempt.is_truncated or
                                     len(attempt.body) + len(data)
@@ -103,6 +103,7 @@
             if not attempt.is_truncated:
                 attempt.body += data
             return
+        self._keep_only(attempt)
         self._release_prefill(attempt)
         self._record.record_first_byte()
         if self._request.is_stream:
@@ -118,15 +119,13 @@
                 self._caller.write(bytes(attempt.body))
                 attempt.body.clear()
 
-    def receive_end(self) -> None:
-        """See `forwarding_context.AttemptListener`."""
-        attempt = self._attempt
-        if attempt is None:
-            return
+    def receive_end(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Handles the end of the complete response of an open attempt."""
         if not attempt.is_success:
             self._handle_error_response(attempt)
             return
-        self._end_attempt(request_record.COMPLETE)
+        self._keep_only(attempt)
+        self._end_attempt(attempt, request_record.COMPLETE)
         self._context.health.record_success(attempt.endpoint)
         self._context.crashes.record_success(self._fingerprint)
         if self._request.is_stream:
@@ -140,22 +139,31 @@
         self._caller.finish()
         self._finish(request_record.ANSWERED, attempt.status)
 
-    def receive_failure(self, was_sent: bool, reason: str) -> None:
-        """See `forwarding_context.AttemptListener`."""
-        attempt = self._attempt
-        if attempt is None:
-            return
-        self._end_attempt(reason)
+    def receive_failure(self, attempt: attempt_record.AttemptRecord,
+                        was_sent: bool, reason: str) -> None:
+        """Handles the failure of an open attempt without a whole response."""
+        is_silent_attempt = attempt is self._silent_attempt
+        self._end_attempt(attempt, reason)
         if not was_sent:
             self._context.health.record_unreachable(attempt.endpoint)
-            self._retry_unsent(reason)
+            if is_silent_attempt:
+                self._runs -= 1
+            elif not self._return_to_silent_attempt():
+                self._retry_unsent(reason)
             return
         self._context.health.record_failure(attempt.endpoint)
-        self._runs += 1
         if not attempt.status:
             self._context.crashes.record_crash(self._fingerprint,
                                                attempt.endpoint)
-        self._retry_after_run(reason)
+        if is_silent_attempt:
+            return
+        self._runs += 1
+        if not self._return_to_silent_attempt():
+            self._retry_after_run(reason)
+
+    def is_open(self, attempt: attempt_record.AttemptRecord) -> bool:
+        """Returns whether the response of an attempt is still expected."""
+        return attempt in (self._attempt, self._silent_attempt)
 
     def _send_next(self) -> None:
         context, request = self._context, self._request
@@ -193,7 +201,8 @@
         self._start_stall_timer()
         attempt.handle = context.client.send(
             request, choice.endpoint, time_left,
-            self._splitter.last_id if self._is_head_sent else None, self)
+            self._splitter.last_id if self._is_head_sent else None,
+            _AttemptListener(self, attempt))
 
     def _wait_in_queue(self, limit: placement_limit.PlacementLimit) -> None:
         """Queues the request, or gives up if it was sent to all endpoints."""
@@ -203,21 +212,28 @@
         if all(each.name in self._tried_endpoints for each in usable):
             self._give_up("no endpoint left", None)
             return
-        if self._queue_timer is None:
+        if not self._is_queued:
             max_wait = min(request.first_byte_target * _MAX_WAIT_TARGETS,
                            (request.expires_at - request.arrived_at) / 3)
             waited = context.clock.monotonic() - request.arrived_at
             self._queue_timer = context.scheduler.call_later(
                 max(max_wait - waited, datetime.timedelta()),
                 self._refuse_queued)
-            context.queue.add(request, self._retry_queued)
+            self._enter_queue()
+
+    def _enter_queue(self) -> None:
+        if not self._is_queued:
+            self._is_queued = True
+            self._context.queue.add(self._request, self._retry_queued)
 
     def _retry_queued(self) -> bool:
-        self._send_next()
-        if self._attempt is None and not self._is_done:
-            return False
-        self._leave_queue()
-        return True
+        if self._attempt is not None:
+            self._send_successor(self._attempt)
+        else:
+            self._send_next()
+            if self._attempt is not None:
+                self._leave_queue()
+        return not self._is_queued
 
     def _refuse_queued(self) -> None:
         self._leave_queue()
@@ -227,6 +243,8 @@
         if self._queue_timer is not None:
             self._queue_timer.cancel()
             self._queue_timer = None
+        if self._is_queued:
+            self._is_queued = False
             self._record.end_wait()
             self._context.queue.remove(self._request)
 
@@ -259,22 +277,31 @@
         A status that guarantees that the request has not run is not forwarded
         unless the endpoint confirmed it, because callers rely on it.
         """
-        self._end_attempt(f"status {attempt.status}")
+        is_silent_attempt = attempt is self._silent_attempt
+        self._end_attempt(attempt, f"status {attempt.status}")
         if attempt.was_not_run:
             if attempt.status == http.HTTPStatus.MISDIRECTED_REQUEST:
                 self._context.directory.mark_replaced(attempt.choice.endpoint)
-            self._retry_not_run(attempt)
+            if is_silent_attempt:
+                self._runs -= 1
+            elif not self._return_to_silent_attempt():
+                self._retry_not_run(attempt)
             return
-        self._runs += 1
+        if not is_silent_attempt:
+            self._runs += 1
         guarantees_not_run = attempt.status in request_record.NOT_RUN_STATUSES
         is_failure = attempt.status >= 400 and not guarantees_not_run
         if is_failure and not attempt.is_truncated:
             self._failed_attempt = attempt
         if is_failure and attempt.status < 500:
+            if self._is_head_sent and self._return_to_silent_attempt():
+                return
+            self._abort_attempts("answered elsewhere")
             self._give_up("refused by the endpoint", None)
             return
         self._context.health.record_failure(attempt.endpoint)
-        self._retry_after_run(f"status {attempt.status}")
+        if not is_silent_attempt and not self._return_to_silent_attempt():
+            self._retry_after_run(f"status {attempt.status}")
 
     def _retry_unsent(self, reason: str) -> None:
         if self._sends < _MAX_SENDS:
@@ -290,7 +317,7 @@
             self._give_up(reason, None)
 
     def _retry_after_run(self, reason: str) -> None:
-        if self._may_run_again() and self._take_retry():
+        if self._may_run_again(self._runs) and self._take_retry():
             self._splitter.drop_rest()
             self._send_next()
         else:
@@ -300,13 +327,17 @@
         return self._context.retry_budgets.take_retry(self._request.service,
                                                       self._request.urgency)
 
-    def _may_run_again(self) -> bool:
+    def _may_run_again(self, runs: int) -> bool:
+        """Returns whether one more endpoint may run the request.
+
+        Args:
+            runs: Number of endpoints that may have run it.
+        """
         if not self._request.retry_policy.allows_rerun or self._is_unbuffered:
             return False
         if self._is_head_sent and self._splitter.last_id is None:
             return False
-        return (self._runs < self._request.max_runs and
-                self._sends < _MAX_SENDS)
+        return runs < self._request.max_runs and self._sends < _MAX_SENDS
 
     def _give_up(self, reason: str, denial: refusal.Refusal | None) -> None:
         """Ends a request that no endpoint answered successfully."""
@@ -336,7 +367,7 @@
         self._deadline_timer = None
         if self._attempt is not None:
             self._runs += 1
-            self._abort_attempt("time is up")
+            self._abort_attempts("time is up")
         if self._is_head_sent:
             self._caller.abort()
             self._finish("time is up", 0)
@@ -357,21 +388,91 @@
         if attempt is None:
             return
         self._mark_stalled(attempt)
-        if not self._request.retry_policy.allows_rerun:
-            return
-        self._runs += 1
-        others = [
-            each for each in self._context.directory.list_usable(
-                self._request.service) if each.name not in self._tried_endpoints
-        ]
-        if not others or not self._may_run_again() or not self._take_retry():
-            self._runs -= 1
+        if (self._request.retry_policy.allows_rerun and
+                not self._send_successor(attempt)):
             self._start_stall_timer()
+
+    def _send_successor(self, silent: attempt_record.AttemptRecord) -> bool:
+        """Sends the request of a silent attempt to another endpoint.
+
+        If no endpoint has room, the request is queued, and the silent attempt
+        goes on in the meantime.
+
+        Returns:
+            Whether it was sent.
+        """
+        context, request = self._context, self._request
+        choice = self._choose_successor()
+        if isinstance(choice, placement_limit.PlacementLimit):
+            self._record.record_wait(choice)
+            self._enter_queue()
+            return False
+        self._leave_queue()
+        if choice is None or not self._take_retry():
+            return False
+        now = context.clock.monotonic()
+        context.health.record_unreachable(silent.endpoint)
+        self._runs += 1
+        self._silent_attempt = silent
+        self._send(choice, now, request.expires_at - now)
+        self._handover_timer = context.scheduler.call_later(
+            _HANDOVER_TIME, self._end_handover)
+        return True
+
+    def _choose_successor(
+        self
+    ) -> placement_module.Choice | placement_limit.PlacementLimit | None:
+        """Returns where to continue a silent attempt; None if nowhere."""
+        context, request = self._context, self._request
+        if (not self._may_run_again(self._runs + 1) or
+                context.authorizer.find_denial(request) is not None or
+                context.crashes.is_blocked(self._fingerprint)):
+            return None
+        usable = context.directory.list_usable(request.service)
+        if all(each.name in self._tried_endpoints for each in usable):
+            return None
+        return context.placement.choose(request, usable, self._tried_endpoints)
+
+    def _keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Aborts the other one of two open attempts, if there are two.
+
+        Args:
+            attempt: The attempt whose endpoint sends the response.
+        """
+        self._leave_queue()
+        if attempt is self._attempt:
+            self._end_handover()
             return
-        self._context.health.record_unreachable(attempt.endpoint)
-        self._abort_attempt("silent")
-        self._splitter.drop_rest()
-        self._send_next()
+        successor = self._attempt
+        self._cancel_handover_timer()
+        self._silent_attempt, self._attempt = None, attempt
+        if successor is not None:
+            self._abort_attempt(successor, "silent endpoint goes on")
+
+    def _return_to_silent_attempt(self) -> bool:
+        """Continues with the silent attempt if its successor has failed.
+
+        Returns:
+            Whether there is a silent attempt.
+        """
+        if self._silent_attempt is None:
+            return False
+        self._cancel_handover_timer()
+        self._attempt, self._silent_attempt = self._silent_attempt, None
+        self._runs -= 1
+        if not self._send_successor(self._attempt):
+            self._start_stall_timer()
+        return True
+
+    def _end_handover(self) -> None:
+        """Aborts the silent attempt, if there is one."""
+        if self._silent_attempt is not None:
+            self._abort_attempt(self._silent_attempt, "silent")
+
+    def _cancel_handover_timer(self) -> None:
+        if self._handover_timer is not None:
+            self._handover_timer.cancel()
+            self._handover_timer = None
 
     def _mark_stalled(self, attempt: attempt_record.AttemptRecord) -> None:
         """Records a failure of a stalled endpoint and releases the prefill.
@@ -385,21 +486,27 @@
             self._context.health.record_failure(attempt.endpoint)
             self._release_prefill(attempt)
 
-    def _abort_attempt(self, reason: str) -> None:
-        attempt = self._attempt
-        if attempt is None:
-            return
-        handle = attempt.handle
-        self._end_attempt(reason)
-        if handle is not None:
-            handle.abort()
-
-    def _end_attempt(self, reason: str) -> None:
-        attempt = self._attempt
-        if attempt is None:
-            return
-        self._attempt = None
-        self._cancel_stall_timer()
+    def _abort_attempts(self, reason: str) -> None:
+        for attempt in (self._silent_attempt, self._attempt):
+            if attempt is not None:
+                self._abort_attempt(attempt, reason)
+
+    def _abort_attempt(self, attempt: attempt_record.AttemptRecord,
+                       reason: str) -> None:
+        self._end_attempt(attempt, reason)
+        if attempt.handle is not None:
+            attempt.handle.abort()
+
+    def _end_attempt(self, attempt: attempt_record.AttemptRecord,
+                     reason: str) -> None:
+        if attempt is self._silent_attempt:
+            self._silent_attempt = None
+            self._cancel_handover_timer()
+            self._splitter.drop_rest()
+        elif attempt is self._attempt:
+            self._attempt = None
+            self._cancel_stall_timer()
+            self._leave_queue()
         self._context.loads.subtract(attempt.endpoint, attempt.load)
         self._record.add_attempt(attempt, reason)
 
@@ -415,3 +522,36 @@
             self._deadline_timer.cancel()
             self._deadline_timer = None
         self._record.finish(outcome, status)
+
+
+class _AttemptListener:
+    """Passes on the response to one attempt while the attempt is open."""
+
+    def __init__(self, forwarding: Forwarding,
+                 attempt: attempt_record.AttemptRecord) -> None:
+        self._forwarding = forwarding
+        self._attempt = attempt
+
+    def receive_head(self, status: int, headers: forwarding_context.Headers,
+                     is_verified: bool, was_not_run: bool) -> None:
+        """See `forwarding_context.AttemptListener`."""
+        attempt = self._attempt
+        attempt.status = status
+        attempt.headers = headers
+        attempt.is_verified = is_verified
+        attempt.was_not_run = was_not_run
+
+    def receive_data(self, data: bytes) -> None:
+        """See `forwarding_context.AttemptListener`."""
+        if self._forwarding.is_open(self._attempt):
+            self._forwarding.receive_data(self._attempt, data)
+
+    def receive_end(self) -> None:
+        """See `forwarding_context.AttemptListener`."""
+        if self._forwarding.is_open(self._attempt):
+            self._forwarding.receive_end(self._attempt)
+
+    def receive_failure(self, was_sent: bool, reason: str) -> None:
+        """See `forwarding_context.AttemptListener`."""
+        if self._forwarding.is_open(self._attempt):
+            self._forwarding.receive_failure(self._attempt, was_sent, reason)
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -275,6 +275,66 @@
     assert caller.end == "complete"
 
 
+def test_silent_endpoint_that_goes_on_during_the_handover_is_kept():
+    harness = harness_module.Harness()
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\nid: 2\nda")
+    harness.scheduler.advance(ms(1300))
+    first.listener.receive_data(b"ta: b\n\n")
+    assert harness.client.sent[1].is_aborted
+    assert not first.is_aborted
+    first.listener.receive_end()
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert caller.end == "complete"
+    assert not harness.loads.list_own_loads()
+
+
+def test_incomplete_event_of_a_silent_endpoint_is_dropped_with_it():
+    harness = harness_module.Harness()
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\nid: 2\nda")
+    harness.scheduler.advance(ms(1300))
+    harness.client.sent[1].respond(body=b"id: 2\ndata: b\n\n")
+    assert first.is_aborted
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+def test_two_endpoints_run_a_stream_only_during_the_handover():
+    harness = harness_module.Harness()
+    harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(1200))
+    assert len(harness.client.sent) == 2
+    harness.scheduler.advance(ms(300))
+    assert first.is_aborted
+    first.listener.receive_data(b"id: 2\ndata: late\n\n")
+    assert not harness.client.sent[1].is_aborted
+
+
+def test_error_response_to_the_successor_of_a_silent_attempt_is_forwarded():
+    harness = harness_module.Harness()
+    _, caller = harness.start()
+    harness.scheduler.advance(ms(900))
+    harness.client.sent[1].respond(404, body=b"no such item")
+    assert (caller.status, caller.body) == (404, b"no such item")
+    assert harness.client.sent[0].is_aborted
+
+
+def test_caller_that_disconnects_during_the_handover_aborts_both_attempts():
+    harness = harness_module.Harness()
+    forwarding, _ = harness.start()
+    harness.scheduler.advance(ms(900))
+    forwarding.handle_caller_disconnect()
+    assert [each.is_aborted for each in harness.client.sent] == [True, True]
+    assert not harness.loads.list_own_loads()
+
+
 def _find_other_endpoint(harness, attempt):
     other, = {each.name for each in harness.list_usable()
              } - {attempt.endpoint.name}
