Let a response that has begun wait for room instead of cutting it

What callers saw: the endpoint of a stream failed, and the connection ended at once although another endpoint would have had room a moment later.

Cause: the time in the queue was counted from the request's arrival, so a request that an endpoint had run for longer than that was given up the first time that no endpoint had room.

Change: a response that has begun waits until its deadline or until its caller leaves, since it can't be refused any more. A request that ran without a response waits for as long as a new one.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -205,7 +205,11 @@
             _AttemptListener(self, attempt))
 
     def _wait_in_queue(self, limit: placement_limit.PlacementLimit) -> None:
-        """Queues the request, or gives up if it was sent to all endpoints."""
+        """Queues the request, or gives up if it was sent to all endpoints.
+
+        A response that has begun can't be refused, so it waits until its
+        deadline or until the caller disconnects.
+        """
         context, request = self._context, self._request
         self._record.record_wait(limit)
         usable = context.directory.list_usable(request.service)
@@ -213,14 +217,22 @@
             self._give_up("no endpoint left", None)
             return
         if not self._is_queued:
-            max_wait = min(request.first_byte_target * _MAX_WAIT_TARGETS,
-                           (request.expires_at - request.arrived_at) / 3)
-            waited = context.clock.monotonic() - request.arrived_at
-            self._queue_timer = context.scheduler.call_later(
-                max(max_wait - waited, datetime.timedelta()),
-                self._refuse_queued)
+            if not self._is_head_sent:
+                self._queue_timer = context.scheduler.call_later(
+                    self._compute_queue_time(), self._refuse_queued)
             self._enter_queue()
 
+    def _compute_queue_time(self) -> datetime.timedelta:
+        """Returns for how long a request waits before it is refused.
+
+        If an endpoint has run it, the time until now was no time in the queue.
+        """
+        request, now = self._request, self._context.clock.monotonic()
+        start = now if self._runs else request.arrived_at
+        max_wait = min(request.first_byte_target * _MAX_WAIT_TARGETS,
+                       (request.expires_at - start) / 3)
+        return max(start + max_wait - now, datetime.timedelta())
+
     def _enter_queue(self) -> None:
         if not self._is_queued:
             self._is_queued = True
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -335,6 +335,40 @@
     assert not harness.loads.list_own_loads()
 
 
+def test_broken_stream_waits_for_room_until_its_deadline():
+    """It can no longer be refused, so a maximum wait would only cut it."""
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    load = _fill_other_endpoints(harness, first)
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(900))
+    first.listener.receive_failure(True, "reset")
+    harness.scheduler.advance(ms(900))
+    assert not caller.end
+    harness.loads.subtract(_find_other_endpoint(harness, first), load)
+    harness.scheduler.advance(ms(100))
+    harness.client.sent[1].respond(body=b"id: 2\ndata: b\n\n")
+    assert caller.end == "complete"
+
+
+def test_request_that_ran_waits_for_room_as_long_as_a_new_one():
+    """The time for which an endpoint ran it is not time in the queue."""
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    load = _fill_other_endpoints(harness, first)
+    harness.scheduler.advance(ms(900))
+    first.listener.receive_failure(True, "reset")
+    harness.scheduler.advance(ms(300))
+    assert caller.status is None
+    harness.loads.subtract(_find_other_endpoint(harness, first), load)
+    harness.scheduler.advance(ms(100))
+    harness.client.sent[1].respond(body=b"id: 1\ndata: a\n\n")
+    assert caller.end == "complete"
+
+
 def _find_other_endpoint(harness, attempt):
     other, = {each.name for each in harness.list_usable()
              } - {attempt.endpoint.name}
