Don't authorise a response again that has begun

What callers saw: a stream whose endpoint failed was cut after a configuration without its key, or while the store was away, although another endpoint could continue it.

Cause: each send asks whether the request is allowed now. For a request that waits this is right: it is refused, truthfully as not run. A response that has begun was allowed when its request was accepted, runs on at its first endpoint whatever the configuration says, and can only be cut.

Evidence: the new test failed before: no second send, and the response aborted.

Change: a denial is looked for only while no byte of the response was sent. New requests of the key, also those that resume a stream, are denied as before.

Result: the test passes; the tests of denied sends are unchanged.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -167,7 +167,7 @@
 
     def _send_next(self) -> None:
         context, request = self._context, self._request
-        denial = context.authorizer.find_denial(request)
+        denial = self._find_denial()
         if denial is not None:
             self._give_up("no longer allowed", denial)
             return
@@ -188,6 +188,16 @@
             return
         self._send(choice, now, time_left)
 
+    def _find_denial(self) -> refusal.Refusal | None:
+        """Returns why the request may not be sent; None if it may.
+
+        A response that has begun was allowed when its request was accepted, and
+        its caller can't be told of a denial any more.
+        """
+        if self._is_head_sent:
+            return None
+        return self._context.authorizer.find_denial(self._request)
+
     def _send(self, choice: placement_module.Choice, now: datetime.timedelta,
               time_left: datetime.timedelta) -> None:
         context, request = self._context, self._request
@@ -437,7 +447,7 @@
         """Returns where to continue a silent attempt; None if nowhere."""
         context, request = self._context, self._request
         if (not self._may_run_again(self._runs + 1) or
-                context.authorizer.find_denial(request) is not None or
+                self._find_denial() is not None or
                 context.crashes.is_blocked(self._fingerprint)):
             return None
         usable = context.directory.list_usable(request.service)
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -369,6 +369,19 @@
     assert caller.end == "complete"
 
 
+def test_accepted_stream_continues_after_its_key_was_removed():
+    """The request was allowed when it was accepted."""
+    harness = harness_module.Harness()
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.authorizer.denial = dispatch.Refusal(401, "taken away")
+    first.listener.receive_failure(True, "reset")
+    harness.client.sent[1].respond(body=b"id: 2\ndata: b\n\n")
+    assert caller.end == "complete"
+
+
 def _find_other_endpoint(harness, attempt):
     other, = {each.name for each in harness.list_usable()
              } - {attempt.endpoint.name}
