Read waiting data before an endpoint counts as silent

What callers saw: after a VM was suspended or busy for longer than the stall timeout, its streams were sent to other endpoints all at once, and some of them were cut for lack of room or retries.

Cause: the reactor runs timers before it reads sockets, so the stall timers fired although data had arrived.

Evidence: the new test failed before: a second send while data was waiting. That this happened to the users' streams is only suspected.

Change: when the timer fires, the attempt counts as stalled only after one more turn of the reactor without data.

Result: the test passes.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -402,7 +402,17 @@
     def _start_stall_timer(self) -> None:
         self._cancel_stall_timer()
         self._stall_timer = self._context.scheduler.call_later(
-            stall_timeout.find_stall_timeout(self._request), self._handle_stall)
+            stall_timeout.find_stall_timeout(self._request),
+            self._confirm_stall)
+
+    def _confirm_stall(self) -> None:
+        """Lets data be read that has arrived before the attempt stalls.
+
+        Timers run before sockets are read. If the VM was busy or suspended, the
+        data of sound endpoints is still waiting.
+        """
+        self._stall_timer = self._context.scheduler.call_later(
+            datetime.timedelta(), self._handle_stall)
 
     def _handle_stall(self) -> None:
         self._stall_timer = None
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -382,6 +382,22 @@
     assert caller.end == "complete"
 
 
+def test_data_received_before_the_stall_timer_fires_late_is_not_lost():
+    """Timers run before sockets are read when a VM was busy or suspended."""
+    harness = harness_module.Harness()
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.clock.advance(ms(3000))
+    harness.scheduler.call_later(
+        ms(0), lambda: first.listener.receive_data(b"id: 2\ndata: b\n\n"))
+    harness.scheduler.advance(ms(10))
+    assert len(harness.client.sent) == 1
+    first.listener.receive_end()
+    assert caller.end == "complete"
+
+
 def _find_other_endpoint(harness, attempt):
     other, = {each.name for each in harness.list_usable()
              } - {attempt.endpoint.name}
