--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -27,7 +27,7 @@
 waits for no more than a third of the time until its deadline and is refused
 then, so that its caller has time for a retry.
 """
-_HANDOVER_TIME = datetime.timedelta(milliseconds=250)
+_TAKEOVER_TIME = datetime.timedelta(milliseconds=250)
 """Time for which a silent attempt stays open beside its successor.
 
 An endpoint that refuses a request does so within a few round trips. Until then
@@ -67,7 +67,7 @@
         self._is_done = False
         self._deadline_timer: forwarding_context.Timer | None = None
         self._stall_timer: forwarding_context.Timer | None = None
-        self._handover_timer: forwarding_context.Timer | None = None
+        self._takeover_timer: forwarding_context.Timer | None = None
         self._queue_timer: forwarding_context.Timer | None = None
         self._is_queued = False
         self._record = request_record.RequestRecord(request, context)
@@ -447,8 +447,8 @@
         self._runs += 1
         self._silent_attempt = silent
         self._send(choice, now, request.expires_at - now)
-        self._handover_timer = context.scheduler.call_later(
-            _HANDOVER_TIME, self._end_handover)
+        self._takeover_timer = context.scheduler.call_later(
+            _TAKEOVER_TIME, self._end_takeover)
         return True
 
     def _choose_successor(
@@ -473,10 +473,10 @@
         """
         self._leave_queue()
         if attempt is self._attempt:
-            self._end_handover()
+            self._end_takeover()
             return
         successor = self._attempt
-        self._cancel_handover_timer()
+        self._cancel_takeover_timer()
         self._silent_attempt, self._attempt = None, attempt
         if successor is not None:
             self._abort_attempt(successor, "silent endpoint goes on")
@@ -489,22 +489,22 @@
         """
         if self._silent_attempt is None:
             return False
-        self._cancel_handover_timer()
+        self._cancel_takeover_timer()
         self._attempt, self._silent_attempt = self._silent_attempt, None
         self._runs -= 1
         if not self._send_successor(self._attempt):
             self._start_stall_timer()
         return True
 
-    def _end_handover(self) -> None:
+    def _end_takeover(self) -> None:
         """Aborts the silent attempt, if there is one."""
         if self._silent_attempt is not None:
             self._abort_attempt(self._silent_attempt, "silent")
 
-    def _cancel_handover_timer(self) -> None:
-        if self._handover_timer is not None:
-            self._handover_timer.cancel()
-            self._handover_timer = None
+    def _cancel_takeover_timer(self) -> None:
+        if self._takeover_timer is not None:
+            self._takeover_timer.cancel()
+            self._takeover_timer = None
 
     def _mark_stalled(self, attempt: attempt_record.AttemptRecord) -> None:
         """Records a failure of a stalled endpoint and releases the prefill.
@@ -533,7 +533,7 @@
                      reason: str) -> None:
         if attempt is self._silent_attempt:
             self._silent_attempt = None
-            self._cancel_handover_timer()
+            self._cancel_takeover_timer()
             self._splitter.drop_rest()
         elif attempt is self._attempt:
             self._attempt = None
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -275,7 +275,7 @@
     assert caller.end == "complete"
 
 
-def test_silent_endpoint_that_goes_on_during_the_handover_is_kept():
+def test_silent_endpoint_that_goes_on_during_the_takeover_is_kept():
     harness = harness_module.Harness()
     _, caller = harness.start(harness_module.make_stream_request(harness))
     first = harness.client.sent[0]
@@ -303,7 +303,7 @@
     assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 
-def test_two_endpoints_run_a_stream_only_during_the_handover():
+def test_two_endpoints_run_a_stream_only_during_the_takeover():
     harness = harness_module.Harness()
     harness.start(harness_module.make_stream_request(harness))
     first = harness.client.sent[0]
@@ -326,7 +326,7 @@
     assert harness.client.sent[0].is_aborted
 
 
-def test_caller_that_disconnects_during_the_handover_aborts_both_attempts():
+def test_caller_that_disconnects_during_the_takeover_aborts_both_attempts():
     harness = harness_module.Harness()
     forwarding, _ = harness.start()
     harness.scheduler.advance(ms(900))
