Refuse a model request whose service has no usable endpoint

What callers saw: the connection was closed without an answer or a refusal. If the last endpoint left while requests waited, no queued request of any service was tried again until the process ended.

Cause: the placement asked for the preferred engine among none, which raised an exception; in a socket's callback it closes the caller's connection, in the queue's timer it ends the chain of timers. It happens when a configuration sends a route to a service without endpoints, between the first configuration and the first list of endpoints, and when all endpoints leave or were replaced. Plain services were refused properly.

Through real sockets a request with a prompt got no byte where a plain one got 503.

Change: without a candidate there is nothing to choose.

Result: all pass. This fits the users' report (neither an answer nor a refusal, beside a change of the configuration) at least as well as the silent endpoints; that it is what they saw is not shown.

--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -108,6 +108,8 @@
         reachable = ([each for each in untried if each.name not in avoided]
                      if avoided else untried)
         candidates = reachable or untried
+        if not candidates:
+            return placement_limit.PlacementLimit.NO_ENDPOINT
         if not request.prompt.input_tokens:
             return self._choose_plain_endpoint(candidates)
         return self._choose_engine(request, usable, candidates)
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -398,6 +398,25 @@
     assert caller.end == "complete"
 
 
+def test_request_to_a_service_without_endpoints_is_refused():
+    harness = harness_module.Harness(endpoints=0)
+    for make_request in (harness_module.make_request,
+                         harness_module.make_stream_request,
+                         harness_module.make_long_request):
+        _, caller = harness.start(make_request(harness))
+        assert caller.status == 503
+
+
+def test_queued_request_is_refused_when_the_last_endpoint_leaves():
+    harness = harness_module.Harness(endpoints=1, slots=12)
+    harness.loads.add("endpoint-0", dispatch.EndpointLoad(requests=200))
+    _, caller = harness.start(harness_module.make_long_request(harness))
+    harness.scheduler.advance(ms(100))
+    harness.directory.remove_endpoint("endpoint-0")
+    harness.scheduler.advance(ms(100))
+    assert caller.status == 503
+
+
 def _find_other_endpoint(harness, attempt):
     other, = {each.name for each in harness.list_usable()
              } - {attempt.endpoint.name}
