Log the errors that Twisted reports through its older interface

What operators saw: a caller's connection ended without an answer and without any line in the log.

Cause: an exception in a protocol's callback reaches the log as "failure"; only "log_failure", which timers use, was read.

Evidence: the new test failed before. With real sockets an exception in a timer left a line, and one in dataReceived left none.

Result: the test passes.

--- a/mustardwood/platform/event_journal.py
+++ b/mustardwood/platform/event_journal.py
@@ -84,7 +84,8 @@
         Args:
             event: Twisted's log event.
         """
-        found = event.get("log_failure")
+        # Errors in protocols come through Twisted's older interface.
+        found = event.get("log_failure") or event.get("failure")
         if found is not None:
             self.write("error",
                        part="event_loop",
--- a/mustardwood/platform/tests/test_event_journal.py
+++ b/mustardwood/platform/tests/test_event_journal.py
@@ -4,6 +4,8 @@
 import json
 import os
 
+from twisted.python import failure
+
 from mustardwood import timing
 from mustardwood.platform import event_journal
 
@@ -58,3 +60,13 @@
     os.close(reader)
     journal = event_journal.EventJournal(timing.ManualClock(), "vm-1", writer)
     journal.write("request")
+
+
+def test_errors_are_logged_whichever_of_its_interfaces_twisted_uses():
+    reader, writer = os.pipe()
+    journal = event_journal.EventJournal(timing.ManualClock(), "vm-1", writer)
+    found = failure.Failure(RuntimeError("unforeseen"))
+    journal.log_twisted_error({"log_failure": found})
+    journal.log_twisted_error({"failure": found, "isError": 1})
+    journal.log_twisted_error({"log_text": "no error"})
+    assert [each["error"] for each in _read(reader)] == ["unforeseen"] * 2
