Send no body in the response to a HEAD request

What callers saw: the head of a refusal, and then the connection was closed.

Cause: the refusal's body was sent too, which HTTP forbids here; the HTTP library raised an exception in the socket's callback.

Evidence: the new test failed before.

Result: the test passes.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -102,7 +102,8 @@
 
     def send_data(self, data: bytes) -> None:
         """See `response_writer.ResponseConnection`."""
-        self._send(h11.Data(data=data))
+        if self._request is None or self._request.method != b"HEAD":
+            self._send(h11.Data(data=data))
 
     def send_end(self) -> None:
         """See `response_writer.ResponseConnection`."""
--- a/mustardwood/platform/tests/test_request_server.py
+++ b/mustardwood/platform/tests/test_request_server.py
@@ -54,3 +54,11 @@
         fields for event, fields in server.harness.journal.lines
         if event == "error"
     ]
+
+
+def test_refusal_of_a_head_request_has_no_body():
+    server = _Server()
+    head = _HEAD.replace(b"POST /stream/", b"HEAD /unknown/")
+    response = server.call(head + b"\r\n")
+    assert response.startswith(b"HTTP/1.1 404 ")
+    assert response.endswith(b"\r\n\r\n")
