Answer a request whose handling fails unexpectedly

What callers saw: any exception while a request was accepted closed its connection without an answer. One in the queue's timer ended all queueing.

Cause: an exception in a socket's callback closes the connection; the timer was set again only at the end of a round. The class: one unforeseen error takes requests with it that could be answered.

Change: the request is ended as if its attempts had failed, truthfully as not run if nothing was sent, with a log line and its traceback. The queue sets its timer again whatever happens.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -93,6 +93,15 @@
         self._abort_attempts(request_record.CALLER_GONE)
         self._finish(request_record.CALLER_GONE, 0)
 
+    def handle_error(self) -> None:
+        """Ends the request after an unexpected error in its handling."""
+        if self._is_done:
+            return
+        if self._attempt is not None:
+            self._runs += 1
+        self._abort_attempts("error")
+        self._give_up("error", None)
+
     def receive_data(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
         """Handles a part of the response's body of an open attempt."""
--- a/mustardwood/dispatch/placement_queue.py
+++ b/mustardwood/dispatch/placement_queue.py
@@ -53,6 +53,15 @@
         self._waiting.pop(request, None)
 
     def _retry_requests(self) -> None:
+        try:
+            self._retry_in_order()
+        finally:
+            self._is_retry_scheduled = bool(self._waiting)
+            if self._is_retry_scheduled:
+                self._scheduler.call_later(_RETRY_INTERVAL,
+                                           self._retry_requests)
+
+    def _retry_in_order(self) -> None:
         failed_retries = 0
         for request in sorted(self._waiting, key=self._find_priority):
             retry = self._waiting.get(request)
@@ -64,10 +73,6 @@
                 failed_retries += 1
                 if failed_retries >= _MAX_FAILED_RETRIES:
                     break
-        if self._waiting:
-            self._scheduler.call_later(_RETRY_INTERVAL, self._retry_requests)
-        else:
-            self._is_retry_scheduled = False
 
     def _find_priority(
         self, request: service_request.ServiceRequest
--- a/mustardwood/dispatch/tests/test_placement_queue.py
+++ b/mustardwood/dispatch/tests/test_placement_queue.py
@@ -1,5 +1,7 @@
 """Tests of the queue of requests that wait for an engine."""
 
+import pytest
+
 from mustardwood import dispatch
 from mustardwood.dispatch.tests import harness as harness_module
 
@@ -155,3 +157,25 @@
     # on time.
     assert on_time >= 30
     assert on_time + late >= 45
+
+
+def test_error_in_one_retry_does_not_stop_the_others():
+    harness = harness_module.Harness()
+    retried = []
+
+    def raise_error():
+        harness.queue.remove(broken)
+        raise RuntimeError("unforeseen")
+
+    def record_retry():
+        retried.append(sound)
+        return True
+
+    broken = harness_module.make_request(harness, tier=0)
+    sound = harness_module.make_request(harness, tier=1)
+    harness.queue.add(broken, raise_error)
+    harness.queue.add(sound, record_retry)
+    with pytest.raises(RuntimeError):
+        harness.scheduler.advance(ms(20))
+    harness.scheduler.advance(ms(20))
+    assert retried == [sound]
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import http
+import traceback
 
 from twisted.internet import protocol
 
@@ -79,7 +80,15 @@
         forwarding = dispatch.Forwarding(request, caller, context)
         writer.set_disconnect_callback(
             lambda: self._handle_disconnect(forwarding))
-        forwarding.start()
+        try:
+            forwarding.start()
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # Otherwise the caller would get no answer.
+            context.journal.write("error",
+                                  part="forwarding",
+                                  error=str(error),
+                                  traceback=traceback.format_exc())
+            forwarding.handle_error()
 
     def add_connection(self, connection: http1.CallerConnection) -> None:
         """See `http1.RequestHandler`."""
--- a/mustardwood/platform/tests/test_request_server.py
+++ b/mustardwood/platform/tests/test_request_server.py
@@ -39,6 +39,25 @@
         return transport.value()
 
 
+def _raise(*_):
+    raise RuntimeError("unforeseen")
+
+
+@pytest.mark.parametrize("part, name", [
+    ("authorizer", "find_denial"),
+    ("placement", "choose"),
+])
+def test_unexpected_error_is_answered_and_logged(part, name):
+    server = _Server()
+    setattr(getattr(server.harness, part), name, _raise)
+    response = server.call(_HEAD + b"\r\n")
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert ("error",
+            "unforeseen") in [(event, fields.get("error"))
+                              for event, fields in server.harness.journal.lines]
+    assert server.server.open_requests == 0
+
+
 @pytest.mark.parametrize("header", [
     "Mustardwood-Deadline-Ms: " + "9" * 20,
     "Mustardwood-Deadline-Ms: " + "9" * 5000,
