--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -11,7 +11,7 @@
 _DEFAULT_DEADLINE = datetime.timedelta(minutes=10)
 """Deadline for callers that name none; the route's time limit is shorter."""
 _MAX_NUMBER = 10**15
-"""Number to which larger ones are reduced, so that any can be calculated with."""
+"""Number to which larger ones are reduced, so that calculations are safe."""
 _NOT_READY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 """Retry-After delay while this VM has not read a configuration yet."""
 
