Keep streams that wait for room from holding up other requests

What callers saw: with eight streams of the most urgent tier that had begun and found no room, a request of another service with idle endpoints was refused.

Cause: a round of the queue ended after six failed placements, over all services and in order of tier.

Change: failed placements are counted by service, and apart for requests that have begun; those are tried in turn, two a round.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -255,7 +255,10 @@
     def _enter_queue(self) -> None:
         if not self._is_queued:
             self._is_queued = True
-            self._context.queue.add(self._request, self._retry_queued)
+            self._context.queue.add(self._request,
+                                    self._retry_queued,
+                                    has_begun=self._is_head_sent or
+                                    self._attempt is not None)
 
     def _retry_queued(self) -> bool:
         if self._attempt is not None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -167,14 +167,17 @@
 class Queue(typing.Protocol):
     """Holds requests until an endpoint has free capacity."""
 
-    def add(self, request: service_request.ServiceRequest,
-            retry: collections.abc.Callable[[], bool]) -> None:
+    def add(self,
+            request: service_request.ServiceRequest,
+            retry: collections.abc.Callable[[], bool],
+            has_begun: bool = False) -> None:
         """Adds a request.
 
         Args:
             request: The request.
             retry: Tries to place the request; returns whether it no longer
                 has to wait.
+            has_begun: Whether an engine has run a part of it.
         """
 
     def remove(self, request: service_request.ServiceRequest) -> None:
--- a/mustardwood/dispatch/placement_queue.py
+++ b/mustardwood/dispatch/placement_queue.py
@@ -1,6 +1,8 @@
 """Queue of requests that wait for an engine with free capacity."""
 
+import collections
 import collections.abc
+import dataclasses
 import datetime
 
 from mustardwood import timing
@@ -10,11 +12,22 @@
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=15)
 """Interval of placement attempts: a tenth of a long prompt's prefill."""
 _MAX_FAILED_RETRIES = 6
-"""Failed placements after which a round ends, to limit the processor time."""
+"""Failed placements of a service's new requests after which a round skips them.
+
+It limits the processor time.
+"""
+_MAX_FAILED_RETRIES_OF_BEGUN = 2
+"""The same for requests whose response has begun, which are tried in turn."""
 
 _Retry = collections.abc.Callable[[], bool]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Waiting:
+    retry: _Retry
+    has_begun: bool
+
+
 class PlacementQueue:
     """Retries the placement of waiting requests in order of priority.
 
@@ -22,28 +35,35 @@
     In order of arrival all responses would be late. Here, within each tier,
     requests that can still meet their first-byte target come before those that
     can't, and the earlier due time comes first.
+
+    Failure: responses that have begun, and have lost their engine, wait for
+    longer than new requests. They are limited separately, so that they do not
+    hold up requests that could be placed.
     """
 
     def __init__(self, clock: timing.Clock,
                  scheduler: forwarding_context.Scheduler) -> None:
         self._clock = clock
         self._scheduler = scheduler
-        self._waiting: dict[service_request.ServiceRequest, _Retry] = {}
+        self._waiting: dict[service_request.ServiceRequest, _Waiting] = {}
         self._is_retry_scheduled = False
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, request: service_request.ServiceRequest,
-            retry: _Retry) -> None:
+    def add(self,
+            request: service_request.ServiceRequest,
+            retry: _Retry,
+            has_begun: bool = False) -> None:
         """Adds a request.
 
         Args:
             request: The request.
             retry: Tries to place the request; returns whether it no longer
                 has to wait.
+            has_begun: Whether an engine has run a part of it.
         """
-        self._waiting[request] = retry
+        self._waiting[request] = _Waiting(retry, has_begun)
         if not self._is_retry_scheduled:
             self._is_retry_scheduled = True
             self._scheduler.call_later(_RETRY_INTERVAL, self._retry_requests)
@@ -62,20 +82,29 @@
                                            self._retry_requests)
 
     def _retry_in_order(self) -> None:
-        failed_retries = 0
+        failed_retries: collections.Counter[tuple[str, bool]] = (
+            collections.Counter())
         for request in sorted(self._waiting, key=self._find_priority):
-            retry = self._waiting.get(request)
-            if retry is None:
+            waiting = self._waiting.get(request)
+            if waiting is None:
+                continue
+            group = request.service, waiting.has_begun
+            if failed_retries[group] >= (_MAX_FAILED_RETRIES_OF_BEGUN
+                                         if waiting.has_begun else
+                                         _MAX_FAILED_RETRIES):
                 continue
-            if retry():
+            if waiting.retry():
                 self._waiting.pop(request, None)
-            else:
-                failed_retries += 1
-                if failed_retries >= _MAX_FAILED_RETRIES:
-                    break
+                continue
+            failed_retries[group] += 1
+            if waiting.has_begun and request in self._waiting:
+                # Equal priorities are sorted in the order of insertion.
+                self._waiting[request] = self._waiting.pop(request)
 
     def _find_priority(
         self, request: service_request.ServiceRequest
     ) -> tuple[int, bool, datetime.timedelta]:
+        if self._waiting[request].has_begun:
+            return request.tier, True, datetime.timedelta.max
         due_at = request.arrived_at + request.first_byte_target
         return request.tier, due_at < self._clock.monotonic(), due_at
--- a/mustardwood/dispatch/tests/test_placement_queue.py
+++ b/mustardwood/dispatch/tests/test_placement_queue.py
@@ -1,5 +1,7 @@
 """Tests of the queue of requests that wait for an engine."""
 
+import functools
+
 import pytest
 
 from mustardwood import dispatch
@@ -179,3 +181,46 @@
         harness.scheduler.advance(ms(20))
     harness.scheduler.advance(ms(20))
     assert retried == [sound]
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_streams_that_wait_for_room_do_not_hold_up_other_requests(is_silent):
+    """Streams that have begun wait until their deadline, new ones briefly."""
+    harness = harness_module.Harness(endpoints=2, slots=12)
+    full = dispatch.EndpointLoad(requests=200)
+    for _ in range(8):
+        harness.start(harness_module.make_stream_request(harness, tier=0))
+        stream = harness.client.sent[-1]
+        stream.begin()
+        stream.listener.receive_data(b"id: 1\ndata: a\n\n")
+    for endpoint in ("endpoint-0", "endpoint-1"):
+        harness.loads.add(endpoint, full)
+    if is_silent:
+        harness.scheduler.advance(ms(1300))
+    else:
+        for stream in list(harness.client.sent):
+            stream.listener.receive_failure(True, "reset")
+    sent = len(harness.client.sent)
+    harness.directory.set_endpoint(
+        harness_module.make_endpoint(5, slots=12, service="other"))
+    harness.loads.add("endpoint-5", full)
+    harness.start(
+        harness_module.make_stream_request(harness, tier=1, service="other"))
+    harness.scheduler.advance(ms(50))
+    harness.loads.subtract("endpoint-5", full)
+    harness.scheduler.advance(ms(100))
+    assert [each.endpoint.name for each in harness.client.sent[sent:]
+           ] == ["endpoint-5"]
+
+
+def test_each_stream_that_waits_for_room_is_tried_in_turn():
+    """One of many may be the only one that could be placed."""
+    harness = harness_module.Harness()
+    tried = []
+    for number in range(9):
+        request = harness_module.make_request(harness)
+        harness.queue.add(request,
+                          functools.partial(tried.append, number),
+                          has_begun=True)
+    harness.scheduler.advance(ms(200))
+    assert set(tried) == set(range(9))
