End a takeover only when the successor has a connection

What callers saw: a stream was cut although its silent endpoint went on, if the other endpoint was unreachable, or if the VM was late.

Cause: the 250 ms in which both attempts are open were counted from the send. Opening a connection to an unreachable endpoint fails after 400 ms, an endpoint that is avoided after a failed connection was taken if there was no other, and the timer ran before waiting responses were read.

Change: the silent attempt stays open until its successor has a connection and what has arrived is read; an avoided endpoint counts as none.

Not covered: a successor that accepts the connection and refuses the request after more than 250 ms.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -15,6 +15,11 @@
     engine: stream_engine.StreamEngine
     run: run_module.Run
 
+    @property
+    def is_connected(self) -> bool:
+        """See `dispatch.Attempt`."""
+        return True
+
     def abort(self) -> None:
         """See `dispatch.Attempt`."""
         self.engine.cancel(self.run)
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -34,6 +34,8 @@
 the silent attempt may still go on; after that, two endpoints would run the
 request.
 """
+_CONNECTION_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+"""Interval at which the takeover waits for the successor's connection."""
 
 
 class Forwarding:
@@ -460,13 +462,17 @@
         self._silent_attempt = silent
         self._send(choice, now, request.expires_at - now)
         self._takeover_timer = context.scheduler.call_later(
-            _TAKEOVER_TIME, self._end_takeover)
+            _TAKEOVER_TIME, self._check_takeover)
         return True
 
     def _choose_successor(
         self
     ) -> placement_module.Choice | placement_limit.PlacementLimit | None:
-        """Returns where to continue a silent attempt; None if nowhere."""
+        """Returns where to continue a silent attempt; None if nowhere.
+
+        An endpoint that is avoided after a failed connection is worse than a
+        silent one.
+        """
         context, request = self._context, self._request
         if (not self._may_run_again(self._runs + 1) or
                 self._find_denial() is not None or
@@ -475,7 +481,12 @@
         usable = context.directory.list_usable(request.service)
         if all(each.name in self._tried_endpoints for each in usable):
             return None
-        return context.placement.choose(request, usable, self._tried_endpoints)
+        choice = context.placement.choose(request, usable,
+                                          self._tried_endpoints)
+        if (isinstance(choice, placement_module.Choice) and
+                context.health.is_avoided(choice.endpoint.name)):
+            return placement_limit.PlacementLimit.NO_ENDPOINT
+        return choice
 
     def _keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
         """Aborts the other one of two open attempts, if there are two.
@@ -508,6 +519,19 @@
             self._start_stall_timer()
         return True
 
+    def _check_takeover(self) -> None:
+        """Ends the takeover if the successor has a connection.
+
+        Data that has arrived is read before, as in `_confirm_stall`.
+        """
+        successor = self._attempt
+        is_connected = (successor is None or successor.handle is None or
+                        successor.handle.is_connected)
+        self._takeover_timer = self._context.scheduler.call_later(
+            datetime.timedelta()
+            if is_connected else _CONNECTION_CHECK_INTERVAL,
+            self._end_takeover if is_connected else self._check_takeover)
+
     def _end_takeover(self) -> None:
         """Aborts the silent attempt, if there is one."""
         if self._silent_attempt is not None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -49,6 +49,10 @@
 class Attempt(typing.Protocol):
     """A request that is being sent to an endpoint."""
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether there is a connection, on which the request was sent."""
+
     def abort(self) -> None:
         """Closes the connection; the listener is not called again."""
 
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -64,6 +64,7 @@
         self.resume_after = resume_after
         self.listener = listener
         self.is_aborted = False
+        self.is_connected = True
 
     def abort(self):
         """Records that the attempt was aborted."""
@@ -83,15 +84,22 @@
 
 
 class FakeClient:
-    """Records the attempts to send a request."""
+    """Records the attempts to send a request.
+
+    Attributes:
+        sent: The attempts.
+        is_connected: Whether new attempts have a connection.
+    """
 
     def __init__(self):
         self.sent = []
+        self.is_connected = True
 
     def send(self, request, endpoint, time_left, resume_after, listener):
         """Records an attempt."""
         attempt = FakeAttempt(request, endpoint, time_left, resume_after,
                               listener)
+        attempt.is_connected = self.is_connected
         self.sent.append(attempt)
         return attempt
 
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -398,6 +398,56 @@
     assert caller.end == "complete"
 
 
+def test_silent_attempt_stays_open_until_its_successor_is_connected():
+    """Opening a connection to an unreachable endpoint takes 0.4 s to fail."""
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.client.is_connected = False
+    harness.scheduler.advance(ms(1250))
+    second = harness.client.sent[1]
+    harness.scheduler.advance(ms(390))
+    assert not first.is_aborted
+    second.listener.receive_failure(False, "no connection in time")
+    first.listener.receive_data(b"id: 2\ndata: b\n\n")
+    first.listener.receive_end()
+    assert caller.end == "complete"
+
+
+def test_silent_attempt_is_not_continued_at_an_unreachable_endpoint():
+    harness = harness_module.Harness(endpoints=2)
+    harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.health.record_unreachable(_find_other_endpoint(harness, first))
+    harness.scheduler.advance(ms(650))
+    harness.health.record_unreachable(_find_other_endpoint(harness, first))
+    harness.scheduler.advance(ms(650))
+    assert len(harness.client.sent) == 1
+    harness.scheduler.advance(ms(1000))
+    assert len(harness.client.sent) == 2
+
+
+def test_responses_that_wait_when_the_takeover_ends_late_are_read_first():
+    harness = harness_module.Harness(endpoints=2)
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(1200))
+    second = harness.client.sent[1]
+    harness.clock.advance(ms(600))
+    harness.scheduler.call_later(ms(0),
+                                 lambda: second.respond(503, not_run=True))
+    harness.scheduler.advance(ms(10))
+    first.listener.receive_data(b"id: 2\ndata: b\n\n")
+    first.listener.receive_end()
+    assert caller.end == "complete"
+
+
 def test_request_to_a_service_without_endpoints_is_refused():
     harness = harness_module.Harness(endpoints=0)
     for make_request in (harness_module.make_request,
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -70,7 +70,7 @@
         factory = _ConnectionFactory(self, address, exchange)
         connector = self._reactor.connectTCP(
             *address, factory, timeout=CONNECT_TIMEOUT.total_seconds())
-        exchange.attach(_PendingConnection(connector))
+        exchange.attach(_PendingConnection(connector), is_connected=False)
         return exchange
 
     def make_connection(
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -86,7 +86,7 @@
             self._sent_events.append(h11.Data(data=request.body))
         self._sent_events.append(h11.EndOfMessage())
         self._exchange = exchange
-        exchange.attach(self)
+        exchange.attach(self, is_connected=True)
         self.transport.write(b"".join(
             self._http.send(event) or b"" for event in self._sent_events))
 
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -46,6 +46,8 @@
         request: The request to send.
         listener: Receives the events of the exchange.
         is_finished: Whether the exchange was completed, failed or aborted.
+        is_connected: Whether it has a connection, on which the request was
+            sent.
     """
 
     def __init__(self, request: http_request.HttpRequest,
@@ -53,11 +55,13 @@
         self.request = request
         self.listener = listener
         self.is_finished = False
+        self.is_connected = False
         self._connection: _Abortable | None = None
 
-    def attach(self, connection: _Abortable) -> None:
+    def attach(self, connection: _Abortable, is_connected: bool) -> None:
         """Sets the connection or pending connection that `abort` closes."""
         self._connection = connection
+        self.is_connected = is_connected
 
     def abort(self) -> None:
         """Closes the connection; the listener receives no further events."""
