Keep the successor if the silent attempt ends with an error

What callers saw: a stream was cut although its second continuation ran.

Cause: a 4xx response to a silent continuation of a response that has begun ended the request, whatever its successor did. Only routes with three runs or more can get there.

Evidence: the new test failed before. Result: it passes.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -330,7 +330,8 @@
         if is_failure and not attempt.is_truncated:
             self._failed_attempt = attempt
         if is_failure and attempt.status < 500:
-            if self._is_head_sent and self._return_to_silent_attempt():
+            if self._is_head_sent and (is_silent_attempt or
+                                       self._return_to_silent_attempt()):
                 return
             self._abort_attempts("answered elsewhere")
             self._give_up("refused by the endpoint", None)
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -448,6 +448,20 @@
     assert caller.end == "complete"
 
 
+def test_error_of_a_silent_continuation_leaves_its_successor():
+    harness = harness_module.Harness()
+    _, caller = harness.start(
+        harness_module.make_stream_request(harness, max_runs=3))
+    first = harness.client.sent[0]
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first.listener.receive_failure(True, "reset")
+    harness.scheduler.advance(ms(1300))
+    harness.client.sent[1].respond(404)
+    harness.client.sent[2].respond(body=b"id: 2\ndata: b\n\n")
+    assert caller.end == "complete"
+
+
 def test_request_to_a_service_without_endpoints_is_refused():
     harness = harness_module.Harness(endpoints=0)
     for make_request in (harness_module.make_request,
