Don't send an overdue request to another endpoint

What endpoints saw: a request with a deadline of 1 ms.

Cause: the timer of the queue may run before an overdue timer of the deadline, and a silent attempt was continued without a look at the time left.

Evidence: the new test failed before. Result: it passes.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -476,6 +476,7 @@
         """
         context, request = self._context, self._request
         if (not self._may_run_again(self._runs + 1) or
+                request.expires_at <= context.clock.monotonic() or
                 self._find_denial() is not None or
                 context.crashes.is_blocked(self._fingerprint)):
             return None
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -462,6 +462,23 @@
     assert caller.end == "complete"
 
 
+def test_overdue_request_is_not_sent_to_another_endpoint():
+    """The timer of the queue may run before the one of the deadline."""
+    harness = harness_module.Harness(endpoints=2)
+    harness.start(
+        harness_module.make_stream_request(
+            harness, expires_at=harness.clock.monotonic() + ms(2000)))
+    first = harness.client.sent[0]
+    load = _fill_other_endpoints(harness, first)
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    harness.scheduler.advance(ms(1500))
+    harness.loads.subtract(_find_other_endpoint(harness, first), load)
+    harness.clock.advance(ms(5000))
+    harness.scheduler.advance(ms(100))
+    assert len(harness.client.sent) == 1
+
+
 def test_request_to_a_service_without_endpoints_is_refused():
     harness = harness_module.Harness(endpoints=0)
     for make_request in (harness_module.make_request,
