Log the software versions of endpoints and which stream a request resumes

The logs could not tell a continuation within one response from a stream that its caller takes up again, and named no version of the endpoints' software.

--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -21,6 +21,7 @@
             request.
         is_stalled: Whether the endpoint exceeded the stall timeout.
         body: Buffered body of a response that is not sent on immediately.
+        has_sent_events: Whether the caller got events of its stream.
         is_truncated: Whether the body exceeded the buffer and is incomplete.
         handle: Aborts the attempt; None before it was sent.
     """
@@ -36,6 +37,7 @@
         self.was_not_run = False
         self.is_stalled = False
         self.body = bytearray()
+        self.has_sent_events = False
         self.is_truncated = False
         self.handle: forwarding_context.Attempt | None = None
 
--- a/mustardwood/dispatch/endpoint.py
+++ b/mustardwood/dispatch/endpoint.py
@@ -16,6 +16,7 @@
         slots: Number of requests that it runs concurrently.
         is_leaving: Whether it announced that it accepts no new requests.
         started: Time of its last start in Unix milliseconds; 0 if unknown.
+        version: Version of its software; empty if unknown.
     """
 
     name: str
@@ -26,3 +27,4 @@
     slots: int
     is_leaving: bool = False
     started: int = 0
+    version: str = ""
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -277,6 +277,7 @@
             return
         if not self._is_head_sent:
             self._send_head(attempt, None)
+        attempt.has_sent_events = True
         self._record.record_events()
         self._caller.write(events)
 
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -73,6 +73,8 @@
         now = self._context.clock.monotonic()
         self._attempts.append({
             "endpoint": attempt.endpoint,
+            "software": attempt.choice.endpoint.version,
+            "sent_events": attempt.has_sent_events,
             "cost": round(attempt.choice.cost, 3),
             "cached": attempt.choice.is_cached,
             "prefill_tokens": attempt.choice.load.prefill_tokens,
@@ -105,6 +107,8 @@
             request_id=request.request_id,
             route=request.route,
             organisation=request.organisation,
+            resumes=request.resumed_request_id,
+            last_event_id=request.last_event_id,
             tier=request.tier,
             route_tier=request.route_tier,
             organisation_tier=request.organisation_tier,
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -37,6 +37,8 @@
         body: The whole body.
         last_event_id: Id of the last event of a stream that the caller
             resumes; None for a new stream.
+        resumed_request_id: Id of the request that brought the first event of
+            that stream; empty if the caller named none.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     tier_count: int = 1
     route_tier: int = 0
     organisation_tier: int | None = None
+    resumed_request_id: str = ""
 
     @property
     def urgency(self) -> float:
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -252,6 +252,7 @@
         "port": 8000 + index,
         "zone": "zone-a",
         "slots": slots,
+        "version": "v1",
     }
     return dispatch.Endpoint(**{**fields, **changes})
 
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -518,6 +518,19 @@
     assert 400 <= fields["queued_ms"] <= 420
 
 
+def test_log_line_names_the_software_and_the_resumed_stream():
+    harness = harness_module.Harness(endpoints=1)
+    request = harness_module.make_stream_request(harness,
+                                                 last_event_id=4,
+                                                 resumed_request_id="a0")
+    harness.start(request)
+    harness.client.sent[0].respond(body=b"id: 5\ndata: a\n\n")
+    _, fields = harness.journal.lines[-1]
+    assert (fields["last_event_id"], fields["resumes"]) == (4, "a0")
+    attempt = fields["attempts"][0]
+    assert (attempt["software"], attempt["sent_events"]) == ("v1", True)
+
+
 def test_metrics_count_the_end_of_each_attempt_and_request():
     harness = harness_module.Harness()
     harness.start()
--- a/mustardwood/platform/endpoint_decoder.py
+++ b/mustardwood/platform/endpoint_decoder.py
@@ -23,6 +23,7 @@
     zone: str = ""
     slots: int = 1
     born: int = 0
+    version: str = ""
 
 
 def decode_endpoint(key: str, value: bytes) -> dispatch.Endpoint:
@@ -46,4 +47,5 @@
                              zone=registration.zone,
                              slots=registration.slots,
                              is_leaving=is_leaving,
-                             started=registration.born)
+                             started=registration.born,
+                             version=registration.version)
--- a/mustardwood/platform/headers.py
+++ b/mustardwood/platform/headers.py
@@ -26,6 +26,8 @@
 """Priority in the engine's queue, from 0 (first) to 9 (last)."""
 LAST_EVENT_ID = b"last-event-id"
 """Id of the last event of a stream that the receiver has."""
+RESUMED_ID = b"resumes"
+"""Id of the request that brought the first event of a resumed stream."""
 AUTHORIZATION = b"authorization"
 HOST = b"host"
 
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -8,6 +8,8 @@
 from mustardwood.platform import headers
 
 _AUTHORIZATION_SCHEME = b"bearer "
+_MAX_REQUEST_ID_BYTES = 200
+"""Maximum length of a request id that a caller may resume."""
 _DEFAULT_DEADLINE = datetime.timedelta(minutes=10)
 """Deadline for callers that name none; the route's time limit is shorter."""
 _NOT_READY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
@@ -82,7 +84,8 @@
             http_request.find_header(headers.LAST_EVENT_ID)),
         tier_count=table.tier_count,
         route_tier=route.tier,
-        organisation_tier=organisation.tier if organisation else None)
+        organisation_tier=organisation.tier if organisation else None,
+        resumed_request_id=_read_resumed_id(http_request))
 
 
 def _read_api_key(http_request: http1.HttpRequest) -> str:
@@ -92,6 +95,12 @@
     return value[len(_AUTHORIZATION_SCHEME):].strip().decode("latin-1")
 
 
+def _read_resumed_id(http_request: http1.HttpRequest) -> str:
+    """Returns the id of the resumed request; empty if none or too long."""
+    value = (http_request.find_header(headers.RESUMED_ID) or b"").strip()
+    return "" if len(value) > _MAX_REQUEST_ID_BYTES else value.decode("latin-1")
+
+
 def _read_deadline(
         http_request: http1.HttpRequest) -> datetime.timedelta | None:
     number = _parse_number(http_request.find_header(headers.DEADLINE))
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -253,7 +253,8 @@
                                 revision=item.revision,
                                 service=endpoint.service,
                                 leaving=endpoint.is_leaving,
-                                started=endpoint.started)
+                                started=endpoint.started,
+                                software=endpoint.version)
 
     def _is_stale(self, item: store_client.Item) -> bool:
         """Returns whether an item with the same or a higher revision is known.
--- a/mustardwood/platform/tests/test_decoders.py
+++ b/mustardwood/platform/tests/test_decoders.py
@@ -82,6 +82,8 @@
     "slots": "many"
 }, {
     "born": "yesterday"
+}, {
+    "version": 2
 }])
 def test_registration_with_an_invalid_field_is_rejected(changes):
     value = json.dumps(documents.make_registration(**changes)).encode()
@@ -94,6 +96,13 @@
     found = endpoint_decoder.decode_endpoint("servers/i-1",
                                              json.dumps(entry).encode())
     assert (found.name, found.is_leaving) == ("i-1", True)
+    assert not found.version
+
+
+def test_version_of_the_software_is_read_from_the_registration():
+    value = json.dumps(documents.make_registration(version="v1.1")).encode()
+    found = endpoint_decoder.decode_endpoint("servers/i-1", value)
+    assert found.version == "v1.1"
 
 
 def test_deadline_is_the_earlier_of_the_routes_and_the_callers():
@@ -157,6 +166,24 @@
     ]
 
 
+def test_id_of_the_resumed_stream_is_decoded_and_forwarded():
+    request = _decode_request("/stream/x", {
+        b"Last-Event-Id": b"4",
+        b"Resumes": b"a0"
+    })
+    assert (request.last_event_id, request.resumed_request_id) == (4, "a0")
+    assert (b"Resumes", b"a0") in request.headers
+
+
+@pytest.mark.parametrize("value", [b"", b"x" * 201, b"x" * 100_000])
+def test_missing_or_oversized_id_of_a_resumed_stream_is_ignored(value):
+    request = _decode_request("/stream/x", {
+        b"Last-Event-Id": b"4",
+        b"Resumes": value
+    })
+    assert (request.last_event_id, request.resumed_request_id) == (4, "")
+
+
 def test_prompt_parts_and_token_counts_are_decoded():
     request = _decode_request(
         "/stream/x", {
