Model software versions, the loss of VMs and callers that resume streams

Engines of the stream simulation have versions, which their events carry. VMs can lose their requests and state, and callers resume broken streams of a resumable kind at any VM. Outcome counts resumptions and streams that mix versions.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -37,10 +37,11 @@
         """See `forwarding_context.EndpointClient`."""
         del time_left
         engine = self._engines[endpoint.name]
+        last = request.last_event_id if resume_after is None else resume_after
         run = run_module.Run(request,
                              request.prompt.output_tokens,
                              listener,
-                             last_event_id=resume_after or 0)
+                             last_event_id=last or 0)
         if not engine.submit(run):
             self._scheduler.call_later(datetime.timedelta(),
                                        lambda: _reject(listener))
--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -34,10 +34,15 @@
                  rng: random.Random) -> None:
         self.name = name
         directory = dispatch.EndpointDirectory(scheduler)
-        for number, engine in enumerate(engines):
+        for number, (engine, model) in enumerate(engines.items()):
             directory.set_endpoint(
-                dispatch.Endpoint(engine, SERVICE, "192.0.2.1", 8000 + number,
-                                  "zone", parameters.slots))
+                dispatch.Endpoint(engine,
+                                  SERVICE,
+                                  "192.0.2.1",
+                                  8000 + number,
+                                  "zone",
+                                  parameters.slots,
+                                  version=model.version))
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -53,6 +53,9 @@
             shares of the requests; None for an organisation without its own.
         crashes: Times at which one engine after another crashes and restarts
             at once, in seconds.
+        vm_losses: Times at which one VM after another loses its requests and
+            its state and restarts at once, in seconds.
+        versions: Software versions, which the engines have in turn.
         seconds: Time during which requests arrive, in seconds.
         vms: Number of VMs.
         engines: Number of engines.
@@ -67,6 +70,8 @@
     bursts: tuple[Burst, ...] = ()
     organisation_tiers: tuple[int | None, ...] = (None,)
     crashes: tuple[float, ...] = ()
+    vm_losses: tuple[float, ...] = ()
+    versions: tuple[str, ...] = ("v1",)
     seconds: float = 20.0
     vms: int = 9
     engines: int = 6
@@ -94,6 +99,9 @@
             response.
         served_share_of_largest: The same for the tenth of them with the
             longest prompts.
+        mixed_streams: Number of streams with events of two software versions.
+        resumptions: Number of times that a caller resumed a stream.
+        continuations: Number of them that brought an event.
     """
 
     credit_share: float
@@ -105,6 +113,9 @@
     inverted_preemptions: int
     served_share_by_kind: dict[str, float]
     served_share_of_largest: dict[str, float]
+    mixed_streams: int
+    resumptions: int
+    continuations: int
 
 
 def simulate_load(profile: LoadProfile,
@@ -132,14 +143,14 @@
                         profile.parameters,
                         slowdown=1.0 +
                         (profile.max_slowdown - 1.0) * number / steps),
-                    self._timeline) for number in range(profile.engines)
+                    self._timeline,
+                    profile.versions[number % len(profile.versions)])
+            for number in range(profile.engines)
         }
-        self._vms = [
-            modelled_vm.ModelledVm(f"vm-{number}", self._scheduler,
-                                   self._engines, profile.parameters, settings,
-                                   profile.vms, random.Random(seed + number))
-            for number in range(profile.vms)
-        ]
+        self._settings = settings
+        self._seed = seed
+        self._vms = [self._make_vm(number) for number in range(profile.vms)]
+        self._open: list[list[_OpenRequest]] = [[] for _ in self._vms]
         self._routes = {each.name: _make_route(each) for each in profile.kinds}
         self._organisations = [
             dispatch.Organisation(f"organisation-{number}", frozenset(), tier)
@@ -150,6 +161,13 @@
         self._callers: list[_SentRequest] = []
         self._numbers = itertools.count()
 
+    def _make_vm(self, number: int) -> modelled_vm.ModelledVm:
+        profile = self._profile
+        return modelled_vm.ModelledVm(f"vm-{number}", self._scheduler,
+                                      self._engines, profile.parameters,
+                                      self._settings, profile.vms,
+                                      random.Random(self._seed + number))
+
     def run(self) -> Outcome:
         """Runs the simulation until all requests have ended."""
         profile = self._profile
@@ -159,19 +177,33 @@
         for number, crash_time in enumerate(profile.crashes):
             engine = self._engines[f"engine-{number % profile.engines}"]
             self._timeline.call_at(crash_time, engine.crash)
-        for vm in self._vms:
+        for number, loss_time in enumerate(profile.vm_losses):
+            self._timeline.call_at(
+                loss_time, functools.partial(self._lose_vm,
+                                             number % profile.vms))
+        for number in range(profile.vms):
             self._timeline.call_at(
                 self._rng.uniform(0.0, profile.peer_update_interval),
-                functools.partial(self._send_peer_updates, vm))
+                functools.partial(self._send_peer_updates, number))
         self._timeline.run_until(profile.seconds + _DRAIN_SECONDS)
         return self._compute_outcome()
 
-    def _send_peer_updates(self, vm: modelled_vm.ModelledVm) -> None:
+    def _lose_vm(self, number: int) -> None:
+        interrupted = self._open[number]
+        self._open[number] = []
+        self._vms[number] = self._make_vm(number)
+        for each in interrupted:
+            if not each.forwarding.is_done:
+                each.forwarding.handle_caller_disconnect()
+                each.caller.abort()
+
+    def _send_peer_updates(self, number: int) -> None:
+        vm = self._vms[number]
         for other in self._vms:
             if other is not vm:
                 vm.send_peer_update(other)
         self._timeline.call_later(self._profile.peer_update_interval,
-                                  lambda: self._send_peer_updates(vm))
+                                  lambda: self._send_peer_updates(number))
 
     def _handle_arrival(self, kind: stream_kind.StreamKind) -> None:
         now = self._timeline.seconds
@@ -204,12 +236,14 @@
 
     def _send(self, kind: stream_kind.StreamKind,
               organisation: dispatch.Organisation, prompt: dispatch.Prompt,
-              caller: dispatch.Caller, time_left: datetime.timedelta) -> None:
+              caller: modelled_caller.ModelledCaller,
+              time_left: datetime.timedelta) -> None:
         now = self._scheduler.monotonic()
         number = next(self._numbers)
         route = self._routes[kind.name]
+        caller.request_id = f"request-{number}"
         request = dispatch.ServiceRequest(
-            request_id=f"request-{number}",
+            request_id=caller.request_id,
             route=route.name,
             service=modelled_vm.SERVICE,
             organisation=organisation.name,
@@ -226,9 +260,14 @@
             target=f"/{number}",
             tier_count=self._table.tier_count,
             route_tier=route.tier,
-            organisation_tier=organisation.tier)
-        vm = self._rng.choice(self._vms)
-        dispatch.Forwarding(request, caller, vm.context).start()
+            organisation_tier=organisation.tier,
+            last_event_id=caller.last_event_id,
+            resumed_request_id=caller.first_request_id)
+        vm_number = self._rng.randrange(len(self._vms))
+        forwarding = dispatch.Forwarding(request, caller,
+                                         self._vms[vm_number].context)
+        self._open[vm_number].append(_OpenRequest(forwarding, caller))
+        forwarding.start()
 
     def _draw_size(self, mean: int) -> int:
         spread = self._rng.lognormvariate(-_SIZE_SIGMA**2 / 2, _SIZE_SIGMA)
@@ -267,7 +306,18 @@
             served_share_of_largest={
                 name: _compute_served_share(_list_largest(sent))
                 for name, sent in by_kind.items()
-            })
+            },
+            mixed_streams=sum(
+                len(each.caller.versions) > 1 for each in self._callers),
+            resumptions=sum(each.caller.resumptions for each in self._callers),
+            continuations=sum(
+                each.caller.continuations for each in self._callers))
+
+
+@dataclasses.dataclass(frozen=True)
+class _OpenRequest:
+    forwarding: dispatch.Forwarding
+    caller: modelled_caller.ModelledCaller
 
 
 @dataclasses.dataclass(frozen=True)
--- a/mustardwood/benchmarks/streams/stream_engine.py
+++ b/mustardwood/benchmarks/streams/stream_engine.py
@@ -20,6 +20,7 @@
     engines are not modelled.
 
     Attributes:
+        version: Version of its software, which its events carry as data.
         prefilled_tokens: Number of prompt tokens prefilled.
         preemptions: Number of requests preempted.
         inverted_preemptions: Number of requests preempted while a request ran
@@ -30,8 +31,11 @@
            inference with Sarathi-Serve", OSDI 2024.
     """
 
-    def __init__(self, parameters: engine_parameters.EngineParameters,
-                 timeline: timeline_module.Timeline) -> None:
+    def __init__(self,
+                 parameters: engine_parameters.EngineParameters,
+                 timeline: timeline_module.Timeline,
+                 version: str = "v1") -> None:
+        self.version = version
         self.prefilled_tokens = 0
         self.preemptions = 0
         self.inverted_preemptions = 0
@@ -111,8 +115,9 @@
         if (run.generated_tokens == 1 or is_complete or
                 run.generated_tokens % size == 0):
             run.last_event_id += 1
-            run.listener.receive_data(b"id: %d\ndata: x\n\n" %
-                                      run.last_event_id)
+            run.listener.receive_data(
+                b"id: %d\ndata: %s\n\n" %
+                (run.last_event_id, self.version.encode()))
         if is_complete and run in self._decoding:
             self._decoding.remove(run)
             run.listener.receive_end()
