Add failing tests of streams that mix software versions

What callers saw: a stream that an endpoint of one software version began went on at an endpoint of another one, in one response or after its caller resumed it.

--- a/mustardwood/benchmarks/streams/tests/test_simulation.py
+++ b/mustardwood/benchmarks/streams/tests/test_simulation.py
@@ -37,6 +37,12 @@
                                                   event_tokens=10),
     peer_update_interval=0.1)
 
+_MIXED_VERSIONS = simulation.LoadProfile(seconds=6.0,
+                                         versions=("v1", "v1.1"),
+                                         crashes=(2.0, 3.0, 4.0),
+                                         vm_losses=(2.5, 2.5, 2.5, 4.5, 4.5,
+                                                    4.5))
+
 
 @pytest.mark.parametrize("seed", (1, 2, 3))
 def test_engines_reserved_for_interactive_streams_keep_them_on_time(seed):
@@ -81,3 +87,17 @@
     largest = outcome.served_share_of_largest["tagging"]
     assert largest >= outcome.served_share_by_kind["tagging"] / 2
     assert largest >= outcome.served_share_by_kind["reconciliation"]
+
+
+@pytest.mark.parametrize("seed", (1, 2, 3))
+def test_no_stream_mixes_software_versions(seed):
+    outcome = simulation.simulate_load(_MIXED_VERSIONS, seed=seed)
+    assert outcome.resumptions > 12
+    assert outcome.mixed_streams == 0
+
+
+@pytest.mark.parametrize("seed", (1, 2, 3))
+def test_most_streams_that_callers_resume_go_on(seed):
+    outcome = simulation.simulate_load(_MIXED_VERSIONS, seed=seed)
+    share = outcome.continuations / outcome.resumptions
+    assert share >= outcome.served_share_by_kind["question"] / 2
--- /dev/null
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -0,0 +1,185 @@
+"""Tests of streams while endpoints of several software versions serve."""
+
+import pytest
+
+from mustardwood import dispatch
+from mustardwood.dispatch.tests import harness as harness_module
+
+ms = harness_module.ms
+_EVENT = b"id: 1\ndata: a\n\n"
+_HIGH_LOAD = dispatch.EndpointLoad(requests=50)
+"""Load of an endpoint that has room but is avoided if another one is idle."""
+
+
+def _make_harness(*versions, **settings):
+    harness = harness_module.Harness(endpoints=0, **settings)
+    for index, version in enumerate(versions):
+        _set_version(harness, index, version)
+    return harness
+
+
+def _set_version(harness, index, version, **changes):
+    harness.directory.set_endpoint(
+        harness_module.make_endpoint(index, version=version, **changes))
+
+
+def _start_stream(harness, event=_EVENT, **changes):
+    """Starts a stream and returns it with the endpoint that sent an event."""
+    request = harness_module.make_stream_request(harness, **changes)
+    forwarding, caller = harness.start(request)
+    attempt = harness.client.sent[-1]
+    attempt.begin()
+    attempt.listener.receive_data(event)
+    return forwarding, caller, attempt
+
+
+def _break_stream(harness, **changes):
+    """Lets a stream with one event break off at its caller's connection."""
+    forwarding, _, attempt = _start_stream(harness, **changes)
+    forwarding.handle_caller_disconnect()
+    return attempt.endpoint
+
+
+def _resume(harness, request_id, **changes):
+    request = harness_module.make_stream_request(harness,
+                                                 last_event_id=1,
+                                                 resumed_request_id=request_id,
+                                                 **changes)
+    return harness.start(request)
+
+
+def test_broken_stream_does_not_go_on_at_another_software_version():
+    harness = _make_harness("v1", "v1.1")
+    _, caller, attempt = _start_stream(harness)
+    attempt.listener.receive_failure(True, "reset")
+    assert len(harness.client.sent) == 1
+    assert (caller.body, caller.end) == (_EVENT, "broken")
+
+
+def test_broken_stream_goes_on_at_the_software_version_that_began_it():
+    harness = _make_harness("v1", "v1.1", "v1", "v1.1")
+    _, caller, first = _start_stream(harness)
+    first.listener.receive_failure(True, "reset")
+    second = harness.client.sent[1]
+    assert second.endpoint.name != first.endpoint.name
+    assert second.endpoint.version == first.endpoint.version
+    second.respond(body=b"id: 2\ndata: b\n\n")
+    assert caller.end == "complete"
+
+
+def test_silent_stream_is_not_handed_over_to_another_software_version():
+    harness = _make_harness("v1", "v1.1")
+    _, caller, attempt = _start_stream(harness)
+    harness.scheduler.advance(ms(1900))
+    assert len(harness.client.sent) == 1
+    attempt.respond(body=b"id: 2\ndata: b\n\n")
+    assert caller.end == "complete"
+
+
+def test_broken_stream_waits_for_room_at_its_software_version():
+    harness = _make_harness("v1", "v1.1", "v1", "v1.1")
+    _, caller, first = _start_stream(harness)
+    version = first.endpoint.version
+    other = next(
+        each for each in harness.list_usable()
+        if each.version == version and each.name != first.endpoint.name)
+    full = dispatch.EndpointLoad(requests=200)
+    harness.loads.add(other.name, full)
+    first.listener.receive_failure(True, "reset")
+    harness.scheduler.advance(ms(100))
+    assert len(harness.client.sent) == 1 and not caller.end
+    harness.loads.subtract(other.name, full)
+    harness.scheduler.advance(ms(100))
+    assert harness.client.sent[1].endpoint.version == version
+
+
+def test_stream_does_not_go_on_at_an_endpoint_restarted_with_another_version():
+    harness = _make_harness("v1", "v1")
+    _, caller, attempt = _start_stream(harness)
+    index = int(attempt.endpoint.name.rpartition("-")[2])
+    _set_version(harness, 1 - index, "v1.1", started=5)
+    attempt.listener.receive_failure(True, "reset")
+    assert len(harness.client.sent) == 1
+    assert caller.end == "broken"
+
+
+def test_stream_of_an_unknown_software_version_does_not_go_on():
+    harness = _make_harness("", "")
+    _, caller, attempt = _start_stream(harness)
+    attempt.listener.receive_failure(True, "reset")
+    assert len(harness.client.sent) == 1
+    assert caller.end == "broken"
+
+
+def test_stream_without_an_event_starts_again_at_any_software_version():
+    harness = _make_harness("v1", "v1.1")
+    _, caller, first = _start_stream(harness, event=b"id: 1\nda")
+    first.listener.receive_failure(True, "reset")
+    second = harness.client.sent[1]
+    assert second.endpoint.version != first.endpoint.version
+    second.respond(body=_EVENT)
+    assert (caller.body, caller.end) == (_EVENT, "complete")
+
+
+def test_resumed_stream_goes_on_at_the_software_version_that_began_it():
+    for number in range(8):
+        harness = _make_harness("v1", "v1.1")
+        endpoint = _break_stream(harness, request_id=f"id-{number}")
+        harness.loads.add(endpoint.name, _HIGH_LOAD)
+        _resume(harness, f"id-{number}")
+        assert harness.client.sent[-1].endpoint.version == endpoint.version
+
+
+def test_stream_is_resumed_twice_at_the_software_version_that_began_it():
+    harness = _make_harness("v1", "v1.1")
+    endpoint = _break_stream(harness, request_id="first")
+    harness.loads.add(endpoint.name, _HIGH_LOAD)
+    _break_stream(harness,
+                  event=b"id: 2\ndata: b\n\n",
+                  request_id="second",
+                  last_event_id=1,
+                  resumed_request_id="first")
+    _resume(harness, "first")
+    assert [each.endpoint.version for each in harness.client.sent
+           ] == [endpoint.version] * 3
+
+
+@pytest.mark.parametrize("request_id", ["", "unknown", "x" * 200, "\xff\x00"],
+                         ids=["missing", "unknown", "long", "not-ascii"])
+def test_resumption_of_an_unknown_stream_is_refused_as_not_run(request_id):
+    harness = _make_harness("v1", "v1.1")
+    _, caller = _resume(harness, request_id)
+    harness.scheduler.advance(ms(1000))
+    assert not harness.client.sent
+    assert caller.status == 503
+    assert caller.refusal.retry_after is not None
+
+
+def test_resumption_without_an_endpoint_of_its_version_is_refused_at_once():
+    harness = _make_harness("v1", "v1.1")
+    endpoint = _break_stream(harness, request_id="first")
+    index = int(endpoint.name.rpartition("-")[2])
+    _set_version(harness, index, endpoint.version, is_leaving=True)
+    _, caller = _resume(harness, "first")
+    assert len(harness.client.sent) == 1
+    assert caller.status == 503
+
+
+def test_request_that_never_brought_an_event_can_not_be_resumed():
+    harness = _make_harness("v1", "v1.1")
+    forwarding, _ = harness.start(
+        harness_module.make_stream_request(harness, request_id="first"))
+    forwarding.handle_caller_disconnect()
+    _, caller = _resume(harness, "first")
+    harness.scheduler.advance(ms(1000))
+    assert len(harness.client.sent) == 1
+    assert caller.status == 503
+
+
+def test_stream_that_may_run_once_is_not_held_to_a_software_version():
+    harness = _make_harness("v1", "v1.1")
+    harness.start(
+        harness_module.make_long_request(harness,
+                                         last_event_id=1,
+                                         resumed_request_id="unknown"))
+    assert len(harness.client.sent) == 1
