--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -33,16 +33,7 @@
                  settings: dispatch.PlacementSettings, vms: int,
                  rng: random.Random) -> None:
         self.name = name
-        directory = dispatch.EndpointDirectory(scheduler)
-        for number, (engine, model) in enumerate(engines.items()):
-            directory.set_endpoint(
-                dispatch.Endpoint(engine,
-                                  SERVICE,
-                                  "192.0.2.1",
-                                  8000 + number,
-                                  "zone",
-                                  parameters.slots,
-                                  version=model.version))
+        directory = _make_directory(scheduler, engines, parameters)
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
@@ -75,3 +66,21 @@
                                            self.context.loads.list_own_loads())
         for engine, prefix_key in self.context.prefix_caches.list_moves():
             other.context.prefix_caches.record_prefix(engine, prefix_key)
+
+
+def _make_directory(
+    scheduler: scheduler_module.Scheduler,
+    engines: collections.abc.Mapping[str, stream_engine.StreamEngine],
+    parameters: engine_parameters.EngineParameters
+) -> dispatch.EndpointDirectory:
+    directory = dispatch.EndpointDirectory(scheduler)
+    for number, (name, engine) in enumerate(engines.items()):
+        directory.set_endpoint(
+            dispatch.Endpoint(name,
+                              SERVICE,
+                              "192.0.2.1",
+                              8000 + number,
+                              "zone",
+                              parameters.slots,
+                              version=engine.version))
+    return directory
