Continue a response only at the software version that began it

What callers saw: within one response, a stream that an endpoint of v1.1 had begun and broken off went on at an endpoint of v1 (ORDER).

Cause: the successor of a broken or silent attempt was chosen from all usable endpoints of the service; the version in their registrations was not read. The class of fault: endpoints of one service are taken for interchangeable.

Change: the version of the endpoint that sent the first event is kept, and endpoints of other or unknown versions are left out, at one place for the replacement of broken attempts, for the handover of silent ones and for the queue. The placement still gets the whole list, which its reserved engines and preferred prefixes are computed from. Without another endpoint of the version, a broken response ends at once and a silent one goes on, as it does where all endpoints were tried. A registration that brings another version under the same id is compared as it is when the stream goes on. Before the first event any version may run the request.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -1,10 +1,12 @@
 """Forwarding of one request, from its arrival to the end of the response."""
 
+import collections.abc
 import datetime
 import http
 
 from mustardwood.dispatch import attempt_record
 from mustardwood.dispatch import crash_record
+from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import event_splitter
 from mustardwood.dispatch import forwarding_context
@@ -42,7 +44,8 @@
     If an endpoint fails, disconnects or stops sending, the request is sent to
     another one as far as its retry policy and the retry budget allow. A
     resumable stream continues after the last complete event that the caller
-    received.
+    received, and only at endpoints of the software version that sent its first
+    event: what two versions write does not fit together.
 
     An endpoint that is only silent may go on. Its attempt therefore stays open
     until another endpoint has room for the request and has not refused it.
@@ -58,6 +61,7 @@
         self._silent_attempt: attempt_record.AttemptRecord | None = None
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._tried_endpoints: set[str] = set()
+        self._software: str | None = None
         self._sends = 0
         self._runs = 0
         self._fingerprint = crash_record.find_fingerprint(request)
@@ -180,9 +184,9 @@
         if time_left <= datetime.timedelta():
             self._handle_deadline()
             return
-        choice = context.placement.choose(
-            request, context.directory.list_usable(request.service),
-            self._tried_endpoints)
+        usable = context.directory.list_usable(request.service)
+        choice = context.placement.choose(request, usable,
+                                          self._find_excluded(usable))
         if isinstance(choice, placement_limit.PlacementLimit):
             self._wait_in_queue(choice)
             return
@@ -223,7 +227,7 @@
         context, request = self._context, self._request
         self._record.record_wait(limit)
         usable = context.directory.list_usable(request.service)
-        if all(each.name in self._tried_endpoints for each in usable):
+        if len(self._find_excluded(usable)) == len(usable):
             self._give_up("no endpoint left", None)
             return
         if not self._is_queued:
@@ -277,6 +281,8 @@
             return
         if not self._is_head_sent:
             self._send_head(attempt, None)
+        if self._software is None:
+            self._software = attempt.choice.endpoint.version
         attempt.has_sent_events = True
         self._record.record_events()
         self._caller.write(events)
@@ -462,9 +468,25 @@
                 context.crashes.is_blocked(self._fingerprint)):
             return None
         usable = context.directory.list_usable(request.service)
-        if all(each.name in self._tried_endpoints for each in usable):
+        excluded = self._find_excluded(usable)
+        if len(excluded) == len(usable):
             return None
-        return context.placement.choose(request, usable, self._tried_endpoints)
+        return context.placement.choose(request, usable, excluded)
+
+    def _find_excluded(
+            self, usable: collections.abc.Iterable[endpoint_module.Endpoint]
+    ) -> set[str]:
+        """Returns the names of the usable endpoints that must not be chosen.
+
+        A stream of an unknown software version can't go on at any endpoint.
+        """
+        return {
+            each.name
+            for each in usable
+            if each.name in self._tried_endpoints or
+            (self._software is not None and
+             (not each.version or each.version != self._software))
+        }
 
     def _keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
         """Aborts the other one of two open attempts, if there are two.
