Resume a stream only at the software version that began it

Cause: a resumption was placed like a new request. No VM remembered at which version a stream began, and the VM that served it may be lost. The class of fault: endpoints of one service are taken for interchangeable.

Change: StreamVersionTable, soft state of each VM, holds the version of the endpoint that sent a stream's first event, by a digest of the service and the request id. New entries go to all peers with the next update, in new fields outside of the report, which peers compare. A VM that does not know a stream, for example after a restart or a lost datagram, asks the eight peers it heard of last; they reply at once. The resumption waits for that for 0.3 s at most, and is then refused with 503 as not run. So is one that names no request or a version without a usable endpoint. A stream reported with two versions stays unknown. On a split route, a resumption gets the service of the request that it names, since the id is what chooses the service.

Registrations with a version of over 100 characters are rejected, so that updates fit in a datagram.

The test of malformed reports cut the last byte of an update, which is no part of the report any more; it now also replaces the report. The test of the log line of a resumption starts the stream first, since an unknown one is refused.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -58,10 +58,21 @@
             retry_after=dispatch.RetryAfterPolicy(rng),
             queue=dispatch.PlacementQueue(scheduler, scheduler),
             journal=null_objects.NullJournal(),
-            metrics=null_objects.NullMetrics())
+            metrics=null_objects.NullMetrics(),
+            streams=dispatch.StreamVersionTable(scheduler))
 
-    def send_peer_update(self, other: "ModelledVm") -> None:
-        """Sends this VM's loads and moved prefixes to another VM."""
+    def send_peer_update(self, other: "ModelledVm", streams: dict[str, bytes],
+                         questions: bytes) -> None:
+        """Sends this VM's loads, moved prefixes and streams to another VM.
+
+        Args:
+            other: The other VM, which replies to the questions at once.
+            streams: This VM's new streams.
+            questions: Streams that it does not know.
+        """
+        other.context.streams.record_peer_streams(streams)
+        self.context.streams.record_peer_streams(
+            other.context.streams.find_answers(questions))
         other.context.loads.set_peer_loads(self.name,
                                            self.context.loads.list_own_loads())
         for engine, prefix_key in self.context.prefix_caches.list_moves():
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -199,9 +199,11 @@
 
     def _send_peer_updates(self, number: int) -> None:
         vm = self._vms[number]
+        streams = vm.context.streams.take_new_streams()
+        questions = vm.context.streams.take_questions()
         for other in self._vms:
             if other is not vm:
-                vm.send_peer_update(other)
+                vm.send_peer_update(other, streams, questions)
         self._timeline.call_later(self._profile.peer_update_interval,
                                   lambda: self._send_peer_updates(number))
 
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -43,6 +43,7 @@
 from mustardwood.dispatch.service_parameters import ServiceParameters
 from mustardwood.dispatch.service_request import ServiceRequest
 from mustardwood.dispatch.service_retry_budgets import ServiceRetryBudgets
+from mustardwood.dispatch.stream_version_table import StreamVersionTable
 
 __all__ = [
     "PEER_REPORT_LIFETIME",
@@ -82,5 +83,6 @@
     "ServiceParameters",
     "ServiceRequest",
     "ServiceRetryBudgets",
+    "StreamVersionTable",
     "Timer",
 ]
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -14,9 +14,11 @@
 from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import request_record
+from mustardwood.dispatch import retry_policy
 from mustardwood.dispatch import router_refusals
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import stall_timeout
+from mustardwood.dispatch import stream_version_table
 
 _MAX_SENDS = 4
 """Maximum number of sends of one request, including those that did not run."""
@@ -36,6 +38,13 @@
 the silent attempt may still go on; after that, two endpoints would run the
 request.
 """
+_LOOKUP_INTERVAL = datetime.timedelta(milliseconds=10)
+"""Interval at which the version of a resumed stream is looked up."""
+_MAX_LOOKUP_TIME = datetime.timedelta(milliseconds=300)
+"""Time within which peers tell the version of a resumed stream.
+
+A question waits for up to 20 ms before it is sent, and peers reply at once.
+"""
 
 
 class Forwarding:
@@ -73,7 +82,9 @@
         self._stall_timer: forwarding_context.Timer | None = None
         self._handover_timer: forwarding_context.Timer | None = None
         self._queue_timer: forwarding_context.Timer | None = None
+        self._lookup_timer: forwarding_context.Timer | None = None
         self._is_queued = False
+        self._has_asked_peers = False
         self._record = request_record.RequestRecord(request, context)
 
     @property
@@ -88,7 +99,10 @@
         time_left = self._request.expires_at - context.clock.monotonic()
         self._deadline_timer = context.scheduler.call_later(
             max(time_left, datetime.timedelta()), self._handle_deadline)
-        self._send_next()
+        if self._request.is_resumption:
+            self._look_up_software()
+        else:
+            self._send_next()
 
     def handle_caller_disconnect(self) -> None:
         """Aborts the request because its caller has disconnected."""
@@ -169,6 +183,42 @@
         """Returns whether the response of an attempt is still expected."""
         return attempt in (self._attempt, self._silent_attempt)
 
+    def _look_up_software(self) -> None:
+        """Sends a resumption once the version that began the stream is known.
+
+        It is refused if neither this VM nor its peers know the stream.
+        """
+        context, request = self._context, self._request
+        self._lookup_timer = None
+        self._software = context.streams.find(self._find_stream_key())
+        if self._software is not None:
+            self._send_next()
+            return
+        waited = context.clock.monotonic() - request.arrived_at
+        if not request.resumed_request_id or waited >= _MAX_LOOKUP_TIME:
+            self._give_up("unknown stream", None)
+            return
+        if not self._has_asked_peers:
+            self._has_asked_peers = True
+            context.streams.ask_peers(self._find_stream_key())
+        self._lookup_timer = context.scheduler.call_later(
+            _LOOKUP_INTERVAL, self._look_up_software)
+
+    def _find_stream_key(self) -> bytes:
+        request = self._request
+        return stream_version_table.find_key(
+            request.service, request.resumed_request_id
+            if request.is_resumption else request.request_id)
+
+    def _record_software(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Records which version begins or resumes the stream."""
+        version = attempt.choice.endpoint.version
+        if self._software is None:
+            self._software = version
+        if (version and self._request.retry_policy
+                is retry_policy.RetryPolicy.RESUMABLE):
+            self._context.streams.record(self._find_stream_key(), version)
+
     def _send_next(self) -> None:
         context, request = self._context, self._request
         denial = self._find_denial()
@@ -280,9 +330,8 @@
         if not events:
             return
         if not self._is_head_sent:
+            self._record_software(attempt)
             self._send_head(attempt, None)
-        if self._software is None:
-            self._software = attempt.choice.endpoint.version
         attempt.has_sent_events = True
         self._record.record_events()
         self._caller.write(events)
@@ -573,6 +622,9 @@
     def _finish(self, outcome: str, status: int) -> None:
         self._is_done = True
         self._leave_queue()
+        if self._lookup_timer is not None:
+            self._lookup_timer.cancel()
+            self._lookup_timer = None
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
             self._deadline_timer = None
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -17,6 +17,7 @@
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import service_retry_budgets
+from mustardwood.dispatch import stream_version_table
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
@@ -200,3 +201,4 @@
     queue: Queue
     journal: Journal
     metrics: Metrics
+    streams: stream_version_table.StreamVersionTable
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -65,6 +65,12 @@
     organisation_tier: int | None = None
     resumed_request_id: str = ""
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller resumes a stream that it has received in part."""
+        return (self.last_event_id is not None and
+                self.retry_policy is retry_policy_module.RetryPolicy.RESUMABLE)
+
     @property
     def urgency(self) -> float:
         """Position of the tier: 1 for the most urgent, 0 for the least."""
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -199,6 +199,7 @@
         self.health = dispatch.EndpointHealth(self.clock)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
         self.crashes = dispatch.CrashRecord(self.clock)
+        self.streams = dispatch.StreamVersionTable(self.clock)
         self.settings = dispatch.PlacementSettings()
         self.placement = dispatch.Placement(
             "zone-a", self.clock, self.loads, self.health, self.prefix_caches,
@@ -221,7 +222,8 @@
             retry_after=dispatch.RetryAfterPolicy(random.Random(2)),
             queue=self.queue,
             journal=self.journal,
-            metrics=self.metrics)
+            metrics=self.metrics,
+            streams=self.streams)
         for index in range(endpoints):
             self.directory.set_endpoint(make_endpoint(index, slots))
 
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -520,11 +520,13 @@
 
 def test_log_line_names_the_software_and_the_resumed_stream():
     harness = harness_module.Harness(endpoints=1)
+    harness.start(harness_module.make_stream_request(harness, request_id="a0"))
+    harness.client.sent[0].respond(body=b"id: 4\ndata: a\n\n")
     request = harness_module.make_stream_request(harness,
                                                  last_event_id=4,
                                                  resumed_request_id="a0")
     harness.start(request)
-    harness.client.sent[0].respond(body=b"id: 5\ndata: a\n\n")
+    harness.client.sent[1].respond(body=b"id: 5\ndata: a\n\n")
     _, fields = harness.journal.lines[-1]
     assert (fields["last_event_id"], fields["resumes"]) == (4, "a0")
     attempt = fields["attempts"][0]
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -183,3 +183,22 @@
                                          last_event_id=1,
                                          resumed_request_id="unknown"))
     assert len(harness.client.sent) == 1
+
+
+def test_resumption_waits_for_a_peer_that_knows_the_stream():
+    harness = _make_harness("v1", "v1.1")
+    _resume(harness, "first")
+    key = harness.streams.take_questions()
+    harness.scheduler.advance(ms(50))
+    assert not harness.client.sent
+    harness.streams.record_peer_streams({"v1.1": key})
+    harness.scheduler.advance(ms(20))
+    assert [each.endpoint.version for each in harness.client.sent] == ["v1.1"]
+
+
+def test_caller_that_disconnects_ends_the_search_for_its_stream():
+    harness = _make_harness("v1", "v1.1")
+    forwarding, caller = _resume(harness, "first")
+    forwarding.handle_caller_disconnect()
+    harness.scheduler.advance(ms(1000))
+    assert forwarding.is_done and caller.status is None
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -57,7 +57,8 @@
     def __init__(self, vm: str, clock: timing.Clock, loads: dispatch.LoadTable,
                  prefix_caches: dispatch.PrefixCacheIndex,
                  crashes: dispatch.CrashRecord, proof: dispatch.FreshnessProof,
-                 rng: random.Random) -> None:
+                 rng: random.Random,
+                 streams: dispatch.StreamVersionTable) -> None:
         """Creates a protocol without peers.
 
         Args:
@@ -70,6 +71,7 @@
             rng: Draws the initial sequence number. It is random so that a
                 peer's echo of a message from before a restart matches no
                 message of this process.
+            streams: Records which software versions began streams.
         """
         self._vm = vm
         self._clock = clock
@@ -77,9 +79,20 @@
         self._prefix_caches = prefix_caches
         self._crashes = crashes
         self._proof = proof
+        self._streams = streams
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
 
+    @property
+    def has_new_streams(self) -> bool:
+        """Whether there are streams that peers have not been told of."""
+        return self._streams.has_new_streams
+
+    @property
+    def has_questions(self) -> bool:
+        """Whether there are streams to ask peers about."""
+        return self._streams.has_questions
+
     def build_updates(self, receivers: collections.abc.Iterable[str],
                       revision: int) -> list[tuple[str, bytes]]:
         """Returns the next update for each of several peers.
@@ -91,6 +104,41 @@
         Returns:
             Pairs of a peer's name and the encoded update for it.
         """
+        return self._build(receivers, revision,
+                           self._streams.take_new_streams(), b"")
+
+    def build_questions(self, receivers: collections.abc.Iterable[str],
+                        revision: int) -> list[tuple[str, bytes]]:
+        """Returns updates that ask peers about unknown streams.
+
+        Args:
+            receivers: Names of the peers.
+            revision: Revision of the configuration that this VM uses.
+
+        Returns:
+            Pairs of a peer's name and the encoded update for it.
+        """
+        return self._build(receivers, revision, {},
+                           self._streams.take_questions())
+
+    def build_answers(self, update: peer_update.PeerUpdate,
+                      revision: int) -> list[tuple[str, bytes]]:
+        """Returns the reply to the questions of an update; none if unknown.
+
+        Args:
+            update: The update of a peer.
+            revision: Revision of the configuration that this VM uses.
+
+        Returns:
+            At most one pair of the peer's name and the encoded reply.
+        """
+        answers = self._streams.find_answers(update.questions)
+        return (self._build([update.sender], revision, answers, b"")
+                if answers else [])
+
+    def _build(self, receivers: collections.abc.Iterable[str], revision: int,
+               streams: dict[str, bytes],
+               questions: bytes) -> list[tuple[str, bytes]]:
         now = self._clock.monotonic()
         age = self._proof.get_age()
         requested_at = None if age is None else now - age
@@ -108,7 +156,7 @@
                      peer_update.PeerUpdate(
                          self._vm, self._sequence, peer.last_sequence,
                          _compute_proof_lead(peer, requested_at), revision,
-                         report))))
+                         report, streams, questions))))
         return updates
 
     def _build_report(self) -> peer_update.Report:
@@ -141,6 +189,7 @@
                 else msgspec.msgpack.decode(report, type=peer_update.Report))
         except msgspec.MsgspecError:
             return None
+        self._streams.record_peer_streams(update.streams)
         peer = self._peers.setdefault(update.sender, _Peer())
         if update.sequence <= peer.last_sequence and not _is_restart(
                 update, peer):
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -37,6 +37,10 @@
             than that; -1 if there is no proof.
         revision: Revision of the configuration that the sender uses.
         report: An encoded `Report`; it is encoded once for all receivers.
+        streams: Concatenated keys of streams, by the software version that
+            began them.
+        questions: Concatenated keys of streams whose version the sender asks
+            for.
     """
 
     sender: str
@@ -45,3 +49,5 @@
     proof_lead_ms: int
     revision: int
     report: msgspec.Raw
+    streams: dict[str, bytes] = {}
+    questions: bytes = b""
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -3,6 +3,9 @@
 import datetime
 import random
 
+import msgspec
+import pytest
+
 from mustardwood import dispatch
 from mustardwood import peers
 from mustardwood import timing
@@ -16,6 +19,10 @@
     return datetime.timedelta(milliseconds=count)
 
 
+_STREAM = b"a stream"
+"""Key of a stream."""
+
+
 class _Vm:
 
     def __init__(self, name, seed=1):
@@ -26,9 +33,11 @@
                                              _MARGIN)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
         self.crashes = dispatch.CrashRecord(self.clock)
+        self.streams = dispatch.StreamVersionTable(self.clock)
         self.protocol = peers.PeerProtocol(name, self.clock, self.loads,
-                                           self.prefix_caches, self.crashes,
-                                           self.proof, random.Random(seed))
+                                           self.prefix_caches,
+                                           self.crashes, self.proof,
+                                           random.Random(seed), self.streams)
         self.revision = 10
 
     def build_update(self, other):
@@ -168,6 +177,82 @@
     local, remote = _Vm("local"), _Vm("remote", 2)
     message = remote.build_update(local)
     assert local.receive(message[:-1] + b"\xc1") is None
+    update = msgspec.msgpack.decode(message)
+    update[5] = [3]
+    assert local.receive(msgspec.msgpack.encode(update)) is None
+    update[5] = [{}, [], []]
+    assert local.receive(msgspec.msgpack.encode(update)) is not None
+
+
+def test_stream_of_one_vm_can_be_resumed_at_another():
+    local, remote = _Vm("local"), _Vm("remote", 2)
+    remote.streams.record(_STREAM, "v1.1")
+    assert remote.protocol.has_new_streams
+    local.receive(remote.build_update(local))
+    assert local.streams.find(_STREAM) == "v1.1"
+    assert not remote.protocol.has_new_streams
+
+
+def test_stream_in_a_late_update_is_recorded():
+    local, remote = _Vm("local"), _Vm("remote", 2)
+    local.receive(remote.build_update(local))
+    remote.receive(local.build_update(remote))
+    remote.streams.record(_STREAM, "v1.1")
+    late = remote.build_update(local)
+    local.receive(remote.build_update(local))
+    assert local.receive(late) is None
+    assert local.streams.find(_STREAM) == "v1.1"
+
+
+def test_restarted_vm_learns_the_version_of_a_stream_from_a_peer():
+    restarted, peer = _Vm("restarted"), _Vm("peer", 2)
+    peer.streams.record_peer_streams({"v1.1": _STREAM})
+    restarted.streams.ask_peers(_STREAM)
+    restarted.streams.ask_peers(b"unknown!")
+    question = restarted.protocol.build_questions(["peer"], 10)[0][1]
+    update = peer.receive(question)
+    answers = peer.protocol.build_answers(update, 10)
+    assert [name for name, _ in answers] == ["restarted"]
+    restarted.receive(answers[0][1])
+    assert restarted.streams.find(_STREAM) == "v1.1"
+    assert restarted.streams.find(b"unknown!") is None
+    assert not restarted.protocol.has_questions
+
+
+def test_question_about_unknown_streams_gets_no_answer():
+    local, remote = _Vm("local"), _Vm("remote", 2)
+    remote.streams.ask_peers(_STREAM)
+    question = remote.protocol.build_questions(["local"], 10)[0][1]
+    assert not local.protocol.build_answers(local.receive(question), 10)
+
+
+@pytest.mark.parametrize("streams", [3, {"v1": "text"}, {1: b"12345678"}])
+def test_update_with_malformed_streams_is_dropped(streams):
+    local, remote = _Vm("local"), _Vm("remote", 2)
+    update = msgspec.msgpack.decode(remote.build_update(local))
+    update[6] = streams
+    assert local.receive(msgspec.msgpack.encode(update)) is None
+
+
+def test_update_of_a_release_without_streams_is_accepted():
+    local, remote = _Vm("local"), _Vm("remote", 2)
+    update = msgspec.msgpack.decode(remote.build_update(local))
+    assert local.receive(msgspec.msgpack.encode(update[:6])) is not None
+
+
+def test_update_with_many_streams_and_loads_fits_in_a_datagram():
+    """It must not be fragmented, so that it is lost as seldom as others."""
+    local, remote = _Vm("local"), _Vm("remote", 2)
+    for number in range(20):
+        remote.loads.add(
+            f"i-{number:010x}",
+            dispatch.EndpointLoad(prefill_tokens=20_000,
+                                  requests=12,
+                                  interactive_streams=12,
+                                  held_tokens=400_000))
+    for number in range(200):
+        remote.streams.record(number.to_bytes(8), f"v1.{number % 3}")
+    assert len(remote.build_update(local)) <= 1472
 
 
 def test_request_that_crashes_endpoints_is_blocked_on_all_vms():
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -72,6 +72,7 @@
         self._health = dispatch.EndpointHealth(self._clock)
         self._prefix_caches = dispatch.PrefixCacheIndex(self._clock)
         self._crashes = dispatch.CrashRecord(self._clock)
+        self._streams = dispatch.StreamVersionTable(self._clock)
         pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
         client = store_client.StoreClient(
             settings_module.parse_address(self._settings.store.address), pool,
@@ -87,8 +88,8 @@
         self._peers = peer_synchronizer.PeerSynchronizer(
             peers.PeerProtocol(self._settings.vm, self._clock, self._loads,
                                self._prefix_caches, self._crashes, self._proof,
-                               self._rng), self._loads, self._clock,
-            self._scheduler, pool, self._watcher, self._journal,
+                               self._rng, self._streams), self._loads,
+            self._clock, self._scheduler, pool, self._watcher, self._journal,
             self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
@@ -183,7 +184,8 @@
             retry_after=dispatch.RetryAfterPolicy(self._rng),
             queue=dispatch.PlacementQueue(self._clock, self._scheduler),
             journal=self._journal,
-            metrics=self._metrics)
+            metrics=self._metrics,
+            streams=self._streams)
 
     def _find_service(self, name: str) -> dispatch.ServiceParameters:
         configuration = self._watcher.configuration
--- a/mustardwood/platform/endpoint_decoder.py
+++ b/mustardwood/platform/endpoint_decoder.py
@@ -1,5 +1,7 @@
 """Decodes the registrations of endpoints in the platform's store."""
 
+import typing
+
 import msgspec
 
 from mustardwood import dispatch
@@ -9,6 +11,8 @@
 PREFIX = "servers/"
 """Prefix of the registrations' keys; it is followed by the endpoint's id."""
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
+_MAX_VERSION_LENGTH = 100
+"""Maximum length of a version, which VMs report to each other."""
 
 
 class _Registration(msgspec.Struct, frozen=True):
@@ -23,7 +27,8 @@
     zone: str = ""
     slots: int = 1
     born: int = 0
-    version: str = ""
+    version: typing.Annotated[str,
+                              msgspec.Meta(max_length=_MAX_VERSION_LENGTH)] = ""
 
 
 def decode_endpoint(key: str, value: bytes) -> dispatch.Endpoint:
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import heapq
 
 import msgspec
 
@@ -34,6 +35,8 @@
 It is a fifth of the time for which a received update is valid, whatever the
 number of peers.
 """
+_MAX_ASKED_PEERS = 8
+"""Number of peers that are asked about a stream; most know all streams."""
 _PEER_TIMEOUT = datetime.timedelta(seconds=15)
 """Time without updates after which an unregistered peer is removed."""
 _FETCH_DELAY = datetime.timedelta(milliseconds=200)
@@ -82,6 +85,7 @@
     def start(self) -> None:
         """Starts to send updates."""
         self._send_updates()
+        self._send_questions()
 
     def set_vm(self, name: str, value: bytes | None) -> None:
         """Handles a change of a VM's registration.
@@ -108,6 +112,7 @@
     def _send_updates(self) -> None:
         now = self._clock.monotonic()
         if (self._loads.version != self._sent_load_version or
+                self._protocol.has_new_streams or
                 now - self._sent_at >= _KEEPALIVE_INTERVAL):
             self._sent_load_version = self._loads.version
             self._sent_at = now
@@ -120,6 +125,18 @@
             min(_MIN_SEND_INTERVAL + _SEND_INTERVAL_PER_PEER * extra_peers,
                 _MAX_SEND_INTERVAL), self._send_updates)
 
+    def _send_questions(self) -> None:
+        """Asks the peers that were heard of last about unknown streams."""
+        if self._protocol.has_questions:
+            asked = heapq.nlargest(_MAX_ASKED_PEERS,
+                                   self._addresses,
+                                   key=lambda each: self._received_at.get(
+                                       each, datetime.timedelta()))
+            for name, update in self._protocol.build_questions(
+                    asked, self._watcher.revision):
+                self.port.send(update, self._addresses[name])
+        self._scheduler.call_later(_MIN_SEND_INTERVAL, self._send_questions)
+
     def _remove_silent_peers(self) -> None:
         oldest = self._clock.monotonic() - _PEER_TIMEOUT
         for name, since in list(self._removed_at.items()):
@@ -135,6 +152,10 @@
         if received is None:
             return
         self._received_at[received.sender] = self._clock.monotonic()
+        if received.questions and received.sender in self._addresses:
+            for name, reply in self._protocol.build_answers(
+                    received, self._watcher.revision):
+                self.port.send(reply, self._addresses[name])
         if received.revision > self._watcher.revision and not self._is_fetching:
             self._is_fetching = True
             self._scheduler.call_later(
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -60,11 +60,15 @@
                    arrived_at: datetime.timedelta) -> dispatch.ServiceRequest:
     request_id = (http_request.find_header(headers.ATTEMPT_ID) or
                   b"").decode("latin-1")
+    last_event_id = _parse_number(
+        http_request.find_header(headers.LAST_EVENT_ID))
+    resumed_request_id = ("" if last_event_id is None else
+                          _read_resumed_id(http_request))
     deadline = _read_deadline(http_request) or _DEFAULT_DEADLINE
     return dispatch.ServiceRequest(
         request_id=request_id,
         route=route.name,
-        service=route.choose_service(request_id),
+        service=route.choose_service(resumed_request_id or request_id),
         organisation=organisation.name if organisation else "",
         api_key=key,
         tier=table.find_tier(route, organisation),
@@ -80,12 +84,11 @@
         target=http_request.target,
         headers=_select_forwarded_headers(http_request),
         body=http_request.body,
-        last_event_id=_parse_number(
-            http_request.find_header(headers.LAST_EVENT_ID)),
+        last_event_id=last_event_id,
         tier_count=table.tier_count,
         route_tier=route.tier,
         organisation_tier=organisation.tier if organisation else None,
-        resumed_request_id=_read_resumed_id(http_request))
+        resumed_request_id=resumed_request_id)
 
 
 def _read_api_key(http_request: http1.HttpRequest) -> str:
--- a/mustardwood/platform/tests/test_decoders.py
+++ b/mustardwood/platform/tests/test_decoders.py
@@ -84,6 +84,8 @@
     "born": "yesterday"
 }, {
     "version": 2
+}, {
+    "version": "v" * 101
 }])
 def test_registration_with_an_invalid_field_is_rejected(changes):
     value = json.dumps(documents.make_registration(**changes)).encode()
@@ -175,6 +177,30 @@
     assert (b"Resumes", b"a0") in request.headers
 
 
+def test_resumed_stream_keeps_its_service_on_a_split_route():
+    routes = documents.make_document()["routes"]
+    routes[0]["service"] = ""
+    routes[0]["backends"] = [{
+        "service": "api",
+        "weight": 1
+    }, {
+        "service": "engine",
+        "weight": 1
+    }]
+    table = _decode(routes=routes).table
+    for number in range(20):
+        first = _decode_request("/stream/x",
+                                {b"Mustardwood-Attempt-Id": b"%d" % number},
+                                table)
+        resumed = _decode_request(
+            "/stream/x", {
+                b"Mustardwood-Attempt-Id": b"r%d" % number,
+                b"Last-Event-Id": b"4",
+                b"Resumes": b"%d" % number
+            }, table)
+        assert resumed.service == first.service
+
+
 @pytest.mark.parametrize("value", [b"", b"x" * 201, b"x" * 100_000])
 def test_missing_or_oversized_id_of_a_resumed_stream_is_ignored(value):
     request = _decode_request("/stream/x", {
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -46,6 +46,7 @@
         self.scheduler = harness_module.FakeScheduler(self.clock)
         self.loads = dispatch.LoadTable(self.clock)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
+        self.streams = dispatch.StreamVersionTable(self.clock)
         self.proof = dispatch.FreshnessProof(self.clock, ms(5000), ms(500))
         self.watcher = _FakeWatcher(revision)
         self.pool = _Pool()
@@ -54,7 +55,8 @@
         self.synchronizer = peer_synchronizer.PeerSynchronizer(
             peers.PeerProtocol(name, self.clock, self.loads, self.prefix_caches,
                                dispatch.CrashRecord(self.clock), self.proof,
-                               random.Random(name)), self.loads, self.clock,
+                               random.Random(name),
+                               self.streams), self.loads, self.clock,
             self.scheduler, self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: self.sent.append(
             (data, address))
@@ -81,6 +83,44 @@
     assert 3 <= len(vm.sent) <= 6
 
 
+def test_new_stream_is_sent_soon_although_the_load_is_unchanged():
+    vm = _Vm("vm-1")
+    _join(vm)
+    vm.synchronizer.start()
+    vm.sent.clear()
+    vm.streams.record(b"a stream", "v1")
+    vm.scheduler.advance(ms(25))
+    assert len(vm.sent) == 1
+
+
+def test_restarted_vm_learns_within_40_ms_which_version_began_a_stream():
+    clock = timing.ManualClock()
+    local, remote = _Vm("vm-1", clock=clock), _Vm("vm-2", clock=clock)
+    remote.streams.record_peer_streams({"v1": b"a stream"})
+    _join(local)
+    _join(remote, "vm-1", b"192.0.2.1:8229")
+    local.synchronizer.start()
+    local.streams.ask_peers(b"a stream")
+    local.scheduler.advance(ms(40))
+    for data, _ in local.sent:
+        remote.receive(data)
+    for data, address in remote.sent:
+        assert address == ("192.0.2.1", 8229)
+        local.receive(data)
+    assert local.streams.find(b"a stream") == "v1"
+
+
+def test_only_a_few_peers_of_a_large_deployment_are_asked_about_a_stream():
+    vm = _Vm("vm-1")
+    for number in range(77):
+        _join(vm, f"peer-{number}", b"192.0.2.%d:8229" % (number + 10))
+    vm.synchronizer.start()
+    vm.sent.clear()
+    vm.streams.ask_peers(b"a stream")
+    vm.scheduler.advance(ms(30))
+    assert len(vm.sent) == 8
+
+
 def test_idle_vm_of_a_large_deployment_keeps_its_reports_valid():
     """Reports of idle VMs must be repeated before they expire.
 
