Let no stream that waits for its version hold up other requests

What callers saw: nothing in the record; found while looking for the same cause elsewhere. Seven resumptions that wait for room at their software version kept a request from being sent to another version that had room.

Cause: a round of the placement queue ends after six failed placements, on the assumption that an engine without room for one request has none for those behind it. Requests that are held to a version don't tell that of other endpoints.

Change: failed placements are counted by software version, and apart from those of requests that may use any endpoint.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -300,7 +300,8 @@
     def _enter_queue(self) -> None:
         if not self._is_queued:
             self._is_queued = True
-            self._context.queue.add(self._request, self._retry_queued)
+            self._context.queue.add(self._request, self._retry_queued,
+                                    self._software or "")
 
     def _retry_queued(self) -> bool:
         if self._attempt is not None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -168,14 +168,17 @@
 class Queue(typing.Protocol):
     """Holds requests until an endpoint has free capacity."""
 
-    def add(self, request: service_request.ServiceRequest,
-            retry: collections.abc.Callable[[], bool]) -> None:
+    def add(self,
+            request: service_request.ServiceRequest,
+            retry: collections.abc.Callable[[], bool],
+            group: str = "") -> None:
         """Adds a request.
 
         Args:
             request: The request.
             retry: Tries to place the request; returns whether it no longer
                 has to wait.
+            group: Requests of the same group may use the same endpoints.
         """
 
     def remove(self, request: service_request.ServiceRequest) -> None:
--- a/mustardwood/dispatch/placement_queue.py
+++ b/mustardwood/dispatch/placement_queue.py
@@ -1,5 +1,6 @@
 """Queue of requests that wait for an engine with free capacity."""
 
+import collections
 import collections.abc
 import datetime
 
@@ -10,7 +11,10 @@
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=15)
 """Interval of placement attempts: a tenth of a long prompt's prefill."""
 _MAX_FAILED_RETRIES = 6
-"""Failed placements after which a round ends, to limit the processor time."""
+"""Failed placements after which a round ends for a group of requests.
+
+It limits the processor time. Other groups may have room on other endpoints.
+"""
 
 _Retry = collections.abc.Callable[[], bool]
 
@@ -29,21 +33,19 @@
         self._clock = clock
         self._scheduler = scheduler
         self._waiting: dict[service_request.ServiceRequest, _Retry] = {}
+        self._groups: dict[service_request.ServiceRequest, str] = {}
         self._is_retry_scheduled = False
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def add(self, request: service_request.ServiceRequest,
-            retry: _Retry) -> None:
-        """Adds a request.
-
-        Args:
-            request: The request.
-            retry: Tries to place the request; returns whether it no longer
-                has to wait.
-        """
+    def add(self,
+            request: service_request.ServiceRequest,
+            retry: _Retry,
+            group: str = "") -> None:
+        """See `forwarding_context.Queue`."""
         self._waiting[request] = retry
+        self._groups[request] = group
         if not self._is_retry_scheduled:
             self._is_retry_scheduled = True
             self._scheduler.call_later(_RETRY_INTERVAL, self._retry_requests)
@@ -51,19 +53,21 @@
     def remove(self, request: service_request.ServiceRequest) -> None:
         """Removes a request if it is in the queue."""
         self._waiting.pop(request, None)
+        self._groups.pop(request, None)
 
     def _retry_requests(self) -> None:
-        failed_retries = 0
+        failures: collections.Counter[str] = collections.Counter()
         for request in sorted(self._waiting, key=self._find_priority):
             retry = self._waiting.get(request)
             if retry is None:
                 continue
+            group = self._groups[request]
+            if failures[group] >= _MAX_FAILED_RETRIES:
+                continue
             if retry():
-                self._waiting.pop(request, None)
+                self.remove(request)
             else:
-                failed_retries += 1
-                if failed_retries >= _MAX_FAILED_RETRIES:
-                    break
+                failures[group] += 1
         if self._waiting:
             self._scheduler.call_later(_RETRY_INTERVAL, self._retry_requests)
         else:
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -202,3 +202,20 @@
     forwarding.handle_caller_disconnect()
     harness.scheduler.advance(ms(1000))
     assert forwarding.is_done and caller.status is None
+
+
+def test_streams_that_wait_for_their_version_do_not_hold_up_other_requests():
+    harness = _make_harness("v1", "v1.1")
+    endpoint = _break_stream(harness, request_id="first")
+    full = dispatch.EndpointLoad(prefill_tokens=50_000, requests=200)
+    for each in harness.list_usable():
+        harness.loads.add(each.name, full)
+    for _ in range(7):
+        _resume(harness, "first", tier=0)
+    harness.start(harness_module.make_stream_request(harness, request_id="new"))
+    other = next(
+        each for each in harness.list_usable() if each.name != endpoint.name)
+    harness.loads.subtract(other.name, full)
+    harness.scheduler.advance(ms(20))
+    assert harness.client.sent[-1].request.request_id == "new"
+    assert harness.client.sent[-1].endpoint == other
