--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -33,11 +33,7 @@
                  settings: dispatch.PlacementSettings, vms: int,
                  rng: random.Random) -> None:
         self.name = name
-        directory = dispatch.EndpointDirectory(scheduler)
-        for number, engine in enumerate(engines):
-            directory.set_endpoint(
-                dispatch.Endpoint(engine, SERVICE, "192.0.2.1", 8000 + number,
-                                  "zone", parameters.slots))
+        directory = _make_directory(scheduler, engines, parameters)
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
@@ -62,11 +58,40 @@
             retry_after=dispatch.RetryAfterPolicy(rng),
             queue=dispatch.PlacementQueue(scheduler, scheduler),
             journal=null_objects.NullJournal(),
-            metrics=null_objects.NullMetrics())
+            metrics=null_objects.NullMetrics(),
+            streams=dispatch.StreamVersionTable(scheduler))
 
-    def send_peer_update(self, other: "ModelledVm") -> None:
-        """Sends this VM's loads and moved prefixes to another VM."""
+    def send_peer_update(self, other: "ModelledVm", streams: dict[str, bytes],
+                         questions: bytes) -> None:
+        """Sends this VM's loads, moved prefixes and streams to another VM.
+
+        Args:
+            other: The other VM, which replies to the questions at once.
+            streams: This VM's new streams.
+            questions: Streams that it does not know.
+        """
+        other.context.streams.record_peer_streams(streams)
+        self.context.streams.record_peer_streams(
+            other.context.streams.find_answers(questions))
         other.context.loads.set_peer_loads(self.name,
                                            self.context.loads.list_own_loads())
         for engine, prefix_key in self.context.prefix_caches.list_moves():
             other.context.prefix_caches.record_prefix(engine, prefix_key)
+
+
+def _make_directory(
+    scheduler: scheduler_module.Scheduler,
+    engines: collections.abc.Mapping[str, stream_engine.StreamEngine],
+    parameters: engine_parameters.EngineParameters
+) -> dispatch.EndpointDirectory:
+    directory = dispatch.EndpointDirectory(scheduler)
+    for number, (name, engine) in enumerate(engines.items()):
+        directory.set_endpoint(
+            dispatch.Endpoint(name,
+                              SERVICE,
+                              "192.0.2.1",
+                              8000 + number,
+                              "zone",
+                              parameters.slots,
+                              version=engine.version))
+    return directory
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -1,10 +1,12 @@
 """Forwarding of one request, from its arrival to the end of the response."""
 
+import collections.abc
 import datetime
 import http
 
 from mustardwood.dispatch import attempt_record
 from mustardwood.dispatch import crash_record
+from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import event_splitter
 from mustardwood.dispatch import forwarding_context
@@ -12,9 +14,11 @@
 from mustardwood.dispatch import placement_limit
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import request_record
+from mustardwood.dispatch import retry_policy
 from mustardwood.dispatch import router_refusals
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import stall_timeout
+from mustardwood.dispatch import stream_version_table
 
 _MAX_SENDS = 4
 """Maximum number of sends of one request, including those that did not run."""
@@ -36,6 +40,13 @@
 """
 _CONNECTION_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
 """Interval at which the takeover waits for the successor's connection."""
+_LOOKUP_INTERVAL = datetime.timedelta(milliseconds=10)
+"""Interval at which the version of a resumed stream is looked up."""
+_MAX_LOOKUP_TIME = datetime.timedelta(milliseconds=300)
+"""Time within which peers tell the version of a resumed stream.
+
+A question waits for up to 20 ms before it is sent, and peers reply at once.
+"""
 
 
 class Forwarding:
@@ -44,7 +55,8 @@
     If an endpoint fails, disconnects or stops sending, the request is sent to
     another one as far as its retry policy and the retry budget allow. A
     resumable stream continues after the last complete event that the caller
-    received.
+    received, and only at endpoints of the software version that sent its first
+    event: what two versions write does not fit together.
 
     An endpoint that is only silent may go on. Its attempt therefore stays open
     until another endpoint has room for the request and has not refused it.
@@ -60,6 +72,7 @@
         self._silent_attempt: attempt_record.AttemptRecord | None = None
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._tried_endpoints: set[str] = set()
+        self._software: str | None = None
         self._sends = 0
         self._runs = 0
         self._fingerprint = crash_record.find_fingerprint(request)
@@ -71,7 +84,9 @@
         self._stall_timer: forwarding_context.Timer | None = None
         self._takeover_timer: forwarding_context.Timer | None = None
         self._queue_timer: forwarding_context.Timer | None = None
+        self._lookup_timer: forwarding_context.Timer | None = None
         self._is_queued = False
+        self._has_asked_peers = False
         self._record = request_record.RequestRecord(request, context)
 
     @property
@@ -86,7 +101,10 @@
         time_left = self._request.expires_at - context.clock.monotonic()
         self._deadline_timer = context.scheduler.call_later(
             max(time_left, datetime.timedelta()), self._handle_deadline)
-        self._send_next()
+        if self._request.is_resumption:
+            self._look_up_software()
+        else:
+            self._send_next()
 
     def handle_caller_disconnect(self) -> None:
         """Aborts the request because its caller has disconnected."""
@@ -176,6 +194,42 @@
         """Returns whether the response of an attempt is still expected."""
         return attempt in (self._attempt, self._silent_attempt)
 
+    def _look_up_software(self) -> None:
+        """Sends a resumption once the version that began the stream is known.
+
+        It is refused if neither this VM nor its peers know the stream.
+        """
+        context, request = self._context, self._request
+        self._lookup_timer = None
+        self._software = context.streams.find(self._find_stream_key())
+        if self._software is not None:
+            self._send_next()
+            return
+        waited = context.clock.monotonic() - request.arrived_at
+        if not request.resumed_request_id or waited >= _MAX_LOOKUP_TIME:
+            self._give_up("unknown stream", None)
+            return
+        if not self._has_asked_peers:
+            self._has_asked_peers = True
+            context.streams.ask_peers(self._find_stream_key())
+        self._lookup_timer = context.scheduler.call_later(
+            _LOOKUP_INTERVAL, self._look_up_software)
+
+    def _find_stream_key(self) -> bytes:
+        request = self._request
+        return stream_version_table.find_key(
+            request.service, request.resumed_request_id
+            if request.is_resumption else request.request_id)
+
+    def _record_software(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Records which version begins or resumes the stream."""
+        version = attempt.choice.endpoint.version
+        if self._software is None:
+            self._software = version
+        if (version and self._request.retry_policy
+                is retry_policy.RetryPolicy.RESUMABLE):
+            self._context.streams.record(self._find_stream_key(), version)
+
     def _send_next(self) -> None:
         context, request = self._context, self._request
         denial = self._find_denial()
@@ -191,9 +245,9 @@
         if time_left <= datetime.timedelta():
             self._handle_deadline()
             return
-        choice = context.placement.choose(
-            request, context.directory.list_usable(request.service),
-            self._tried_endpoints)
+        usable = context.directory.list_usable(request.service)
+        choice = context.placement.choose(request, usable,
+                                          self._find_excluded(usable))
         if isinstance(choice, placement_limit.PlacementLimit):
             self._wait_in_queue(choice)
             return
@@ -234,7 +288,7 @@
         context, request = self._context, self._request
         self._record.record_wait(limit)
         usable = context.directory.list_usable(request.service)
-        if all(each.name in self._tried_endpoints for each in usable):
+        if len(self._find_excluded(usable)) == len(usable):
             self._give_up("no endpoint left", None)
             return
         if not self._is_queued:
@@ -259,6 +313,7 @@
             self._is_queued = True
             self._context.queue.add(self._request,
                                     self._retry_queued,
+                                    group=self._software or "",
                                     has_begun=self._is_head_sent or
                                     self._attempt is not None)
 
@@ -290,7 +345,9 @@
         if not events:
             return
         if not self._is_head_sent:
+            self._record_software(attempt)
             self._send_head(attempt, None)
+        attempt.has_sent_events = True
         self._record.record_events()
         self._caller.write(events)
 
@@ -481,15 +538,30 @@
                 context.crashes.is_blocked(self._fingerprint)):
             return None
         usable = context.directory.list_usable(request.service)
-        if all(each.name in self._tried_endpoints for each in usable):
+        excluded = self._find_excluded(usable)
+        if len(excluded) == len(usable):
             return None
-        choice = context.placement.choose(request, usable,
-                                          self._tried_endpoints)
+        choice = context.placement.choose(request, usable, excluded)
         if (isinstance(choice, placement_module.Choice) and
                 context.health.is_avoided(choice.endpoint.name)):
             return placement_limit.PlacementLimit.NO_ENDPOINT
         return choice
 
+    def _find_excluded(
+            self, usable: collections.abc.Iterable[endpoint_module.Endpoint]
+    ) -> set[str]:
+        """Returns the names of the usable endpoints that must not be chosen.
+
+        A stream of an unknown software version can't go on at any endpoint.
+        """
+        return {
+            each.name
+            for each in usable
+            if each.name in self._tried_endpoints or
+            (self._software is not None and
+             (not each.version or each.version != self._software))
+        }
+
     def _keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
         """Aborts the other one of two open attempts, if there are two.
 
@@ -588,6 +660,9 @@
     def _finish(self, outcome: str, status: int) -> None:
         self._is_done = True
         self._leave_queue()
+        if self._lookup_timer is not None:
+            self._lookup_timer.cancel()
+            self._lookup_timer = None
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
             self._deadline_timer = None
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -17,6 +17,7 @@
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import service_retry_budgets
+from mustardwood.dispatch import stream_version_table
 
 Headers = collections.abc.Sequence[tuple[bytes, bytes]]
 
@@ -174,6 +175,7 @@
     def add(self,
             request: service_request.ServiceRequest,
             retry: collections.abc.Callable[[], bool],
+            group: str = "",
             has_begun: bool = False) -> None:
         """Adds a request.
 
@@ -181,6 +183,8 @@
             request: The request.
             retry: Tries to place the request; returns whether it no longer
                 has to wait.
+            group: Requests of a service with the same group may use the same
+                endpoints.
             has_begun: Whether an engine has run a part of it.
         """
 
@@ -207,3 +211,4 @@
     queue: Queue
     journal: Journal
     metrics: Metrics
+    streams: stream_version_table.StreamVersionTable
--- a/mustardwood/dispatch/placement_queue.py
+++ b/mustardwood/dispatch/placement_queue.py
@@ -12,9 +12,9 @@
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=15)
 """Interval of placement attempts: a tenth of a long prompt's prefill."""
 _MAX_FAILED_RETRIES = 6
-"""Failed placements of a service's new requests after which a round skips them.
+"""Failed placements of a group of requests after which a round skips the rest.
 
-It limits the processor time.
+It limits the processor time. Other groups may have room on other endpoints.
 """
 _MAX_FAILED_RETRIES_OF_BEGUN = 2
 """The same for requests whose response has begun, which are tried in turn."""
@@ -25,6 +25,7 @@
 @dataclasses.dataclass(frozen=True)
 class _Waiting:
     retry: _Retry
+    group: tuple[str, str, bool]
     has_begun: bool
 
 
@@ -54,16 +55,12 @@
     def add(self,
             request: service_request.ServiceRequest,
             retry: _Retry,
+            group: str = "",
             has_begun: bool = False) -> None:
-        """Adds a request.
-
-        Args:
-            request: The request.
-            retry: Tries to place the request; returns whether it no longer
-                has to wait.
-            has_begun: Whether an engine has run a part of it.
-        """
-        self._waiting[request] = _Waiting(retry, has_begun)
+        """See `forwarding_context.Queue`."""
+        self._waiting[request] = _Waiting(retry,
+                                          (request.service, group, has_begun),
+                                          has_begun)
         if not self._is_retry_scheduled:
             self._is_retry_scheduled = True
             self._scheduler.call_later(_RETRY_INTERVAL, self._retry_requests)
@@ -82,21 +79,20 @@
                                            self._retry_requests)
 
     def _retry_in_order(self) -> None:
-        failed_retries: collections.Counter[tuple[str, bool]] = (
+        failed_retries: collections.Counter[tuple[str, str, bool]] = (
             collections.Counter())
         for request in sorted(self._waiting, key=self._find_priority):
             waiting = self._waiting.get(request)
             if waiting is None:
                 continue
-            group = request.service, waiting.has_begun
-            if failed_retries[group] >= (_MAX_FAILED_RETRIES_OF_BEGUN
-                                         if waiting.has_begun else
-                                         _MAX_FAILED_RETRIES):
+            if failed_retries[waiting.group] >= (_MAX_FAILED_RETRIES_OF_BEGUN
+                                                 if waiting.has_begun else
+                                                 _MAX_FAILED_RETRIES):
                 continue
             if waiting.retry():
                 self._waiting.pop(request, None)
                 continue
-            failed_retries[group] += 1
+            failed_retries[waiting.group] += 1
             if waiting.has_begun and request in self._waiting:
                 # Equal priorities are sorted in the order of insertion.
                 self._waiting[request] = self._waiting.pop(request)
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -8,6 +8,8 @@
 from mustardwood.platform import headers
 
 _AUTHORIZATION_SCHEME = b"bearer "
+_MAX_REQUEST_ID_BYTES = 200
+"""Maximum length of a request id that a caller may resume."""
 _DEFAULT_DEADLINE = datetime.timedelta(minutes=10)
 """Deadline for callers that name none; the route's time limit is shorter."""
 _MAX_NUMBER = 10**15
@@ -60,11 +62,15 @@
                    arrived_at: datetime.timedelta) -> dispatch.ServiceRequest:
     request_id = (http_request.find_header(headers.ATTEMPT_ID) or
                   b"").decode("latin-1")
+    last_event_id = _parse_number(
+        http_request.find_header(headers.LAST_EVENT_ID))
+    resumed_request_id = ("" if last_event_id is None else
+                          _read_resumed_id(http_request))
     deadline = _read_deadline(http_request) or _DEFAULT_DEADLINE
     return dispatch.ServiceRequest(
         request_id=request_id,
         route=route.name,
-        service=route.choose_service(request_id),
+        service=route.choose_service(resumed_request_id or request_id),
         organisation=organisation.name if organisation else "",
         api_key=key,
         tier=table.find_tier(route, organisation),
@@ -80,11 +86,11 @@
         target=http_request.target,
         headers=_select_forwarded_headers(http_request),
         body=http_request.body,
-        last_event_id=_parse_number(
-            http_request.find_header(headers.LAST_EVENT_ID)),
+        last_event_id=last_event_id,
         tier_count=table.tier_count,
         route_tier=route.tier,
-        organisation_tier=organisation.tier if organisation else None)
+        organisation_tier=organisation.tier if organisation else None,
+        resumed_request_id=resumed_request_id)
 
 
 def _read_api_key(http_request: http1.HttpRequest) -> str:
@@ -94,6 +100,12 @@
     return value[len(_AUTHORIZATION_SCHEME):].strip().decode("latin-1")
 
 
+def _read_resumed_id(http_request: http1.HttpRequest) -> str:
+    """Returns the id of the resumed request; empty if none or too long."""
+    value = (http_request.find_header(headers.RESUMED_ID) or b"").strip()
+    return "" if len(value) > _MAX_REQUEST_ID_BYTES else value.decode("latin-1")
+
+
 def _read_deadline(
         http_request: http1.HttpRequest) -> datetime.timedelta | None:
     number = _parse_number(http_request.find_header(headers.DEADLINE))
