Let unknown streams go on where only one version has served

Since resumptions are held to a version, a stream that no VM knows (its VM was lost right after the first event, or the caller sends no Resumes) is refused, also where only one version serves and it went on before.

Change: EndpointDirectory remembers the versions that each service has had in the last minute, and since when its list has been complete and at most 7 s old. If that is one version for a minute, an unknown stream is of that version. A VM that has just started, that has been without the store, or that hears of no peer does not conclude it. The lookup of a version moves into a class of its own, VersionLookup.

The other new tests hold the limits of the conclusion.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -17,6 +17,13 @@
 It is longer than the three missed heartbeats after which the registration of a
 crashed endpoint expires.
 """
+_MAX_LISTING_AGE = datetime.timedelta(seconds=7)
+"""Maximum age of a current list of endpoints: two waits of a watch."""
+_VERSION_MEMORY = datetime.timedelta(seconds=60)
+"""Time for which a version counts after its last endpoint.
+
+It is longer than a stream, which may have begun there.
+"""
 
 
 class EndpointDirectory:
@@ -36,6 +43,9 @@
                                         datetime.timedelta]] = {}
         self._grace_period_end: datetime.timedelta | None = None
         self._by_service: dict[str, tuple[endpoint_module.Endpoint, ...]] = {}
+        self._past_versions: dict[tuple[str, str], datetime.timedelta] = {}
+        self._listed_at: datetime.timedelta | None = None
+        self._complete_since: datetime.timedelta | None = None
 
     def record_store_recovery(self) -> None:
         """Starts the grace period after a store outage.
@@ -50,6 +60,7 @@
         self._pending_removals.pop(endpoint.name, None)
         if self._endpoints.get(endpoint.name) == endpoint:
             return False
+        self._remember_version(endpoint.name)
         self._endpoints[endpoint.name] = endpoint
         self._by_service.clear()
         return True
@@ -115,7 +126,50 @@
         """Whether no endpoint is known."""
         return not self._endpoints
 
+    def record_listing(self, time: datetime.timedelta) -> None:
+        """Records that all registrations up to a time are known.
+
+        Args:
+            time: Monotonic time at which the list was requested.
+        """
+        if (self._listed_at is None or
+                time - self._listed_at > _MAX_LISTING_AGE):
+            self._complete_since = time
+        self._listed_at = time
+
+    def find_only_version(self, service: str) -> str | None:
+        """Returns the only software version that a service has recently had.
+
+        Returns:
+            The version; None if there were several, if one is unknown, or if
+            registrations may be missing.
+        """
+        now = self._clock.monotonic()
+        if (self._listed_at is None or self._complete_since is None or
+                now - self._listed_at > _MAX_LISTING_AGE or
+                now - self._complete_since < _VERSION_MEMORY):
+            return None
+        self._process_expirations()
+        versions = {
+            each.version
+            for each in self._endpoints.values()
+            if each.service == service
+        }
+        for (name, version), time in list(self._past_versions.items()):
+            if now - time > _VERSION_MEMORY:
+                del self._past_versions[name, version]
+            elif name == service:
+                versions.add(version)
+        return versions.pop() or None if len(versions) == 1 else None
+
+    def _remember_version(self, name: str) -> None:
+        known = self._endpoints.get(name)
+        if known is not None:
+            self._past_versions[known.service,
+                                known.version] = self._clock.monotonic()
+
     def _remove_now(self, name: str) -> bool:
+        self._remember_version(name)
         self._by_service.clear()
         return self._endpoints.pop(name, None) is not None
 
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -19,6 +19,7 @@
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import stall_timeout
 from mustardwood.dispatch import stream_version_table
+from mustardwood.dispatch import version_lookup
 
 _MAX_SENDS = 4
 """Maximum number of sends of one request, including those that did not run."""
@@ -38,13 +39,6 @@
 the silent attempt may still go on; after that, two endpoints would run the
 request.
 """
-_LOOKUP_INTERVAL = datetime.timedelta(milliseconds=10)
-"""Interval at which the version of a resumed stream is looked up."""
-_MAX_LOOKUP_TIME = datetime.timedelta(milliseconds=300)
-"""Time within which peers tell the version of a resumed stream.
-
-A question waits for up to 20 ms before it is sent, and peers reply at once.
-"""
 
 
 class Forwarding:
@@ -82,9 +76,8 @@
         self._stall_timer: forwarding_context.Timer | None = None
         self._handover_timer: forwarding_context.Timer | None = None
         self._queue_timer: forwarding_context.Timer | None = None
-        self._lookup_timer: forwarding_context.Timer | None = None
+        self._lookup: version_lookup.VersionLookup | None = None
         self._is_queued = False
-        self._has_asked_peers = False
         self._record = request_record.RequestRecord(request, context)
 
     @property
@@ -100,7 +93,9 @@
         self._deadline_timer = context.scheduler.call_later(
             max(time_left, datetime.timedelta()), self._handle_deadline)
         if self._request.is_resumption:
-            self._look_up_software()
+            self._lookup = version_lookup.VersionLookup(self._request, context,
+                                                        self._handle_version)
+            self._lookup.start()
         else:
             self._send_next()
 
@@ -183,41 +178,25 @@
         """Returns whether the response of an attempt is still expected."""
         return attempt in (self._attempt, self._silent_attempt)
 
-    def _look_up_software(self) -> None:
-        """Sends a resumption once the version that began the stream is known.
-
-        It is refused if neither this VM nor its peers know the stream.
-        """
-        context, request = self._context, self._request
-        self._lookup_timer = None
-        self._software = context.streams.find(self._find_stream_key())
-        if self._software is not None:
-            self._send_next()
-            return
-        waited = context.clock.monotonic() - request.arrived_at
-        if not request.resumed_request_id or waited >= _MAX_LOOKUP_TIME:
+    def _handle_version(self, version: str | None) -> None:
+        """Sends or refuses a resumption, whose version has been looked up."""
+        if version is None:
             self._give_up("unknown stream", None)
-            return
-        if not self._has_asked_peers:
-            self._has_asked_peers = True
-            context.streams.ask_peers(self._find_stream_key())
-        self._lookup_timer = context.scheduler.call_later(
-            _LOOKUP_INTERVAL, self._look_up_software)
-
-    def _find_stream_key(self) -> bytes:
-        request = self._request
-        return stream_version_table.find_key(
-            request.service, request.resumed_request_id
-            if request.is_resumption else request.request_id)
+        else:
+            self._software = version
+            self._send_next()
 
     def _record_software(self, attempt: attempt_record.AttemptRecord) -> None:
         """Records which version begins or resumes the stream."""
         version = attempt.choice.endpoint.version
         if self._software is None:
             self._software = version
-        if (version and self._request.retry_policy
-                is retry_policy.RetryPolicy.RESUMABLE):
-            self._context.streams.record(self._find_stream_key(), version)
+        request = self._request
+        if (version and request.stream_id and
+                request.retry_policy is retry_policy.RetryPolicy.RESUMABLE):
+            self._context.streams.record(
+                stream_version_table.find_key(request.service,
+                                              request.stream_id), version)
 
     def _send_next(self) -> None:
         context, request = self._context, self._request
@@ -623,9 +602,8 @@
     def _finish(self, outcome: str, status: int) -> None:
         self._is_done = True
         self._leave_queue()
-        if self._lookup_timer is not None:
-            self._lookup_timer.cancel()
-            self._lookup_timer = None
+        if self._lookup is not None:
+            self._lookup.cancel()
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
             self._deadline_timer = None
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -71,6 +71,15 @@
         return (self.last_event_id is not None and
                 self.retry_policy is retry_policy_module.RetryPolicy.RESUMABLE)
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that brought or brings the stream's first event.
+
+        It is empty if the caller resumes a stream and does not name it.
+        """
+        return (self.resumed_request_id
+                if self.is_resumption else self.request_id)
+
     @property
     def urgency(self) -> float:
         """Position of the tier: 1 for the most urgent, 0 for the least."""
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -219,3 +219,82 @@
     harness.scheduler.advance(ms(20))
     assert harness.client.sent[-1].request.request_id == "new"
     assert harness.client.sent[-1].endpoint == other
+
+
+def _observe_list(harness, duration):
+    """Lets time pass while the list of endpoints is confirmed."""
+    peer_loads = {"endpoint-0": dispatch.EndpointLoad()}
+    end = harness.clock.monotonic() + duration
+    while harness.clock.monotonic() < end:
+        harness.directory.record_listing(harness.clock.monotonic())
+        harness.scheduler.advance(ms(500))
+    harness.loads.set_peer_loads("peer", peer_loads)
+
+
+@pytest.mark.parametrize("request_id", ["", "unknown"])
+def test_unknown_stream_goes_on_where_only_one_version_has_served(request_id):
+    harness = _make_harness("v1", "v1")
+    _observe_list(harness, ms(61_000))
+    _resume(harness, request_id)
+    harness.loads.set_peer_loads("peer", {})
+    harness.scheduler.advance(ms(300))
+    assert len(harness.client.sent) == 1
+
+
+def test_resumption_that_names_no_stream_tells_no_version_of_another_one():
+    harness = _make_harness("v1", "v1")
+    _observe_list(harness, ms(61_000))
+    _, _ = _resume(harness, "")
+    attempt = harness.client.sent[0]
+    attempt.begin()
+    attempt.listener.receive_data(b"id: 2\ndata: b\n\n")
+    _set_version(harness, 2, "v1.1")
+    _, caller = _resume(harness, "")
+    assert caller.status == 503
+
+
+def _add_version(harness):
+    _set_version(harness, 2, "v1.1")
+
+
+def _add_and_remove_version(harness):
+    _set_version(harness, 2, "v1.1")
+    harness.directory.remove_endpoint("endpoint-2")
+
+
+def _add_unknown_version(harness):
+    _set_version(harness, 2, "")
+
+
+def _lose_store(harness):
+    harness.scheduler.advance(ms(8000))
+    harness.loads.set_peer_loads("peer", {})
+
+
+def _regain_store(harness):
+    _lose_store(harness)
+    harness.directory.record_listing(harness.clock.monotonic())
+
+
+def _lose_peers(harness):
+    harness.scheduler.advance(ms(1500))
+
+
+@pytest.mark.parametrize("change", [
+    _add_version, _add_and_remove_version, _add_unknown_version, _lose_store,
+    _regain_store, _lose_peers
+])
+def test_unknown_stream_is_refused_where_its_version_is_uncertain(change):
+    harness = _make_harness("v1", "v1")
+    _observe_list(harness, ms(61_000))
+    change(harness)
+    _, caller = _resume(harness, "")
+    assert not harness.client.sent
+    assert caller.status == 503
+
+
+def test_unknown_stream_is_refused_at_a_vm_that_has_just_started():
+    harness = _make_harness("v1", "v1")
+    _observe_list(harness, ms(20_000))
+    _, caller = _resume(harness, "")
+    assert caller.status == 503
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -136,6 +136,7 @@
                 else:
                     revision = await self._watch(revision)
                 self._proof.record(requested_at)
+                self._directory.record_listing(requested_at)
                 if self._had_changes:
                     await self._sleep(_BATCH_DELAY)
             except store_client.HistoryLostError as error:
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -246,3 +246,49 @@
         store_client.Item("vms/edge-3", None, 12)
     ], 12)
     assert harness.vms == {"edge-2": b"192.0.2.7:8229", "edge-3": None}
+
+
+def _watch_for(harness, duration):
+    """Lets watches end without changes after their whole time."""
+    end = harness.clock.monotonic() + duration
+    while harness.clock.monotonic() < end:
+        harness.scheduler.advance(store_watcher.MAX_WATCH_WAIT)
+        harness.deliver([], 10)
+
+
+def test_only_version_of_a_service_is_known_after_a_minute_of_watches():
+    harness = _Harness()
+    _watch_for(harness, ms(50_000))
+    assert harness.directory.find_only_version("api") is None
+    _watch_for(harness, ms(15_000))
+    assert harness.directory.find_only_version("api") == "v1"
+    # The pending watch has not ended yet.
+    harness.scheduler.advance(store_watcher.MAX_WATCH_WAIT)
+    assert harness.directory.find_only_version("api") == "v1"
+
+
+def test_only_version_of_a_service_is_unknown_during_and_after_an_outage():
+    harness = _Harness()
+    _watch_for(harness, ms(65_000))
+    harness.client.fail(_unavailable())
+    for _ in range(8):
+        harness.scheduler.advance(ms(1000))
+        if not harness.client.watches[-1][3].called:
+            harness.client.fail(_unavailable())
+    assert harness.directory.find_only_version("api") is None
+    harness.scheduler.advance(ms(1000))
+    harness.deliver([], 10)
+    assert harness.directory.find_only_version("api") is None
+
+
+def test_second_version_of_a_service_is_remembered_after_its_endpoint_left():
+    harness = _Harness()
+    _watch_for(harness, ms(65_000))
+    item = documents.make_item("servers/i-2",
+                               documents.make_registration(version="v2"), 11)
+    harness.deliver([item], 11)
+    harness.deliver([store_client.Item("servers/i-2", None, 12)], 12)
+    assert harness.usable() == ["i-1"]
+    assert harness.directory.find_only_version("api") is None
+    _watch_for(harness, ms(65_000))
+    assert harness.directory.find_only_version("api") == "v1"
