Conclude the version of an unknown stream from the route's time limit

Cause: the minute for which streams are kept was also the time for which one version has to be listed alone.

Change: the requests by which a caller reads a stream share its deadline, so the versions within the route's time limit count.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -20,10 +20,7 @@
 _MAX_LISTING_AGE = datetime.timedelta(seconds=7)
 """Maximum age of a current list of endpoints: two waits of a watch."""
 _VERSION_MEMORY = datetime.timedelta(seconds=60)
-"""Time for which a version counts after its last endpoint.
-
-It is longer than a stream, which may have begun there.
-"""
+"""Time for which a version is remembered after its last endpoint."""
 
 
 class EndpointDirectory:
@@ -137,17 +134,23 @@
             self._complete_since = time
         self._listed_at = time
 
-    def find_only_version(self, service: str) -> str | None:
+    def find_only_version(self, service: str,
+                          period: datetime.timedelta) -> str | None:
         """Returns the only software version that a service has recently had.
 
+        Args:
+            service: Name of the service.
+            period: Time before now that counts; at most a minute.
+
         Returns:
             The version; None if there were several, if one is unknown, or if
             registrations may be missing.
         """
         now = self._clock.monotonic()
+        period = min(period, _VERSION_MEMORY)
         if (self._listed_at is None or self._complete_since is None or
                 now - self._listed_at > _MAX_LISTING_AGE or
-                now - self._complete_since < _VERSION_MEMORY):
+                now - self._complete_since < period):
             return None
         self._process_expirations()
         versions = {
@@ -158,7 +161,7 @@
         for (name, version), time in list(self._past_versions.items()):
             if now - time > _VERSION_MEMORY:
                 del self._past_versions[name, version]
-            elif name == service:
+            elif name == service and now - time <= period:
                 versions.add(version)
         return versions.pop() or None if len(versions) == 1 else None
 
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -27,6 +27,8 @@
         inter_event_target: Latency target between two events of a stream.
         arrived_at: Monotonic time of arrival.
         expires_at: Deadline as monotonic time.
+        time_limit: Maximum time from a request to the end of its response, set
+            by its route.
         retry_policy: Whether the request may run more than once.
         is_stream: Whether the response is a stream of server-sent events.
         max_runs: Maximum number of endpoints on which it may run.
@@ -63,6 +65,7 @@
     tier_count: int = 1
     route_tier: int = 0
     organisation_tier: int | None = None
+    time_limit: datetime.timedelta = datetime.timedelta(minutes=1)
     resumed_request_id: str = ""
 
     @property
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -241,6 +241,16 @@
     assert len(harness.client.sent) == 1
 
 
+def test_only_the_time_for_which_a_stream_may_last_counts():
+    harness = _make_harness("v1", "v1")
+    _add_and_remove_version(harness)
+    _observe_list(harness, ms(13_000))
+    harness.loads.set_peer_loads("peer", {})
+    for time_limit, expected in ((ms(15_000), None), (ms(12_000), "v1")):
+        assert harness.directory.find_only_version("engine",
+                                                   time_limit) == expected
+
+
 def test_resumption_that_names_no_stream_tells_no_version_of_another_one():
     harness = _make_harness("v1", "v1")
     _observe_list(harness, ms(61_000))
--- a/mustardwood/dispatch/version_lookup.py
+++ b/mustardwood/dispatch/version_lookup.py
@@ -69,9 +69,12 @@
     def _find_only_version(self) -> str | None:
         """Returns the only version that may have begun the stream, if known.
 
-        A VM that hears of no peer may be cut off from the store, too.
+        The requests by which a caller reads a stream share one deadline, so the
+        stream is not older than the route's time limit. A VM that hears of no
+        peer may be cut off from the store, too.
         """
         context = self._context
         if not context.loads.count_peers():
             return None
-        return context.directory.find_only_version(self._request.service)
+        return context.directory.find_only_version(self._request.service,
+                                                   self._request.time_limit)
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -90,7 +90,8 @@
         tier_count=table.tier_count,
         route_tier=route.tier,
         organisation_tier=organisation.tier if organisation else None,
-        resumed_request_id=resumed_request_id)
+        resumed_request_id=resumed_request_id,
+        time_limit=route.time_limit)
 
 
 def _read_api_key(http_request: http1.HttpRequest) -> str:
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -15,6 +15,7 @@
 
 ms = harness_module.ms
 _BATCH_DELAY = ms(300)
+_MINUTE = ms(60_000)
 _CONFIGURATION = store_watcher.CONFIGURATION_KEY
 
 
@@ -259,12 +260,12 @@
 def test_only_version_of_a_service_is_known_after_a_minute_of_watches():
     harness = _Harness()
     _watch_for(harness, ms(50_000))
-    assert harness.directory.find_only_version("api") is None
+    assert harness.directory.find_only_version("api", _MINUTE) is None
     _watch_for(harness, ms(15_000))
-    assert harness.directory.find_only_version("api") == "v1"
+    assert harness.directory.find_only_version("api", _MINUTE) == "v1"
     # The pending watch has not ended yet.
     harness.scheduler.advance(store_watcher.MAX_WATCH_WAIT)
-    assert harness.directory.find_only_version("api") == "v1"
+    assert harness.directory.find_only_version("api", _MINUTE) == "v1"
 
 
 def test_only_version_of_a_service_is_unknown_during_and_after_an_outage():
@@ -275,10 +276,10 @@
         harness.scheduler.advance(ms(1000))
         if not harness.client.watches[-1][3].called:
             harness.client.fail(_unavailable())
-    assert harness.directory.find_only_version("api") is None
+    assert harness.directory.find_only_version("api", _MINUTE) is None
     harness.scheduler.advance(ms(1000))
     harness.deliver([], 10)
-    assert harness.directory.find_only_version("api") is None
+    assert harness.directory.find_only_version("api", _MINUTE) is None
 
 
 def test_second_version_of_a_service_is_remembered_after_its_endpoint_left():
@@ -289,6 +290,6 @@
     harness.deliver([item], 11)
     harness.deliver([store_client.Item("servers/i-2", None, 12)], 12)
     assert harness.usable() == ["i-1"]
-    assert harness.directory.find_only_version("api") is None
+    assert harness.directory.find_only_version("api", _MINUTE) is None
     _watch_for(harness, ms(65_000))
-    assert harness.directory.find_only_version("api") == "v1"
+    assert harness.directory.find_only_version("api", _MINUTE) == "v1"
