Don't list all endpoints before the first send of a request

A new request is held to no version and has tried nothing, so nothing is excluded. With many endpoints, the list took time at each send and each try of the queue; the time was not measured.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -509,6 +509,8 @@
 
         A stream of an unknown software version can't go on at any endpoint.
         """
+        if self._software is None and not self._tried_endpoints:
+            return set()
         return {
             each.name
             for each in usable
