--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -10,6 +10,7 @@
 
 class _Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 128
 
     def __init__(self, handler):
         super().__init__(("127.0.0.1", 0), handler)
@@ -56,6 +57,8 @@
         self._items = {}
         self._changes = []
         self._revision = 1
+        self._cuts = 0
+        self._waiting_watches = 0
         self.is_unavailable = False
         store = self
 
@@ -77,6 +80,9 @@
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query, True))
                 status, response = store.get_response(parts.path, query, body)
+                if response is None:
+                    self.close_connection = True
+                    return
                 self.send(status, json.dumps(response).encode())
 
         self._server = _Server(Handler)
@@ -100,8 +106,36 @@
             self._changes.append(item)
             self._condition.notify_all()
 
+    def remove(self, key):
+        """Removes a key and returns the monotonic time of the removal."""
+        with self._condition:
+            self._revision += 1
+            del self._items[key]
+            self._changes.append({
+                "key": key,
+                "revision": self._revision,
+                "deleted": True
+            })
+            removed_at = time.monotonic()
+            self._condition.notify_all()
+        return removed_at
+
+    def cut_watches(self):
+        """Closes the connections of the watches that are waiting."""
+        with self._condition:
+            self._cuts += 1
+            self._condition.notify_all()
+
+    def count_waiting_watches(self):
+        """Returns the number of watches that are waiting for a change."""
+        with self._condition:
+            return self._waiting_watches
+
     def get_response(self, path, query, body):
-        """Returns the status and body of the response to a call."""
+        """Returns the status and body of the response to a call.
+
+        The body is None if the connection is closed without a response.
+        """
         with self._condition:
             if path == "/kv-key":
                 item = self._items.get(query["key"])
@@ -129,7 +163,8 @@
     def _watch(self, query):
         after = int(query["after"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
-        while True:
+        cuts = self._cuts
+        while cuts == self._cuts:
             changes = [
                 each for each in self._changes if each["revision"] > after and
                 each["key"].startswith(query["path_prefix"])
@@ -137,18 +172,28 @@
             remaining = until - time.monotonic()
             if changes or remaining <= 0:
                 return {"events": changes, "at": self._revision}
+            self._waiting_watches += 1
             self._condition.wait(remaining)
+            self._waiting_watches -= 1
+        return None
 
 
 class FakeEndpoint:
     """A fake endpoint whose response time is given by the request's path.
 
+    A path under /stream/ ends with the number of events and the milliseconds
+    before each of them.
+
     Attributes:
         received_headers: Headers of the requests received so far.
+        arrivals: Monotonic times at which requests arrived, by attempt id.
+        padding: Bytes that follow the text of each response.
     """
 
     def __init__(self):
         self.received_headers = []
+        self.arrivals = {}
+        self.padding = b""
         endpoint = self
 
         class Handler(_Handler):
@@ -158,15 +203,34 @@
                 """Responds after the milliseconds at the path's end."""
                 self.read_body()
                 endpoint.received_headers.append(dict(self.headers.items()))
+                attempt_id = self.headers["Mustardwood-Attempt-Id"]
+                endpoint.arrivals[attempt_id] = time.monotonic()
+                headers = [("Mustardwood-Attempt-Id", attempt_id),
+                           ("Mustardwood-Replica-Signature", "signed")]
+                if self.path.startswith("/stream/"):
+                    self._send_events(headers)
+                    return
                 time.sleep(int(self.path.rpartition("/")[2] or 0) / 1000)
-                self.send(200, b"answer to " + self.path.encode(), [
-                    ("Mustardwood-Attempt-Id",
-                     self.headers["Mustardwood-Attempt-Id"]),
-                    ("Mustardwood-Replica-Signature", "signed"),
-                ])
+                self.send(200,
+                          b"answer to " + self.path.encode() + endpoint.padding,
+                          headers)
 
             do_POST = do_GET
 
+            def _send_events(self, headers):
+                count, interval_ms = self.path.split("/")[-2:]
+                self.send_response(200)
+                for name, value in headers:
+                    self.send_header(name, value)
+                self.send_header("Content-Type", "text/event-stream")
+                self.send_header("Transfer-Encoding", "chunked")
+                self.end_headers()
+                for number in range(1, int(count) + 1):
+                    time.sleep(int(interval_ms) / 1000)
+                    event = b"id: %d\ndata: event\n\n" % number
+                    self.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+                self.wfile.write(b"0\r\n\r\n")
+
         self._server = _Server(Handler)
 
     @property
