Delay removals of endpoints only after an outage in which they can lapse

Cause: any failed watch counted as an outage of the store and started the grace period of 2.2 s, which is longer than drain_ms. A watch that is cut, a kept connection that the store has closed or one 429 is enough. As the next watch waited for up to 3 s for a change, the grace period started only with the answer that brought the removal, so the removal was delayed in full.

Change: removals are delayed only if the store answered no VM for two heartbeats, the shortest time in which a registration can expire; the age of the freshness proof tells this, including the proofs of peers. The watch after a failed call returns at once, so that the end of an outage is known and the reader of proofs goes on. The settings' heartbeat_ms is read for this.

test_endpoint_whose_registration_expired_in_an_outage_is_kept_for_a_while had an outage of 0.6 s, in which no registration can expire; it now lasts 2.4 s, and the same removal must be delayed and take effect at the same time.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -22,8 +22,8 @@
 class EndpointDirectory:
     """Keeps the endpoints that are registered in the store.
 
-    Failure: during an outage of the store, registrations expire although the
-    endpoints still serve requests. A removal that is received within
+    Failure: during a long outage of the store, registrations expire although
+    the endpoints still serve requests. A removal that is received within
     `REGISTRATION_GRACE` after the outage takes effect at the end of that grace
     period, and not at all if the endpoint registers again before.
     """
@@ -38,7 +38,7 @@
         self._by_service: dict[str, tuple[endpoint_module.Endpoint, ...]] = {}
 
     def record_store_recovery(self) -> None:
-        """Starts the grace period after a store outage.
+        """Starts the grace period after a long store outage.
 
         This must be called before the changes that follow the outage are
         applied.
--- a/mustardwood/dispatch/freshness_proof.py
+++ b/mustardwood/dispatch/freshness_proof.py
@@ -32,6 +32,7 @@
         self._clock = clock
         self._max_age = key_removal_time - margin
         self._requested_at: datetime.timedelta | None = None
+        self._longest_age = datetime.timedelta()
 
     def set_key_removal_time(self, key_removal_time: datetime.timedelta,
                              margin: datetime.timedelta) -> None:
@@ -45,6 +46,7 @@
             requested_at: Monotonic time of the request to the store.
         """
         if self._requested_at is None or requested_at > self._requested_at:
+            self._update_longest_age()
             self._requested_at = requested_at
 
     def get_age(self) -> datetime.timedelta | None:
@@ -53,7 +55,21 @@
             return None
         return self._clock.monotonic() - self._requested_at
 
+    def take_longest_age(self) -> datetime.timedelta:
+        """Returns the longest age since the last call of this method.
+
+        The store has answered no VM for at most that time.
+        """
+        self._update_longest_age()
+        longest, self._longest_age = self._longest_age, datetime.timedelta()
+        return longest
+
     def is_current(self) -> bool:
         """Returns whether API keys may be accepted."""
         age = self.get_age()
         return age is not None and age < self._max_age
+
+    def _update_longest_age(self) -> None:
+        age = self.get_age()
+        if age is not None:
+            self._longest_age = max(self._longest_age, age)
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -80,7 +80,7 @@
         self._watcher = store_watcher.StoreWatcher(
             client, self._clock, self._scheduler, self._directory, self._proof,
             self._journal, self._forget_endpoint, self._handle_vm_change,
-            self._rng)
+            self._rng, self._settings.min_lapse_time)
         self._reader = freshness_reader.FreshnessReader(
             client, self._clock, self._scheduler, self._proof, self._watcher,
             self._loads.count_peers, self._journal, self._rng)
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -73,6 +73,7 @@
         listen: Addresses to listen on.
         store: Address of the platform's store.
         bounds: Limits that the platform requires the system to keep.
+        heartbeat_ms: Interval at which endpoints renew their registrations.
         peer_ports: First and last port for messages between VMs.
     """
 
@@ -82,6 +83,7 @@
     listen: Listen
     store: Store = msgspec.field(name="platform")
     bounds: Bounds = Bounds()
+    heartbeat_ms: float = 1200.0
     peer_ports: tuple[int, ...] = msgspec.field(name="port_range", default=())
 
     @property
@@ -89,6 +91,15 @@
         """Time after which a removed API key must be refused."""
         return datetime.timedelta(milliseconds=self.bounds.key_removal_ms)
 
+    @property
+    def min_lapse_time(self) -> datetime.timedelta:
+        """Shortest store outage in which a registration can expire.
+
+        It expires after three missed heartbeats, and the last heartbeat is at
+        most one interval older than the outage.
+        """
+        return 2 * datetime.timedelta(milliseconds=self.heartbeat_ms)
+
     @property
     def grace(self) -> datetime.timedelta:
         """Time between SIGTERM and SIGKILL."""
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -39,6 +39,11 @@
 A change ends the watches of all VMs at the same time. Random waits spread the
 VMs' next proofs over time, so that the newest proof of all VMs is always young.
 """
+_RECOVERY_WATCH_WAIT = datetime.timedelta(milliseconds=1)
+"""Wait of the watch after a failed call.
+
+It responds at once, so that the end of an outage is known.
+"""
 _BACKOFF_BASE = datetime.timedelta(milliseconds=60)
 """Base of the exponential backoff after failed calls."""
 _MAX_BACKOFF = datetime.timedelta(milliseconds=500)
@@ -67,7 +72,8 @@
                  on_endpoint_restart: collections.abc.Callable[[str], None],
                  on_vm_change: collections.abc.Callable[[str, bytes | None],
                                                         None],
-                 rng: random.Random) -> None:
+                 rng: random.Random,
+                 min_lapse_time: datetime.timedelta) -> None:
         """Creates a watcher; `start` starts it.
 
         Args:
@@ -82,6 +88,8 @@
             on_vm_change: Called with the name of a VM and its registration,
                 or None if the registration was removed.
             rng: Draws the waits of watches and the jitter of the backoff.
+            min_lapse_time: Shortest store outage in which the registration of
+                an endpoint can expire.
         """
         self._client = client
         self._clock = clock
@@ -92,6 +100,7 @@
         self._on_endpoint_restart = on_endpoint_restart
         self._on_vm_change = on_vm_change
         self._rng = rng
+        self._min_lapse_time = min_lapse_time
         self._is_stopped = False
         self._failures = 0
         self._had_changes = True
@@ -182,6 +191,8 @@
         return max(revision, next_revision)
 
     def _draw_watch_wait(self) -> datetime.timedelta:
+        if self._failures:
+            return _RECOVERY_WATCH_WAIT
         if not self._had_changes:
             return MAX_WATCH_WAIT
         return MAX_WATCH_WAIT * self._rng.uniform(_MIN_WATCH_FRACTION, 1.0)
@@ -266,9 +277,17 @@
         return False
 
     def _record_success(self) -> None:
+        outage = self._proof.take_longest_age()
         if self._failures:
-            self._directory.record_store_recovery()
-            self._journal.write("store_regained", failures=self._failures)
+            # Endpoints register again only after an outage that was longer than
+            # the time in which registrations expire.
+            may_have_lapsed = outage >= self._min_lapse_time
+            if may_have_lapsed:
+                self._directory.record_store_recovery()
+            self._journal.write("store_regained",
+                                failures=self._failures,
+                                outage_s=outage.total_seconds(),
+                                may_have_lapsed=may_have_lapsed)
             self._failures = 0
 
     def _back_off(self, error: Exception) -> defer.Deferred[None]:
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -1,9 +1,65 @@
 """Tests of leaving endpoints and kept connections with real processes."""
 
+import time
+
+import pytest
+
+from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_servers
 from mustardwood.platform.tests import process_fleet
 
 
+class _Fleet:
+    """A store, endpoints of both services, and one VM."""
+
+    def __init__(self, folder):
+        self.store = fake_servers.FakeStore()
+        self.document = documents.make_document()
+        self.document["limits"]["max_body_bytes"] = 1_000_000
+        self.document["routes"][1]["timeout_ms"] = 20_000
+        self.document["routes"][1]["backends"] = [{
+            "service": "api",
+            "weight": 1
+        }]
+        self.store.put("op/config", self.document)
+        self.endpoints = []
+        for index, service in enumerate(("api", "api", "engine")):
+            endpoint = fake_servers.FakeEndpoint()
+            self.endpoints.append(endpoint)
+            self.store.put(
+                f"servers/i-{index}",
+                documents.make_registration(service=service,
+                                            slots=64,
+                                            address=endpoint.address))
+        self.vm = process_fleet.Vm(folder, "vm-1", self.store)
+
+    def find_lost_requests(self, outcomes):
+        """See `process_fleet.find_lost_requests`."""
+        return process_fleet.find_lost_requests(outcomes, self.endpoints)
+
+
+@pytest.fixture(name="fleet")
+def _make_fleet(tmp_path):
+    fleet = _Fleet(tmp_path)
+    fleet.vm.start()
+    yield fleet
+    fleet.vm.kill()
+
+
+@pytest.mark.processes
+def test_removed_endpoint_gets_no_late_request_after_a_watch_was_cut(fleet):
+    process_fleet.wait_until(fleet.store.count_waiting_watches)
+    fleet.store.cut_watches()
+    process_fleet.wait_until(lambda: fleet.vm.find_events("store_lost"))
+    process_fleet.wait_until(fleet.store.count_waiting_watches)
+    removed_at = fleet.store.remove("servers/i-0")
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    while time.monotonic() < removed_at + 2.5:
+        assert caller.call("/post/0").is_complete
+    assert not process_fleet.find_late_arrivals(fleet.endpoints[0], removed_at)
+    assert fleet.endpoints[1].arrivals
+
+
 def _make_endpoint(arrivals):
     endpoint = fake_servers.FakeEndpoint()
     endpoint.arrivals.update(arrivals)
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -15,6 +15,7 @@
 
 ms = harness_module.ms
 _BATCH_DELAY = ms(300)
+_MIN_LAPSE_TIME = ms(2400)
 _CONFIGURATION = store_watcher.CONFIGURATION_KEY
 
 
@@ -83,7 +84,7 @@
         self.watcher = store_watcher.StoreWatcher(
             self.client, self.clock, self.scheduler, self.directory, self.proof,
             self.journal, self.restarted.append, self.vms.__setitem__,
-            random.Random(seed))
+            random.Random(seed), _MIN_LAPSE_TIME)
         self.watcher.start()
         self.scheduler.advance(_BATCH_DELAY)
 
@@ -198,8 +199,9 @@
 
 def test_endpoint_whose_registration_expired_in_an_outage_is_kept_for_a_while():
     harness = _Harness()
-    harness.client.fail(_unavailable())
-    harness.scheduler.advance(ms(600))
+    for _ in range(4):
+        harness.client.fail(_unavailable())
+        harness.scheduler.advance(ms(600))
     removal = store_client.Item("servers/i-1", None, 12)
     harness.deliver([removal], 12)
     assert harness.usable() == ["i-1"]
@@ -207,6 +209,26 @@
     assert not harness.usable()
 
 
+def test_endpoint_removed_after_a_single_failed_call_gets_no_request():
+    harness = _Harness()
+    harness.scheduler.advance(ms(1000))
+    harness.client.fail(_unavailable())
+    harness.scheduler.advance(ms(600))
+    assert harness.client.watches[-1][2] < _BATCH_DELAY
+    harness.client.deliver([store_client.Item("servers/i-1", None, 12)], 12)
+    assert not harness.usable()
+
+
+def test_outage_counts_although_a_peer_has_regained_the_store_before():
+    harness = _Harness()
+    for _ in range(4):
+        harness.client.fail(_unavailable())
+        harness.scheduler.advance(ms(600))
+    harness.proof.record(harness.clock.monotonic())
+    harness.client.deliver([store_client.Item("servers/i-1", None, 12)], 12)
+    assert harness.usable() == ["i-1"]
+
+
 def test_outage_and_recovery_are_logged_once_each():
     harness = _Harness()
     for _ in range(3):
