Log requests that a closed connection leaves without an answer

A connection that ended with bytes of a request that was neither handled nor refused left no line in the log, so that the hypotheses on lost requests could not be told apart.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -29,6 +29,10 @@
     """Receives requests one after the other and sends the responses.
 
     Pipelined requests are buffered until the previous response is complete.
+
+    Attributes:
+        unanswered_bytes: Number of bytes received of requests that were neither
+            handled nor refused.
     """
 
     transport: typing.Any
@@ -45,7 +49,7 @@
         self._timer: dispatch.Timer | None = None
         self._is_receiving = False
         self._is_lingering = False
-        self._pipelined_bytes = 0
+        self.unanswered_bytes = 0
 
     @property
     def is_idle(self) -> bool:
@@ -62,10 +66,12 @@
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         if self._is_lingering:
+            if self._http.their_state is h11.DONE:
+                self.unanswered_bytes += len(data)
             return
+        self.unanswered_bytes += len(data)
         if self._writer is not None:
-            self._pipelined_bytes += len(data)
-            if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
+            if self.unanswered_bytes > _MAX_PIPELINED_BYTES:
                 self.transport.abortConnection()
                 return
         elif not self._is_receiving:
@@ -80,7 +86,7 @@
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
         self._cancel_timer()
-        self._handler.remove_connection(self)
+        self._handler.remove_connection(self, reason.getErrorMessage())
         writer, self._writer = self._writer, None
         if writer is not None:
             writer.handle_disconnect()
@@ -110,7 +116,6 @@
         self._writer = None
         self._request = None
         self._body.clear()
-        self._pipelined_bytes = 0
         if (self._handler.is_stopping() or
                 self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
@@ -185,6 +190,7 @@
             return
         self._cancel_timer()
         self._is_receiving = False
+        self.unanswered_bytes = len(self._http.trailing_data[0])
         writer = response_writer.ResponseWriter(self)
         self._writer = writer
         received = http_request.HttpRequest(request.method.decode("latin-1"),
@@ -202,6 +208,7 @@
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.transport.abortConnection()
             return
+        self.unanswered_bytes = 0
         writer = response_writer.ResponseWriter(_LastResponseConnection(self))
         writer.refuse(dispatch.Refusal(http.HTTPStatus(status), text))
 
--- a/mustardwood/http1/page_server.py
+++ b/mustardwood/http1/page_server.py
@@ -76,5 +76,5 @@
     def add_connection(self, connection: typing.Any) -> None:
         """See `request_handler.RequestHandler`."""
 
-    def remove_connection(self, connection: typing.Any) -> None:
+    def remove_connection(self, connection: typing.Any, reason: str) -> None:
         """See `request_handler.RequestHandler`."""
--- a/mustardwood/http1/request_handler.py
+++ b/mustardwood/http1/request_handler.py
@@ -23,5 +23,5 @@
     def add_connection(self, connection: typing.Any) -> None:
         """Registers a connection that was opened."""
 
-    def remove_connection(self, connection: typing.Any) -> None:
-        """Unregisters a connection that has ended."""
+    def remove_connection(self, connection: typing.Any, reason: str) -> None:
+        """Unregisters a connection that has ended for a reason."""
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -24,6 +24,7 @@
         self.stopping = False
         self.requests = []
         self.connections = set()
+        self.unanswered_bytes = []
 
     def get_limits(self):
         """Returns the limits."""
@@ -41,9 +42,11 @@
         """Records an open connection."""
         self.connections.add(connection)
 
-    def remove_connection(self, connection):
+    def remove_connection(self, connection, reason):
         """Removes a connection from the record."""
+        assert reason
         self.connections.discard(connection)
+        self.unanswered_bytes.append(connection.unanswered_bytes)
 
 
 class _Harness:
@@ -182,3 +185,13 @@
     writer.abort()
     assert harness.transport.closed == "reset"
     assert not harness.transport.pop_written().endswith(b"0\r\n\r\n")
+
+
+def test_bytes_of_unanswered_requests_are_reported_when_a_connection_ends():
+    for received, unanswered in ((_REQUEST, 0), (_REQUEST[:9], 9),
+                                 (_REQUEST + _REQUEST, len(_REQUEST)),
+                                 (b"GET / HTTP/0.9\r\n\r\n", 0)):
+        harness = _Harness()
+        harness.receive(received)
+        harness.connection.connectionLost()
+        assert harness.handler.unanswered_bytes == [unanswered]
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -85,9 +85,16 @@
         """See `http1.RequestHandler`."""
         self._connections.add(connection)
 
-    def remove_connection(self, connection: http1.CallerConnection) -> None:
+    def remove_connection(self, connection: http1.CallerConnection,
+                          reason: str) -> None:
         """See `http1.RequestHandler`."""
         self._connections.discard(connection)
+        if connection.unanswered_bytes:
+            self._context.journal.write(
+                "request_unanswered",
+                received_bytes=connection.unanswered_bytes,
+                is_stopping=self._is_stopping,
+                reason=reason)
 
     def _handle_disconnect(self, forwarding: dispatch.Forwarding) -> None:
         if not forwarding.is_done:
