Answer requests on connections whose close was not announced

What callers saw: beside a SIGTERM, a whole request on a kept connection got neither an answer nor a refusal.

Cause: a response whose head was sent before SIGTERM doesn't announce the close, yet the connection was closed after it, and what arrived on it was read and discarded for a second; also what had arrived before the response's end.

Evidence: on real processes, a request sent behind a stream that began before SIGTERM got no answer (closed 0.48 s after it was sent), and one sent right after the stream got none either; three tests failed before, of one kind each: test_request_after_a_stream_that_began_before_the_stop_is_answered (two) and test_request_after_a_response_that_began_before_the_stop_is_handled.

Change: only a connection whose last response announced the close discards what follows. The others handle the next request, whose response announces it, and are closed while nothing is received.

Result: both are answered with 200 and Connection: close, and the process exits with code 0.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -116,8 +116,7 @@
         self._writer = None
         self._request = None
         self._body.clear()
-        if (self._handler.is_stopping() or
-                self._http.our_state is not h11.DONE or
+        if (self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
             self._linger()
             return
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -195,3 +195,17 @@
         harness.receive(received)
         harness.connection.connectionLost()
         assert harness.handler.unanswered_bytes == [unanswered]
+
+
+def test_request_after_a_response_that_began_before_the_stop_is_handled():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    _, writer = harness.handler.requests[0]
+    writer.begin(200, [], 2)
+    harness.handler.stopping = True
+    harness.receive(_REQUEST)
+    writer.write(b"ok")
+    writer.finish()
+    assert len(harness.handler.requests) == 2
+    assert b"connection: close" in harness.respond().lower()
+    assert harness.transport.closed == "written"
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import http.client
+import io
 import json
 import os
 import signal
@@ -95,6 +96,7 @@
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                                     receive_buffer_bytes)
         self._socket.connect(("127.0.0.1", vm.callers))
+        self._stream = _KeptStream(socket.SocketIO(self._socket, "rb"))
         self._attempt_id = ""
         self._sent_at = 0.0
         self.may_reuse = True
@@ -126,7 +128,7 @@
     def read(self, pause_seconds=0.0):
         """Reads the response, with a pause after each part of its body."""
         status, is_complete = 0, False
-        response = http.client.HTTPResponse(self._socket)
+        response = http.client.HTTPResponse(self._stream)
         try:
             response.begin()
             status = response.status
@@ -140,6 +142,18 @@
                        time.monotonic() - self._sent_at)
 
 
+class _KeptStream(io.BufferedReader):
+    """The received bytes of a connection, of which several responses are read.
+    """
+
+    def makefile(self, *_):
+        """Returns this stream; it stands for a socket."""
+        return self
+
+    def close(self):
+        """Keeps the stream open for the next response."""
+
+
 class Vm:
     """A VM of the platform as a real process."""
 
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -60,6 +60,28 @@
     assert fleet.endpoints[1].arrivals
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("is_pipelined", [False, True])
+def test_request_after_a_stream_that_began_before_the_stop_is_answered(
+        fleet, is_pipelined):
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    caller.send("/stream/8/100")
+    process_fleet.wait_until(lambda: fleet.endpoints[2].arrivals)
+    time.sleep(0.3)
+    fleet.vm.stop()
+    if is_pipelined:
+        caller.send("/post/0")
+    assert caller.read().is_complete and caller.may_reuse
+    if not is_pipelined:
+        caller.send("/post/0")
+    outcome = caller.read()
+    assert not fleet.find_lost_requests([outcome])
+    assert outcome.status == 200
+    assert not caller.may_reuse
+    assert fleet.vm.wait() == 0
+    assert not fleet.vm.find_events("request_unanswered")
+
+
 def _make_endpoint(arrivals):
     endpoint = fake_servers.FakeEndpoint()
     endpoint.arrivals.update(arrivals)
