Send the last response of a connection whole before the linger timeout

What callers saw: a response whose reader was slow broke off 1 s after its last byte was handed to the transport, or earlier at a stop.

Cause: the linger timeout started at that time, not when the last byte was sent, and a connection whose last response was still being sent counted as idle, which a stopping process closes.

Evidence: test_last_response_is_not_cut_while_it_is_being_sent failed before. On a real process, a response of 12 MB that was read in 3.8 s broke off after 1.5 s.

Change: the timeout starts when the sending side is closed. Until then the TCP user timeout ends connections whose callers don't read. A caller's disconnect with an open response resets the connection as before; after the response, what is left is sent first.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -6,8 +6,10 @@
 import typing
 
 import h11
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
+from zope import interface
 
 from mustardwood import dispatch
 from mustardwood.http1 import http_request
@@ -16,7 +18,7 @@
 from mustardwood.http1 import socket_options
 
 _LINGER_TIMEOUT = datetime.timedelta(seconds=1)
-"""Time for which received data is discarded before a connection is closed.
+"""Time after the last byte sent for which received data is discarded.
 
 Closing a socket that has unread data resets the connection, and the caller
 could lose the response.
@@ -25,6 +27,7 @@
 """Maximum number of bytes received before the previous response is complete."""
 
 
+@interface.implementer(interfaces.IHalfCloseableProtocol)
 class CallerConnection(protocol.Protocol):
     """Receives requests one after the other and sends the responses.
 
@@ -53,9 +56,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or handled."""
+        """Whether no request is received or handled and no response is sent."""
         return (self._writer is None and self._request is None and
-                not self._is_receiving)
+                not self._is_receiving and not self._is_lingering)
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
@@ -91,6 +94,17 @@
         if writer is not None:
             writer.handle_disconnect()
 
+    def readConnectionLost(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IHalfCloseableProtocol`."""
+        if self._writer is None:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
+    def writeConnectionLost(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IHalfCloseableProtocol`."""
+        self._start_timer(_LINGER_TIMEOUT, self.transport.abortConnection)
+
     def close(self) -> None:
         """Closes the connection; to be called between requests only."""
         self._cancel_timer()
@@ -226,8 +240,8 @@
 
     def _linger(self) -> None:
         self._is_lingering = True
+        self._cancel_timer()
         self.transport.loseWriteConnection()
-        self._start_timer(_LINGER_TIMEOUT, self.transport.abortConnection)
 
     def _send(self, event: h11.Event) -> None:
         data = self._http.send(event)
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -209,3 +209,28 @@
     assert len(harness.handler.requests) == 2
     assert b"connection: close" in harness.respond().lower()
     assert harness.transport.closed == "written"
+
+
+def test_last_response_is_not_cut_while_it_is_being_sent():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.handler.stopping = True
+    harness.respond()
+    assert not harness.connection.is_idle
+    harness.scheduler.advance(ms(5000))
+    assert harness.transport.closed == "written"
+    harness.connection.writeConnectionLost()
+    harness.scheduler.advance(ms(1000))
+    assert harness.transport.closed == "reset"
+
+
+def test_caller_that_disconnects_early_is_reset_and_a_finished_one_closed():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.connection.readConnectionLost()
+    assert harness.transport.closed == "reset"
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.respond()
+    harness.connection.readConnectionLost()
+    assert harness.transport.closed == "closed"
