Don't reset a lingering connection with the end of a response unsent

What callers saw: a response whose reader was slow broke off at its end.

Cause: at the end of the linger timeout the connection was reset, which drops what the system has not sent yet; its buffer may hold megabytes.

Change: the connection is closed, and the system sends the rest. A reset is no longer needed there, as received data has been read.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -103,7 +103,9 @@
 
     def writeConnectionLost(self) -> None:  # pylint: disable=invalid-name
         """See `interfaces.IHalfCloseableProtocol`."""
-        self._start_timer(_LINGER_TIMEOUT, self.transport.abortConnection)
+        # The system may still send the end of the response after the close, but
+        # not after a reset.
+        self._start_timer(_LINGER_TIMEOUT, self.transport.loseConnection)
 
     def close(self) -> None:
         """Closes the connection; to be called between requests only."""
