Exit when the last response was sent, not when it was written

What callers saw: at a SIGTERM, a response whose reader was slow broke off when the process exited.

Cause: a request counted as closed when its response was handed to the transport. The process exited 0.2 s after the last one, whatever the transport still held, and also if another request had arrived in the meantime.

Change: the process exits when its last connection from a caller has ended, at the latest 0.4 s before SIGKILL as before.

--- a/mustardwood/platform/graceful_shutdown.py
+++ b/mustardwood/platform/graceful_shutdown.py
@@ -18,11 +18,11 @@
 _KILL_MARGIN = datetime.timedelta(milliseconds=400)
 """Time before SIGKILL at which the process exits with requests still open."""
 _POLL_INTERVAL = datetime.timedelta(milliseconds=50)
-"""Interval at which the number of open requests is checked."""
+"""Interval at which the open connections are checked."""
 
 
 class GracefulShutdown:
-    """Stops the process after its last open request.
+    """Stops the process after its last response was sent.
 
     Attributes:
         has_begun: Whether the shutdown has begun.
@@ -66,11 +66,12 @@
         port.doRead()
         port.stopListening()
         self._server.close_idle_connections()
-        self._scheduler.call_later(_DRAIN_DELAY, self._wait_for_requests)
+        self._scheduler.call_later(_DRAIN_DELAY, self._wait_for_connections)
 
-    def _wait_for_requests(self) -> None:
+    def _wait_for_connections(self) -> None:
         self._server.close_idle_connections()
-        if self._server.open_requests:
-            self._scheduler.call_later(_POLL_INTERVAL, self._wait_for_requests)
+        if self._server.has_connections:
+            self._scheduler.call_later(_POLL_INTERVAL,
+                                       self._wait_for_connections)
         else:
-            self._scheduler.call_later(_DRAIN_DELAY, self._exit_process)
+            self._exit_process()
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -29,6 +29,11 @@
         self._is_stopping = False
         self.open_requests = 0
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether a caller is connected, or a response is still being sent."""
+        return bool(self._connections)
+
     def buildProtocol(  # pylint: disable=invalid-name
             self, addr: object) -> http1.CallerConnection:
         """See `protocol.ServerFactory`."""
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -82,6 +82,24 @@
     assert not fleet.vm.find_events("request_unanswered")
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("body_bytes, pause_seconds", [(4_000_000, 0.08),
+                                                       (12_000_000, 0.02)])
+def test_slowly_read_response_is_whole_although_the_vm_stops(
+        fleet, body_bytes, pause_seconds):
+    for endpoint in fleet.endpoints:
+        endpoint.padding = bytes(body_bytes)
+    caller = process_fleet.Caller(fleet.vm, "caller", 64 * 1024)
+    caller.send("/post/500")
+    process_fleet.wait_until(
+        lambda: any(each.arrivals for each in fleet.endpoints))
+    fleet.vm.stop()
+    outcome = caller.read(pause_seconds)
+    assert outcome.seconds > 2.0
+    assert not fleet.find_lost_requests([outcome])
+    assert fleet.vm.wait() == 0
+
+
 def _make_endpoint(arrivals):
     endpoint = fake_servers.FakeEndpoint()
     endpoint.arrivals.update(arrivals)
