Accept the whole backlog when the listener closes, and read its requests

What callers saw: beside a SIGTERM, whole requests on new connections ended with a reset.

Cause: when the listener closes, Twisted accepts at most as many connections at once as in its last burst, which may be 1; the rest of the backlog was reset. The connections that were accepted last were closed in the same step, before their requests could be read.

Change: the number of connections accepted at once is raised for the last time of accepting, and idle connections are closed only after the delay in which requests arrive on them.

Result: all 20 are answered.

--- a/mustardwood/platform/graceful_shutdown.py
+++ b/mustardwood/platform/graceful_shutdown.py
@@ -15,6 +15,11 @@
 """
 _DRAIN_DELAY = datetime.timedelta(milliseconds=200)
 """Time for requests to arrive on the connections that were accepted last."""
+_MAX_ACCEPTED = 1024
+"""Maximum number of connections accepted when the listener closes.
+
+It is higher than the listener's backlog.
+"""
 _KILL_MARGIN = datetime.timedelta(milliseconds=400)
 """Time before SIGKILL at which the process exits with requests still open."""
 _POLL_INTERVAL = datetime.timedelta(milliseconds=50)
@@ -62,10 +67,11 @@
 
     def _stop_listening(self, port: typing.Any) -> None:
         # Closing the listener would reset the connections in its backlog, so
-        # they are accepted first.
+        # they are accepted first. Twisted accepts only as many at once as in
+        # the last burst by default.
+        port.numberAccepts = _MAX_ACCEPTED
         port.doRead()
         port.stopListening()
-        self._server.close_idle_connections()
         self._scheduler.call_later(_DRAIN_DELAY, self._wait_for_connections)
 
     def _wait_for_connections(self) -> None:
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -100,6 +100,26 @@
     assert fleet.vm.wait() == 0
 
 
+@pytest.mark.processes
+def test_requests_in_the_backlog_are_answered_when_the_listener_closes(fleet):
+    # Twisted accepts as many connections at once as in the last burst.
+    assert process_fleet.Caller(fleet.vm, "first").call("/post/0").is_complete
+    fleet.vm.stop()
+    time.sleep(2.0)
+    # The VM is busy when its listener is due to close.
+    fleet.vm.suspend()
+    callers = [
+        process_fleet.Caller(fleet.vm, f"caller-{index}") for index in range(20)
+    ]
+    for caller in callers:
+        caller.send("/post/0")
+    time.sleep(0.5)
+    fleet.vm.resume()
+    outcomes = [caller.read() for caller in callers]
+    assert not fleet.find_lost_requests(outcomes)
+    assert [each.status for each in outcomes] == [200] * len(outcomes)
+
+
 def _make_endpoint(arrivals):
     endpoint = fake_servers.FakeEndpoint()
     endpoint.arrivals.update(arrivals)
