Keep idle connections for as long as a raised limit allows

What callers saw: after a configuration that raises the idle timeout, a kept connection was closed before four fifths of the new timeout had passed; requests on it got no answer.

Cause: the idle timer was started under the old limit and not changed.

Evidence: test_idle_connection_is_kept_for_a_raised_limit (real process) and test_idle_timeout_follows_a_raised_limit failed before.

Change: when the timer ends, the connection waits on for the time by which the limit was raised in the meantime.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -52,6 +52,7 @@
         self._timer: dispatch.Timer | None = None
         self._is_receiving = False
         self._is_lingering = False
+        self._idle_timeout = datetime.timedelta()
         self.unanswered_bytes = 0
 
     @property
@@ -64,7 +65,7 @@
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport)
         self._handler.add_connection(self)
-        self._start_timer(self._handler.get_limits().idle_timeout, self.close)
+        self._start_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
@@ -138,11 +139,11 @@
             return
         self._http.start_next_cycle()
         self._is_receiving = bool(self._http.trailing_data[0])
-        limits = self._handler.get_limits()
         if self._is_receiving:
-            self._start_timer(limits.header_timeout, self._refuse_slow_request)
+            self._start_timer(self._handler.get_limits().header_timeout,
+                              self._refuse_slow_request)
         else:
-            self._start_timer(limits.idle_timeout, self.close)
+            self._start_idle_timer()
         self._read_events()
 
     def abort(self) -> None:
@@ -250,6 +251,19 @@
         if data:
             self.transport.write(data)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_timeout = self._handler.get_limits().idle_timeout
+        self._start_timer(self._idle_timeout, self._handle_idle_timeout)
+
+    def _handle_idle_timeout(self) -> None:
+        """Closes the connection, or waits on if the limit was raised."""
+        raised_by = self._handler.get_limits().idle_timeout - self._idle_timeout
+        if raised_by > datetime.timedelta():
+            self._idle_timeout += raised_by
+            self._start_timer(raised_by, self._handle_idle_timeout)
+        else:
+            self.close()
+
     def _start_timer(self, delay: datetime.timedelta,
                      function: collections.abc.Callable[[], None]) -> None:
         self._cancel_timer()
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -1,5 +1,6 @@
 """Tests of connections from callers: framing, limits and timeouts."""
 
+import dataclasses
 import datetime
 
 import pytest
@@ -234,3 +235,16 @@
     harness.respond()
     harness.connection.readConnectionLost()
     assert harness.transport.closed == "closed"
+
+
+def test_idle_timeout_follows_a_raised_limit():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.respond()
+    harness.scheduler.advance(ms(10_000))
+    harness.handler.limits = dataclasses.replace(
+        harness.handler.limits, idle_timeout=datetime.timedelta(seconds=20))
+    harness.scheduler.advance(ms(9_999))
+    assert not harness.transport.closed
+    harness.scheduler.advance(ms(1))
+    assert harness.transport.closed == "closed"
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -120,6 +120,27 @@
     assert [each.status for each in outcomes] == [200] * len(outcomes)
 
 
+@pytest.mark.processes
+def test_idle_connection_is_kept_for_a_raised_limit(fleet):
+    _set_idle_timeout(fleet, 8, 1500)
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    assert caller.call("/post/0").is_complete
+    _set_idle_timeout(fleet, 9, 3000)
+    time.sleep(2.2)
+    assert caller.call("/post/0").status == 200
+
+
+def _set_idle_timeout(fleet, version, milliseconds):
+    """Changes the idle timeout and waits until the VM applies it."""
+    limits = {**fleet.document["limits"], "idle_timeout_ms": milliseconds}
+    fleet.store.put("op/config", {
+        **fleet.document, "version": version,
+        "limits": limits
+    })
+    process_fleet.wait_until(lambda: any(each["version"] == version for each in
+                                         fleet.vm.find_events("configuration")))
+
+
 def _make_endpoint(arrivals):
     endpoint = fake_servers.FakeEndpoint()
     endpoint.arrivals.update(arrivals)
