Read a waiting request before an idle connection is closed

Cause: timers run before sockets are read. If a VM was busy while the idle timeout or the close of idle connections at a stop became due, the connection was closed over a request that had arrived, which resets it.

Evidence: test_waiting_request_is_read_before_an_idle_connection_is_closed failed before. It was not reproduced with a real process: two runs each, suspended at that time by a signal, read the socket first, as the process waited in epoll.

Change: the connection is closed after the reactor has read its sockets, if it is still idle.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -109,9 +109,13 @@
         self._start_timer(_LINGER_TIMEOUT, self.transport.loseConnection)
 
     def close(self) -> None:
-        """Closes the connection; to be called between requests only."""
-        self._cancel_timer()
-        self.transport.loseConnection()
+        """Closes the connection unless a request has arrived.
+
+        It must be idle.
+        """
+        # Timers run before sockets are read. If the VM was busy, a request may
+        # be waiting.
+        self._start_timer(datetime.timedelta(), self.transport.loseConnection)
 
     def send_head(self, status: int, headers: http_request.Headers) -> None:
         """See `response_writer.ResponseConnection`."""
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -248,3 +248,14 @@
     assert not harness.transport.closed
     harness.scheduler.advance(ms(1))
     assert harness.transport.closed == "closed"
+
+
+def test_waiting_request_is_read_before_an_idle_connection_is_closed():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.respond()
+    harness.connection.close()
+    harness.receive(_REQUEST)
+    harness.scheduler.advance(ms(1))
+    assert not harness.transport.closed
+    assert harness.respond().endswith(b"ok")
