Pause reading instead of cutting a response behind which much is pipelined

What callers saw: an open response, and the requests behind it, ended with a reset when over 1 MiB had been received in the meantime.

Evidence: test_many_pipelined_bytes_pause_reading_and_keep_the_open_response failed before.

Change: reading pauses at 64 KiB behind an open response and resumes when the requests before have been answered, so that TCP holds the caller back.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -23,8 +23,8 @@
 Closing a socket that has unread data resets the connection, and the caller
 could lose the response.
 """
-_MAX_PIPELINED_BYTES = 1024 * 1024
-"""Maximum number of bytes received before the previous response is complete."""
+_MAX_PIPELINED_BYTES = 64 * 1024
+"""Number of bytes received behind an open response at which reading pauses."""
 
 
 @interface.implementer(interfaces.IHalfCloseableProtocol)
@@ -52,6 +52,7 @@
         self._timer: dispatch.Timer | None = None
         self._is_receiving = False
         self._is_lingering = False
+        self._is_paused = False
         self._idle_timeout = datetime.timedelta()
         self.unanswered_bytes = 0
 
@@ -74,16 +75,13 @@
                 self.unanswered_bytes += len(data)
             return
         self.unanswered_bytes += len(data)
-        if self._writer is not None:
-            if self.unanswered_bytes > _MAX_PIPELINED_BYTES:
-                self.transport.abortConnection()
-                return
-        elif not self._is_receiving:
+        if self._writer is None and not self._is_receiving:
             self._is_receiving = True
             self._start_timer(self._handler.get_limits().header_timeout,
                               self._refuse_slow_request)
         self._http.receive_data(data)
         self._read_events()
+        self._pause_or_resume()
 
     def connectionLost(  # pylint: disable=invalid-name
             self,
@@ -149,6 +147,7 @@
         else:
             self._start_idle_timer()
         self._read_events()
+        self._pause_or_resume()
 
     def abort(self) -> None:
         """See `response_writer.ResponseConnection`."""
@@ -248,8 +247,21 @@
     def _linger(self) -> None:
         self._is_lingering = True
         self._cancel_timer()
+        self._pause_or_resume()
         self.transport.loseWriteConnection()
 
+    def _pause_or_resume(self) -> None:
+        """Pauses reading while much was received behind an open response."""
+        should_pause = (self._writer is not None and
+                        self.unanswered_bytes >= _MAX_PIPELINED_BYTES)
+        if should_pause == self._is_paused:
+            return
+        self._is_paused = should_pause
+        if should_pause:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
     def _send(self, event: h11.Event) -> None:
         data = self._http.send(event)
         if data:
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -259,3 +259,21 @@
     harness.scheduler.advance(ms(1))
     assert not harness.transport.closed
     assert harness.respond().endswith(b"ok")
+
+
+def test_many_pipelined_bytes_pause_reading_and_keep_the_open_response():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    pipelined = _REQUEST * 50_000
+    assert len(pipelined) > 1024 * 1024
+    sent = 0
+    while harness.transport.producerState == "producing":
+        harness.receive(pipelined[sent:sent + 4096])
+        sent += 4096
+        assert sent < len(pipelined)
+    count = sent // len(_REQUEST)
+    for _ in range(count):
+        assert harness.respond().endswith(b"ok")
+    assert len(harness.handler.requests) == count + 1
+    assert harness.transport.producerState == "producing"
+    assert not harness.transport.closed
