Answer many pipelined requests that are refused at once

What callers saw: of many requests sent on one connection at once that were refused at once (401, 404), none got an answer, and the connection was closed (real process: 200 requests with an unknown key; 100 were answered).

Cause: each response that was complete within its handler read the next request from there, one level deeper, until Python's recursion limit.

Evidence: test_many_pipelined_requests_that_are_answered_at_once_are_all_answered failed before with a RecursionError; 2000 requests.

Change: the loop that has called the handler reads the next request.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -53,6 +53,7 @@
         self._is_receiving = False
         self._is_lingering = False
         self._is_paused = False
+        self._is_reading = False
         self._idle_timeout = datetime.timedelta()
         self.unanswered_bytes = 0
 
@@ -80,8 +81,7 @@
             self._start_timer(self._handler.get_limits().header_timeout,
                               self._refuse_slow_request)
         self._http.receive_data(data)
-        self._read_events()
-        self._pause_or_resume()
+        self._read_requests()
 
     def connectionLost(  # pylint: disable=invalid-name
             self,
@@ -146,8 +146,10 @@
                               self._refuse_slow_request)
         else:
             self._start_idle_timer()
-        self._read_events()
-        self._pause_or_resume()
+        # If the handler has responded at once, the caller of the handler reads
+        # on. Reading from here would nest as deeply as there are requests.
+        if not self._is_reading:
+            self._read_requests()
 
     def abort(self) -> None:
         """See `response_writer.ResponseConnection`."""
@@ -155,6 +157,14 @@
         self._cancel_timer()
         self.transport.abortConnection()
 
+    def _read_requests(self) -> None:
+        self._is_reading = True
+        try:
+            self._read_events()
+        finally:
+            self._is_reading = False
+        self._pause_or_resume()
+
     def _read_events(self) -> None:
         while self._writer is None and not self._is_lingering:
             try:
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -277,3 +277,18 @@
     assert len(harness.handler.requests) == count + 1
     assert harness.transport.producerState == "producing"
     assert not harness.transport.closed
+
+
+def test_many_pipelined_requests_that_are_answered_at_once_are_all_answered():
+    harness = _Harness()
+    answered = []
+
+    def answer(request, writer):
+        answered.append(request)
+        writer.begin(401, [], 0)
+        writer.finish()
+
+    harness.handler.handle_request = answer
+    harness.receive(_REQUEST * 2000)
+    assert len(answered) == 2000
+    assert not harness.transport.closed
