Add a workload of real processes: leaving endpoints, restarts, cut watches

Callers with kept connections, some with unknown keys and routes, use three VMs while endpoints leave (half of them without a notice), VMs restart gracefully or reload, watches are cut and the idle limit changes. The seed decides all draws.

--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -27,6 +27,7 @@
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
 
     def log_message(self, format, *args):  # pylint: disable=redefined-builtin
         """Suppresses the log."""
@@ -182,7 +183,7 @@
     """A fake endpoint whose response time is given by the request's path.
 
     A path under /stream/ ends with the number of events and the milliseconds
-    before each of them.
+    before each of them; it continues after the Last-Event-Id.
 
     Attributes:
         received_headers: Headers of the requests received so far.
@@ -225,7 +226,8 @@
                 self.send_header("Content-Type", "text/event-stream")
                 self.send_header("Transfer-Encoding", "chunked")
                 self.end_headers()
-                for number in range(1, int(count) + 1):
+                last = int(self.headers.get("Last-Event-Id") or 0)
+                for number in range(last + 1, int(count) + 1):
                     time.sleep(int(interval_ms) / 1000)
                     event = b"id: %d\ndata: event\n\n" % number
                     self.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -21,6 +21,8 @@
 """Time after which no request may reach an endpoint that has left."""
 LOSS_SLACK_SECONDS = 0.2
 """Time within which a connection may be closed under a request."""
+_BALANCER_SECONDS = 2.0
+"""Time after which the load balancer sends no new connections to a VM."""
 _TIMEOUT_SECONDS = 30.0
 """Time after which a test stops waiting for an expected state."""
 
@@ -155,7 +157,13 @@
 
 
 class Vm:
-    """A VM of the platform as a real process."""
+    """A VM of the platform as a real process.
+
+    Attributes:
+        name: Name of the VM.
+        callers: Port for callers.
+        is_in_service: Whether the load balancer sends it new connections.
+    """
 
     def __init__(self, folder, name, store):
         """Writes the settings; `start` starts the process.
@@ -166,6 +174,7 @@
             store: The fake store.
         """
         self.name = name
+        self.is_in_service = False
         self.callers, self._ready, peers = _find_free_ports(3)
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(f"""
@@ -200,6 +209,15 @@
                 },
                 stdout=log)
         wait_until(lambda: self._read_readiness() == 200)
+        self.is_in_service = True
+
+    def restart(self):
+        """Restarts the process with a graceful shutdown."""
+        self.stop()
+        time.sleep(_BALANCER_SECONDS)
+        self.is_in_service = False
+        assert self.wait() == 0
+        self.start()
 
     def kill(self):
         """Kills the process if it still runs."""
@@ -215,6 +233,10 @@
         """Waits until the process exits and returns its exit code."""
         return self._process.wait(_TIMEOUT_SECONDS)
 
+    def reload(self):
+        """Sends SIGHUP, by which the process reads its settings again."""
+        self._process.send_signal(signal.SIGHUP)
+
     def suspend(self):
         """Suspends the process."""
         self._process.send_signal(signal.SIGSTOP)
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -7,6 +7,7 @@
 from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_servers
 from mustardwood.platform.tests import process_fleet
+from mustardwood.platform.tests import process_workload
 
 
 class _Fleet:
@@ -164,3 +165,15 @@
     ]
     lost = process_fleet.find_lost_requests(outcomes, [endpoint])
     assert [each.attempt_id for each in lost] == ["cut", "reset", "discarded"]
+
+
+@pytest.mark.processes
+def test_no_request_is_lost_or_late_while_endpoints_leave_and_vms_restart(
+        tmp_path):
+    workload = process_workload.Workload(tmp_path, seed=4)
+    workload.run(seconds=12)
+    assert len(workload.outcomes) > 100
+    assert len(workload.left_at) > 4
+    assert not workload.find_late_arrivals()
+    assert not workload.find_lost_requests()
+    assert not workload.unexpected
