End watches sooner, so that silent connections don't hide removed endpoints

What endpoints would see: after the store's connections fall silent without a reset, requests reach an endpoint more than 2 s after its removal, and more than 3 s (the contact time) after the silence began.

Cause: a watch waited for 3 s and its timeout is 0.6 s longer. On real sockets no keep-alive probe fails if the other system still answers them.

Change: watches wait for at most 2 s. Cost: a quiet VM watches once in 2 s, not in 3 s.

--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -19,9 +19,12 @@
 """Key of the configuration."""
 VM_PREFIX = "vms/"
 """Prefix of the keys of this system's VMs; it is followed by the VM's name."""
-MAX_WATCH_WAIT = datetime.timedelta(seconds=3)
+MAX_WATCH_WAIT = datetime.timedelta(seconds=2)
 """Maximum wait of a watch, after which a dead connection is detected.
 
+With the margin of the call's timeout and the backoff, changes are late by less
+than the three seconds for which the loss of connections excuses it.
+
 A freshness proof is dated at the time of the request, so the proof from a watch
 is as old as its wait; `FreshnessReader` obtains newer ones.
 """
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -51,6 +51,7 @@
 
     Attributes:
         is_unavailable: Whether all calls fail with status 503.
+        silent_since: Monotonic time; connections opened before are silent.
     """
 
     def __init__(self):
@@ -60,12 +61,18 @@
         self._revision = 1
         self._cuts = 0
         self._waiting_watches = 0
+        self.silent_since = 0.0
         self.is_unavailable = False
         store = self
 
         class Handler(_Handler):
             """Responds to the calls."""
 
+            def setup(self):
+                """Records when the connection was opened."""
+                super().setup()
+                self._opened_at = time.monotonic()
+
             def do_GET(self):  # pylint: disable=invalid-name
                 """Handles all calls, whatever their method."""
                 self._respond()
@@ -81,6 +88,8 @@
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query, True))
                 status, response = store.get_response(parts.path, query, body)
+                if self._opened_at < store.silent_since:
+                    store.wait_forever()
                 if response is None:
                     self.close_connection = True
                     return
@@ -127,6 +136,18 @@
             self._cuts += 1
             self._condition.notify_all()
 
+    def silence_connections(self):
+        """Stops to respond on open connections, without closing them.
+
+        Returns the monotonic time from which they are silent.
+        """
+        self.silent_since = time.monotonic()
+        return self.silent_since
+
+    def wait_forever(self):
+        """Blocks the thread of a connection."""
+        threading.Event().wait()
+
     def count_waiting_watches(self):
         """Returns the number of watches that are waiting for a change."""
         with self._condition:
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -19,6 +19,8 @@
 
 DRAIN_SECONDS = 2.0
 """Time after which no request may reach an endpoint that has left."""
+CONTACT_SECONDS = 3.0
+"""Time after a disturbance from which a VM is held to its time bounds."""
 LOSS_SLACK_SECONDS = 0.2
 """Time within which a connection may be closed under a request."""
 _BALANCER_SECONDS = 2.0
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -61,6 +61,26 @@
     assert fleet.endpoints[1].arrivals
 
 
+@pytest.mark.processes
+def test_removed_endpoint_gets_no_late_request_after_silent_store_connections(
+        fleet):
+    time.sleep(1.0)
+    # The watch after a cut one has just begun, and other connections are idle.
+    fleet.store.cut_watches()
+    time.sleep(0.5)
+    silent_since = fleet.store.silence_connections()
+    removed_at = fleet.store.remove("servers/i-0")
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    while time.monotonic() < removed_at + 5.0:
+        assert caller.call("/post/0").is_complete
+    # Silent connections excuse late news for the contact time.
+    in_touch_at = silent_since + process_fleet.CONTACT_SECONDS
+    late = process_fleet.find_late_arrivals(fleet.endpoints[0], removed_at)
+    assert not [
+        each for each in late if fleet.endpoints[0].arrivals[each] > in_touch_at
+    ]
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("is_pipelined", [False, True])
 def test_request_after_a_stream_that_began_before_the_stop_is_answered(
