--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -26,8 +26,8 @@
 class EndpointDirectory:
     """Keeps the endpoints that are registered in the store.
 
-    Failure: during an outage of the store, registrations expire although the
-    endpoints still serve requests. A removal that is received within
+    Failure: during a long outage of the store, registrations expire although
+    the endpoints still serve requests. A removal that is received within
     `REGISTRATION_GRACE` after the outage takes effect at the end of that grace
     period, and not at all if the endpoint registers again before.
     """
@@ -45,7 +45,7 @@
         self._complete_since: datetime.timedelta | None = None
 
     def record_store_recovery(self) -> None:
-        """Starts the grace period after a store outage.
+        """Starts the grace period after a long store outage.
 
         This must be called before the changes that follow the outage are
         applied.
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -6,8 +6,10 @@
 import typing
 
 import h11
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
+from zope import interface
 
 from mustardwood import dispatch
 from mustardwood.http1 import http_request
@@ -16,19 +18,24 @@
 from mustardwood.http1 import socket_options
 
 _LINGER_TIMEOUT = datetime.timedelta(seconds=1)
-"""Time for which received data is discarded before a connection is closed.
+"""Time after the last byte sent for which received data is discarded.
 
 Closing a socket that has unread data resets the connection, and the caller
 could lose the response.
 """
-_MAX_PIPELINED_BYTES = 1024 * 1024
-"""Maximum number of bytes received before the previous response is complete."""
+_MAX_PIPELINED_BYTES = 64 * 1024
+"""Number of bytes received behind an open response at which reading pauses."""
 
 
+@interface.implementer(interfaces.IHalfCloseableProtocol)
 class CallerConnection(protocol.Protocol):
     """Receives requests one after the other and sends the responses.
 
     Pipelined requests are buffered until the previous response is complete.
+
+    Attributes:
+        unanswered_bytes: Number of bytes received of requests that were neither
+            handled nor refused.
     """
 
     transport: typing.Any
@@ -45,50 +52,68 @@
         self._timer: dispatch.Timer | None = None
         self._is_receiving = False
         self._is_lingering = False
-        self._pipelined_bytes = 0
+        self._is_paused = False
+        self._is_reading = False
+        self._idle_timeout = datetime.timedelta()
+        self.unanswered_bytes = 0
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or handled."""
+        """Whether no request is received or handled and no response is sent."""
         return (self._writer is None and self._request is None and
-                not self._is_receiving)
+                not self._is_receiving and not self._is_lingering)
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport)
         self._handler.add_connection(self)
-        self._start_timer(self._handler.get_limits().idle_timeout, self.close)
+        self._start_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         if self._is_lingering:
+            if self._http.their_state is h11.DONE:
+                self.unanswered_bytes += len(data)
             return
-        if self._writer is not None:
-            self._pipelined_bytes += len(data)
-            if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
-                self.transport.abortConnection()
-                return
-        elif not self._is_receiving:
+        self.unanswered_bytes += len(data)
+        if self._writer is None and not self._is_receiving:
             self._is_receiving = True
             self._start_timer(self._handler.get_limits().header_timeout,
                               self._refuse_slow_request)
         self._http.receive_data(data)
-        self._read_events()
+        self._read_requests()
 
     def connectionLost(  # pylint: disable=invalid-name
             self,
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
         self._cancel_timer()
-        self._handler.remove_connection(self)
+        self._handler.remove_connection(self, reason.getErrorMessage())
         writer, self._writer = self._writer, None
         if writer is not None:
             writer.handle_disconnect()
 
+    def readConnectionLost(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IHalfCloseableProtocol`."""
+        if self._writer is None:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
+    def writeConnectionLost(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IHalfCloseableProtocol`."""
+        # The system may still send the end of the response after the close, but
+        # not after a reset.
+        self._start_timer(_LINGER_TIMEOUT, self.transport.loseConnection)
+
     def close(self) -> None:
-        """Closes the connection; to be called between requests only."""
-        self._cancel_timer()
-        self.transport.loseConnection()
+        """Closes the connection unless a request has arrived.
+
+        It must be idle.
+        """
+        # Timers run before sockets are read. If the VM was busy, a request may
+        # be waiting.
+        self._start_timer(datetime.timedelta(), self.transport.loseConnection)
 
     def send_head(self, status: int, headers: http_request.Headers) -> None:
         """See `response_writer.ResponseConnection`."""
@@ -111,20 +136,21 @@
         self._writer = None
         self._request = None
         self._body.clear()
-        self._pipelined_bytes = 0
-        if (self._handler.is_stopping() or
-                self._http.our_state is not h11.DONE or
+        if (self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
             self._linger()
             return
         self._http.start_next_cycle()
         self._is_receiving = bool(self._http.trailing_data[0])
-        limits = self._handler.get_limits()
         if self._is_receiving:
-            self._start_timer(limits.header_timeout, self._refuse_slow_request)
+            self._start_timer(self._handler.get_limits().header_timeout,
+                              self._refuse_slow_request)
         else:
-            self._start_timer(limits.idle_timeout, self.close)
-        self._read_events()
+            self._start_idle_timer()
+        # If the handler has responded at once, the caller of the handler reads
+        # on. Reading from here would nest as deeply as there are requests.
+        if not self._is_reading:
+            self._read_requests()
 
     def abort(self) -> None:
         """See `response_writer.ResponseConnection`."""
@@ -132,6 +158,14 @@
         self._cancel_timer()
         self.transport.abortConnection()
 
+    def _read_requests(self) -> None:
+        self._is_reading = True
+        try:
+            self._read_events()
+        finally:
+            self._is_reading = False
+        self._pause_or_resume()
+
     def _read_events(self) -> None:
         while self._writer is None and not self._is_lingering:
             try:
@@ -186,6 +220,7 @@
             return
         self._cancel_timer()
         self._is_receiving = False
+        self.unanswered_bytes = len(self._http.trailing_data[0])
         writer = response_writer.ResponseWriter(self)
         self._writer = writer
         received = http_request.HttpRequest(request.method.decode("latin-1"),
@@ -203,6 +238,7 @@
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.transport.abortConnection()
             return
+        self.unanswered_bytes = 0
         writer = response_writer.ResponseWriter(_LastResponseConnection(self))
         writer.refuse(dispatch.Refusal(http.HTTPStatus(status), text))
 
@@ -221,14 +257,40 @@
 
     def _linger(self) -> None:
         self._is_lingering = True
+        self._cancel_timer()
+        self._pause_or_resume()
         self.transport.loseWriteConnection()
-        self._start_timer(_LINGER_TIMEOUT, self.transport.abortConnection)
+
+    def _pause_or_resume(self) -> None:
+        """Pauses reading while much was received behind an open response."""
+        should_pause = (self._writer is not None and
+                        self.unanswered_bytes >= _MAX_PIPELINED_BYTES)
+        if should_pause == self._is_paused:
+            return
+        self._is_paused = should_pause
+        if should_pause:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
 
     def _send(self, event: h11.Event) -> None:
         data = self._http.send(event)
         if data:
             self.transport.write(data)
 
+    def _start_idle_timer(self) -> None:
+        self._idle_timeout = self._handler.get_limits().idle_timeout
+        self._start_timer(self._idle_timeout, self._handle_idle_timeout)
+
+    def _handle_idle_timeout(self) -> None:
+        """Closes the connection, or waits on if the limit was raised."""
+        raised_by = self._handler.get_limits().idle_timeout - self._idle_timeout
+        if raised_by > datetime.timedelta():
+            self._idle_timeout += raised_by
+            self._start_timer(raised_by, self._handle_idle_timeout)
+        else:
+            self.close()
+
     def _start_timer(self, delay: datetime.timedelta,
                      function: collections.abc.Callable[[], None]) -> None:
         self._cancel_timer()
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -1,5 +1,6 @@
 """Tests of connections from callers: framing, limits and timeouts."""
 
+import dataclasses
 import datetime
 
 import pytest
@@ -24,6 +25,7 @@
         self.stopping = False
         self.requests = []
         self.connections = set()
+        self.unanswered_bytes = []
 
     def get_limits(self):
         """Returns the limits."""
@@ -41,9 +43,11 @@
         """Records an open connection."""
         self.connections.add(connection)
 
-    def remove_connection(self, connection):
+    def remove_connection(self, connection, reason):
         """Removes a connection from the record."""
+        assert reason
         self.connections.discard(connection)
+        self.unanswered_bytes.append(connection.unanswered_bytes)
 
 
 class _Harness:
@@ -182,3 +186,109 @@
     writer.abort()
     assert harness.transport.closed == "reset"
     assert not harness.transport.pop_written().endswith(b"0\r\n\r\n")
+
+
+def test_bytes_of_unanswered_requests_are_reported_when_a_connection_ends():
+    for received, unanswered in ((_REQUEST, 0), (_REQUEST[:9], 9),
+                                 (_REQUEST + _REQUEST, len(_REQUEST)),
+                                 (b"GET / HTTP/0.9\r\n\r\n", 0)):
+        harness = _Harness()
+        harness.receive(received)
+        harness.connection.connectionLost()
+        assert harness.handler.unanswered_bytes == [unanswered]
+
+
+def test_request_after_a_response_that_began_before_the_stop_is_handled():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    _, writer = harness.handler.requests[0]
+    writer.begin(200, [], 2)
+    harness.handler.stopping = True
+    harness.receive(_REQUEST)
+    writer.write(b"ok")
+    writer.finish()
+    assert len(harness.handler.requests) == 2
+    assert b"connection: close" in harness.respond().lower()
+    assert harness.transport.closed == "written"
+
+
+def test_last_response_is_not_cut_while_it_is_being_sent():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.handler.stopping = True
+    harness.respond()
+    assert not harness.connection.is_idle
+    harness.scheduler.advance(ms(5000))
+    assert harness.transport.closed == "written"
+    harness.connection.writeConnectionLost()
+    harness.scheduler.advance(ms(1000))
+    assert harness.transport.closed == "closed"
+
+
+def test_caller_that_disconnects_early_is_reset_and_a_finished_one_closed():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.connection.readConnectionLost()
+    assert harness.transport.closed == "reset"
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.respond()
+    harness.connection.readConnectionLost()
+    assert harness.transport.closed == "closed"
+
+
+def test_idle_timeout_follows_a_raised_limit():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.respond()
+    harness.scheduler.advance(ms(10_000))
+    harness.handler.limits = dataclasses.replace(
+        harness.handler.limits, idle_timeout=datetime.timedelta(seconds=20))
+    harness.scheduler.advance(ms(9_999))
+    assert not harness.transport.closed
+    harness.scheduler.advance(ms(1))
+    assert harness.transport.closed == "closed"
+
+
+def test_waiting_request_is_read_before_an_idle_connection_is_closed():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    harness.respond()
+    harness.connection.close()
+    harness.receive(_REQUEST)
+    harness.scheduler.advance(ms(1))
+    assert not harness.transport.closed
+    assert harness.respond().endswith(b"ok")
+
+
+def test_many_pipelined_bytes_pause_reading_and_keep_the_open_response():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    pipelined = _REQUEST * 50_000
+    assert len(pipelined) > 1024 * 1024
+    sent = 0
+    while harness.transport.producerState == "producing":
+        harness.receive(pipelined[sent:sent + 4096])
+        sent += 4096
+        assert sent < len(pipelined)
+    count = sent // len(_REQUEST)
+    for _ in range(count):
+        assert harness.respond().endswith(b"ok")
+    assert len(harness.handler.requests) == count + 1
+    assert harness.transport.producerState == "producing"
+    assert not harness.transport.closed
+
+
+def test_many_pipelined_requests_that_are_answered_at_once_are_all_answered():
+    harness = _Harness()
+    answered = []
+
+    def answer(request, writer):
+        answered.append(request)
+        writer.begin(401, [], 0)
+        writer.finish()
+
+    harness.handler.handle_request = answer
+    harness.receive(_REQUEST * 2000)
+    assert len(answered) == 2000
+    assert not harness.transport.closed
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -30,6 +30,11 @@
         self._is_stopping = False
         self.open_requests = 0
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether a caller is connected, or a response is still being sent."""
+        return bool(self._connections)
+
     def buildProtocol(  # pylint: disable=invalid-name
             self, addr: object) -> http1.CallerConnection:
         """See `protocol.ServerFactory`."""
@@ -94,9 +99,16 @@
         """See `http1.RequestHandler`."""
         self._connections.add(connection)
 
-    def remove_connection(self, connection: http1.CallerConnection) -> None:
+    def remove_connection(self, connection: http1.CallerConnection,
+                          reason: str) -> None:
         """See `http1.RequestHandler`."""
         self._connections.discard(connection)
+        if connection.unanswered_bytes:
+            self._context.journal.write(
+                "request_unanswered",
+                received_bytes=connection.unanswered_bytes,
+                is_stopping=self._is_stopping,
+                reason=reason)
 
     def _handle_disconnect(self, forwarding: dispatch.Forwarding) -> None:
         if not forwarding.is_done:
--- /dev/null
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -0,0 +1,199 @@
+"""Tests of leaving endpoints and kept connections with real processes."""
+
+import time
+
+import pytest
+
+from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import fake_servers
+from mustardwood.platform.tests import process_fleet
+from mustardwood.platform.tests import process_workload
+
+
+class _Fleet:
+    """A store, endpoints of both services, and one VM."""
+
+    def __init__(self, folder):
+        self.store = fake_servers.FakeStore()
+        self.document = documents.make_document()
+        self.document["limits"]["max_body_bytes"] = 1_000_000
+        self.document["routes"][1]["timeout_ms"] = 20_000
+        self.document["routes"][1]["backends"] = [{
+            "service": "api",
+            "weight": 1
+        }]
+        self.store.put("op/config", self.document)
+        self.endpoints = []
+        for index, service in enumerate(("api", "api", "engine")):
+            endpoint = fake_servers.FakeEndpoint()
+            self.endpoints.append(endpoint)
+            self.store.put(
+                f"servers/i-{index}",
+                documents.make_registration(service=service,
+                                            slots=64,
+                                            address=endpoint.address))
+        self.vm = process_fleet.Vm(folder, "vm-1", self.store)
+
+    def find_lost_requests(self, outcomes):
+        """See `process_fleet.find_lost_requests`."""
+        return process_fleet.find_lost_requests(outcomes, self.endpoints)
+
+
+@pytest.fixture(name="fleet")
+def _make_fleet(tmp_path):
+    fleet = _Fleet(tmp_path)
+    fleet.vm.start()
+    yield fleet
+    fleet.vm.kill()
+
+
+@pytest.mark.processes
+def test_removed_endpoint_gets_no_late_request_after_a_watch_was_cut(fleet):
+    process_fleet.wait_until(fleet.store.count_waiting_watches)
+    fleet.store.cut_watches()
+    process_fleet.wait_until(lambda: fleet.vm.find_events("store_lost"))
+    process_fleet.wait_until(fleet.store.count_waiting_watches)
+    removed_at = fleet.store.remove("servers/i-0")
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    while time.monotonic() < removed_at + 2.5:
+        assert caller.call("/post/0").is_complete
+    assert not process_fleet.find_late_arrivals(fleet.endpoints[0], removed_at)
+    assert fleet.endpoints[1].arrivals
+
+
+@pytest.mark.processes
+def test_removed_endpoint_gets_no_late_request_after_silent_store_connections(
+        fleet):
+    time.sleep(1.0)
+    # The watch after a cut one has just begun, and other connections are idle.
+    fleet.store.cut_watches()
+    time.sleep(0.5)
+    silent_since = fleet.store.silence_connections()
+    removed_at = fleet.store.remove("servers/i-0")
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    while time.monotonic() < removed_at + 5.0:
+        assert caller.call("/post/0").is_complete
+    # Silent connections excuse late news for the contact time.
+    in_touch_at = silent_since + process_fleet.CONTACT_SECONDS
+    late = process_fleet.find_late_arrivals(fleet.endpoints[0], removed_at)
+    assert not [
+        each for each in late if fleet.endpoints[0].arrivals[each] > in_touch_at
+    ]
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("is_pipelined", [False, True])
+def test_request_after_a_stream_that_began_before_the_stop_is_answered(
+        fleet, is_pipelined):
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    caller.send("/stream/8/100")
+    process_fleet.wait_until(lambda: fleet.endpoints[2].arrivals)
+    time.sleep(0.3)
+    fleet.vm.stop()
+    if is_pipelined:
+        caller.send("/post/0")
+    assert caller.read().is_complete and caller.may_reuse
+    if not is_pipelined:
+        caller.send("/post/0")
+    outcome = caller.read()
+    assert not fleet.find_lost_requests([outcome])
+    assert outcome.status == 200
+    assert not caller.may_reuse
+    assert fleet.vm.wait() == 0
+    assert not fleet.vm.find_events("request_unanswered")
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("body_bytes, pause_seconds", [(4_000_000, 0.08),
+                                                       (12_000_000, 0.02)])
+def test_slowly_read_response_is_whole_although_the_vm_stops(
+        fleet, body_bytes, pause_seconds):
+    for endpoint in fleet.endpoints:
+        endpoint.padding = bytes(body_bytes)
+    caller = process_fleet.Caller(fleet.vm, "caller", 64 * 1024)
+    caller.send("/post/500")
+    process_fleet.wait_until(
+        lambda: any(each.arrivals for each in fleet.endpoints))
+    fleet.vm.stop()
+    outcome = caller.read(pause_seconds)
+    assert outcome.seconds > 2.0
+    assert not fleet.find_lost_requests([outcome])
+    assert fleet.vm.wait() == 0
+
+
+@pytest.mark.processes
+def test_requests_in_the_backlog_are_answered_when_the_listener_closes(fleet):
+    # Twisted accepts as many connections at once as in the last burst.
+    assert process_fleet.Caller(fleet.vm, "first").call("/post/0").is_complete
+    fleet.vm.stop()
+    time.sleep(2.0)
+    # The VM is busy when its listener is due to close.
+    fleet.vm.suspend()
+    callers = [
+        process_fleet.Caller(fleet.vm, f"caller-{index}") for index in range(20)
+    ]
+    for caller in callers:
+        caller.send("/post/0")
+    time.sleep(0.5)
+    fleet.vm.resume()
+    outcomes = [caller.read() for caller in callers]
+    assert not fleet.find_lost_requests(outcomes)
+    assert [each.status for each in outcomes] == [200] * len(outcomes)
+
+
+@pytest.mark.processes
+def test_idle_connection_is_kept_for_a_raised_limit(fleet):
+    _set_idle_timeout(fleet, 8, 1500)
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    assert caller.call("/post/0").is_complete
+    _set_idle_timeout(fleet, 9, 3000)
+    time.sleep(2.2)
+    assert caller.call("/post/0").status == 200
+
+
+def _set_idle_timeout(fleet, version, milliseconds):
+    """Changes the idle timeout and waits until the VM applies it."""
+    limits = {**fleet.document["limits"], "idle_timeout_ms": milliseconds}
+    fleet.store.put("op/config", {
+        **fleet.document, "version": version,
+        "limits": limits
+    })
+    process_fleet.wait_until(lambda: any(each["version"] == version for each in
+                                         fleet.vm.find_events("configuration")))
+
+
+def _make_endpoint(arrivals):
+    endpoint = fake_servers.FakeEndpoint()
+    endpoint.arrivals.update(arrivals)
+    return endpoint
+
+
+def test_check_of_leaving_endpoints_finds_a_late_arrival():
+    endpoint = _make_endpoint({"early": 11.9, "late": 12.5})
+    assert process_fleet.find_late_arrivals(endpoint, 10.0) == {"late": 2.5}
+
+
+def test_check_of_losses_finds_each_kind_of_lost_request():
+    endpoint = _make_endpoint({"cut": 1.0, "reset": 1.0, "whole": 1.0})
+    outcomes = [
+        process_fleet.Outcome("cut", 200, False, 0.1),
+        process_fleet.Outcome("reset", 0, False, 0.1),
+        process_fleet.Outcome("discarded", 0, False, 1.0),
+        process_fleet.Outcome("whole", 200, True, 1.0),
+        process_fleet.Outcome("refused", 503, True, 1.0),
+        process_fleet.Outcome("crossed the close", 0, False, 0.1),
+    ]
+    lost = process_fleet.find_lost_requests(outcomes, [endpoint])
+    assert [each.attempt_id for each in lost] == ["cut", "reset", "discarded"]
+
+
+@pytest.mark.processes
+def test_no_request_is_lost_or_late_while_endpoints_leave_and_vms_restart(
+        tmp_path):
+    workload = process_workload.Workload(tmp_path, seed=4)
+    workload.run(seconds=12)
+    assert len(workload.outcomes) > 100
+    assert len(workload.left_at) > 4
+    assert not workload.find_late_arrivals()
+    assert not workload.find_lost_requests()
+    assert not workload.unexpected
