Search each byte of a stream for the end of an event once

What callers saw: nothing yet; an endpoint that sends an event in many small parts without its end keeps the VM busy, and every other request waits. Cause: EventSplitter.add joined the unfinished event with each part and searched all of it again, so the work is quadratic. Change: the unfinished event is kept in one buffer and searched from three bytes before the new part.

--- a/mustardwood/dispatch/event_splitter.py
+++ b/mustardwood/dispatch/event_splitter.py
@@ -3,6 +3,8 @@
 import re
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
+"""Length of the longest end of an event, in bytes."""
 _ID = re.compile(rb"^id:[ ]?(\d+)\s*$", re.MULTILINE)
 
 
@@ -25,12 +27,17 @@
 
     def __init__(self, last_id: int | None) -> None:
         self.last_id = last_id
-        self._pending = b""
+        self._pending = bytearray()
 
     @property
     def rest(self) -> bytes:
         """The bytes received after the last complete event."""
-        return self._pending
+        return bytes(self._pending)
+
+    @property
+    def rest_size(self) -> int:
+        """Number of bytes received after the last complete event."""
+        return len(self._pending)
 
     def add(self, data: bytes) -> bytes:
         """Adds received bytes and returns the events that are now complete.
@@ -38,20 +45,24 @@
         Events with an id that is not greater than `last_id` were sent to the
         caller before and are left out.
         """
-        pending = self._pending + data
+        # What was pending contains no end, but an end may begin in it.
+        searched = max(0, len(self._pending) - _MAX_END_BYTES + 1)
+        self._pending += data
+        received = bytes(self._pending) if _END.search(self._pending,
+                                                       searched) else b""
         kept = bytearray()
         start = 0
-        for match in _END.finditer(pending):
-            event = pending[start:match.end()]
+        for match in _END.finditer(received, searched):
+            event = received[start:match.end()]
             start = match.end()
             if self._is_new(event):
                 kept += event
-        self._pending = pending[start:]
+        del self._pending[:start]
         return bytes(kept)
 
     def drop_rest(self) -> None:
         """Discards an incomplete event before another endpoint continues."""
-        self._pending = b""
+        self._pending.clear()
 
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
