Ignore event ids that are too long to be numbers

Cause: an id of more than 4,300 digits raises ValueError in the conversion to a number, inside the handler of received data. Evidence: test_id_of_too_many_digits_is_ignored failed with that error. Change: an id has at most 18 digits; an event with a longer one has no id, as one whose id is no number. Result: the test passes.

--- a/mustardwood/dispatch/event_splitter.py
+++ b/mustardwood/dispatch/event_splitter.py
@@ -5,7 +5,7 @@
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _MAX_END_BYTES = 4
 """Length of the longest end of an event, in bytes."""
-_ID = re.compile(rb"^id:[ ]?(\d+)\s*$", re.MULTILINE)
+_ID = re.compile(rb"^id:[ ]?(\d{1,18})\s*$", re.MULTILINE)
 
 
 class EventSplitter:
--- a/mustardwood/dispatch/tests/test_event_splitter.py
+++ b/mustardwood/dispatch/tests/test_event_splitter.py
@@ -35,3 +35,10 @@
         splitter.add(b"x" * 16)
     assert time.perf_counter() - started < _MAX_SECONDS
     assert len(splitter.rest) == 256 * 1024
+
+
+def test_id_of_too_many_digits_is_ignored():
+    splitter = event_splitter.EventSplitter(None)
+    event = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+    assert splitter.add(event) == event
+    assert splitter.last_id is None
