Cut off an event that has no end

What callers saw: an endpoint whose stream never ends an event was read until the deadline, and all of it was kept; a VM of 200 MB is killed by it and loses all its requests. Cause: the bytes after the last complete event had no bound. Change: an event has at most 256 KiB. Beyond that the connection is closed and the attempt fails as "an event is too long", so that the endpoint's health and the retry see it.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -20,6 +20,11 @@
 """Maximum number of sends of one request, including those that did not run."""
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes of a response that are buffered, so that it can be replaced."""
+_MAX_EVENT_BYTES = 256 * 1024
+"""Maximum size of an event in bytes; ordinary ones have some thousand.
+
+An event is buffered until it is complete, and a VM has hundreds of streams.
+"""
 _MAX_WAIT_TARGETS = 1.6
 """Maximum time in the queue as a multiple of the first-byte target.
 
@@ -273,12 +278,13 @@
     def _forward_events(self, attempt: attempt_record.AttemptRecord,
                         data: bytes) -> None:
         events = self._splitter.add(data)
-        if not events:
-            return
-        if not self._is_head_sent:
-            self._send_head(attempt, None)
-        self._record.record_events()
-        self._caller.write(events)
+        if events:
+            if not self._is_head_sent:
+                self._send_head(attempt, None)
+            self._record.record_events()
+            self._caller.write(events)
+        if self._splitter.rest_size > _MAX_EVENT_BYTES:
+            self._break_off(attempt, "an event is too long")
 
     def _send_head(self, attempt: attempt_record.AttemptRecord,
                    length: int | None) -> None:
@@ -506,6 +512,13 @@
             self._handover_timer.cancel()
             self._handover_timer = None
 
+    def _break_off(self, attempt: attempt_record.AttemptRecord,
+                   reason: str) -> None:
+        """Closes the connection of an attempt whose response is invalid."""
+        if attempt.handle is not None:
+            attempt.handle.abort()
+        self.receive_failure(attempt, True, reason)
+
     def _mark_stalled(self, attempt: attempt_record.AttemptRecord) -> None:
         """Records a failure of a stalled endpoint and releases the prefill.
 
