Cut off an error response whose body has no end

What callers saw: an endpoint that sends an error status and then bytes without end was read at full speed until the deadline. Cause: an error body beyond the buffer is discarded, but was read on for ever. Evidence: test_error_body_without_end_is_cut_off took all 32 MiB that the test sends, for 404 and 500. Change: after 1 MiB of body the connection is closed and the attempt fails as "the error body is too long". Bodies between 256 KiB and 1 MiB end as before. Result: the test passes.

--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -22,6 +22,8 @@
         is_stalled: Whether the endpoint exceeded the stall timeout.
         body: Buffered body of a response that is not sent on immediately.
         is_truncated: Whether the body exceeded the buffer and is incomplete.
+        error_bytes: Number of bytes received of the body of a response that is
+            no success.
         handle: Aborts the attempt; None before it was sent.
     """
 
@@ -37,6 +39,7 @@
         self.is_stalled = False
         self.body = bytearray()
         self.is_truncated = False
+        self.error_bytes = 0
         self.handle: forwarding_context.Attempt | None = None
 
     @property
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -25,6 +25,11 @@
 
 An event is buffered until it is complete, and a VM has hundreds of streams.
 """
+_MAX_ERROR_BODY_BYTES = 1024 * 1024
+"""Bytes of an error response after which its endpoint counts as faulty.
+
+What exceeds the buffer is only read to learn that the response is complete.
+"""
 _MAX_WAIT_TARGETS = 1.6
 """Maximum time in the queue as a multiple of the first-byte target.
 
@@ -107,6 +112,9 @@
                                     > _MAX_BUFFERED_BYTES)
             if not attempt.is_truncated:
                 attempt.body += data
+            attempt.error_bytes += len(data)
+            if attempt.error_bytes > _MAX_ERROR_BODY_BYTES:
+                self._break_off(attempt, "the error body is too long")
             return
         self._keep_only(attempt)
         self._release_prefill(attempt)
--- a/mustardwood/dispatch/tests/test_unbounded_responses.py
+++ b/mustardwood/dispatch/tests/test_unbounded_responses.py
@@ -1,5 +1,8 @@
 """Tests of endpoints whose response goes on without end."""
 
+import pytest
+
+from mustardwood import dispatch
 from mustardwood.dispatch.tests import harness as harness_module
 
 _READ_BYTES = 64 * 1024
@@ -40,3 +43,21 @@
         attempt.listener.receive_data(events[start:start + _READ_BYTES])
     attempt.listener.receive_end()
     assert (caller.body, caller.end) == (events, "complete")
+
+
+@pytest.mark.parametrize("status", (404, 500))
+def test_error_body_without_end_is_cut_off(status):
+    harness = harness_module.Harness()
+    request = harness_module.make_request(
+        harness, retry_policy=dispatch.RetryPolicy.AT_MOST_ONCE, max_runs=1)
+    _, caller = harness.start(request)
+    attempt = harness.client.sent[0]
+    attempt.begin(status)
+    sent_bytes = 0
+    while not attempt.is_aborted and sent_bytes < _ENDLESS_BYTES:
+        attempt.listener.receive_data(b"x" * _READ_BYTES)
+        sent_bytes += _READ_BYTES
+    assert sent_bytes <= 2 * 1024 * 1024
+    assert caller.status == 502
+    _, line = harness.journal.lines[-1]
+    assert line["attempts"][0]["end"] == "the error body is too long"
