Cut off what an endpoint sends without end beside its response

What callers saw: an endpoint that sends informational responses, responses to other requests, the body of such a response, chunk extensions or tiny chunks without end was read at full speed until the deadline; other requests of the VM waited meanwhile. A body of the response itself had no bound either. Cause: EndpointConnection bounds the head of a response only; everything else was passed over or discarded for ever. Heads, chunk sizes and trailers without end were bounded already. Beyond that the connection is closed and the exchange fails with a reason of its own. A late response to another request is still passed over.

--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -46,7 +46,8 @@
         address: _Address,
         request: http_request.HttpRequest,
         listener: exchange_module.ExchangeListener,
-        max_idle_time: datetime.timedelta = datetime.timedelta.max
+        max_idle_time: datetime.timedelta = datetime.timedelta.max,
+        max_body_bytes: int = exchange_module.DEFAULT_MAX_BODY_BYTES
     ) -> exchange_module.Exchange:
         """Sends a request.
 
@@ -57,11 +58,13 @@
                 call returns.
             max_idle_time: Only a connection that has been idle for less is
                 reused.
+            max_body_bytes: Size in bytes beyond which the response's body is
+                cut off.
 
         Returns:
             The exchange, by which the request can be aborted.
         """
-        exchange = exchange_module.Exchange(request, listener)
+        exchange = exchange_module.Exchange(request, listener, max_body_bytes)
         connection = self._pop_idle(address, max_idle_time)
         if connection is not None:
             connection.start(exchange)
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -13,6 +13,7 @@
 from mustardwood import timing
 from mustardwood.http1 import exchange as exchange_module
 from mustardwood.http1 import http_request
+from mustardwood.http1 import received_bytes
 from mustardwood.http1 import socket_options
 
 _MAX_HEADER_BYTES = 64 * 1024
@@ -53,6 +54,8 @@
         self._exchange: exchange_module.Exchange | None = None
         self._http = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._sent_events: list[h11.Event] = []
+        self._received = received_bytes.ReceivedBytes(
+            first_exchange.max_body_bytes)
         self._is_discarding = False
         self._is_closed = False
         self.idle_since = clock.monotonic()
@@ -85,6 +88,7 @@
         if request.body:
             self._sent_events.append(h11.Data(data=request.body))
         self._sent_events.append(h11.EndOfMessage())
+        self._received = received_bytes.ReceivedBytes(exchange.max_body_bytes)
         self._exchange = exchange
         exchange.attach(self)
         self.transport.write(b"".join(
@@ -96,6 +100,7 @@
             # Data that arrives without an exchange belongs to no request.
             self.abort()
             return
+        self._received.add_received(len(data))
         self._http.receive_data(data)
         self._read_events()
 
@@ -124,18 +129,26 @@
 
     def _read_events(self) -> None:
         while self._exchange is not None:
+            excess = self._received.find_excess()
+            if excess:
+                self._fail(excess)
+                return
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 self._fail(f"not an answer: {error}")
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                excess = self._received.find_framing_excess()
+                if excess:
+                    self._fail(excess)
                 return
             if isinstance(event, h11.Response):
                 self._handle_head(event)
             elif isinstance(event, h11.Data):
-                if not self._is_discarding:
-                    self._exchange.listener.receive_data(bytes(event.data))
+                self._handle_data(self._exchange, event.data)
+            elif isinstance(event, h11.InformationalResponse):
+                self._received.add_informational_response()
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_end()
             elif isinstance(event, h11.ConnectionClosed):
@@ -148,12 +161,21 @@
         headers: http_request.Headers = event.headers.raw_items()
         if not exchange.listener.accepts(event.status_code, headers):
             self._is_discarding = True
+            self._received.add_discarded_response()
             return
         for name, value in event.headers:
             if name == b"keep-alive":
                 self._apply_keep_alive(value)
         exchange.listener.receive_head(event.status_code, headers)
 
+    def _handle_data(self, exchange: exchange_module.Exchange,
+                     data: bytes | bytearray) -> None:
+        if self._is_discarding:
+            self._received.add_discarded(len(data))
+        else:
+            self._received.add_body(len(data))
+            exchange.listener.receive_data(bytes(data))
+
     def _apply_keep_alive(self, value: bytes) -> None:
         found = _KEEP_ALIVE_TIMEOUT.search(value)
         if found is not None:
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -4,6 +4,13 @@
 
 from mustardwood.http1 import http_request
 
+DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Maximum size of a response's body in bytes, unless the caller sets another.
+
+A longer body counts as one without end, which would take up the VM until the
+request's deadline.
+"""
+
 
 class ExchangeListener(typing.Protocol):
     """Receives the events of an exchange."""
@@ -45,13 +52,18 @@
     Attributes:
         request: The request to send.
         listener: Receives the events of the exchange.
+        max_body_bytes: Size in bytes beyond which the response's body is cut
+            off.
         is_finished: Whether the exchange was completed, failed or aborted.
     """
 
-    def __init__(self, request: http_request.HttpRequest,
-                 listener: ExchangeListener) -> None:
+    def __init__(self,
+                 request: http_request.HttpRequest,
+                 listener: ExchangeListener,
+                 max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
         self.request = request
         self.listener = listener
+        self.max_body_bytes = max_body_bytes
         self.is_finished = False
         self._connection: _Abortable | None = None
 
