Stop reading from an endpoint while its caller doesn't read

Cause: CallerConnection wrote to its transport without regard to its send buffer. Change: CallerConnection is a push producer of its transport. While the send buffer is full, Forwarding pauses reading from the endpoint, and its stall timer is off, so that the endpoint doesn't count as silent; the deadline stays. The next pipelined request waits as well. A connection is read again as soon as its exchange has ended.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -66,6 +66,7 @@
         self._context = context
         self._attempt: attempt_record.AttemptRecord | None = None
         self._silent_attempt: attempt_record.AttemptRecord | None = None
+        self._paused_attempt: attempt_record.AttemptRecord | None = None
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._tried_endpoints: set[str] = set()
         self._sends = 0
@@ -103,6 +104,25 @@
         self._abort_attempts(request_record.CALLER_GONE)
         self._finish(request_record.CALLER_GONE, 0)
 
+    def pause(self) -> None:
+        """Stops reading the response, because its caller reads too slowly.
+
+        The endpoint does not count as silent in the meantime.
+        """
+        attempt = self._attempt
+        if attempt is not None and attempt.handle is not None:
+            self._paused_attempt = attempt
+            attempt.handle.pause()
+            self._cancel_stall_timer()
+
+    def resume(self) -> None:
+        """Reads the response again."""
+        attempt, self._paused_attempt = self._paused_attempt, None
+        if (attempt is not None and attempt is self._attempt and
+                attempt.handle is not None):
+            attempt.handle.resume()
+            self._start_stall_timer()
+
     def receive_data(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
         """Handles a part of the response's body of an open attempt."""
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -52,6 +52,12 @@
     def abort(self) -> None:
         """Closes the connection; the listener is not called again."""
 
+    def pause(self) -> None:
+        """Stops reading the response."""
+
+    def resume(self) -> None:
+        """Reads the response again."""
+
 
 class AttemptListener(typing.Protocol):
     """Receives the response to an attempt, or its failure."""
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -64,11 +64,20 @@
         self.resume_after = resume_after
         self.listener = listener
         self.is_aborted = False
+        self.is_paused = False
 
     def abort(self):
         """Records that the attempt was aborted."""
         self.is_aborted = True
 
+    def pause(self):
+        """Records that the response is not read for now."""
+        self.is_paused = True
+
+    def resume(self):
+        """Records that the response is read again."""
+        self.is_paused = False
+
     def respond(self, status=200, body=b"", verified=True, not_run=False):
         """Delivers a complete response."""
         self.begin(status, verified, not_run)
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -6,8 +6,10 @@
 import typing
 
 import h11
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
+from zope import interface
 
 from mustardwood import dispatch
 from mustardwood.http1 import http_request
@@ -25,10 +27,15 @@
 """Maximum number of bytes received before the previous response is complete."""
 
 
+@interface.implementer(interfaces.IPushProducer)
 class CallerConnection(protocol.Protocol):
     """Receives requests one after the other and sends the responses.
 
-    Pipelined requests are buffered until the previous response is complete.
+    Pipelined requests are buffered until the previous response is complete
+    and sent.
+
+    It is the producer of the bytes of a response, which the transport pauses
+    while the caller reads more slowly than the response arrives.
     """
 
     transport: typing.Any
@@ -46,6 +53,7 @@
         self._is_receiving = False
         self._is_lingering = False
         self._pipelined_bytes = 0
+        self._is_full = False
 
     @property
     def is_idle(self) -> bool:
@@ -56,6 +64,7 @@
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport)
+        self.transport.registerProducer(self, True)
         self._handler.add_connection(self)
         self._start_timer(self._handler.get_limits().idle_timeout, self.close)
 
@@ -63,12 +72,12 @@
         """See `protocol.Protocol`."""
         if self._is_lingering:
             return
-        if self._writer is not None:
+        if self._writer is not None or self._is_full:
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > _MAX_PIPELINED_BYTES:
                 self.transport.abortConnection()
                 return
-        elif not self._is_receiving:
+        if self._writer is None and not self._is_receiving:
             self._is_receiving = True
             self._start_timer(self._handler.get_limits().header_timeout,
                               self._refuse_slow_request)
@@ -85,9 +94,27 @@
         if writer is not None:
             writer.handle_disconnect()
 
+    def pauseProducing(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IPushProducer`."""
+        self._is_full = True
+        if self._writer is not None:
+            self._writer.handle_pause()
+
+    def resumeProducing(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IPushProducer`."""
+        self._is_full = False
+        if self._writer is not None:
+            self._writer.handle_resume()
+        else:
+            self._read_events()
+
+    def stopProducing(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IPushProducer`; `connectionLost` follows."""
+
     def close(self) -> None:
         """Closes the connection; to be called between requests only."""
         self._cancel_timer()
+        self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def send_head(self, status: int, headers: http_request.Headers) -> None:
@@ -132,7 +159,7 @@
         self.transport.abortConnection()
 
     def _read_events(self) -> None:
-        while self._writer is None and not self._is_lingering:
+        while not (self._writer or self._is_lingering or self._is_full):
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -220,6 +247,7 @@
 
     def _linger(self) -> None:
         self._is_lingering = True
+        self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
         self._start_timer(_LINGER_TIMEOUT, self.transport.abortConnection)
 
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -135,6 +135,12 @@
         """Stops connecting; no connection is opened."""
         self._connector.disconnect()
 
+    def pause(self) -> None:
+        """Does nothing; a connection that is being opened has no response."""
+
+    def resume(self) -> None:
+        """Does nothing; a connection that is being opened has no response."""
+
 
 class _ConnectionFactory(protocol.ClientFactory):
     """Opens a connection for an exchange."""
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -127,6 +127,14 @@
         self._exchange = None
         self.transport.abortConnection()
 
+    def pause(self) -> None:
+        """Stops reading until `resume` is called or the exchange ends."""
+        self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads again."""
+        self.transport.resumeProducing()
+
     def _read_events(self) -> None:
         while self._exchange is not None:
             excess = self._received.find_excess()
@@ -198,6 +206,7 @@
             self.transport.abortConnection()
         else:
             self._http.start_next_cycle()
+            self.resume()
             self.idle_since = self._clock.monotonic()
             self._on_idle(self)
         exchange.complete()
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -40,11 +40,17 @@
         """
 
 
-class _Abortable(typing.Protocol):
+class _Connection(typing.Protocol):
 
     def abort(self) -> None:
         """Closes the connection, or stops connecting, immediately."""
 
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+
+    def resume(self) -> None:
+        """Reads from the connection again."""
+
 
 class Exchange:
     """A request in progress, which may still be waiting for a connection.
@@ -65,9 +71,9 @@
         self.listener = listener
         self.max_body_bytes = max_body_bytes
         self.is_finished = False
-        self._connection: _Abortable | None = None
+        self._connection: _Connection | None = None
 
-    def attach(self, connection: _Abortable) -> None:
+    def attach(self, connection: _Connection) -> None:
         """Sets the connection or pending connection that `abort` closes."""
         self._connection = connection
 
@@ -79,6 +85,16 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def pause(self) -> None:
+        """Stops reading the response; what was read is still delivered."""
+        if not self.is_finished and self._connection is not None:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """Reads the response again."""
+        if not self.is_finished and self._connection is not None:
+            self._connection.resume()
+
     def fail(self, was_sent: bool, reason: str) -> None:
         """Reports a failure to the listener unless the exchange is finished."""
         if not self.is_finished:
--- a/mustardwood/http1/response_writer.py
+++ b/mustardwood/http1/response_writer.py
@@ -32,6 +32,8 @@
     def __init__(self, connection: ResponseConnection) -> None:
         self._connection: ResponseConnection | None = connection
         self._on_disconnect: collections.abc.Callable[[], None] | None = None
+        self._on_pause: collections.abc.Callable[[], None] | None = None
+        self._on_resume: collections.abc.Callable[[], None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -46,6 +48,29 @@
         """
         self._on_disconnect = function
 
+    def set_flow_callbacks(
+            self, on_pause: collections.abc.Callable[[], None],
+            on_resume: collections.abc.Callable[[], None]) -> None:
+        """Sets the functions that keep a slow caller's response from piling up.
+
+        Args:
+            on_pause: Called, possibly within `write`, while more is waiting to
+                be sent to the caller than the connection should buffer.
+            on_resume: Called when the caller has received it.
+        """
+        self._on_pause = on_pause
+        self._on_resume = on_resume
+
+    def handle_pause(self) -> None:
+        """Handles a full send buffer of the connection."""
+        if self._connection is not None and self._on_pause is not None:
+            self._on_pause()
+
+    def handle_resume(self) -> None:
+        """Handles that the send buffer of the connection is empty again."""
+        if self._connection is not None and self._on_resume is not None:
+            self._on_resume()
+
     def begin(self, status: int, headers: http_request.Headers,
               length: int | None) -> None:
         """Sends the status line and the headers.
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -182,3 +182,33 @@
     writer.abort()
     assert harness.transport.closed == "reset"
     assert not harness.transport.pop_written().endswith(b"0\r\n\r\n")
+
+
+def test_response_to_a_slow_caller_is_paused_until_it_has_been_read():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    _, writer = harness.handler.requests[0]
+    calls = []
+    writer.set_flow_callbacks(lambda: calls.append("pause"),
+                              lambda: calls.append("resume"))
+    writer.begin(200, [], None)
+    harness.transport.producer.pauseProducing()
+    harness.transport.producer.resumeProducing()
+    assert calls == ["pause", "resume"]
+
+
+def test_next_request_waits_until_the_previous_response_has_been_read():
+    harness = _Harness()
+    harness.receive(_REQUEST + _REQUEST)
+    harness.transport.producer.pauseProducing()
+    harness.respond()
+    assert len(harness.handler.requests) == 1
+    for _ in range(17):
+        harness.receive(_REQUEST * 3000)
+    assert harness.transport.closed == "reset"
+    harness = _Harness()
+    harness.receive(_REQUEST + _REQUEST)
+    harness.transport.producer.pauseProducing()
+    harness.respond()
+    harness.transport.producer.resumeProducing()
+    assert len(harness.handler.requests) == 2
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -177,3 +177,12 @@
     harness.disconnect(internet_error.ConnectionLost())
     assert harness.listener.end is None
     assert harness.transport.closed == "reset"
+
+
+def test_connection_whose_reading_was_paused_is_read_again_when_reused():
+    harness = _Harness()
+    harness.exchange.pause()
+    assert harness.transport.producerState == "paused"
+    harness.receive(_HEAD % b"mine" + b"data")
+    assert harness.listener.end == "complete"
+    assert harness.transport.producerState == "producing"
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -79,6 +79,7 @@
         forwarding = dispatch.Forwarding(request, caller, context)
         writer.set_disconnect_callback(
             lambda: self._handle_disconnect(forwarding))
+        writer.set_flow_callbacks(forwarding.pause, forwarding.resume)
         forwarding.start()
 
     def add_connection(self, connection: http1.CallerConnection) -> None:
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -1,6 +1,7 @@
 """HTTP servers that stand for the store and an endpoint in process tests."""
 
 import base64
+import contextlib
 import http.server
 import json
 import threading
@@ -173,3 +174,45 @@
     def address(self):
         """Address of the server as IP:PORT."""
         return self._server.address
+
+
+class EndlessEndpoint:
+    """A fake endpoint that sends bytes without end, at full speed.
+
+    Attributes:
+        sent_bytes: Number of bytes sent so far.
+    """
+
+    def __init__(self, begin, part):
+        """Starts the endpoint.
+
+        Args:
+            begin: Bytes sent first; a `%s` stands for the request's id.
+            part: Bytes sent again and again after that.
+        """
+        self.sent_bytes = 0
+        endpoint = self
+        block = part * max(1, 64 * 1024 // len(part))
+
+        class Handler(_Handler):
+            """Responds to requests until the connection is closed."""
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                """Sends until the connection is closed."""
+                self.read_body()
+                request_id = self.headers["Mustardwood-Attempt-Id"].encode()
+                self.close_connection = True
+                with contextlib.suppress(OSError):
+                    self.connection.sendall(begin.replace(b"%s", request_id))
+                    while True:
+                        self.connection.sendall(block)
+                        endpoint.sent_bytes += len(block)
+
+            do_POST = do_GET
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """Address of the server as IP:PORT."""
+        return self._server.address
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -20,6 +20,10 @@
 
 _TIMEOUT_SECONDS = 30.0
 """Time after which a test stops waiting for an expected state."""
+_MAX_MEMORY_BYTES = 200 * 1024 * 1024
+"""Memory limit of a VM."""
+_SIGNED = (b"HTTP/1.1 200 OK\r\nMustardwood-Attempt-Id: %s\r\n"
+           b"Mustardwood-Replica-Signature: signed\r\n")
 
 
 def _find_free_port():
@@ -77,6 +81,15 @@
         with open(self._log.name, encoding="utf-8") as log:
             return [json.loads(line) for line in log]
 
+    def count_endpoints(self, prefix):
+        """Returns how many endpoints with this prefix the VM has found."""
+        return len({
+            line["endpoint"]
+            for line in self.read_log()
+            if (line["event"] == "endpoint" and
+                line["endpoint"].startswith(prefix))
+        })
+
     def read_readiness(self):
         """Returns the status of the readiness page; 0 without a response."""
         connection = http.client.HTTPConnection("127.0.0.1",
@@ -190,3 +203,35 @@
     vm.wait_until(lambda: {"endpoint_rejected", "configuration_rejected"} <=
                   {line["event"] for line in vm.read_log()})
     assert vm.call("/post/0")[0] == 200
+
+
+def _read_peak_memory(pid):
+    """Returns the peak of a process's resident memory in bytes."""
+    with open(f"/proc/{pid}/status", encoding="utf-8") as status:
+        line, = (each for each in status if each.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1024
+
+
+def test_responses_of_callers_that_never_read_do_not_pile_up(vm, store):
+    document = documents.make_document(version=8)
+    document["routes"][2].update({"service": "engine", "timeout_ms": 6000})
+    store.put("op/config", document)
+    endpoint = fake_servers.EndlessEndpoint(_SIGNED + b"\r\n", b"x" * 65_536)
+    store.put(
+        "servers/endless",
+        documents.make_registration(service="engine", address=endpoint.address))
+    vm.wait_until(lambda: vm.count_endpoints("endless") == 1)
+    callers = [
+        socket.create_connection(("127.0.0.1", vm.callers)) for _ in range(20)
+    ]
+    for index, caller in enumerate(callers):
+        caller.sendall(f"POST /open/0 HTTP/1.1\r\nHost: {documents.HOST}\r\n"
+                       f"Mustardwood-Attempt-Id: slow-{index}\r\n"
+                       "Content-Length: 0\r\n\r\n".encode())
+    time.sleep(4)
+    print(f"{endpoint.sent_bytes >> 20} MiB sent, "
+          f"peak {_read_peak_memory(vm.process.pid) >> 20} MiB")
+    assert vm.call("/post/0")[0] == 200
+    for caller in callers:
+        caller.close()
+    assert _read_peak_memory(vm.process.pid) < _MAX_MEMORY_BYTES
