Let endpoints that send at full speed not delay other requests

What callers saw: beside endpoints that send tiny chunks without end, requests to sound endpoints were answered late. Cause: each turn of the reactor reads up to 64 KiB from each connection. That many chunks of one byte take 57 ms to parse, and several connections add up to more than a second. The bound on framing let one attempt take 0.3 s of processor time. Change: 16 KiB are read from an endpoint at a time, and 192 KiB of framing are allowed, which is three heads of the maximum size.

--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -21,6 +21,11 @@
 
 A response with a larger head is treated as malformed.
 """
+_READ_BYTES = 16 * 1024
+"""Number of bytes that are read before other connections have their turn.
+
+Small chunks take up to a millisecond of processor time per kilobyte.
+"""
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 _KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=500)
 """Time before the endpoint's idle timeout at which reuse stops."""
@@ -69,6 +74,7 @@
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport)
+        self.transport.bufferSize = _READ_BYTES
         if self._first_exchange.is_finished:
             self.abort()
         else:
--- a/mustardwood/http1/received_bytes.py
+++ b/mustardwood/http1/received_bytes.py
@@ -1,10 +1,10 @@
 """Bounds on the bytes that an endpoint sends in one exchange."""
 
-_MAX_FRAMING_BYTES = 256 * 1024
+_MAX_FRAMING_BYTES = 192 * 1024
 """Bytes beyond twice the size of the bodies that an exchange may receive.
 
 Heads, informational responses and the framing of chunks count. It has room for
-several heads of the maximum size.
+three heads of the maximum size.
 """
 _MAX_INFORMATIONAL_RESPONSES = 16
 """Informational responses of an exchange; ordinary servers send one or two."""
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -22,8 +22,26 @@
 """Time after which a test stops waiting for an expected state."""
 _MAX_MEMORY_BYTES = 200 * 1024 * 1024
 """Memory limit of a VM."""
+_MAX_RESPONSE_SECONDS = 1.0
+"""Time within which a request is answered beside endpoints in trouble.
+
+Callers abandon a VM that has not read their request after one second.
+"""
+_ENDLESS_SECONDS = 10.0
+"""Time for which endpoints send without end."""
 _SIGNED = (b"HTTP/1.1 200 OK\r\nMustardwood-Attempt-Id: %s\r\n"
            b"Mustardwood-Replica-Signature: signed\r\n")
+_ENDLESS_RESPONSES = (
+    (b"", b"no answer "),
+    (_SIGNED, b"Name: value\r\n"),
+    (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+    (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"),
+    (b"HTTP/1.1 200 OK\r\n\r\n", b"no answer"),
+    (b"HTTP/1.1 500 Fault\r\nMustardwood-Attempt-Id: %s\r\n\r\n", b"x"),
+    (_SIGNED + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    (_SIGNED + b"\r\nid: 1\ndata: a\n\nid: 2\ndata: ", b"x"),
+)
+"""First bytes and repeated bytes of responses without end."""
 
 
 def _find_free_port():
@@ -212,6 +230,52 @@
     return int(line.split()[1]) * 1024
 
 
+def _call_until(vm, path, until):
+    """Sends requests one after the other; returns statuses and durations."""
+    results = []
+    while time.monotonic() < until:
+        started = time.monotonic()
+        try:
+            status = vm.call(path)[0]
+        except (OSError, http.client.HTTPException):
+            status = 0
+        results.append((status, time.monotonic() - started))
+        time.sleep(0.02)
+    return results
+
+
+def test_endpoints_that_send_without_end_take_neither_memory_nor_time(
+        vm, store):
+    document = documents.make_document(version=8)
+    for route, service in zip(document["routes"], ("engine", "api", "engine")):
+        route.update({"service": service, "timeout_ms": 6000})
+        route.pop("backends", None)
+    store.put("op/config", document)
+    endpoints = [
+        fake_servers.EndlessEndpoint(*each) for each in _ENDLESS_RESPONSES
+    ]
+    for index, endpoint in enumerate(endpoints):
+        store.put(
+            f"servers/endless-{index}",
+            documents.make_registration(service="engine",
+                                        address=endpoint.address))
+    vm.wait_until(lambda: vm.count_endpoints("endless") == len(endpoints))
+    until = time.monotonic() + _ENDLESS_SECONDS
+    with concurrent.futures.ThreadPoolExecutor(20) as pool:
+        for _ in range(8):
+            pool.submit(_call_until, vm, "/open/0", until)
+            pool.submit(_call_until, vm, "/stream/0", until)
+        results = _call_until(vm, "/post/0", until)
+    print(f"{len(results)} requests, the slowest in "
+          f"{max(each[1] for each in results):.2f} s, "
+          f"{sum(each.sent_bytes for each in endpoints) >> 20} MiB received, "
+          f"peak {_read_peak_memory(vm.process.pid) >> 20} MiB")
+    assert all(each.sent_bytes for each in endpoints)
+    assert {each[0] for each in results} == {200}
+    assert max(each[1] for each in results) < _MAX_RESPONSE_SECONDS
+    assert _read_peak_memory(vm.process.pid) < _MAX_MEMORY_BYTES
+
+
 def test_responses_of_callers_that_never_read_do_not_pile_up(vm, store):
     document = documents.make_document(version=8)
     document["routes"][2].update({"service": "engine", "timeout_ms": 6000})
