Limit the size of responses of the store and of peers

What callers saw: nothing yet; a response of the store or of a peer without end would be buffered up to 64 MiB, the general bound, and without bound before it, and then be copied. Several at once exceed the memory of a VM. Cause: both collect the whole body, whatever its size. Change: 16 MiB for the store, whose largest pages have about 1.4 MB, and 4 MiB for a peer's configuration, which is one value of the store. Beyond that the connection is closed and the call fails. The fake pool of test_peer_synchronizer takes the new argument.

--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -41,6 +41,9 @@
 
 Usually the store delivers the configuration within that time.
 """
+_MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
+"""Maximum size of a peer's response, more than twice the largest of the store.
+"""
 
 
 class PeerSynchronizer:
@@ -147,10 +150,11 @@
             self._is_fetching = False
             return
         host = f"{address[0]}:{address[1]}".encode()
-        self._pool.send(
-            address,
-            http1.HttpRequest("GET", CONFIGURATION_PATH, [(b"Host", host)]),
-            _ConfigurationListener(self._finish_fetch))
+        self._pool.send(address,
+                        http1.HttpRequest("GET", CONFIGURATION_PATH,
+                                          [(b"Host", host)]),
+                        _ConfigurationListener(self._finish_fetch),
+                        max_body_bytes=_MAX_CONFIGURATION_BYTES)
 
     def _finish_fetch(self, item: store_client.Item | None,
                       reason: str) -> None:
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -17,6 +17,11 @@
 """Timeout of a call; a store slowed down a hundredfold responds in 0.4 s."""
 _WATCH_MARGIN = datetime.timedelta(milliseconds=600)
 """Time after the end of a watch's wait at which its connection is aborted."""
+_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+"""Maximum size of a response's body; that of a page of items is about 1.4 MB.
+
+Several calls are in progress at a time, and responses are buffered whole.
+"""
 _DEFAULT_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 """Delay after a rate-limited call whose response names no delay."""
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -189,7 +194,10 @@
         self, request: http1.HttpRequest, timeout: datetime.timedelta
     ) -> tuple[int, bytes, datetime.timedelta | None]:
         listener = _CallListener()
-        exchange = self._pool.send(self._address, request, listener)
+        exchange = self._pool.send(self._address,
+                                   request,
+                                   listener,
+                                   max_body_bytes=_MAX_RESPONSE_BYTES)
         timer = self._scheduler.call_later(
             timeout, lambda: _abort_call(exchange, listener))
         try:
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -34,8 +34,9 @@
     def __init__(self):
         self.pool_requests = []
 
-    def send(self, address, request, listener):
+    def send(self, address, request, listener, max_body_bytes):
         """Records a request."""
+        del max_body_bytes
         self.pool_requests.append((address, request, listener))
 
 
