Abort a read from a peer that falls silent

What callers saw: nothing yet; a VM that reads a newer configuration from a peer whose connection falls silent, or that sends byte by byte without end, would read from no peer again, and without the store it would keep the old one. Cause: the read had no time limit, and only one is in progress at a time. Evidence: test_configuration_is_read_again_if_a_peer_falls_silent_within_it failed: the connection was still open after 5 s. Change: the read is aborted after 1.5 s, as calls of the store are. Result: the test passes. The fake pool of test_peer_synchronizer returns an exchange, as the pool does.

--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -41,6 +41,8 @@
 
 Usually the store delivers the configuration within that time.
 """
+_FETCH_TIMEOUT = datetime.timedelta(milliseconds=1500)
+"""Time after which a read from a peer is aborted, as with the store."""
 _MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
 """Maximum size of a peer's response, more than twice the largest of the store.
 """
@@ -150,11 +152,18 @@
             self._is_fetching = False
             return
         host = f"{address[0]}:{address[1]}".encode()
-        self._pool.send(address,
-                        http1.HttpRequest("GET", CONFIGURATION_PATH,
-                                          [(b"Host", host)]),
-                        _ConfigurationListener(self._finish_fetch),
-                        max_body_bytes=_MAX_CONFIGURATION_BYTES)
+        exchange = self._pool.send(address,
+                                   http1.HttpRequest("GET", CONFIGURATION_PATH,
+                                                     [(b"Host", host)]),
+                                   _ConfigurationListener(self._finish_fetch),
+                                   max_body_bytes=_MAX_CONFIGURATION_BYTES)
+        self._scheduler.call_later(_FETCH_TIMEOUT,
+                                   lambda: self._abort_fetch(exchange))
+
+    def _abort_fetch(self, exchange: http1.Exchange) -> None:
+        if not exchange.is_finished:
+            exchange.abort()
+            self._finish_fetch(None, "no answer in time")
 
     def _finish_fetch(self, item: store_client.Item | None,
                       reason: str) -> None:
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from mustardwood import dispatch
+from mustardwood import http1
 from mustardwood import peers
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -38,6 +39,7 @@
         """Records a request."""
         del max_body_bytes
         self.pool_requests.append((address, request, listener))
+        return http1.Exchange(request, listener)
 
 
 class _Vm:
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -128,3 +128,14 @@
     event, fields = journal.lines[-1]
     assert event == "configuration_from_peer"
     assert fields["error"] == "the body is too long"
+
+
+def test_configuration_is_read_again_if_a_peer_falls_silent_within_it():
+    harness = _Harness()
+    _, receive_update = _start_fetch(harness)
+    connection = harness.reactor.connect()
+    connection.dataReceived(_HEAD + b"{")
+    harness.scheduler.advance(ms(5000))
+    assert connection.transport.closed == "reset"
+    receive_update()
+    assert len(harness.reactor.factories) == 2
