Refuse a request whose chunks are mostly framing

What callers saw: nothing yet; a caller that sends chunks of one byte with long extensions keeps its request open for gigabytes, because each chunk restarts the idle time and only the body counts against its limit. Cause: h11 discards extensions, and nothing counted them. Evidence: test_request_without_end_is_refused took 91 KB for a body limited to 100 bytes with headers limited to 1,000; it failed before in this case only. Heads, chunk sizes and trailers without end were refused already. Change: what is received of a request may be eight times its body, of which chunks of one byte take six, and three times the largest headers. Beyond that it is refused with 413. Result: the test passes; requests in chunks of one byte, with others pipelined behind them, still go through.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -25,6 +25,13 @@
 """
 _MAX_PIPELINED_BYTES = 1024 * 1024
 """Maximum number of bytes received before the previous response is complete."""
+_MAX_BYTES_PER_BODY_BYTE = 8
+"""Bytes received for each byte of a body; chunks of one byte take six."""
+_MAX_HEADERS_PER_REQUEST = 3
+"""Maximum size of the rest of a request, in sizes of the largest headers.
+
+These are the headers, the trailers and one line of a chunk.
+"""
 
 
 @interface.implementer(interfaces.IPushProducer)
@@ -53,6 +60,7 @@
         self._is_receiving = False
         self._is_lingering = False
         self._pipelined_bytes = 0
+        self._received_bytes = 0
         self._is_full = False
 
     @property
@@ -81,6 +89,7 @@
             self._is_receiving = True
             self._start_timer(self._handler.get_limits().header_timeout,
                               self._refuse_slow_request)
+        self._received_bytes += len(data)
         self._http.receive_data(data)
         self._read_events()
 
@@ -138,6 +147,7 @@
         self._request = None
         self._body.clear()
         self._pipelined_bytes = 0
+        self._received_bytes = len(self._http.trailing_data[0])
         if (self._handler.is_stopping() or
                 self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
@@ -167,6 +177,10 @@
                              f"The request can't be read: {error}.")
                 return
             if event is h11.NEED_DATA:
+                if self._has_too_much_framing():
+                    self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                                 "The chunks have too much framing.")
+                    return
                 self._send_continue_if_expected()
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -178,6 +192,12 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_end()
 
+    def _has_too_much_framing(self) -> bool:
+        limit = (_MAX_BYTES_PER_BODY_BYTE * len(self._body) +
+                 _MAX_HEADERS_PER_REQUEST *
+                 self._handler.get_limits().max_header_bytes)
+        return self._received_bytes > limit
+
     def _send_continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
             self._send(
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -212,3 +212,41 @@
     harness.respond()
     harness.transport.producer.resumeProducing()
     assert len(harness.handler.requests) == 2
+
+
+@pytest.mark.parametrize("begin, part, status", [
+    (b"GET /a HTTP/1.1\r\nHost: h\r\n", b"Name: value\r\n", 431),
+    (b"GET /", b"a", 431),
+    (b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", b"0",
+     431),
+    (b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+     b"0\r\n", b"Name: value\r\n", 431),
+    (b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+     b"1\r\nx\r\n", 413),
+    (b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+     b"1;" + b"e" * 900 + b"\r\nx\r\n", 413),
+])
+def test_request_without_end_is_refused(begin, part, status):
+    harness = _Harness()
+    harness.receive(begin)
+    sent_bytes = 0
+    while not harness.transport.closed and sent_bytes < 1_000_000:
+        harness.receive(part)
+        sent_bytes += len(part)
+    assert sent_bytes <= 10 * 1024
+    assert harness.transport.pop_written().startswith(b"HTTP/1.1 %d " % status)
+    assert not harness.handler.requests
+
+
+def test_chunks_of_one_byte_and_many_requests_on_a_connection_are_allowed():
+    harness = _Harness()
+    for _ in range(300):
+        harness.receive(b"POST /a HTTP/1.1\r\nHost: h\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n")
+        for _ in range(100):
+            harness.receive(b"1\r\nx\r\n")
+        harness.receive(b"0\r\n\r\n" + _REQUEST * 20)
+        for _ in range(21):
+            harness.respond()
+    assert len(harness.handler.requests) == 300 * 21
+    assert not harness.transport.closed
