--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -24,6 +24,12 @@
         """See `dispatch.Attempt`."""
         self.engine.cancel(self.run)
 
+    def pause(self) -> None:
+        """See `dispatch.Attempt`; modelled callers read at once."""
+
+    def resume(self) -> None:
+        """See `dispatch.Attempt`."""
+
 
 class EngineClient:
     """Implements `forwarding_context.EndpointClient` without a network."""
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -23,6 +23,8 @@
         body: Buffered body of a response that is not sent on immediately.
         has_sent_events: Whether the caller got events of its stream.
         is_truncated: Whether the body exceeded the buffer and is incomplete.
+        error_bytes: Number of bytes received of the body of a response that is
+            no success.
         handle: Aborts the attempt; None before it was sent.
     """
 
@@ -39,6 +41,7 @@
         self.body = bytearray()
         self.has_sent_events = False
         self.is_truncated = False
+        self.error_bytes = 0
         self.handle: forwarding_context.Attempt | None = None
 
     @property
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -25,6 +25,16 @@
 """Maximum number of sends of one request, including those that did not run."""
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes of a response that are buffered, so that it can be replaced."""
+_MAX_EVENT_BYTES = 256 * 1024
+"""Maximum size of an event in bytes; ordinary ones have some thousand.
+
+An event is buffered until it is complete, and a VM has hundreds of streams.
+"""
+_MAX_ERROR_BODY_BYTES = 1024 * 1024
+"""Bytes of an error response after which its endpoint counts as faulty.
+
+What exceeds the buffer is only read to learn that the response is complete.
+"""
 _MAX_WAIT_TARGETS = 1.6
 """Maximum time in the queue as a multiple of the first-byte target.
 
@@ -64,6 +74,7 @@
         self._context = context
         self._attempt: attempt_record.AttemptRecord | None = None
         self._silent_attempt: attempt_record.AttemptRecord | None = None
+        self._paused_attempt: attempt_record.AttemptRecord | None = None
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._tried_endpoints: set[str] = set()
         self._software: str | None = None
@@ -117,6 +128,25 @@
         self._abort_attempts("error")
         self._give_up("error", None)
 
+    def pause(self) -> None:
+        """Stops reading the response, because its caller reads too slowly.
+
+        The endpoint does not count as silent in the meantime.
+        """
+        attempt = self._attempt
+        if attempt is not None and attempt.handle is not None:
+            self._paused_attempt = attempt
+            attempt.handle.pause()
+            self._cancel_stall_timer()
+
+    def resume(self) -> None:
+        """Reads the response again."""
+        attempt, self._paused_attempt = self._paused_attempt, None
+        if (attempt is not None and attempt is self._attempt and
+                attempt.handle is not None):
+            attempt.handle.resume()
+            self._start_stall_timer()
+
     def receive_data(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
         """Handles a part of the response's body of an open attempt."""
@@ -126,6 +156,9 @@
                                     > _MAX_BUFFERED_BYTES)
             if not attempt.is_truncated:
                 attempt.body += data
+            attempt.error_bytes += len(data)
+            if attempt.error_bytes > _MAX_ERROR_BODY_BYTES:
+                self._break_off(attempt, "the error body is too long")
             return
         self._keep_only(attempt)
         self._release_prefill(attempt)
@@ -321,14 +354,15 @@
     def _forward_events(self, attempt: attempt_record.AttemptRecord,
                         data: bytes) -> None:
         events = self._splitter.add(data)
-        if not events:
-            return
-        if not self._is_head_sent:
-            self._record_software(attempt)
-            self._send_head(attempt, None)
-        attempt.has_sent_events = True
-        self._record.record_events()
-        self._caller.write(events)
+        if events:
+            if not self._is_head_sent:
+                self._record_software(attempt)
+                self._send_head(attempt, None)
+            attempt.has_sent_events = True
+            self._record.record_events()
+            self._caller.write(events)
+        if self._splitter.rest_size > _MAX_EVENT_BYTES:
+            self._break_off(attempt, "an event is too long")
 
     def _send_head(self, attempt: attempt_record.AttemptRecord,
                    length: int | None) -> None:
@@ -597,6 +631,13 @@
             self._takeover_timer.cancel()
             self._takeover_timer = None
 
+    def _break_off(self, attempt: attempt_record.AttemptRecord,
+                   reason: str) -> None:
+        """Closes the connection of an attempt whose response is invalid."""
+        if attempt.handle is not None:
+            attempt.handle.abort()
+        self.receive_failure(attempt, True, reason)
+
     def _mark_stalled(self, attempt: attempt_record.AttemptRecord) -> None:
         """Records a failure of a stalled endpoint and releases the prefill.
 
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -25,13 +25,25 @@
 """
 _MAX_PIPELINED_BYTES = 64 * 1024
 """Number of bytes received behind an open response at which reading pauses."""
+_MAX_BYTES_PER_BODY_BYTE = 8
+"""Bytes received for each byte of a body; chunks of one byte take six."""
+_MAX_HEADERS_PER_REQUEST = 3
+"""Maximum size of the rest of a request, in sizes of the largest headers.
+
+These are the headers, the trailers and one line of a chunk.
+"""
 
 
-@interface.implementer(interfaces.IHalfCloseableProtocol)
+@interface.implementer(interfaces.IHalfCloseableProtocol,
+                       interfaces.IPushProducer)
 class CallerConnection(protocol.Protocol):
     """Receives requests one after the other and sends the responses.
 
-    Pipelined requests are buffered until the previous response is complete.
+    Pipelined requests are buffered until the previous response is complete
+    and sent.
+
+    It is the producer of the bytes of a response, which the transport pauses
+    while the caller reads more slowly than the response arrives.
 
     Attributes:
         unanswered_bytes: Number of bytes received of requests that were neither
@@ -56,6 +68,8 @@
         self._is_reading = False
         self._idle_timeout = datetime.timedelta()
         self.unanswered_bytes = 0
+        self._is_full = False
+        self._is_producer = False
 
     @property
     def is_idle(self) -> bool:
@@ -66,6 +80,8 @@
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport)
+        self.transport.registerProducer(self, True)
+        self._is_producer = True
         self._handler.add_connection(self)
         self._start_idle_timer()
 
@@ -96,7 +112,7 @@
     def readConnectionLost(self) -> None:  # pylint: disable=invalid-name
         """See `interfaces.IHalfCloseableProtocol`."""
         if self._writer is None:
-            self.transport.loseConnection()
+            self._lose_connection()
         else:
             self.transport.abortConnection()
 
@@ -106,6 +122,23 @@
         # not after a reset.
         self._start_timer(_LINGER_TIMEOUT, self.transport.loseConnection)
 
+    def pauseProducing(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IPushProducer`."""
+        self._is_full = True
+        if self._writer is not None:
+            self._writer.handle_pause()
+
+    def resumeProducing(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IPushProducer`."""
+        self._is_full = False
+        if self._writer is not None:
+            self._writer.handle_resume()
+        else:
+            self._read_requests()
+
+    def stopProducing(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IPushProducer`; `connectionLost` follows."""
+
     def close(self) -> None:
         """Closes the connection unless a request has arrived.
 
@@ -113,7 +146,7 @@
         """
         # Timers run before sockets are read. If the VM was busy, a request may
         # be waiting.
-        self._start_timer(datetime.timedelta(), self.transport.loseConnection)
+        self._start_timer(datetime.timedelta(), self._lose_connection)
 
     def send_head(self, status: int, headers: http_request.Headers) -> None:
         """See `response_writer.ResponseConnection`."""
@@ -167,7 +200,7 @@
         self._pause_or_resume()
 
     def _read_events(self) -> None:
-        while self._writer is None and not self._is_lingering:
+        while not (self._writer or self._is_lingering or self._is_full):
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -175,6 +208,10 @@
                              f"The request can't be read: {error}.")
                 return
             if event is h11.NEED_DATA:
+                if self._has_too_much_framing():
+                    self._refuse(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                                 "The chunks have too much framing.")
+                    return
                 self._send_continue_if_expected()
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -186,6 +223,12 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_end()
 
+    def _has_too_much_framing(self) -> bool:
+        limit = (_MAX_BYTES_PER_BODY_BYTE * len(self._body) +
+                 _MAX_HEADERS_PER_REQUEST *
+                 self._handler.get_limits().max_header_bytes)
+        return self.unanswered_bytes > limit
+
     def _send_continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
             self._send(
@@ -259,11 +302,12 @@
         self._is_lingering = True
         self._cancel_timer()
         self._pause_or_resume()
+        self._unregister_producer()
         self.transport.loseWriteConnection()
 
     def _pause_or_resume(self) -> None:
         """Pauses reading while much was received behind an open response."""
-        should_pause = (self._writer is not None and
+        should_pause = ((self._writer is not None or self._is_full) and
                         self.unanswered_bytes >= _MAX_PIPELINED_BYTES)
         if should_pause == self._is_paused:
             return
@@ -273,6 +317,16 @@
         else:
             self.transport.resumeProducing()
 
+    def _lose_connection(self) -> None:
+        self._unregister_producer()
+        self.transport.loseConnection()
+
+    def _unregister_producer(self) -> None:
+        """Lets the transport close after what is left to send."""
+        if self._is_producer:
+            self._is_producer = False
+            self.transport.unregisterProducer()
+
     def _send(self, event: h11.Event) -> None:
         data = self._http.send(event)
         if data:
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -4,6 +4,13 @@
 
 from mustardwood.http1 import http_request
 
+DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Maximum size of a response's body in bytes, unless the caller sets another.
+
+A longer body counts as one without end, which would take up the VM until the
+request's deadline.
+"""
+
 
 class ExchangeListener(typing.Protocol):
     """Receives the events of an exchange."""
@@ -33,11 +40,17 @@
         """
 
 
-class _Abortable(typing.Protocol):
+class _Connection(typing.Protocol):
 
     def abort(self) -> None:
         """Closes the connection, or stops connecting, immediately."""
 
+    def pause(self) -> None:
+        """Stops reading from the connection."""
+
+    def resume(self) -> None:
+        """Reads from the connection again."""
+
 
 class Exchange:
     """A request in progress, which may still be waiting for a connection.
@@ -45,20 +58,25 @@
     Attributes:
         request: The request to send.
         listener: Receives the events of the exchange.
+        max_body_bytes: Size in bytes beyond which the response's body is cut
+            off.
         is_finished: Whether the exchange was completed, failed or aborted.
         is_connected: Whether it has a connection, on which the request was
             sent.
     """
 
-    def __init__(self, request: http_request.HttpRequest,
-                 listener: ExchangeListener) -> None:
+    def __init__(self,
+                 request: http_request.HttpRequest,
+                 listener: ExchangeListener,
+                 max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
         self.request = request
         self.listener = listener
+        self.max_body_bytes = max_body_bytes
         self.is_finished = False
         self.is_connected = False
-        self._connection: _Abortable | None = None
+        self._connection: _Connection | None = None
 
-    def attach(self, connection: _Abortable, is_connected: bool) -> None:
+    def attach(self, connection: _Connection, is_connected: bool) -> None:
         """Sets the connection or pending connection that `abort` closes."""
         self._connection = connection
         self.is_connected = is_connected
@@ -71,6 +89,16 @@
         if self._connection is not None:
             self._connection.abort()
 
+    def pause(self) -> None:
+        """Stops reading the response; what was read is still delivered."""
+        if not self.is_finished and self._connection is not None:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """Reads the response again."""
+        if not self.is_finished and self._connection is not None:
+            self._connection.resume()
+
     def fail(self, was_sent: bool, reason: str) -> None:
         """Reports a failure to the listener unless the exchange is finished."""
         if not self.is_finished:
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -85,6 +85,7 @@
         forwarding = dispatch.Forwarding(request, caller, context)
         writer.set_disconnect_callback(
             lambda: self._handle_disconnect(forwarding))
+        writer.set_flow_callbacks(forwarding.pause, forwarding.resume)
         try:
             forwarding.start()
         except Exception as error:  # pylint: disable=broad-exception-caught
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -20,6 +20,28 @@
 
 _TIMEOUT_SECONDS = 30.0
 """Time after which a test stops waiting for an expected state."""
+_MAX_MEMORY_BYTES = 200 * 1024 * 1024
+"""Memory limit of a VM."""
+_MAX_RESPONSE_SECONDS = 1.0
+"""Time within which a request is answered beside endpoints in trouble.
+
+Callers abandon a VM that has not read their request after one second.
+"""
+_ENDLESS_SECONDS = 10.0
+"""Time for which endpoints send without end."""
+_SIGNED = (b"HTTP/1.1 200 OK\r\nMustardwood-Attempt-Id: %s\r\n"
+           b"Mustardwood-Replica-Signature: signed\r\n")
+_ENDLESS_RESPONSES = (
+    (b"", b"no answer "),
+    (_SIGNED, b"Name: value\r\n"),
+    (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+    (b"", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"),
+    (b"HTTP/1.1 200 OK\r\n\r\n", b"no answer"),
+    (b"HTTP/1.1 500 Fault\r\nMustardwood-Attempt-Id: %s\r\n\r\n", b"x"),
+    (_SIGNED + b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    (_SIGNED + b"\r\nid: 1\ndata: a\n\nid: 2\ndata: ", b"x"),
+)
+"""First bytes and repeated bytes of responses without end."""
 
 
 def _find_free_port():
@@ -77,6 +99,15 @@
         with open(self._log.name, encoding="utf-8") as log:
             return [json.loads(line) for line in log]
 
+    def count_endpoints(self, prefix):
+        """Returns how many endpoints with this prefix the VM has found."""
+        return len({
+            line["endpoint"]
+            for line in self.read_log()
+            if (line["event"] == "endpoint" and
+                line["endpoint"].startswith(prefix))
+        })
+
     def read_readiness(self):
         """Returns the status of the readiness page; 0 without a response."""
         connection = http.client.HTTPConnection("127.0.0.1",
@@ -190,3 +221,81 @@
     vm.wait_until(lambda: {"endpoint_rejected", "configuration_rejected"} <=
                   {line["event"] for line in vm.read_log()})
     assert vm.call("/post/0")[0] == 200
+
+
+def _read_peak_memory(pid):
+    """Returns the peak of a process's resident memory in bytes."""
+    with open(f"/proc/{pid}/status", encoding="utf-8") as status:
+        line, = (each for each in status if each.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1024
+
+
+def _call_until(vm, path, until):
+    """Sends requests one after the other; returns statuses and durations."""
+    results = []
+    while time.monotonic() < until:
+        started = time.monotonic()
+        try:
+            status = vm.call(path)[0]
+        except (OSError, http.client.HTTPException):
+            status = 0
+        results.append((status, time.monotonic() - started))
+        time.sleep(0.02)
+    return results
+
+
+def test_endpoints_that_send_without_end_take_neither_memory_nor_time(
+        vm, store):
+    document = documents.make_document(version=8)
+    for route, service in zip(document["routes"], ("engine", "api", "engine")):
+        route.update({"service": service, "timeout_ms": 6000})
+        route.pop("backends", None)
+    store.put("op/config", document)
+    endpoints = [
+        fake_servers.EndlessEndpoint(*each) for each in _ENDLESS_RESPONSES
+    ]
+    for index, endpoint in enumerate(endpoints):
+        store.put(
+            f"servers/endless-{index}",
+            documents.make_registration(service="engine",
+                                        address=endpoint.address))
+    vm.wait_until(lambda: vm.count_endpoints("endless") == len(endpoints))
+    until = time.monotonic() + _ENDLESS_SECONDS
+    with concurrent.futures.ThreadPoolExecutor(20) as pool:
+        for _ in range(8):
+            pool.submit(_call_until, vm, "/open/0", until)
+            pool.submit(_call_until, vm, "/stream/0", until)
+        results = _call_until(vm, "/post/0", until)
+    print(f"{len(results)} requests, the slowest in "
+          f"{max(each[1] for each in results):.2f} s, "
+          f"{sum(each.sent_bytes for each in endpoints) >> 20} MiB received, "
+          f"peak {_read_peak_memory(vm.process.pid) >> 20} MiB")
+    assert all(each.sent_bytes for each in endpoints)
+    assert {each[0] for each in results} == {200}
+    assert max(each[1] for each in results) < _MAX_RESPONSE_SECONDS
+    assert _read_peak_memory(vm.process.pid) < _MAX_MEMORY_BYTES
+
+
+def test_responses_of_callers_that_never_read_do_not_pile_up(vm, store):
+    document = documents.make_document(version=8)
+    document["routes"][2].update({"service": "engine", "timeout_ms": 6000})
+    store.put("op/config", document)
+    endpoint = fake_servers.EndlessEndpoint(_SIGNED + b"\r\n", b"x" * 65_536)
+    store.put(
+        "servers/endless",
+        documents.make_registration(service="engine", address=endpoint.address))
+    vm.wait_until(lambda: vm.count_endpoints("endless") == 1)
+    callers = [
+        socket.create_connection(("127.0.0.1", vm.callers)) for _ in range(20)
+    ]
+    for index, caller in enumerate(callers):
+        caller.sendall(f"POST /open/0 HTTP/1.1\r\nHost: {documents.HOST}\r\n"
+                       f"Mustardwood-Attempt-Id: slow-{index}\r\n"
+                       "Content-Length: 0\r\n\r\n".encode())
+    time.sleep(4)
+    print(f"{endpoint.sent_bytes >> 20} MiB sent, "
+          f"peak {_read_peak_memory(vm.process.pid) >> 20} MiB")
+    assert vm.call("/post/0")[0] == 200
+    for caller in callers:
+        caller.close()
+    assert _read_peak_memory(vm.process.pid) < _MAX_MEMORY_BYTES
