Count only lost connections as crashes of an endpoint

What callers saw: a request that three endpoints in trouble had answered with bytes that are no answer was refused for a minute as one that crashes endpoints, also by the peers, although sound endpoints were left. Cause: CrashRecord is meant for connections lost before the head of a response, but Forwarding recorded every failure without a status. Evidence: test_endpoints_that_send_no_answer_do_not_block_the_request: the third caller got 502, and its request was sent nowhere. Change: an exchange says whether it failed because of what the endpoint sent. A clean close or a reset without a response counts as before.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -185,7 +185,8 @@
                 self._retry_unsent(reason)
             return
         self._context.health.record_failure(attempt.endpoint)
-        if not attempt.status:
+        if not attempt.status and not (attempt.handle is not None and
+                                       attempt.handle.is_response_invalid):
             self._context.crashes.record_crash(self._fingerprint,
                                                attempt.endpoint)
         if is_silent_attempt:
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -64,6 +64,7 @@
         self.resume_after = resume_after
         self.listener = listener
         self.is_aborted = False
+        self.is_response_invalid = False
         self.is_paused = False
 
     def abort(self):
--- a/mustardwood/dispatch/tests/test_unbounded_responses.py
+++ b/mustardwood/dispatch/tests/test_unbounded_responses.py
@@ -61,3 +61,16 @@
     assert caller.status == 502
     _, line = harness.journal.lines[-1]
     assert line["attempts"][0]["end"] == "the error body is too long"
+
+
+def test_endpoints_that_send_no_answer_do_not_block_the_request():
+    harness = harness_module.Harness(endpoints=5)
+    for _ in range(2):
+        harness.start()
+        for _ in range(2):
+            attempt = harness.client.sent[-1]
+            attempt.is_response_invalid = True
+            attempt.listener.receive_failure(True, "not an answer")
+    _, caller = harness.start()
+    harness.client.sent[-1].respond(body=b"data")
+    assert (caller.status, caller.body) == (200, b"data")
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -235,7 +235,8 @@
 
     def _fail(self, reason: str) -> None:
         exchange, self._exchange = self._exchange, None
-        self._is_closed = True
+        was_closed, self._is_closed = self._is_closed, True
         self.transport.abortConnection()
         if exchange is not None:
+            exchange.is_response_invalid = not was_closed
             exchange.fail(True, reason)
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -61,6 +61,8 @@
         max_body_bytes: Size in bytes beyond which the response's body is cut
             off.
         is_finished: Whether the exchange was completed, failed or aborted.
+        is_response_invalid: Whether it failed because of what the endpoint
+            sent, and not because the connection was lost.
     """
 
     def __init__(self,
@@ -71,6 +73,7 @@
         self.listener = listener
         self.max_body_bytes = max_body_bytes
         self.is_finished = False
+        self.is_response_invalid = False
         self._connection: _Connection | None = None
 
     def attach(self, connection: _Connection) -> None:
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -186,3 +186,14 @@
     harness.receive(_HEAD % b"mine" + b"data")
     assert harness.listener.end == "complete"
     assert harness.transport.producerState == "producing"
+
+
+def test_only_bytes_that_are_no_answer_make_a_response_invalid():
+    harness = _Harness()
+    harness.receive(b"\x00\x01garbage\r\n\r\n")
+    assert harness.exchange.is_response_invalid
+    for kind in (internet_error.ConnectionDone, internet_error.ConnectionLost):
+        harness = _Harness()
+        harness.disconnect(kind())
+        assert harness.listener.end is not None
+        assert not harness.exchange.is_response_invalid
