--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -20,6 +20,11 @@
         """See `dispatch.Attempt`."""
         return True
 
+    @property
+    def is_response_invalid(self) -> bool:
+        """See `dispatch.Attempt`."""
+        return False
+
     def abort(self) -> None:
         """See `dispatch.Attempt`."""
         self.engine.cancel(self.run)
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -54,6 +54,13 @@
     def is_connected(self) -> bool:
         """Whether there is a connection, on which the request was sent."""
 
+    @property
+    def is_response_invalid(self) -> bool:
+        """Whether it failed because of what the endpoint sent.
+
+        It is false if the connection was lost.
+        """
+
     def abort(self) -> None:
         """Closes the connection; the listener is not called again."""
 
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -65,6 +65,7 @@
         self.listener = listener
         self.is_aborted = False
         self.is_connected = True
+        self.is_response_invalid = False
         self.is_paused = False
 
     def abort(self):
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -63,6 +63,8 @@
         is_finished: Whether the exchange was completed, failed or aborted.
         is_connected: Whether it has a connection, on which the request was
             sent.
+        is_response_invalid: Whether it failed because of what the endpoint
+            sent, and not because the connection was lost.
     """
 
     def __init__(self,
@@ -74,6 +76,7 @@
         self.max_body_bytes = max_body_bytes
         self.is_finished = False
         self.is_connected = False
+        self.is_response_invalid = False
         self._connection: _Connection | None = None
 
     def attach(self, connection: _Connection, is_connected: bool) -> None:
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -101,7 +101,7 @@
     synchronizer.set_vm("vm-2", b"192.0.2.2:8229")
 
     def receive_update():
-        (_, update), = remote.build_updates(["vm-1"], 9)
+        update = remote.build_updates(["vm-1"], 9)[0][1]
         synchronizer.port.datagramReceived(update, ("192.0.2.2", 1))
         harness.scheduler.advance(ms(200))
 
