Add a drill that restores the fake store from a copy, and failing tests

The fake store gets leases that expire, an era that each response names, 410 for a watch from a revision that it does not have, and `restore`, which takes it away for a moment and back with an older copy, so that revisions and lease ids are given out again.

--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -48,6 +48,7 @@
     """A fake of the platform's store with the calls that a VM makes.
 
     Attributes:
+        era: Number of times that the store was restored from a copy.
         is_unavailable: Whether all calls fail with status 503.
     """
 
@@ -56,6 +57,8 @@
         self._items = {}
         self._changes = []
         self._revision = 1
+        self._lease_ends = {}
+        self.era = 0
         self.is_unavailable = False
         store = self
 
@@ -64,20 +67,16 @@
 
             def do_GET(self):  # pylint: disable=invalid-name
                 """Handles all calls, whatever their method."""
-                self._respond()
-
-            do_POST = do_GET
-            do_DELETE = do_GET
-
-            def _respond(self):
                 body = self.read_body()
-                if store.is_unavailable:
-                    self.send(503, b"{}")
-                    return
                 parts = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(parts.query, True))
                 status, response = store.get_response(parts.path, query, body)
-                self.send(status, json.dumps(response).encode())
+                self.send(status,
+                          json.dumps(response).encode(),
+                          [("Store-Era", str(store.era))])
+
+            do_POST = do_GET
+            do_DELETE = do_GET
 
         self._server = _Server(Handler)
 
@@ -86,28 +85,56 @@
         """Address of the server as IP:PORT."""
         return self._server.address
 
-    def put(self, key, value):
+    def put(self, key, value, lease_id=0):
         """Writes a key; a value other than bytes is stored as JSON."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self._condition:
-            self._revision += 1
-            item = {
-                "key": key,
+            self._change(key, {
                 "value": base64.b64encode(data).decode(),
-                "revision": self._revision,
-            }
-            self._items[key] = item
-            self._changes.append(item)
+                "lease_id": lease_id
+            })
+
+    def remove(self, key):
+        """Removes a key."""
+        with self._condition:
+            self._change(key, {"deleted": True})
+
+    def find(self, key):
+        """Returns the item of a key; None if the key does not exist."""
+        with self._condition:
+            self._end_leases()
+            return self._items.get(key)
+
+    def copy(self):
+        """Returns a copy of the contents for `restore`."""
+        with self._condition:
+            return (dict(self._items), list(self._changes), self._revision,
+                    dict(self._lease_ends))
+
+    def restore(self, copy, away_seconds=0.3):
+        """Takes the store away for a time and restores a copy."""
+        self.is_unavailable = True
+        with self._condition:
             self._condition.notify_all()
+        time.sleep(away_seconds)
+        with self._condition:
+            items, changes, self._revision, lease_ends = copy
+            self._items, self._changes = dict(items), list(changes)
+            self._lease_ends = dict(lease_ends)
+            self.era += 1
+            self.is_unavailable = False
 
     def get_response(self, path, query, body):
         """Returns the status and body of the response to a call."""
         with self._condition:
+            self._end_leases()
+            if self.is_unavailable:
+                return 503, {}
             if path == "/kv-key":
                 item = self._items.get(query["key"])
-                if item is None:
-                    return 404, {"at": self._revision}
-                return 200, {**item, "at": self._revision}
+                return (200 if item else 404), {
+                    **(item or {}), "at": self._revision
+                }
             if path == "/kv-range":
                 return 200, {
                     "entries": [
@@ -118,26 +145,70 @@
                     "at": self._revision
                 }
             if path == "/kv-watch":
-                return 200, self._watch(query)
-        if path == "/kv-lease":
-            return 200, {"lease_id": 1, "ttl_ms": 12000}
-        if path == "/kv-txn":
-            for row in json.loads(body)["write"]:
-                self.put(row["key"], base64.b64decode(row["value"]))
-        return 200, {"revision": self._revision}
+                return self._watch(query)
+            if path == "/kv-txn":
+                return self._write(json.loads(body)["write"])
+            return self._handle_lease_call(path, body)
 
     def _watch(self, query):
         after = int(query["after"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
+        if after > self._revision:
+            return 410, {}
         while True:
             changes = [
                 each for each in self._changes if each["revision"] > after and
                 each["key"].startswith(query["path_prefix"])
             ]
             remaining = until - time.monotonic()
+            if self.is_unavailable:
+                return 503, {}
             if changes or remaining <= 0:
-                return {"events": changes, "at": self._revision}
-            self._condition.wait(remaining)
+                return 200, {"events": changes, "at": self._revision}
+            self._condition.wait(min(remaining, 0.1))
+            self._end_leases()
+
+    def _write(self, rows):
+        if any(row["lease_id"] not in self._lease_ends for row in rows):
+            return 404, {}
+        for row in rows:
+            self._change(row["key"], {
+                "value": row["value"],
+                "lease_id": row["lease_id"]
+            })
+        return 200, {"revision": self._revision}
+
+    def _handle_lease_call(self, path, body):
+        if path == "/kv-lease":
+            lease_id = max(self._lease_ends, default=0) + 1
+            ttl_ms = json.loads(body)["ttl_ms"]
+            self._lease_ends[lease_id] = time.monotonic() + ttl_ms / 1000
+            return 200, {"lease_id": lease_id, "ttl_ms": ttl_ms}
+        _, call, lease_id = path.split("/")
+        if int(lease_id) not in self._lease_ends:
+            return 404, {}
+        self._lease_ends[int(
+            lease_id)] = time.monotonic() + (12 if call == "kv-keep" else 0)
+        return 200, {}
+
+    def _end_leases(self):
+        now = time.monotonic()
+        for lease_id, end in list(self._lease_ends.items()):
+            if end <= now:
+                del self._lease_ends[lease_id]
+                for key, item in list(self._items.items()):
+                    if item["lease_id"] == lease_id:
+                        self._change(key, {"deleted": True})
+
+    def _change(self, key, fields):
+        self._revision += 1
+        item = {"key": key, "revision": self._revision, **fields}
+        if "deleted" in fields:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = item
+        self._changes.append(item)
+        self._condition.notify_all()
 
 
 class FakeEndpoint:
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -190,3 +190,67 @@
     vm.wait_until(lambda: {"endpoint_rejected", "configuration_rejected"} <=
                   {line["event"] for line in vm.read_log()})
     assert vm.call("/post/0")[0] == 200
+
+
+def _make_document_without_key_1(version):
+    document = documents.make_document(version=version)
+    document["tenants"] = [{"name": "strih", "api_keys": ["key-3"]}]
+    return document
+
+
+def test_removed_key_stays_refused_when_a_copy_shows_the_older_version(
+        vm, store):
+    copy = store.copy()
+    store.put("op/config", _make_document_without_key_1(8))
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 401)
+    store.restore(copy)
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+        assert vm.call("/post/0")[0] in (401, 503)
+    store.put("op/config", _make_document_without_key_1(8))
+    vm.wait_until(lambda: vm.call("/post/0", "key-3")[0] == 200)
+    assert vm.call("/post/0")[0] == 401
+
+
+def test_newer_version_is_applied_though_its_revision_is_lower(vm, store):
+    copy = store.copy()
+    for _ in range(20):
+        store.put("op/config", documents.make_document(version=8))
+    vm.wait_until(
+        lambda: "configuration" in
+        [line["event"] for line in vm.read_log() if line.get("version") == 8])
+    store.restore(copy)
+    store.put("op/config", _make_document_without_key_1(9))
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 401)
+    vm.wait_until(lambda: vm.call("/post/0", "key-3")[0] == 200)
+
+
+def test_leaving_endpoint_stays_unused_when_a_copy_shows_it_as_ready(
+        vm, store, endpoint):
+    vm.wait_until(lambda: vm.call("/open/0")[0] == 200)
+    copy = store.copy()
+    store.put(
+        "servers/i-1",
+        documents.make_registration(address=endpoint.address, state="draining"))
+    vm.wait_until(lambda: vm.call("/open/0")[0] == 503)
+    received = len(endpoint.received_headers)
+    store.restore(copy)
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+        assert vm.call("/open/0")[0] == 503
+    assert len(endpoint.received_headers) == received
+    store.put("servers/i-1",
+              documents.make_registration(address=endpoint.address, sequence=9))
+    vm.wait_until(lambda: vm.call("/open/0")[0] == 200)
+
+
+def test_vm_registers_again_soon_after_the_store_lost_its_lease(vm, store):
+    vm.wait_until(lambda: store.find("vms/vm-1") is not None)
+    copy = store.copy()
+    items, changes, revision, _ = copy
+    store.restore(({
+        key: item for key, item in items.items() if key != "vms/vm-1"
+    }, changes, revision, {}))
+    returned_at = time.monotonic()
+    vm.wait_until(lambda: store.find("vms/vm-1") is not None)
+    assert time.monotonic() - returned_at < 2.0
