Don't use endpoints that have left because a restored store shows them

What callers would see: requests sent to an endpoint that is leaving or has left, after the store was restored from a copy in which it is still ready.

Cause: the directory followed each registration, whether the endpoint wrote it or an older copy shows it again.

Change: a registration that may come from a copy does not make a leaving endpoint usable again within one start, and one whose removal is remembered is used once the endpoint has written it again, or once it has stood for longer than three missed heartbeats. Endpoints that the copy lacks have the grace period that they have after an outage.

Result: the tests pass; the new ones use methods that did not exist before, so they could not run on the code before.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -1,6 +1,7 @@
 """Directory of the endpoints that may receive requests."""
 
 import collections.abc
+import dataclasses
 import datetime
 
 from mustardwood import timing
@@ -17,6 +18,20 @@
 It is longer than the three missed heartbeats after which the registration of a
 crashed endpoint expires.
 """
+_REMOVAL_RECORD_LIFETIME = datetime.timedelta(seconds=60)
+"""Time for which a removal is remembered; a store's copy is seconds old."""
+_CONFIRMATION_TIME = datetime.timedelta(seconds=10)
+"""Time after which a registration that still stands is that of a live endpoint.
+
+It is longer than the three missed heartbeats after which the registration of an
+endpoint that has left expires.
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Removal:
+    started: int
+    removed_at: datetime.timedelta
 
 
 class EndpointDirectory:
@@ -26,6 +41,11 @@
     endpoints still serve requests. A removal that is received within
     `REGISTRATION_GRACE` after the outage takes effect at the end of that grace
     period, and not at all if the endpoint registers again before.
+
+    Failure: a store that is restored from an older copy lacks endpoints that
+    have registered since, and shows those that have left. The former have the
+    grace period, too. The latter are not used until they have written their
+    registration again, or it still stands after `_CONFIRMATION_TIME`.
     """
 
     def __init__(self, clock: timing.Clock) -> None:
@@ -34,7 +54,10 @@
         self._pending_removals: dict[str, datetime.timedelta] = {}
         self._replaced: dict[str, tuple[endpoint_module.Endpoint,
                                         datetime.timedelta]] = {}
+        self._removals: dict[str, _Removal] = {}
+        self._unconfirmed: dict[str, datetime.timedelta] = {}
         self._grace_period_end: datetime.timedelta | None = None
+        self._restore_grace_end: datetime.timedelta | None = None
         self._by_service: dict[str, tuple[endpoint_module.Endpoint, ...]] = {}
 
     def record_store_recovery(self) -> None:
@@ -44,9 +67,56 @@
         applied.
         """
         self._grace_period_end = self._clock.monotonic() + REGISTRATION_GRACE
+        # Registrations may not expire during an outage.
+        self._restart_confirmations()
+
+    def record_store_restore(self) -> None:
+        """Starts the grace period after the store was restored from a copy.
+
+        This must be called before the contents of the copy are applied.
+        """
+        self._restore_grace_end = self._clock.monotonic() + REGISTRATION_GRACE
+        self._restart_confirmations()
+
+    def find_restore_conflict(self, endpoint: endpoint_module.Endpoint) -> str:
+        """Returns why a registration may be out of date; empty if it isn't.
+
+        Args:
+            endpoint: A registration that may be from before a restore.
+        """
+        known = self._endpoints.get(endpoint.name)
+        if known is not None:
+            if (known.started == endpoint.started and known.is_leaving and
+                    not endpoint.is_leaving):
+                return "The endpoint is known to be leaving."
+            return ""
+        removal = self._removals.get(endpoint.name)
+        if removal is not None and removal.started == endpoint.started:
+            return "The endpoint is known to have left."
+        return ""
+
+    def set_endpoint(self,
+                     endpoint: endpoint_module.Endpoint,
+                     is_confirmed: bool = True) -> bool:
+        """Adds or replaces an endpoint.
 
-    def set_endpoint(self, endpoint: endpoint_module.Endpoint) -> bool:
-        """Adds or replaces an endpoint and returns whether anything changed."""
+        Args:
+            endpoint: The endpoint.
+            is_confirmed: Whether its registration was certainly written after
+                the store's last restore.
+
+        Returns:
+            Whether anything changed.
+        """
+        if is_confirmed:
+            self._removals.pop(endpoint.name, None)
+            if self._unconfirmed.pop(endpoint.name, None) is not None:
+                self._by_service.clear()
+        elif self.find_restore_conflict(endpoint):
+            if endpoint.name in self._endpoints:
+                return False
+            self._unconfirmed[endpoint.name] = (self._clock.monotonic() +
+                                                _CONFIRMATION_TIME)
         self._pending_removals.pop(endpoint.name, None)
         if self._endpoints.get(endpoint.name) == endpoint:
             return False
@@ -63,6 +133,10 @@
         if name not in self._endpoints:
             return False
         now = self._clock.monotonic()
+        if (self._restore_grace_end is not None and
+                now < self._restore_grace_end):
+            self._pending_removals[name] = self._restore_grace_end
+            return False
         if self._grace_period_end is not None and now < self._grace_period_end:
             self._pending_removals[name] = self._grace_period_end
             return False
@@ -101,7 +175,8 @@
         if known is None:
             known = tuple(each for _, each in sorted(self._endpoints.items())
                           if each.service == service and not each.is_leaving and
-                          not self._is_replaced(each))
+                          not self._is_replaced(each) and
+                          each.name not in self._unconfirmed)
             self._by_service[service] = known
         return known
 
@@ -117,7 +192,26 @@
 
     def _remove_now(self, name: str) -> bool:
         self._by_service.clear()
-        return self._endpoints.pop(name, None) is not None
+        self._unconfirmed.pop(name, None)
+        removed = self._endpoints.pop(name, None)
+        if removed is None:
+            return False
+        self._record_removal(removed)
+        return True
+
+    def _record_removal(self, endpoint: endpoint_module.Endpoint) -> None:
+        now = self._clock.monotonic()
+        self._removals.pop(endpoint.name, None)
+        self._removals[endpoint.name] = _Removal(endpoint.started, now)
+        oldest = now - _REMOVAL_RECORD_LIFETIME
+        for name, removal in list(self._removals.items()):
+            if removal.removed_at >= oldest:
+                break
+            del self._removals[name]
+
+    def _restart_confirmations(self) -> None:
+        due = self._clock.monotonic() + _CONFIRMATION_TIME
+        self._unconfirmed = dict.fromkeys(self._unconfirmed, due)
 
     def _is_replaced(self, endpoint: endpoint_module.Endpoint) -> bool:
         marked = self._replaced.get(endpoint.name)
@@ -129,6 +223,11 @@
             if now >= due:
                 del self._replaced[name]
                 self._by_service.clear()
+        for name, due in list(self._unconfirmed.items()):
+            if now >= due:
+                del self._unconfirmed[name]
+                self._removals.pop(name, None)
+                self._by_service.clear()
         if not self._pending_removals:
             return
         for name, due in list(self._pending_removals.items()):
--- a/mustardwood/dispatch/tests/test_directory.py
+++ b/mustardwood/dispatch/tests/test_directory.py
@@ -1,5 +1,6 @@
 """Tests of the endpoint directory and of the freshness proof."""
 
+import dataclasses
 import datetime
 
 from mustardwood import dispatch
@@ -74,3 +75,71 @@
     proof.record(ms(2500))
     proof.record(ms(1000))
     assert proof.get_age() == ms(500)
+
+
+def _list_usable(directory):
+    return [each.name for each in directory.list_usable("engine")]
+
+
+def test_endpoints_that_a_copy_lacks_stay_until_the_grace_period_ends():
+    clock, directory = _make_directory()
+    directory.record_store_restore()
+    directory.keep_only({"endpoint-1"})
+    assert len(_list_usable(directory)) == 2
+    clock.advance(ms(2300))
+    assert _list_usable(directory) == ["endpoint-1"]
+
+
+def test_leaving_endpoint_stays_so_when_a_copy_shows_it_as_ready():
+    clock, directory = _make_directory()
+    directory.set_endpoint(harness_module.make_endpoint(0, is_leaving=True))
+    directory.record_store_restore()
+    ready = harness_module.make_endpoint(0)
+    assert directory.find_restore_conflict(ready)
+    assert not directory.set_endpoint(ready, is_confirmed=False)
+    clock.advance(ms(60_000))
+    assert _list_usable(directory) == ["endpoint-1"]
+    directory.set_endpoint(ready)
+    assert len(_list_usable(directory)) == 2
+
+
+def test_restarted_endpoint_in_a_copy_is_used_at_once():
+    _, directory = _make_directory()
+    directory.set_endpoint(harness_module.make_endpoint(0, is_leaving=True))
+    directory.record_store_restore()
+    directory.set_endpoint(dataclasses.replace(harness_module.make_endpoint(0),
+                                               started=9),
+                           is_confirmed=False)
+    assert len(_list_usable(directory)) == 2
+
+
+def test_removed_endpoint_in_a_copy_is_used_once_it_has_written_again():
+    _, directory = _make_directory()
+    directory.remove_endpoint("endpoint-0")
+    directory.record_store_restore()
+    directory.set_endpoint(harness_module.make_endpoint(0), is_confirmed=False)
+    assert _list_usable(directory) == ["endpoint-1"]
+    directory.set_endpoint(harness_module.make_endpoint(0), is_confirmed=True)
+    assert len(_list_usable(directory)) == 2
+
+
+def test_removed_endpoint_in_a_copy_is_used_once_its_registration_has_lasted():
+    clock, directory = _make_directory()
+    directory.remove_endpoint("endpoint-0")
+    directory.record_store_restore()
+    directory.set_endpoint(harness_module.make_endpoint(0), is_confirmed=False)
+    clock.advance(ms(6000))
+    directory.record_store_recovery()
+    clock.advance(ms(6000))
+    assert _list_usable(directory) == ["endpoint-1"]
+    clock.advance(ms(5000))
+    assert len(_list_usable(directory)) == 2
+
+
+def test_endpoint_whose_removal_was_pending_is_used_when_a_copy_shows_it():
+    _, directory = _make_directory()
+    directory.record_store_recovery()
+    directory.remove_endpoint("endpoint-0")
+    directory.record_store_restore()
+    directory.set_endpoint(harness_module.make_endpoint(0), is_confirmed=False)
+    assert len(_list_usable(directory)) == 2
