--- a/mustardwood/peers/__init__.py
+++ b/mustardwood/peers/__init__.py
@@ -2,6 +2,9 @@
 
 from mustardwood.peers.datagram_port import DatagramPort
 from mustardwood.peers.peer_protocol import PeerProtocol
+from mustardwood.peers.peer_update import ConfigurationPosition
 from mustardwood.peers.peer_update import PeerUpdate
 
-__all__ = ["DatagramPort", "PeerProtocol", "PeerUpdate"]
+__all__ = [
+    "ConfigurationPosition", "DatagramPort", "PeerProtocol", "PeerUpdate"
+]
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -27,7 +27,6 @@
     Attributes:
         last_sequence: Highest sequence number received; 0 if none.
         received_at: Monotonic time at which it was received.
-        revision: Revision of the configuration that the peer uses.
         report: The peer's last report, encoded.
         send_times: Monotonic times at which messages were sent to the peer, by
             sequence number.
@@ -35,7 +34,6 @@
 
     last_sequence: int = 0
     received_at: datetime.timedelta = datetime.timedelta()
-    revision: int = 0
     report: bytes = b""
     send_times: "collections.OrderedDict[int, datetime.timedelta]" = (
         dataclasses.field(default_factory=collections.OrderedDict))
@@ -80,13 +78,15 @@
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
 
-    def build_updates(self, receivers: collections.abc.Iterable[str],
-                      revision: int) -> list[tuple[str, bytes]]:
+    def build_updates(
+        self, receivers: collections.abc.Iterable[str],
+        configuration: peer_update.ConfigurationPosition
+    ) -> list[tuple[str, bytes]]:
         """Returns the next update for each of several peers.
 
         Args:
             receivers: Names of the peers.
-            revision: Revision of the configuration that this VM uses.
+            configuration: Position of the configuration that this VM uses.
 
         Returns:
             Pairs of a peer's name and the encoded update for it.
@@ -107,7 +107,7 @@
                  msgspec.msgpack.encode(
                      peer_update.PeerUpdate(
                          self._vm, self._sequence, peer.last_sequence,
-                         _compute_proof_lead(peer, requested_at), revision,
+                         _compute_proof_lead(peer, requested_at), configuration,
                          report))))
         return updates
 
@@ -120,13 +120,14 @@
         return peer_update.Report(loads, self._prefix_caches.list_moves(),
                                   self._crashes.list_recent_crashes())
 
-    def receive_update(self, data: bytes,
-                       revision: int) -> peer_update.PeerUpdate | None:
+    def receive_update(
+        self, data: bytes, configuration: peer_update.ConfigurationPosition
+    ) -> peer_update.PeerUpdate | None:
         """Processes a received update.
 
         Args:
             data: The datagram.
-            revision: Revision of the configuration that this VM uses.
+            configuration: Position of the configuration that this VM uses.
 
         Returns:
             The update; None if it can't be decoded, or if a later one has been
@@ -147,7 +148,6 @@
             return None
         peer.last_sequence = update.sequence
         peer.received_at = self._clock.monotonic()
-        peer.revision = update.revision
         if new_report is not None:
             peer.report = report
             self._apply_report(update.sender, new_report)
@@ -158,7 +158,7 @@
                 msgspec.msgpack.decode(report, type=peer_update.Report))
         echoed_send_time = peer.send_times.get(update.echo)
         if (echoed_send_time is not None and update.proof_lead_ms >= 0 and
-                update.revision <= revision):
+                _proves_freshness(update.configuration, configuration)):
             self._proof.record(echoed_send_time -
                                update.proof_lead_ms * _MILLISECOND)
         return update
@@ -186,6 +186,16 @@
     return max(0, math.ceil((peer.received_at - requested_at) / _MILLISECOND))
 
 
+def _proves_freshness(peer: peer_update.ConfigurationPosition,
+                      own: peer_update.ConfigurationPosition) -> bool:
+    """Returns whether a peer's proof is also one for this VM's configuration.
+
+    A peer that uses an older version may know only a restored store, which does
+    not show a version newer than this VM's either.
+    """
+    return peer.version == own.version and peer <= own
+
+
 def _is_restart(update: peer_update.PeerUpdate, peer: _Peer) -> bool:
     """Returns whether the sender has restarted, with a new sequence.
 
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -1,5 +1,7 @@
 """The message that VMs send each other."""
 
+import typing
+
 import msgspec
 
 LoadFigures = tuple[int, int, int, int]
@@ -7,6 +9,23 @@
 tokens."""
 
 
+class ConfigurationPosition(typing.NamedTuple):
+    """Position of a configuration; the greater one is the newer.
+
+    A store that was restored from a copy may show an older version at a later
+    position, so the version decides first.
+
+    Attributes:
+        version: Its version.
+        era: The store's era in which it was read.
+        revision: The store's revision at which it was written.
+    """
+
+    version: int = 0
+    era: int = 0
+    revision: int = 0
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """The part of an update that is the same for all peers.
 
@@ -35,7 +54,7 @@
             sender's newest freshness proof rests until the sender received
             the echoed message, rounded up. 0 if the read was started later
             than that; -1 if there is no proof.
-        revision: Revision of the configuration that the sender uses.
+        configuration: Position of the configuration that the sender uses.
         report: An encoded `Report`; it is encoded once for all receivers.
     """
 
@@ -43,5 +62,5 @@
     sequence: int
     echo: int
     proof_lead_ms: int
-    revision: int
+    configuration: ConfigurationPosition
     report: msgspec.Raw
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -29,15 +29,16 @@
         self.protocol = peers.PeerProtocol(name, self.clock, self.loads,
                                            self.prefix_caches, self.crashes,
                                            self.proof, random.Random(seed))
-        self.revision = 10
+        self.configuration = peers.ConfigurationPosition(7, 0, 10)
 
     def build_update(self, other):
         """Returns an update for another VM."""
-        return self.protocol.build_updates([other.name], self.revision)[0][1]
+        return self.protocol.build_updates([other.name],
+                                           self.configuration)[0][1]
 
     def receive(self, data):
         """Processes an update."""
-        return self.protocol.receive_update(data, self.revision)
+        return self.protocol.receive_update(data, self.configuration)
 
 
 def _advance(duration, *vms):
@@ -79,7 +80,7 @@
 
 def test_proof_for_a_newer_configuration_is_not_adopted():
     outdated, updated = _Vm("outdated"), _Vm("updated", 2)
-    updated.revision = 11
+    updated.configuration = peers.ConfigurationPosition(7, 0, 11)
     updated.receive(outdated.build_update(updated))
     updated.proof.record(updated.clock.monotonic())
     outdated.receive(updated.build_update(outdated))
@@ -178,3 +179,44 @@
             if other is not vm:
                 other.receive(vm.build_update(other))
     assert all(vm.crashes.is_blocked("poison") for vm in vms)
+
+
+def _exchange_proof(sender, receiver):
+    sender.receive(receiver.build_update(sender))
+    sender.proof.record(sender.clock.monotonic())
+    receiver.receive(sender.build_update(receiver))
+    return receiver.proof.get_age() is not None
+
+
+def _make_vms_around_a_restore():
+    updated, restored = _Vm("updated"), _Vm("restored", 2)
+    updated.configuration = peers.ConfigurationPosition(8, 1, 50)
+    restored.configuration = peers.ConfigurationPosition(7, 2, 3)
+    return updated, restored
+
+
+def test_proof_for_an_older_version_of_a_later_era_is_not_adopted():
+    """A restored store that shows an older version says nothing of newer ones.
+    """
+    updated, restored = _make_vms_around_a_restore()
+    assert not _exchange_proof(restored, updated)
+
+
+def test_proof_for_a_higher_version_of_an_earlier_era_is_not_adopted():
+    """A VM that knows only the copy's version must not accept keys for it."""
+    updated, restored = _make_vms_around_a_restore()
+    assert not _exchange_proof(updated, restored)
+
+
+def test_proof_for_the_same_version_of_an_earlier_era_is_adopted():
+    earlier, later = _Vm("earlier"), _Vm("later", 2)
+    earlier.configuration = peers.ConfigurationPosition(8, 1, 50)
+    later.configuration = peers.ConfigurationPosition(8, 2, 3)
+    assert _exchange_proof(earlier, later)
+
+
+def test_proof_of_a_later_era_is_not_adopted_at_a_higher_revision():
+    earlier, later = _Vm("earlier"), _Vm("later", 2)
+    earlier.configuration = peers.ConfigurationPosition(8, 1, 50)
+    later.configuration = peers.ConfigurationPosition(8, 2, 3)
+    assert not _exchange_proof(later, earlier)
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -21,6 +21,7 @@
 from mustardwood.platform import authorizer
 from mustardwood.platform import endpoint_client
 from mustardwood.platform import event_journal
+from mustardwood.platform import freshness_gate
 from mustardwood.platform import freshness_reader
 from mustardwood.platform import graceful_shutdown
 from mustardwood.platform import metrics
@@ -79,6 +80,8 @@
         self._loads = dispatch.LoadTable(self._clock)
         self._watcher = store_watcher.StoreWatcher(
             client, self._clock, self._scheduler, self._directory, self._proof,
+            freshness_gate.FreshnessGate(self._clock,
+                                         self._settings.is_first_start),
             self._journal, self._forget_endpoint, self._handle_vm_change,
             self._rng)
         self._reader = freshness_reader.FreshnessReader(
@@ -92,7 +95,9 @@
             self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
-            self._settings.listen.peers)
+            self._settings.listen.peers, lambda: self._peers.peer_count,
+            self._rng)
+        client.add_era_listener(self._registration.handle_era_change)
         self._authorizer = authorizer.Authorizer(
             self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
         self._metrics = metrics.ProcessMetrics()
--- a/mustardwood/platform/freshness_reader.py
+++ b/mustardwood/platform/freshness_reader.py
@@ -109,7 +109,7 @@
     async def _read(self) -> None:
         requested_at = self._clock.monotonic()
         try:
-            item, _ = await self._client.read_key(
+            item, position = await self._client.read_key(
                 store_watcher.CONFIGURATION_KEY)
         except (errors.KeyValueError, msgspec.MsgspecError) as error:
             # The watch determines whether the store is unavailable.
@@ -119,4 +119,4 @@
             self._is_reading = False
         if item is not None:
             self._watcher.apply_configuration(item)
-        self._proof.record(requested_at)
+        self._watcher.record_proof(requested_at, position.era)
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -112,7 +112,7 @@
             self._sent_load_version = self._loads.version
             self._sent_at = now
             for name, update in self._protocol.build_updates(
-                    self._addresses, self._watcher.revision):
+                    self._addresses, self._watcher.configuration_position):
                 self.port.send(update, self._addresses[name])
             self._remove_silent_peers()
         extra_peers = max(0, len(self._addresses) - _PEERS_AT_MIN_INTERVAL)
@@ -131,19 +131,23 @@
                 self._journal.write("peer_gone", peer=name)
 
     def _receive(self, data: bytes) -> None:
-        received = self._protocol.receive_update(data, self._watcher.revision)
+        received = self._protocol.receive_update(
+            data, self._watcher.configuration_position)
         if received is None:
             return
         self._received_at[received.sender] = self._clock.monotonic()
-        if received.revision > self._watcher.revision and not self._is_fetching:
+        if (received.configuration > self._watcher.configuration_position and
+                not self._is_fetching):
             self._is_fetching = True
             self._scheduler.call_later(
                 _FETCH_DELAY, lambda: self._fetch_configuration(
-                    received.sender, received.revision))
+                    received.sender, received.configuration))
 
-    def _fetch_configuration(self, peer: str, revision: int) -> None:
+    def _fetch_configuration(self, peer: str,
+                             position: peers.ConfigurationPosition) -> None:
         address = self._addresses.get(peer)
-        if self._watcher.revision >= revision or address is None:
+        if (self._watcher.configuration_position >= position or
+                address is None):
             self._is_fetching = False
             return
         host = f"{address[0]}:{address[1]}".encode()
@@ -156,10 +160,11 @@
                       reason: str) -> None:
         self._is_fetching = False
         self._journal.write("configuration_from_peer",
+                            era=0 if item is None else item.era,
                             revision=0 if item is None else item.revision,
                             error=reason)
         if item is not None:
-            self._watcher.apply_configuration(item)
+            self._watcher.apply_peer_configuration(item)
 
 
 class _ConfigurationListener:
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -74,6 +74,7 @@
         store: Address of the platform's store.
         bounds: Limits that the platform requires the system to keep.
         peer_ports: First and last port for messages between VMs.
+        is_first_start: Whether the whole system starts for the first time.
     """
 
     vm: str = msgspec.field(name="node_name")
@@ -83,6 +84,7 @@
     store: Store = msgspec.field(name="platform")
     bounds: Bounds = Bounds()
     peer_ports: tuple[int, ...] = msgspec.field(name="port_range", default=())
+    is_first_start: bool = msgspec.field(name="is_bootstrap", default=False)
 
     @property
     def key_removal_time(self) -> datetime.timedelta:
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -2,6 +2,8 @@
 
 import base64
 import collections
+import collections.abc
+import dataclasses
 import datetime
 import typing
 import urllib.parse
@@ -20,6 +22,37 @@
 _DEFAULT_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 """Delay after a rate-limited call whose response names no delay."""
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_ERA_HEADER = b"store-era"
+_MAX_ERA_DIGITS = 18
+"""Maximum number of digits of an era, so that it fits into 64 bits."""
+
+
+class Position(typing.NamedTuple):
+    """A position in the store's sequence of changes.
+
+    A store that is restored from an older copy gives out revisions again. Each
+    restore starts a new era, so a later era is newer whatever the revision.
+
+    Attributes:
+        era: Number of the era; 0 if the store names none.
+        revision: The store's revision in that era.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Lease:
+    """A lease, whose id is only valid in its era.
+
+    Attributes:
+        lease_id: Id that the store has given it.
+        era: The store's era when it was granted.
+    """
+
+    lease_id: int
+    era: int
 
 
 class Item(msgspec.Struct, frozen=True):
@@ -29,11 +62,18 @@
         key: The key.
         value: The value in base64; None if the key was removed.
         revision: The store's revision at which the key was last changed.
+        era: The store's era when it returned the item.
     """
 
     key: str
     value: str | None = None
     revision: int = 0
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Position of the last change."""
+        return Position(self.era, self.revision)
 
     def decode_value(self) -> bytes:
         """Returns the decoded value; empty if it is not valid base64."""
@@ -69,19 +109,37 @@
     at: int = 0
 
 
-class _Lease(msgspec.Struct, frozen=True):
+class _Grant(msgspec.Struct, frozen=True):
     lease_id: int
 
 
+@dataclasses.dataclass(frozen=True)
+class _Response:
+    status: int
+    body: bytes
+    retry_after: datetime.timedelta | None
+    era: int
+
+
 class HistoryLostError(errors.KeyValueError):
     """The store no longer holds the history that a watch needs."""
 
     code = "key_value_history_lost"
 
 
+class EraChangedError(HistoryLostError):
+    """The store was restored, so positions and leases are no longer valid."""
+
+    code = "key_value_era_changed"
+
+
 class StoreClient:
     """Calls the store and raises typed errors for calls that fail.
 
+    Every response names the store's era. Once a response of a later era has
+    been received, those of earlier eras are failures: they show contents that
+    the store may have lost.
+
     Attributes:
         calls: Number of calls by the first part of their path.
     """
@@ -91,84 +149,108 @@
         self._address = address
         self._pool = pool
         self._scheduler = scheduler
+        self._era: int | None = None
+        self._era_listeners: list[collections.abc.Callable[[], None]] = []
+        self._calls_of_era: dict[_CallListener, http1.Exchange] = {}
         self.calls: collections.Counter[str] = collections.Counter()
 
-    async def read_key(self, key: str) -> tuple[Item | None, int]:
+    def add_era_listener(self,
+                         listener: collections.abc.Callable[[], None]) -> None:
+        """Adds a function that is called when a new era has begun."""
+        self._era_listeners.append(listener)
+
+    async def read_key(self, key: str) -> tuple[Item | None, Position]:
         """Reads a key.
 
         Returns:
-            The item, None if the key does not exist, and the store's revision.
+            The item, None if the key does not exist, and the store's position.
+        """
+        response = await self._call("GET", "/kv-key", {"key": key})
+        body = response.body or b"{}"
+        position = Position(response.era,
+                            msgspec.json.decode(body, type=Changes).at)
+        if response.status == 404:
+            return None, position
+        return (_set_era(msgspec.json.decode(body, type=Item),
+                         response.era), position)
+
+    async def read_range(self, prefix: str, era: int) -> list[Item]:
+        """Returns all items under a prefix, except those that are malformed.
+
+        Raises:
+            EraChangedError: If the store is no longer in the era `era`.
         """
-        status, body = await self._call("GET", "/kv-key", {"key": key})
-        if status == 404:
-            found = msgspec.json.decode(body or b"{}", type=Changes)
-            return None, found.at
-        return (msgspec.json.decode(body, type=Item),
-                msgspec.json.decode(body, type=Changes).at)
-
-    async def read_range(self, prefix: str) -> list[Item]:
-        """Returns all items under a prefix, except those that are malformed."""
         items: list[Item] = []
         after = ""
         while True:
             query = {"path_prefix": prefix}
             if after:
                 query["after"] = after
-            _, body = await self._call("GET", "/kv-range", query)
-            page = msgspec.json.decode(body, type=Page)
-            found = decode_items(page.entries)
+            response = await self._call("GET", "/kv-range", query, era=era)
+            page = msgspec.json.decode(response.body, type=Page)
+            found = decode_items(page.entries, era)
             items.extend(found)
             if not page.has_more or not found:
                 return items
             after = found[-1].key
 
-    async def watch(self, prefix: str, after: int,
-                    wait: datetime.timedelta) -> tuple[list[Item], int]:
+    async def watch(self, prefix: str, after: Position,
+                    wait: datetime.timedelta) -> tuple[list[Item], Position]:
         """Waits for changes under a prefix.
 
         Args:
             prefix: Prefix of the keys.
-            after: Revision after which changes are returned.
+            after: Position after which changes are returned.
             wait: Time for which the store waits for a change.
 
         Returns:
             The changes, none if the time has passed without one, and the
-            revision from which the next watch continues.
+            position from which the next watch continues.
+
+        Raises:
+            EraChangedError: If the store is no longer in the era of `after`,
+                as any call's response may show in the meantime.
         """
         query = {
             "path_prefix": prefix,
-            "after": str(after),
+            "after": str(after.revision),
             "wait_ms": str(wait // datetime.timedelta(milliseconds=1)),
         }
-        _, body = await self._call("GET",
-                                   "/kv-watch",
-                                   query,
-                                   timeout=wait + _WATCH_MARGIN)
-        changes = msgspec.json.decode(body, type=Changes)
-        return decode_items(changes.events), changes.at
-
-    async def grant_lease(self, time_to_live: datetime.timedelta) -> int:
-        """Creates a lease and returns its id."""
+        response = await self._call("GET",
+                                    "/kv-watch",
+                                    query,
+                                    timeout=wait + _WATCH_MARGIN,
+                                    era=after.era)
+        changes = msgspec.json.decode(response.body, type=Changes)
+        return (decode_items(changes.events,
+                             after.era), Position(after.era, changes.at))
+
+    async def grant_lease(self, time_to_live: datetime.timedelta) -> Lease:
+        """Creates a lease."""
         body = {"ttl_ms": time_to_live // _MILLISECOND}
-        _, response = await self._call("POST", "/kv-lease", body=body)
-        return msgspec.json.decode(response, type=_Lease).lease_id
+        response = await self._call("POST", "/kv-lease", body=body)
+        return Lease(
+            msgspec.json.decode(response.body, type=_Grant).lease_id,
+            response.era)
 
-    async def renew_lease(self, lease_id: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renews a lease.
 
         Raises:
             errors.LeaseLostError: If the lease has ended.
         """
-        status, _ = await self._call("POST", f"/kv-keep/{lease_id}")
-        if status == 404:
-            raise errors.LeaseLostError("The lease has ended.",
-                                        "Open another one.")
+        await self._call_with_lease("POST", f"/kv-keep/{lease.lease_id}", lease)
 
-    async def revoke_lease(self, lease_id: int) -> None:
-        """Revokes a lease, which removes its keys."""
-        await self._call("DELETE", f"/kv-lease-end/{lease_id}")
+    async def revoke_lease(self, lease: Lease) -> None:
+        """Revokes a lease, which removes its keys.
 
-    async def write_key(self, key: str, value: bytes, lease_id: int) -> None:
+        Raises:
+            errors.LeaseLostError: If the lease has ended before.
+        """
+        await self._call_with_lease("DELETE", f"/kv-lease-end/{lease.lease_id}",
+                                    lease)
+
+    async def write_key(self, key: str, value: bytes, lease: Lease) -> None:
         """Writes a key under a lease, regardless of its present value.
 
         Raises:
@@ -177,33 +259,71 @@
         row = {
             "key": key,
             "value": base64.b64encode(value).decode(),
-            "lease_id": lease_id,
+            "lease_id": lease.lease_id,
         }
         body = {"expected_revision": [], "write": [row], "remove": []}
-        status, _ = await self._call("POST", "/kv-txn", body=body)
-        if status == 404:
+        await self._call_with_lease("POST", "/kv-txn", lease, body)
+
+    async def _call_with_lease(
+            self,
+            method: str,
+            path: str,
+            lease: Lease,
+            body: dict[str, typing.Any] | None = None) -> None:
+        """Makes a call that names a lease.
+
+        A restored store may have given the lease's id to another VM, so a
+        lease of an earlier era counts as ended whatever the response.
+        """
+        try:
+            response = await self._call(method, path, body=body, era=lease.era)
+        except EraChangedError as error:
+            raise errors.LeaseLostError(error.message,
+                                        "Open another one.") from error
+        if response.status == 404:
             raise errors.LeaseLostError("The lease has ended.",
                                         "Open another one.")
 
-    async def _send(
-        self, request: http1.HttpRequest, timeout: datetime.timedelta
-    ) -> tuple[int, bytes, datetime.timedelta | None]:
+    async def _send(self, request: http1.HttpRequest,
+                    timeout: datetime.timedelta,
+                    depends_on_era: bool) -> _Response:
         listener = _CallListener()
         exchange = self._pool.send(self._address, request, listener)
+        if depends_on_era:
+            self._calls_of_era[listener] = exchange
         timer = self._scheduler.call_later(
             timeout, lambda: _abort_call(exchange, listener))
         try:
             return await listener.deferred
         finally:
             timer.cancel()
+            self._calls_of_era.pop(listener, None)
 
-    async def _call(
-            self,
-            method: str,
-            path: str,
-            query: dict[str, str] | None = None,
-            timeout: datetime.timedelta = CALL_TIMEOUT,
-            body: dict[str, typing.Any] | None = None) -> tuple[int, bytes]:
+    def _record_era(self, era: int) -> None:
+        if self._era is not None and era <= self._era:
+            return
+        is_first = self._era is None
+        self._era = era
+        if is_first:
+            return
+        # Calls that are pending continue from a position or a lease that the
+        # store may have lost.
+        for listener, exchange in list(self._calls_of_era.items()):
+            exchange.abort()
+            listener.fail(_make_era_error())
+        for notify in self._era_listeners:
+            notify()
+
+    async def _call(self,
+                    method: str,
+                    path: str,
+                    query: dict[str, str] | None = None,
+                    timeout: datetime.timedelta = CALL_TIMEOUT,
+                    body: dict[str, typing.Any] | None = None,
+                    era: int | None = None) -> _Response:
+        """Makes a call; `era` is the only era in which it is valid, if any."""
+        if era not in (None, self._era):
+            raise _make_era_error()
         self.calls["/" + path.split("/")[1]] += 1
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         request_headers = [(b"Host",
@@ -213,33 +333,50 @@
             request_headers.append((b"Content-Type", b"application/json"))
             content = msgspec.json.encode(body)
         request = http1.HttpRequest(method, target, request_headers, content)
-        status, response, retry_after = await self._send(request, timeout)
-        if status == 410:
+        response = await self._send(request, timeout, era is not None)
+        self._record_era(response.era)
+        if era not in (None, self._era):
+            raise _make_era_error()
+        if response.status == 410:
             raise HistoryLostError(
                 "The store has dropped the history that the watch needs.",
                 "Read the keys again.")
-        if status == 429:
+        if response.status == 429:
             raise errors.RateLimitedError(
                 "The store's rate limit refused the call.", "Call again later.",
-                retry_after or _DEFAULT_RETRY_AFTER)
-        if status not in (200, 404):
+                response.retry_after or _DEFAULT_RETRY_AFTER)
+        if response.status not in (200, 404):
             raise errors.UnavailableError(
-                f"The store responded to {path} with status {status}.",
+                f"The store responded to {path} with status {response.status}.",
                 "Call again; calls are retried until the store responds.")
-        return status, response
+        if response.era != self._era:
+            raise errors.UnavailableError(
+                f"The response to {path} is of the store's era {response.era}, "
+                f"which has ended.",
+                "Call again; calls are retried until the store responds.")
+        return response
 
 
-def decode_items(rows: tuple[msgspec.Raw, ...]) -> list[Item]:
-    """Decodes items; malformed ones are omitted."""
+def decode_items(rows: tuple[msgspec.Raw, ...], era: int) -> list[Item]:
+    """Decodes items of an era; malformed ones are omitted."""
     items = []
     for row in rows:
         try:
-            items.append(msgspec.json.decode(row, type=Item))
+            items.append(_set_era(msgspec.json.decode(row, type=Item), era))
         except msgspec.MsgspecError:
             continue
     return items
 
 
+def _set_era(item: Item, era: int) -> Item:
+    return item if item.era == era else msgspec.structs.replace(item, era=era)
+
+
+def _make_era_error() -> EraChangedError:
+    return EraChangedError("The store was restored from a copy.",
+                           "Read the keys again and open new leases.")
+
+
 def _abort_call(exchange: http1.Exchange, listener: "_CallListener") -> None:
     exchange.abort()
     listener.receive_failure(True, "no answer in time")
@@ -249,9 +386,9 @@
     """Collects the response to a call."""
 
     def __init__(self) -> None:
-        self.deferred: defer.Deferred[tuple[int, bytes, datetime.timedelta |
-                                            None]] = defer.Deferred()
+        self.deferred: defer.Deferred[_Response] = defer.Deferred()
         self._status = 0
+        self._era = 0
         self._retry_after: datetime.timedelta | None = None
         self._body = bytearray()
 
@@ -262,11 +399,13 @@
 
     def receive_head(self, status: int,
                      response_headers: http1.Headers) -> None:
-        """Records the status and the delay before a retry."""
+        """Records the status, the era and the delay before a retry."""
         self._status = status
         for name, value in response_headers:
             if name.lower() == b"retry-after":
                 self._retry_after = _parse_seconds(value)
+            elif name.lower() == _ERA_HEADER:
+                self._era = _parse_era(value)
 
     def receive_data(self, data: bytes) -> None:
         """Collects a part of the body."""
@@ -274,7 +413,9 @@
 
     def receive_end(self) -> None:
         """Delivers the response to `deferred`."""
-        self._deliver((self._status, bytes(self._body), self._retry_after))
+        self._deliver(
+            _Response(self._status, bytes(self._body), self._retry_after,
+                      self._era))
 
     def receive_failure(self, was_sent: bool, reason: str) -> None:
         """Delivers the failure to `deferred`."""
@@ -284,6 +425,10 @@
                 f"The store did not answer: {reason}.",
                 "Call again; calls are retried until the store responds."))
 
+    def fail(self, error: Exception) -> None:
+        """Delivers an error to `deferred`, unless the call has ended."""
+        self._deliver(error)
+
     def _deliver(self, result: typing.Any) -> None:
         if self.deferred.called:
             return
@@ -298,3 +443,10 @@
         return datetime.timedelta(seconds=float(value))
     except ValueError:
         return None
+
+
+def _parse_era(value: bytes) -> int:
+    """Returns an era; 0 if it is malformed, as for a store without eras."""
+    if value.isdigit() and len(value) <= _MAX_ERA_DIGITS:
+        return int(value)
+    return 0
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -10,9 +10,11 @@
 
 from mustardwood import dispatch
 from mustardwood import errors
+from mustardwood import peers
 from mustardwood import timing
 from mustardwood.platform import configuration_decoder
 from mustardwood.platform import endpoint_decoder
+from mustardwood.platform import freshness_gate
 from mustardwood.platform import store_client
 
 CONFIGURATION_KEY = "op/config"
@@ -55,6 +57,11 @@
 
     One watch covers all keys, so that a VM has only one pending call.
 
+    Failure: a store that was restored from an older copy starts a new era and
+    gives out revisions again. All keys are read again then. An older version of
+    the configuration does not replace the one in force, and `EndpointDirectory`
+    decides about registrations that may be out of date.
+
     Attributes:
         configuration: The present configuration; None until one was read.
         item: The item of the store from which it was decoded.
@@ -63,7 +70,8 @@
     def __init__(self, client: store_client.StoreClient, clock: timing.Clock,
                  scheduler: dispatch.Scheduler,
                  directory: dispatch.EndpointDirectory,
-                 proof: dispatch.FreshnessProof, journal: dispatch.Journal,
+                 proof: dispatch.FreshnessProof,
+                 gate: freshness_gate.FreshnessGate, journal: dispatch.Journal,
                  on_endpoint_restart: collections.abc.Callable[[str], None],
                  on_vm_change: collections.abc.Callable[[str, bytes | None],
                                                         None],
@@ -76,6 +84,7 @@
             scheduler: Schedules calls.
             directory: Receives the endpoints.
             proof: Receives the freshness proofs.
+            gate: Decides which answers of the store are freshness proofs.
             journal: Logs changes and outages.
             on_endpoint_restart: Called with the name of an endpoint that has
                 restarted.
@@ -88,6 +97,7 @@
         self._scheduler = scheduler
         self._directory = directory
         self._proof = proof
+        self._gate = gate
         self._journal = journal
         self._on_endpoint_restart = on_endpoint_restart
         self._on_vm_change = on_vm_change
@@ -95,7 +105,10 @@
         self._is_stopped = False
         self._failures = 0
         self._had_changes = True
-        self._revisions: dict[str, int] = {}
+        self._era_start: store_client.Position | None = None
+        self._position = store_client.Position()
+        self._positions: dict[str, store_client.Position] = {}
+        self._vms: set[str] = set()
         self.configuration: Configuration | None = None
         self.item: store_client.Item | None = None
 
@@ -105,9 +118,11 @@
         return not self._failures
 
     @property
-    def revision(self) -> int:
-        """Revision of the present configuration; 0 if there is none."""
-        return 0 if self.item is None else self.item.revision
+    def configuration_position(self) -> peers.ConfigurationPosition:
+        """Position of the present configuration; zeros if there is none."""
+        if self.item is None or self.configuration is None:
+            return peers.ConfigurationPosition()
+        return _make_configuration_position(self.item, self.configuration)
 
     def start(self) -> None:
         """Starts to watch the store."""
@@ -127,48 +142,68 @@
         self._scheduler.call_later(_MAX_BACKOFF, self.start)
 
     async def _watch_changes(self) -> None:
-        revision: int | None = None
+        position: store_client.Position | None = None
         while not self._is_stopped:
             requested_at = self._clock.monotonic()
             try:
-                if revision is None:
-                    revision = await self._read_all()
+                if position is None:
+                    position = await self._read_all()
                 else:
-                    revision = await self._watch(revision)
-                self._proof.record(requested_at)
+                    position = await self._watch(position)
+                self._position = position
+                self.record_proof(requested_at, position.era)
                 if self._had_changes:
                     await self._sleep(_BATCH_DELAY)
             except store_client.HistoryLostError as error:
                 self._journal.write("store_history_lost", error=error.message)
-                revision = None
+                position = None
             except (errors.KeyValueError, msgspec.MsgspecError) as error:
                 if not self._is_stopped:
                     await self._back_off(error)
 
-    async def _read_all(self) -> int:
+    async def _read_all(self) -> store_client.Position:
         requested_at = self._clock.monotonic()
-        item, revision = await self._client.read_key(CONFIGURATION_KEY)
+        item, position = await self._client.read_key(CONFIGURATION_KEY)
         self._record_success()
+        self._start_era(position)
         if item is not None:
             self.apply_configuration(item)
         # Reading the ranges takes longer. Requests with API keys are already
         # allowed before that.
-        self._proof.record(requested_at)
-        items = await self._client.read_range(endpoint_decoder.PREFIX)
+        self.record_proof(requested_at, position.era)
+        items = await self._client.read_range(endpoint_decoder.PREFIX,
+                                              position.era)
         for each in items:
             self._apply_endpoint(each)
-        for each in await self._client.read_range(VM_PREFIX):
-            self._apply_vm(each)
+        self._apply_vms(await self._client.read_range(VM_PREFIX, position.era))
         missing = self._directory.keep_only(
             {each.key.removeprefix(endpoint_decoder.PREFIX) for each in items})
         self._journal.write("store_read",
-                            revision=revision,
+                            era=position.era,
+                            revision=position.revision,
                             endpoints=len(items),
                             missing=missing)
-        return revision
+        return position
 
-    async def _watch(self, revision: int) -> int:
-        items, next_revision = await self._client.watch("", revision,
+    def _start_era(self, position: store_client.Position) -> None:
+        """Handles an answer that may be the first one of an era."""
+        previous = self._era_start
+        if previous is not None and previous.era == position.era:
+            return
+        self._era_start = position
+        self._gate.start_era(position)
+        if previous is None:
+            return
+        self._directory.record_store_restore()
+        self._journal.write("store_restored",
+                            previous_era=self._position.era,
+                            previous_revision=self._position.revision,
+                            era=position.era,
+                            revision=position.revision)
+
+    async def _watch(self,
+                     position: store_client.Position) -> store_client.Position:
+        items, next_position = await self._client.watch("", position,
                                                         self._draw_watch_wait())
         self._had_changes = bool(items)
         self._record_success()
@@ -179,50 +214,107 @@
                 self._apply_endpoint(each)
             elif each.key.startswith(VM_PREFIX):
                 self._apply_vm(each)
-        return max(revision, next_revision)
+        return max(position, next_position)
 
     def _draw_watch_wait(self) -> datetime.timedelta:
         if not self._had_changes:
             return MAX_WATCH_WAIT
         return MAX_WATCH_WAIT * self._rng.uniform(_MIN_WATCH_FRACTION, 1.0)
 
+    def _apply_vms(self, items: list[store_client.Item]) -> None:
+        """Applies a complete listing of the VMs."""
+        for each in items:
+            self._apply_vm(each)
+        for key in self._vms - {each.key for each in items}:
+            self._vms.discard(key)
+            self._on_vm_change(key.removeprefix(VM_PREFIX), None)
+
     def _apply_vm(self, item: store_client.Item) -> None:
-        if not self._is_stale(item):
-            self._on_vm_change(
-                item.key.removeprefix(VM_PREFIX),
-                None if item.value is None else item.decode_value())
+        if self._is_stale(item):
+            return
+        if item.value is None:
+            self._vms.discard(item.key)
+        else:
+            self._vms.add(item.key)
+        self._on_vm_change(item.key.removeprefix(VM_PREFIX),
+                           None if item.value is None else item.decode_value())
+
+    def record_proof(self, requested_at: datetime.timedelta, era: int) -> None:
+        """Records a freshness proof if an answer of the store is one.
+
+        The configuration that the answer shows must have been applied before.
+
+        Args:
+            requested_at: Monotonic time of the request.
+            era: The store's era in which it answered.
+        """
+        if (self._is_of_present_era(era) and
+                self._gate.is_open(self.configuration_position.version)):
+            self._proof.record(requested_at)
 
     def apply_configuration(self, item: store_client.Item) -> None:
-        """Applies a configuration from the store or from a peer.
+        """Applies a configuration that the store has shown.
 
-        It is ignored if it is malformed, or older than the present one.
+        It is ignored if it is malformed, or older than the present one, or of
+        another era than the keys that were read last.
         """
-        if item.value is None or self._is_stale(item):
+        if (item.value is None or not self._is_of_present_era(item.era) or
+                self._is_stale(item)):
             return
-        try:
-            decoded = configuration_decoder.decode_configuration(
-                item.decode_value())
-        except errors.ConfigurationError as error:
-            self._journal.write("configuration_rejected",
-                                revision=item.revision,
-                                error=str(error))
+        decoded = self._decode_configuration(item)
+        if decoded is None:
             return
-        current = self.configuration
-        if (current is not None and
-                decoded.table.version < current.table.version):
+        version = decoded.table.version
+        present = self.configuration_position
+        self._gate.record_shown(
+            version, item.position,
+            store_client.Position(present.era, present.revision)
+            if present.version == version else None)
+        if version < present.version:
             self._journal.write(
                 "configuration_rejected",
+                era=item.era,
                 revision=item.revision,
-                version=decoded.table.version,
-                in_force=current.table.version,
+                version=version,
+                in_force=present.version,
                 error="The version is lower than the present one.")
             return
+        self._use_configuration(item, decoded)
+
+    def apply_peer_configuration(self, item: store_client.Item) -> None:
+        """Applies a configuration that a peer uses.
+
+        It is ignored if it is malformed, or not newer than the present one.
+        """
+        decoded = self._decode_configuration(item)
+        if decoded is not None and (_make_configuration_position(item, decoded)
+                                    > self.configuration_position):
+            self._use_configuration(item, decoded)
+
+    def _decode_configuration(self,
+                              item: store_client.Item) -> Configuration | None:
+        try:
+            return configuration_decoder.decode_configuration(
+                item.decode_value())
+        except errors.ConfigurationError as error:
+            self._journal.write("configuration_rejected",
+                                era=item.era,
+                                revision=item.revision,
+                                error=str(error))
+            return None
+
+    def _use_configuration(self, item: store_client.Item,
+                           decoded: Configuration) -> None:
         self.configuration = decoded
         self.item = item
         self._journal.write("configuration",
+                            era=item.era,
                             revision=item.revision,
                             version=decoded.table.version)
 
+    def _is_of_present_era(self, era: int) -> bool:
+        return self._era_start is not None and self._era_start.era == era
+
     def _apply_endpoint(self, item: store_client.Item) -> None:
         if self._is_stale(item):
             return
@@ -247,7 +339,17 @@
         current = self._directory.find_endpoint(name)
         if current is not None and current.started != endpoint.started:
             self._on_endpoint_restart(name)
-        if self._directory.set_endpoint(endpoint):
+        is_confirmed = (self._era_start is not None and
+                        item.position > self._era_start)
+        conflict = ("" if is_confirmed else
+                    self._directory.find_restore_conflict(endpoint))
+        if conflict:
+            self._journal.write("endpoint_unconfirmed",
+                                endpoint=name,
+                                era=item.era,
+                                revision=item.revision,
+                                reason=conflict)
+        if self._directory.set_endpoint(endpoint, is_confirmed):
             self._journal.write("endpoint",
                                 endpoint=name,
                                 revision=item.revision,
@@ -256,13 +358,14 @@
                                 started=endpoint.started)
 
     def _is_stale(self, item: store_client.Item) -> bool:
-        """Returns whether an item with the same or a higher revision is known.
+        """Returns whether an item at the same or a later position is known.
 
-        If none is, the revision of this item is recorded.
+        If none is, the position of this item is recorded.
         """
-        if item.revision <= self._revisions.get(item.key, 0):
+        known = self._positions.get(item.key)
+        if known is not None and item.position <= known:
             return True
-        self._revisions[item.key] = item.revision
+        self._positions[item.key] = item.position
         return False
 
     def _record_success(self) -> None:
@@ -289,3 +392,10 @@
         deferred: defer.Deferred[None] = defer.Deferred()
         self._scheduler.call_later(delay, lambda: deferred.callback(None))
         return deferred
+
+
+def _make_configuration_position(
+        item: store_client.Item,
+        configuration: Configuration) -> peers.ConfigurationPosition:
+    return peers.ConfigurationPosition(configuration.table.version, item.era,
+                                       item.revision)
--- a/mustardwood/platform/tests/documents.py
+++ b/mustardwood/platform/tests/documents.py
@@ -81,10 +81,11 @@
     return {**document, **changes}
 
 
-def make_item(key, value, revision=1):
+def make_item(key, value, revision=1, era=0):
     """Returns an item of the store; values other than bytes become JSON."""
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return store_client.Item(key, base64.b64encode(data).decode(), revision)
+    return store_client.Item(key,
+                             base64.b64encode(data).decode(), revision, era)
 
 
 def make_registration(**changes):
--- a/mustardwood/platform/tests/test_freshness_reader.py
+++ b/mustardwood/platform/tests/test_freshness_reader.py
@@ -9,9 +9,11 @@
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.platform import freshness_reader
+from mustardwood.platform import store_client
 from mustardwood.platform.tests import documents
 
 ms = harness_module.ms
+_POSITION = store_client.Position(0, 9)
 
 
 class _Client:
@@ -28,9 +30,17 @@
 
 class _FakeWatcher:
 
-    def __init__(self):
+    def __init__(self, proof):
         self.is_connected = True
         self.applied = []
+        self.shows_newest = True
+        self._proof = proof
+
+    def record_proof(self, requested_at, era):
+        """Records a proof if the store shows the newest configuration."""
+        assert era == _POSITION.era
+        if self.shows_newest:
+            self._proof.record(requested_at)
 
     def apply_configuration(self, item):
         """Records the configuration that was read."""
@@ -45,7 +55,7 @@
         self.proof = dispatch.FreshnessProof(self.clock, ms(5000), ms(500))
         self.proof.record(self.clock.monotonic())
         self.client = _Client()
-        self.watcher = _FakeWatcher()
+        self.watcher = _FakeWatcher(self.proof)
         self.journal = harness_module.FakeJournal()
         self.reader = freshness_reader.FreshnessReader(self.client, self.clock,
                                                        self.scheduler,
@@ -63,7 +73,7 @@
 def test_read_renews_the_proof_as_of_the_time_of_its_request():
     vm = _Vm()
     vm.scheduler.advance(ms(700))
-    vm.client.reads[0].callback((_item(), 9))
+    vm.client.reads[0].callback((_item(), _POSITION))
     assert vm.watcher.applied == [_item()]
     assert vm.proof.get_age() == ms(100)
 
@@ -101,7 +111,7 @@
             proofs = []
             for vm in vms:
                 while vm.client.reads:
-                    vm.client.reads.pop().callback((_item(), 9))
+                    vm.client.reads.pop().callback((_item(), _POSITION))
                     read_count += 1
                 proofs.append(clock.monotonic() - vm.proof.get_age())
             for vm in vms:
@@ -110,3 +120,12 @@
         reads[count] = read_count
     assert reads[60] < 4 * reads[9]
     assert reads[9] < 2 * 60
+
+
+def test_read_is_no_proof_while_the_store_shows_an_older_configuration():
+    vm = _Vm()
+    vm.watcher.shows_newest = False
+    vm.scheduler.advance(ms(700))
+    vm.client.reads[0].callback((_item(), _POSITION))
+    assert vm.watcher.applied == [_item()]
+    assert vm.proof.get_age() == ms(700)
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -16,16 +16,17 @@
 
 
 class _FakeWatcher:
-    """A watcher with a configuration of a given revision."""
+    """A watcher with a configuration at a given position."""
 
-    def __init__(self, revision):
-        self.revision = revision
+    def __init__(self, position):
+        self.configuration_position = position
         self.applied = []
 
-    def apply_configuration(self, item):
+    def apply_peer_configuration(self, item):
         """Records the configuration read from a peer."""
         self.applied.append(item)
-        self.revision = item.revision
+        self.configuration_position = peers.ConfigurationPosition(
+            7, item.era, item.revision)
 
 
 class _Pool:
@@ -41,13 +42,14 @@
 
 class _Vm:
 
-    def __init__(self, name, revision=5, clock=None):
+    def __init__(self, name, revision=5, clock=None, version=7, era=0):
         self.clock = clock or timing.ManualClock()
         self.scheduler = harness_module.FakeScheduler(self.clock)
         self.loads = dispatch.LoadTable(self.clock)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
         self.proof = dispatch.FreshnessProof(self.clock, ms(5000), ms(500))
-        self.watcher = _FakeWatcher(revision)
+        self.watcher = _FakeWatcher(
+            peers.ConfigurationPosition(version, era, revision))
         self.pool = _Pool()
         self.journal = harness_module.FakeJournal()
         self.sent = []
@@ -150,7 +152,7 @@
     _join(remote, "vm-1", b"192.0.2.1:8229")
     remote.synchronizer.start()
     local.receive(remote.sent[-1][0])
-    local.watcher.revision = 9
+    local.watcher.configuration_position = peers.ConfigurationPosition(7, 0, 9)
     local.scheduler.advance(ms(200))
     assert not local.pool.pool_requests
 
@@ -167,3 +169,35 @@
                                                         "connection refused")
     assert len(local.pool.pool_requests) == 2
     assert not local.watcher.applied
+
+
+def test_higher_version_is_read_from_a_peer_of_an_earlier_era():
+    """A VM that starts after a restore knows only the copy's version."""
+    local = _Vm("vm-1", version=6, era=2, revision=3)
+    remote = _Vm("vm-2", version=7, era=1, revision=90)
+    _join(local)
+    _join(remote, "vm-1", b"192.0.2.1:8229")
+    remote.synchronizer.start()
+    local.receive(remote.sent[-1][0])
+    local.scheduler.advance(ms(200))
+    assert len(local.pool.pool_requests) == 1
+    local.synchronizer.start()
+    remote.receive(local.sent[-1][0])
+    remote.scheduler.advance(ms(200))
+    assert not remote.pool.pool_requests
+
+
+def test_peers_missing_in_a_copy_are_kept_while_their_updates_arrive():
+    clock = timing.ManualClock()
+    local, remote = _Vm("vm-1", clock=clock), _Vm("vm-2")
+    _join(local)
+    _join(remote, "vm-1", b"192.0.2.1:8229")
+    local.synchronizer.start()
+    local.synchronizer.set_vm("vm-2", None)
+    for _ in range(10):
+        remote.synchronizer.start()
+        local.receive(remote.sent[-1][0])
+        local.scheduler.advance(ms(2000))
+    _join(local)
+    local.scheduler.advance(ms(20_000))
+    assert local.synchronizer.peer_count == 1
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -9,6 +9,7 @@
 from mustardwood import errors
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
+from mustardwood.platform import freshness_gate
 from mustardwood.platform import store_client
 from mustardwood.platform import store_watcher
 from mustardwood.platform.tests import documents
@@ -30,6 +31,7 @@
                                     documents.make_registration(), 3)
             ]
         }
+        self.position = store_client.Position(0, 10)
         self.watches = []
         self.reads = 0
 
@@ -37,10 +39,11 @@
         """Returns the configuration."""
         assert key == _CONFIGURATION
         self.reads += 1
-        return self.configuration, 10
+        return self.configuration, self.position
 
-    async def read_range(self, prefix):
+    async def read_range(self, prefix, era):
         """Returns the items of a range."""
+        assert era == self.position.era
         return self.ranges.get(prefix, [])
 
     async def watch(self, prefix, after, wait):
@@ -51,7 +54,8 @@
 
     def deliver(self, items, next_revision):
         """Completes the pending watch with changes."""
-        self.watches[-1][3].callback((items, next_revision))
+        position = store_client.Position(self.position.era, next_revision)
+        self.watches[-1][3].callback((items, position))
 
     def fail(self, error):
         """Fails the pending watch with an error."""
@@ -61,9 +65,9 @@
 class _SlowRangeClient(_Client):
     """A fake store client whose range reads never complete."""
 
-    async def read_range(self, prefix):
+    async def read_range(self, prefix, era):
         """Never returns."""
-        del prefix
+        del prefix, era
         return await defer.Deferred()
 
 
@@ -82,6 +86,7 @@
         self.vms = {}
         self.watcher = store_watcher.StoreWatcher(
             self.client, self.clock, self.scheduler, self.directory, self.proof,
+            freshness_gate.FreshnessGate(self.clock, is_first_start=False),
             self.journal, self.restarted.append, self.vms.__setitem__,
             random.Random(seed))
         self.watcher.start()
@@ -110,7 +115,7 @@
     harness = _Harness()
     assert harness.version == 7
     assert harness.usable() == ["i-1"]
-    assert harness.client.watches[0][:2] == ("", 10)
+    assert harness.client.watches[0][:2] == ("", (0, 10))
 
 
 def test_newer_configuration_is_applied_immediately():
@@ -120,7 +125,7 @@
                             11)
     ], 11)
     assert harness.version == 9
-    assert harness.client.watches[1][1] == 11
+    assert harness.client.watches[1][1] == (0, 11)
 
 
 def test_configuration_with_a_lower_version_or_revision_is_ignored():
@@ -182,7 +187,7 @@
     assert len(harness.client.watches) == 1
     harness.scheduler.advance(_BATCH_DELAY)
     assert len(harness.client.watches) == 2
-    assert harness.client.watches[1][1] == 11
+    assert harness.client.watches[1][1] == (0, 11)
 
 
 def test_lost_history_causes_a_full_read():
@@ -246,3 +251,194 @@
         store_client.Item("vms/edge-3", None, 12)
     ], 12)
     assert harness.vms == {"edge-2": b"192.0.2.7:8229", "edge-3": None}
+
+
+def _make_endpoint(revision, name="i-1", era=1, **changes):
+    return documents.make_item(f"servers/{name}",
+                               documents.make_registration(**changes), revision,
+                               era)
+
+
+def _make_configuration(version, revision, era=1):
+    return documents.make_item(_CONFIGURATION,
+                               documents.make_document(version=version),
+                               revision, era)
+
+
+def _restore(harness, configuration, *endpoints, revision=6):
+    """Restores a copy of an older revision; the watch finds the new era."""
+    client = harness.client
+    client.configuration = configuration
+    client.position = store_client.Position(client.position.era + 1, revision)
+    client.ranges["servers/"] = list(endpoints)
+    client.fail(store_client.EraChangedError("Restored.", "Read again."))
+    harness.scheduler.advance(_BATCH_DELAY)
+
+
+def _find_proof_time(harness):
+    return harness.clock.monotonic() - harness.proof.get_age()
+
+
+def _start_with_version(version):
+    harness = _Harness()
+    harness.deliver([_make_configuration(version, 11, era=0)], 11)
+    return harness
+
+
+def test_new_era_causes_a_full_read_and_a_watch_from_its_revision():
+    harness = _start_with_version(9)
+    _restore(harness, _make_configuration(9, 4), _make_endpoint(3))
+    assert harness.client.reads == 2
+    assert harness.client.watches[-1][1] == (1, 6)
+    line, = [
+        fields for event, fields in harness.journal.lines
+        if event == "store_restored"
+    ]
+    assert line == {
+        "previous_era": 0,
+        "previous_revision": 11,
+        "era": 1,
+        "revision": 6
+    }
+
+
+def test_older_configuration_of_a_copy_does_not_replace_the_one_in_force():
+    harness = _start_with_version(9)
+    _restore(harness, _make_configuration(8, 4), _make_endpoint(3))
+    assert harness.version == 9
+    harness.deliver([_make_configuration(8, 7)], 7)
+    assert harness.version == 9
+
+
+def test_configuration_stays_in_force_when_a_copy_has_none():
+    harness = _start_with_version(9)
+    _restore(harness, None, _make_endpoint(3))
+    assert harness.version == 9
+
+
+def test_version_written_after_a_restore_is_applied_at_a_lower_revision():
+    harness = _start_with_version(9)
+    _restore(harness, _make_configuration(8, 4), _make_endpoint(3))
+    harness.deliver([_make_configuration(9, 7)], 7)
+    assert harness.watcher.configuration_position == (9, 1, 7)
+    harness.deliver([_make_configuration(10, 8)], 8)
+    assert harness.watcher.configuration_position == (10, 1, 8)
+
+
+def test_older_configuration_of_a_copy_is_no_proof():
+    """A version that the copy lacks may have taken a key away."""
+    harness = _start_with_version(9)
+    _restore(harness, _make_configuration(8, 4), _make_endpoint(3))
+    proved_at = _find_proof_time(harness)
+    for _ in range(3):
+        harness.scheduler.advance(ms(2000))
+        harness.deliver([], 6)
+    assert _find_proof_time(harness) == proved_at
+    assert not harness.proof.is_current()
+    harness.deliver([_make_configuration(9, 7)], 7)
+    assert harness.proof.is_current()
+
+
+def test_answer_is_no_proof_until_the_operator_had_time_to_write_again():
+    """The version in force may be older than one that the copy lacks, too."""
+    harness = _start_with_version(9)
+    proved_at = _find_proof_time(harness)
+    _restore(harness,
+             _make_configuration(9, 11),
+             _make_endpoint(3),
+             revision=12)
+    harness.scheduler.advance(ms(1000))
+    harness.deliver([], 12)
+    assert _find_proof_time(harness) == proved_at
+    harness.scheduler.advance(ms(1000))
+    harness.deliver([], 12)
+    assert _find_proof_time(harness) > proved_at + ms(1000)
+
+
+def test_configuration_written_before_the_first_read_of_an_era_is_a_proof():
+    harness = _start_with_version(9)
+    _restore(harness, _make_configuration(9, 5), _make_endpoint(3))
+    assert harness.proof.get_age() == _BATCH_DELAY
+
+
+def test_first_start_of_a_vm_in_a_restored_store_is_no_proof():
+    client = _Client()
+    client.position = store_client.Position(1, 10)
+    client.configuration = _make_configuration(7, 5)
+    harness = _Harness(client=client)
+    assert harness.version == 7
+    assert harness.proof.get_age() is None
+    harness.scheduler.advance(ms(2000))
+    harness.deliver([], 10)
+    assert harness.proof.is_current()
+
+
+def test_proof_of_an_era_that_was_not_read_yet_is_not_recorded():
+    harness = _start_with_version(9)
+    harness.watcher.apply_configuration(_make_configuration(10, 12))
+    age = harness.proof.get_age()
+    harness.watcher.record_proof(harness.clock.monotonic(), 1)
+    assert (harness.version, harness.proof.get_age()) == (9, age)
+
+
+def test_configuration_of_a_peer_is_applied_if_its_version_is_higher():
+    """A VM that starts after a restore knows only the copy's version."""
+    client = _Client()
+    client.position = store_client.Position(1, 10)
+    client.configuration = _make_configuration(7, 5)
+    harness = _Harness(client=client)
+    harness.watcher.apply_peer_configuration(_make_configuration(9, 90, era=0))
+    assert harness.watcher.configuration_position == (9, 0, 90)
+    harness.watcher.apply_peer_configuration(_make_configuration(8, 99))
+    assert harness.version == 9
+    harness.deliver([_make_configuration(9, 11)], 11)
+    assert harness.watcher.configuration_position == (9, 1, 11)
+    assert harness.proof.is_current()
+
+
+def test_endpoint_missing_in_a_copy_has_time_to_register_again():
+    harness = _Harness()
+    _restore(harness, _make_configuration(7, 5))
+    harness.scheduler.advance(ms(1500))
+    assert harness.usable() == ["i-1"]
+    harness.deliver([_make_endpoint(7)], 7)
+    harness.scheduler.advance(ms(3000))
+    assert harness.usable() == ["i-1"]
+
+
+def test_endpoint_missing_in_a_copy_is_removed_if_it_does_not_register_again():
+    harness = _Harness()
+    _restore(harness, _make_configuration(7, 5))
+    harness.scheduler.advance(ms(2300))
+    assert not harness.usable()
+
+
+def test_leaving_endpoint_stays_so_until_it_writes_again_after_a_restore():
+    harness = _Harness()
+    harness.deliver([_make_endpoint(11, era=0, state="draining")], 11)
+    _restore(harness, _make_configuration(7, 5), _make_endpoint(3))
+    assert not harness.usable()
+    assert "endpoint_unconfirmed" in [
+        event for event, _ in harness.journal.lines
+    ]
+    harness.deliver([_make_endpoint(7, sequence=9)], 7)
+    assert harness.usable() == ["i-1"]
+
+
+def test_removed_endpoint_in_a_copy_is_unused_until_it_writes_again():
+    harness = _Harness()
+    harness.deliver([store_client.Item("servers/i-1", None, 11)], 11)
+    _restore(harness, _make_configuration(7, 5), _make_endpoint(3))
+    assert not harness.usable()
+    harness.deliver([_make_endpoint(7, sequence=9)], 7)
+    assert harness.usable() == ["i-1"]
+
+
+def test_vms_missing_in_a_listing_are_reported_as_removed():
+    harness = _Harness()
+    harness.deliver([documents.make_item("vms/edge-2", b"192.0.2.7:1", 11)], 11)
+    _restore(harness, _make_configuration(7, 5), _make_endpoint(3))
+    assert harness.vms == {"edge-2": None}
+    harness.deliver([documents.make_item("vms/edge-2", b"192.0.2.7:1", 7, 1)],
+                    7)
+    assert harness.vms == {"edge-2": b"192.0.2.7:1"}
--- a/mustardwood/platform/tests/test_vm_registration.py
+++ b/mustardwood/platform/tests/test_vm_registration.py
@@ -1,5 +1,7 @@
 """Tests of a VM's registration when leases are lost or calls fail."""
 
+import random
+
 from mustardwood import errors
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -37,12 +39,14 @@
         self._call("end", lease_id)
 
 
-def _start():
+def _start(peer_count=8):
     scheduler = harness_module.FakeScheduler(timing.ManualClock())
     client = _Client()
     registration = vm_registration.VmRegistration(client, scheduler,
                                                   harness_module.FakeJournal(),
-                                                  "vm-1", "192.0.2.1:8229")
+                                                  "vm-1", "192.0.2.1:8229",
+                                                  lambda: peer_count,
+                                                  random.Random(1))
     registration.start()
     return scheduler, client, registration
 
@@ -83,3 +87,43 @@
     client.calls.clear()
     scheduler.advance(ms(20_000))
     assert not client.calls
+
+
+def test_registration_is_written_soon_after_a_restore_of_the_store():
+    """The lease of the earlier era may belong to another VM by now."""
+    scheduler, client, registration = _start()
+    scheduler.advance(ms(1000))
+    client.calls.clear()
+    registration.handle_era_change()
+    assert not client.calls
+    scheduler.advance(ms(90))
+    assert _list_names(client) == ["open", "write"]
+    scheduler.advance(ms(3900))
+    assert _list_names(client) == ["open", "write"]
+    scheduler.advance(ms(200))
+    assert _list_names(client) == ["open", "write", "renew"]
+
+
+def test_registrations_after_a_restore_are_spread_over_time():
+    """All VMs together must stay within the store's rate of writes."""
+    scheduler, client, registration = _start(peer_count=399)
+    client.calls.clear()
+    delays = []
+    for _ in range(50):
+        registration.handle_era_change()
+        delay = 0
+        while not client.calls:
+            scheduler.advance(ms(100))
+            delay += 100
+        delays.append(delay)
+        client.calls.clear()
+    assert max(delays) > 2000
+    assert len(set(delays)) > 15
+
+
+def test_shutdown_after_a_restore_revokes_no_lease_of_the_earlier_era():
+    _, client, registration = _start()
+    registration.handle_era_change()
+    client.calls.clear()
+    registration.stop()
+    assert not client.calls
