Don't read the configuration while a read proves nothing

Cause: after a restore the reader found its proof too old and read again at each check, ten times a second on every VM, until the store's answers were proofs again.

Change: no reads until a read would be a proof; they are then spread as after any proof. A VM without a proof, which started in a restored store, reads as soon as a read would be one. An earlier start of an endpoint, which an older copy shows, is ignored.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -86,12 +86,14 @@
         """
         known = self._endpoints.get(endpoint.name)
         if known is not None:
+            if endpoint.started < known.started:
+                return "The endpoint is known to have restarted."
             if (known.started == endpoint.started and known.is_leaving and
                     not endpoint.is_leaving):
                 return "The endpoint is known to be leaving."
             return ""
         removal = self._removals.get(endpoint.name)
-        if removal is not None and removal.started == endpoint.started:
+        if removal is not None and endpoint.started <= removal.started:
             return "The endpoint is known to have left."
         return ""
 
--- a/mustardwood/dispatch/tests/test_directory.py
+++ b/mustardwood/dispatch/tests/test_directory.py
@@ -143,3 +143,13 @@
     directory.record_store_restore()
     directory.set_endpoint(harness_module.make_endpoint(0), is_confirmed=False)
     assert len(_list_usable(directory)) == 2
+
+
+def test_earlier_start_of_an_endpoint_in_a_copy_is_ignored():
+    _, directory = _make_directory()
+    restarted = dataclasses.replace(harness_module.make_endpoint(0), started=9)
+    directory.set_endpoint(restarted)
+    directory.record_store_restore()
+    assert not directory.set_endpoint(harness_module.make_endpoint(0),
+                                      is_confirmed=False)
+    assert directory.find_endpoint("endpoint-0") == restarted
--- a/mustardwood/platform/freshness_reader.py
+++ b/mustardwood/platform/freshness_reader.py
@@ -85,9 +85,13 @@
 
     def _check_proof(self) -> None:
         age = self._proof.get_age()
-        if age is not None and age < _MIN_READ_AGE:
+        if not self._watcher.shows_newest:
+            # The VMs' reads are spread anew for when they prove something.
+            self._read_age = ((age or datetime.timedelta()) + self._draw_age() -
+                              _MIN_READ_AGE)
+        elif age is not None and age < _MIN_READ_AGE:
             self._read_age = self._draw_age()
-        elif (age is not None and age >= self._read_age and
+        elif ((age is None or age >= self._read_age) and
               self._watcher.is_connected and not self._is_reading):
             self._is_reading = True
             defer.Deferred.fromCoroutine(self._read()).addErrback(
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -124,6 +124,11 @@
             return peers.ConfigurationPosition()
         return _make_configuration_position(self.item, self.configuration)
 
+    @property
+    def shows_newest(self) -> bool:
+        """Whether a read of the configuration would be a freshness proof."""
+        return self._gate.is_open(self.configuration_position.version)
+
     def start(self) -> None:
         """Starts to watch the store."""
         defer.Deferred.fromCoroutine(self._watch_changes()).addErrback(
@@ -248,8 +253,7 @@
             requested_at: Monotonic time of the request.
             era: The store's era in which it answered.
         """
-        if (self._is_of_present_era(era) and
-                self._gate.is_open(self.configuration_position.version)):
+        if self._is_of_present_era(era) and self.shows_newest:
             self._proof.record(requested_at)
 
     def apply_configuration(self, item: store_client.Item) -> None:
@@ -336,9 +340,6 @@
                                 error=str(error))
             self._directory.remove_endpoint(name)
             return
-        current = self._directory.find_endpoint(name)
-        if current is not None and current.started != endpoint.started:
-            self._on_endpoint_restart(name)
         is_confirmed = (self._era_start is not None and
                         item.position > self._era_start)
         conflict = ("" if is_confirmed else
@@ -349,6 +350,10 @@
                                 era=item.era,
                                 revision=item.revision,
                                 reason=conflict)
+        current = self._directory.find_endpoint(name)
+        if (not conflict and current is not None and
+                current.started != endpoint.started):
+            self._on_endpoint_restart(name)
         if self._directory.set_endpoint(endpoint, is_confirmed):
             self._journal.write("endpoint",
                                 endpoint=name,
