Ask the store for its era when a peer knows a later one

Cause: a VM whose pending watch was lost with the store's absence, not cut, would learn of the new era only at the watch's timeout, up to 3.6 s. Its peers give it the configuration and its proof in the meantime, so that it reads nothing itself.

Change: a peer's update of a later era causes one read, at most one each second, whose response ends the lost watch.

--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -136,6 +136,7 @@
         if received is None:
             return
         self._received_at[received.sender] = self._clock.monotonic()
+        self._watcher.check_era(received.configuration.era)
         if (received.configuration > self._watcher.configuration_position and
                 not self._is_fetching):
             self._is_fetching = True
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -47,6 +47,8 @@
 A change ends the watches of all VMs at the same time. Random waits spread the
 VMs' next proofs over time, so that the newest proof of all VMs is always young.
 """
+_ERA_CHECK_INTERVAL = datetime.timedelta(seconds=1)
+"""Minimum interval of the checks of the store's era; each costs one read."""
 _BACKOFF_BASE = datetime.timedelta(milliseconds=60)
 """Base of the exponential backoff after failed calls."""
 _MAX_BACKOFF = datetime.timedelta(milliseconds=500)
@@ -111,6 +113,7 @@
         self._is_stopped = False
         self._failures = 0
         self._had_changes = True
+        self._is_checking_era = False
         self._era_start: store_client.Position | None = None
         self._position = store_client.Position()
         self._positions: dict[str, store_client.Position] = {}
@@ -252,6 +255,39 @@
         self._on_vm_change(item.key.removeprefix(VM_PREFIX),
                            None if item.value is None else item.decode_value())
 
+    def check_era(self, era: int) -> None:
+        """Asks the store for its era if a peer knows a later one.
+
+        A pending watch may have been lost in the restore and would delay that
+        knowledge until its timeout.
+
+        Args:
+            era: The era that the peer knows.
+        """
+        if (self._era_start is None or era <= self._era_start.era or
+                self._is_checking_era):
+            return
+        self._is_checking_era = True
+        defer.Deferred.fromCoroutine(self._read_era()).addErrback(
+            self._finish_era_check)
+
+    async def _read_era(self) -> None:
+        try:
+            # The client ends the pending watch if the response is of a new era.
+            await self._client.read_key(CONFIGURATION_KEY)
+        except (errors.KeyValueError, msgspec.MsgspecError) as error:
+            self._journal.write("era_check_failed", error=str(error))
+        await self._sleep(_ERA_CHECK_INTERVAL)
+        self._is_checking_era = False
+
+    def _finish_era_check(self, reason: failure.Failure) -> None:
+        """Logs an unexpected error."""
+        self._is_checking_era = False
+        self._journal.write("error",
+                            part="store_follower",
+                            error=reason.getErrorMessage(),
+                            traceback=reason.getTraceback())
+
     def record_proof(self, requested_at: datetime.timedelta, era: int) -> None:
         """Records a freshness proof if an answer of the store is one.
 
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -21,6 +21,11 @@
     def __init__(self, position):
         self.configuration_position = position
         self.applied = []
+        self.eras = []
+
+    def check_era(self, era):
+        """Records the era that a peer knows."""
+        self.eras.append(era)
 
     def apply_peer_configuration(self, item):
         """Records the configuration read from a peer."""
@@ -183,6 +188,7 @@
     assert len(local.pool.pool_requests) == 1
     local.synchronizer.start()
     remote.receive(local.sent[-1][0])
+    assert remote.watcher.eras == [2]
     remote.scheduler.advance(ms(200))
     assert not remote.pool.pool_requests
 
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -452,3 +452,16 @@
     assert harness.client.watches[-1][2] < ms(100)
     harness.deliver([], 10)
     assert harness.client.watches[-1][2] == store_watcher.MAX_WATCH_WAIT
+
+
+def test_later_era_of_a_peer_causes_one_read_each_second():
+    """The pending watch may have been lost when the store was restored."""
+    harness = _Harness()
+    for _ in range(10):
+        harness.watcher.check_era(1)
+    assert harness.client.reads == 2
+    harness.scheduler.advance(ms(1000))
+    harness.watcher.check_era(0)
+    assert harness.client.reads == 2
+    harness.watcher.check_era(1)
+    assert harness.client.reads == 3
