--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -56,6 +56,7 @@
                                         datetime.timedelta]] = {}
         self._removals: dict[str, _Removal] = {}
         self._unconfirmed: dict[str, datetime.timedelta] = {}
+        self._missing_in_copy: set[str] = set()
         self._grace_period_end: datetime.timedelta | None = None
         self._restore_grace_end: datetime.timedelta | None = None
         self._by_service: dict[str, tuple[endpoint_module.Endpoint, ...]] = {}
@@ -120,6 +121,7 @@
             self._unconfirmed[endpoint.name] = (self._clock.monotonic() +
                                                 _CONFIRMATION_TIME)
         self._pending_removals.pop(endpoint.name, None)
+        self._missing_in_copy.discard(endpoint.name)
         if self._endpoints.get(endpoint.name) == endpoint:
             return False
         self._endpoints[endpoint.name] = endpoint
@@ -134,6 +136,7 @@
         """
         if name not in self._endpoints:
             return False
+        self._missing_in_copy.discard(name)
         now = self._clock.monotonic()
         if (self._restore_grace_end is not None and
                 now < self._restore_grace_end):
@@ -144,11 +147,18 @@
             return False
         return self._remove_now(name)
 
-    def keep_only(self, names: collections.abc.Set[str]) -> list[str]:
+    def keep_only(
+        self,
+        names: collections.abc.Set[str],
+        registered_since: collections.abc.Set[str] = frozenset()
+    ) -> list[str]:
         """Removes all endpoints except those of a complete listing.
 
         Args:
             names: Names of the endpoints in the listing.
+            registered_since: Names of endpoints that may have registered after
+                the copy was made from which the store was restored, so that
+                their absence does not mean that they have left.
 
         Returns:
             Names of the known endpoints that the listing lacks.
@@ -156,6 +166,7 @@
         missing = [each for each in self._endpoints if each not in names]
         for name in missing:
             self.remove_endpoint(name)
+        self._missing_in_copy.update(registered_since.intersection(missing))
         return missing
 
     def mark_replaced(self, endpoint: endpoint_module.Endpoint) -> None:
@@ -198,7 +209,9 @@
         removed = self._endpoints.pop(name, None)
         if removed is None:
             return False
-        self._record_removal(removed)
+        if removed.is_leaving or name not in self._missing_in_copy:
+            self._record_removal(removed)
+        self._missing_in_copy.discard(name)
         return True
 
     def _record_removal(self, endpoint: endpoint_module.Endpoint) -> None:
--- a/mustardwood/dispatch/tests/test_directory.py
+++ b/mustardwood/dispatch/tests/test_directory.py
@@ -153,3 +153,28 @@
     assert not directory.set_endpoint(harness_module.make_endpoint(0),
                                       is_confirmed=False)
     assert directory.find_endpoint("endpoint-0") == restarted
+
+
+def test_endpoint_that_a_copy_lacked_is_used_when_the_next_copy_shows_it():
+    clock, directory = _make_directory()
+    directory.record_store_restore()
+    directory.keep_only(set(), registered_since={"endpoint-0"})
+    clock.advance(ms(2300))
+    assert not _list_usable(directory)
+    directory.record_store_restore()
+    for index in range(2):
+        directory.set_endpoint(harness_module.make_endpoint(index),
+                               is_confirmed=False)
+    assert _list_usable(directory) == ["endpoint-0"]
+
+
+def test_leaving_endpoint_that_a_copy_lacked_stays_unused():
+    clock, directory = _make_directory()
+    directory.set_endpoint(harness_module.make_endpoint(0, is_leaving=True))
+    directory.record_store_restore()
+    directory.keep_only({"endpoint-1"}, registered_since={"endpoint-0"})
+    clock.advance(ms(2300))
+    assert directory.find_endpoint("endpoint-0") is None
+    directory.record_store_restore()
+    directory.set_endpoint(harness_module.make_endpoint(0), is_confirmed=False)
+    assert _list_usable(directory) == ["endpoint-1"]
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -191,7 +191,8 @@
             self._apply_endpoint(each)
         self._apply_vms(await self._client.read_range(VM_PREFIX, position.era))
         missing = self._directory.keep_only(
-            {each.key.removeprefix(endpoint_decoder.PREFIX) for each in items})
+            {each.key.removeprefix(endpoint_decoder.PREFIX) for each in items},
+            self._list_registered_since(position))
         self._journal.write("store_read",
                             era=position.era,
                             revision=position.revision,
@@ -199,6 +200,19 @@
                             missing=missing)
         return position
 
+    def _list_registered_since(self,
+                               position: store_client.Position) -> set[str]:
+        """Returns the endpoints that a copy can't have at a given position.
+
+        Their registrations are of an earlier era and a higher revision.
+        """
+        return {
+            key.removeprefix(endpoint_decoder.PREFIX)
+            for key, known in self._positions.items()
+            if key.startswith(endpoint_decoder.PREFIX) and
+            known.era < position.era and known.revision > position.revision
+        }
+
     def _start_era(self, position: store_client.Position) -> None:
         """Handles an answer that may be the first one of an era."""
         previous = self._era_start
