--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -166,7 +166,7 @@
         missing = [each for each in self._endpoints if each not in names]
         for name in missing:
             self.remove_endpoint(name)
-        self._missing_in_copy.update(registered_since.intersection(missing))
+        self._missing_in_copy.update(registered_since & set(missing))
         return missing
 
     def mark_replaced(self, endpoint: endpoint_module.Endpoint) -> None:
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -35,18 +35,17 @@
 changes during the delay are delivered by one call. The delay is about a seventh
 of the two seconds in which changes must take effect.
 """
-_PROBE_WAIT = datetime.timedelta(milliseconds=20)
-"""Wait of a watch after a failure.
-
-The response tells that the store is back, and whether it was restored, so it
-must not be delayed until a change occurs.
-"""
 _MIN_WATCH_FRACTION = 0.25
 """Minimum wait of the watch after a change, as a fraction of `MAX_WATCH_WAIT`.
 
 A change ends the watches of all VMs at the same time. Random waits spread the
 VMs' next proofs over time, so that the newest proof of all VMs is always young.
 """
+_RECOVERY_WATCH_WAIT = datetime.timedelta(milliseconds=1)
+"""Wait of the watch after a failed call.
+
+It responds at once, so that the end of an outage is known.
+"""
 _ERA_CHECK_INTERVAL = datetime.timedelta(seconds=1)
 """Minimum interval of the checks of the store's era; each costs one read."""
 _BACKOFF_BASE = datetime.timedelta(milliseconds=60)
@@ -246,7 +245,7 @@
 
     def _draw_watch_wait(self) -> datetime.timedelta:
         if self._failures:
-            return _PROBE_WAIT
+            return _RECOVERY_WATCH_WAIT
         if not self._had_changes:
             return MAX_WATCH_WAIT
         return MAX_WATCH_WAIT * self._rng.uniform(_MIN_WATCH_FRACTION, 1.0)
