--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -94,11 +94,6 @@
                 "lease_id": lease_id
             })
 
-    def remove(self, key):
-        """Removes a key."""
-        with self._condition:
-            self._change(key, {"deleted": True})
-
     def find(self, key):
         """Returns the item of a key; None if the key does not exist."""
         with self._condition:
--- a/mustardwood/platform/tests/simulated_store.py
+++ b/mustardwood/platform/tests/simulated_store.py
@@ -187,8 +187,9 @@
     def _later(self, function):
         self._scheduler.call_later(ms(self._rng.uniform(1, 15)), function)
 
-    def send(self, address, request: http1.HttpRequest, listener):
+    def send(self, address, request: http1.HttpRequest, listener, **limits):
         """See `http1.ConnectionPool`."""
+        del limits
         exchange = _Exchange()
         if address == STORE_ADDRESS:
             self._later(lambda: self._call_store(request, listener, exchange))
--- a/mustardwood/platform/tests/test_store_client.py
+++ b/mustardwood/platform/tests/test_store_client.py
@@ -46,9 +46,9 @@
     def __init__(self):
         self.calls = []
 
-    def send(self, address, request, listener):
+    def send(self, address, request, listener, **limits):
         """Records a call, which the test answers."""
-        del address
+        del address, limits
         self.calls.append(_Call(request, listener))
         return self.calls[-1].exchange
 
