--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -56,11 +56,7 @@
         self.process = None
 
     def start(self, is_ready=None):
-        """Starts the process and waits until it is ready.
-
-        Args:
-            is_ready: A condition in place of the readiness page.
-        """
+        """Starts the process; waits for `is_ready`, or until it is ready."""
         self.process = subprocess.Popen(  # pylint: disable=consider-using-with
             [sys.executable, "-m", "mustardwood.platform"],
             env={
