--- a/mustardwood/platform/freshness_reader.py
+++ b/mustardwood/platform/freshness_reader.py
@@ -85,9 +85,13 @@
 
     def _check_proof(self) -> None:
         age = self._proof.get_age()
-        if age is not None and age < _MIN_READ_AGE:
+        if not self._watcher.shows_newest:
+            # The VMs' reads are spread anew for when they prove something.
+            self._read_age = ((age or datetime.timedelta()) + self._draw_age() -
+                              _MIN_READ_AGE)
+        elif age is not None and age < _MIN_READ_AGE:
             self._read_age = self._draw_age()
-        elif (age is not None and age >= self._read_age and
+        elif ((age is None or age >= self._read_age) and
               self._watcher.is_connected and not self._is_reading):
             self._is_reading = True
             defer.Deferred.fromCoroutine(self._read()).addErrback(
@@ -109,7 +113,7 @@
     async def _read(self) -> None:
         requested_at = self._clock.monotonic()
         try:
-            item, _ = await self._client.read_key(
+            item, position = await self._client.read_key(
                 store_watcher.CONFIGURATION_KEY)
         except (errors.KeyValueError, msgspec.MsgspecError) as error:
             # The watch determines whether the store is unavailable.
@@ -119,4 +123,4 @@
             self._is_reading = False
         if item is not None:
             self._watcher.apply_configuration(item)
-        self._proof.record(requested_at)
+        self._watcher.record_proof(requested_at, position.era)
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -75,6 +75,7 @@
         bounds: Limits that the platform requires the system to keep.
         heartbeat_ms: Interval at which endpoints renew their registrations.
         peer_ports: First and last port for messages between VMs.
+        is_first_start: Whether the whole system starts for the first time.
     """
 
     vm: str = msgspec.field(name="node_name")
@@ -85,6 +86,7 @@
     bounds: Bounds = Bounds()
     heartbeat_ms: float = 1200.0
     peer_ports: tuple[int, ...] = msgspec.field(name="port_range", default=())
+    is_first_start: bool = msgspec.field(name="is_bootstrap", default=False)
 
     @property
     def key_removal_time(self) -> datetime.timedelta:
--- a/mustardwood/platform/tests/test_freshness_reader.py
+++ b/mustardwood/platform/tests/test_freshness_reader.py
@@ -9,9 +9,11 @@
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.platform import freshness_reader
+from mustardwood.platform import store_client
 from mustardwood.platform.tests import documents
 
 ms = harness_module.ms
+_POSITION = store_client.Position(0, 9)
 
 
 class _Client:
@@ -28,9 +30,16 @@
 
 class _FakeWatcher:
 
-    def __init__(self):
+    def __init__(self, proof):
         self.is_connected = True
         self.applied = []
+        self.shows_newest = True
+        self._proof = proof
+
+    def record_proof(self, requested_at, era):
+        """Records a proof."""
+        assert era == _POSITION.era
+        self._proof.record(requested_at)
 
     def apply_configuration(self, item):
         """Records the configuration that was read."""
@@ -39,13 +48,19 @@
 
 class _Vm:
 
-    def __init__(self, seed=1, peers=0, clock=None, scheduler=None):
+    def __init__(self,
+                 seed=1,
+                 peers=0,
+                 clock=None,
+                 scheduler=None,
+                 has_proof=True):
         self.clock = clock or timing.ManualClock()
         self.scheduler = scheduler or harness_module.FakeScheduler(self.clock)
         self.proof = dispatch.FreshnessProof(self.clock, ms(5000), ms(500))
-        self.proof.record(self.clock.monotonic())
+        if has_proof:
+            self.proof.record(self.clock.monotonic())
         self.client = _Client()
-        self.watcher = _FakeWatcher()
+        self.watcher = _FakeWatcher(self.proof)
         self.journal = harness_module.FakeJournal()
         self.reader = freshness_reader.FreshnessReader(self.client, self.clock,
                                                        self.scheduler,
@@ -63,7 +78,7 @@
 def test_read_renews_the_proof_as_of_the_time_of_its_request():
     vm = _Vm()
     vm.scheduler.advance(ms(700))
-    vm.client.reads[0].callback((_item(), 9))
+    vm.client.reads[0].callback((_item(), _POSITION))
     assert vm.watcher.applied == [_item()]
     assert vm.proof.get_age() == ms(100)
 
@@ -101,7 +116,7 @@
             proofs = []
             for vm in vms:
                 while vm.client.reads:
-                    vm.client.reads.pop().callback((_item(), 9))
+                    vm.client.reads.pop().callback((_item(), _POSITION))
                     read_count += 1
                 proofs.append(clock.monotonic() - vm.proof.get_age())
             for vm in vms:
@@ -110,3 +125,25 @@
         reads[count] = read_count
     assert reads[60] < 4 * reads[9]
     assert reads[9] < 2 * 60
+
+
+def test_configuration_is_not_read_while_a_read_proves_nothing():
+    """A restored store shows an older configuration for some seconds."""
+    vm = _Vm(peers=8)
+    vm.watcher.shows_newest = False
+    vm.scheduler.advance(ms(5000))
+    assert not vm.client.reads
+    vm.watcher.shows_newest = True
+    vm.scheduler.advance(ms(1500))
+    assert len(vm.client.reads) == 1
+
+
+def test_first_proof_is_read_once_a_read_proves_something():
+    """A VM that has started in a restored store has no proof."""
+    vm = _Vm(peers=8, has_proof=False)
+    vm.watcher.shows_newest = False
+    vm.scheduler.advance(ms(2000))
+    assert not vm.client.reads
+    vm.watcher.shows_newest = True
+    vm.scheduler.advance(ms(200))
+    assert len(vm.client.reads) == 1
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -52,12 +52,12 @@
 
 class _Vm:
 
-    def __init__(self, tmp_path, store):
+    def __init__(self, tmp_path, store, name="vm-1"):
         self.callers, self.ready, self.peers = (
             _find_free_port() for _ in range(3))
-        self._path = tmp_path / "settings.toml"
+        self._path = tmp_path / f"{name}.toml"
         self._path.write_text(f"""
-node_name = "vm-1"
+node_name = "{name}"
 zone = "a"
 ip = "127.0.0.1"
 [listen]
@@ -74,18 +74,18 @@
 address = "{store.address}"
 """,
                               encoding="utf-8")
-        self._log = open(tmp_path / "log", "wb")  # pylint: disable=consider-using-with
+        self._log = open(tmp_path / f"{name}.log", "wb")  # pylint: disable=consider-using-with
         self.process = None
 
-    def start(self):
-        """Starts the process and waits until it is ready."""
+    def start(self, is_ready=None):
+        """Starts the process; waits for `is_ready`, or until it is ready."""
         self.process = subprocess.Popen(  # pylint: disable=consider-using-with
             [sys.executable, "-m", "mustardwood.platform"],
             env={
                 **os.environ, settings.PATH_VARIABLE: str(self._path)
             },
             stdout=self._log)
-        self.wait_until(lambda: self.read_readiness() == 200)
+        self.wait_until(is_ready or (lambda: self.read_readiness() == 200))
 
     def stop(self):
         """Kills the process if it still runs and closes its log."""
@@ -299,3 +299,88 @@
     for caller in callers:
         caller.close()
     assert _read_peak_memory(vm.process.pid) < _MAX_MEMORY_BYTES
+
+
+def _make_document_without_key_1(version):
+    document = documents.make_document(version=version)
+    document["tenants"] = [{"name": "strih", "api_keys": ["key-3"]}]
+    return document
+
+
+def test_removed_key_stays_refused_when_a_copy_shows_the_older_version(
+        vm, store):
+    copy = store.copy()
+    store.put("op/config", _make_document_without_key_1(8))
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 401)
+    store.restore(copy)
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+        assert vm.call("/post/0")[0] in (401, 503)
+    store.put("op/config", _make_document_without_key_1(8))
+    vm.wait_until(lambda: vm.call("/post/0", "key-3")[0] == 200)
+    assert vm.call("/post/0")[0] == 401
+
+
+def test_newer_version_is_applied_though_its_revision_is_lower(vm, store):
+    copy = store.copy()
+    for _ in range(20):
+        store.put("op/config", documents.make_document(version=8))
+    vm.wait_until(
+        lambda: "configuration" in
+        [line["event"] for line in vm.read_log() if line.get("version") == 8])
+    store.restore(copy)
+    store.put("op/config", _make_document_without_key_1(9))
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 401)
+    vm.wait_until(lambda: vm.call("/post/0", "key-3")[0] == 200)
+
+
+def test_leaving_endpoint_stays_unused_when_a_copy_shows_it_as_ready(
+        vm, store, endpoint):
+    vm.wait_until(lambda: vm.call("/open/0")[0] == 200)
+    copy = store.copy()
+    store.put(
+        "servers/i-1",
+        documents.make_registration(address=endpoint.address, state="draining"))
+    vm.wait_until(lambda: vm.call("/open/0")[0] == 503)
+    received = len(endpoint.received_headers)
+    store.restore(copy)
+    until = time.monotonic() + 3.0
+    while time.monotonic() < until:
+        assert vm.call("/open/0")[0] == 503
+    assert len(endpoint.received_headers) == received
+    store.put("servers/i-1",
+              documents.make_registration(address=endpoint.address, sequence=9))
+    vm.wait_until(lambda: vm.call("/open/0")[0] == 200)
+
+
+def test_vm_registers_again_soon_after_the_store_lost_its_lease(vm, store):
+    vm.wait_until(lambda: store.find("vms/vm-1") is not None)
+    copy = store.copy()
+    items, changes, revision, _ = copy
+    store.restore(({
+        key: item for key, item in items.items() if key != "vms/vm-1"
+    }, changes, revision, {}))
+    returned_at = time.monotonic()
+    vm.wait_until(lambda: store.find("vms/vm-1") is not None)
+    assert time.monotonic() - returned_at < 2.0
+
+
+def test_vm_that_starts_after_a_restore_does_not_accept_a_removed_key(
+        vm, store, tmp_path):
+    """It reads the older configuration of the copy, which has the key."""
+    copy = store.copy()
+    store.put("op/config", _make_document_without_key_1(8))
+    vm.wait_until(lambda: vm.call("/post/0")[0] == 401)
+    store.restore(copy)
+    vm.wait_until(lambda: store.find("vms/vm-1") is not None)
+    started = _Vm(tmp_path, store, "vm-2")
+    try:
+        started.start(is_ready=lambda: "store_read" in
+                      [line["event"] for line in started.read_log()])
+        until = time.monotonic() + 4.0
+        while time.monotonic() < until:
+            assert started.call("/post/0")[0] in (401, 503)
+        store.put("op/config", _make_document_without_key_1(8))
+        vm.wait_until(lambda: started.call("/post/0", "key-3")[0] == 200)
+    finally:
+        started.stop()
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -72,9 +72,12 @@
 
 
 class _Watcher:
-    revision = 5
+    configuration_position = peers.ConfigurationPosition(5, 0, 5)
 
-    def apply_configuration(self, item):
+    def check_era(self, era):
+        """Ignores the peer's era."""
+
+    def apply_peer_configuration(self, item):
         """Fails; no configuration is expected."""
         raise AssertionError(item)
 
@@ -101,7 +104,9 @@
     synchronizer.set_vm("vm-2", b"192.0.2.2:8229")
 
     def receive_update():
-        update = remote.build_updates(["vm-1"], 9)[0][1]
+        update = remote.build_updates(["vm-1"],
+                                      peers.ConfigurationPosition(9, 0,
+                                                                  9))[0][1]
         synchronizer.port.datagramReceived(update, ("192.0.2.2", 1))
         harness.scheduler.advance(ms(200))
 
