Accept responses with a very long Keep-Alive timeout

Cause: a timeout of thousands of digits, or one beyond what a time span holds, raised ValueError or OverflowError in the handler of received data, so that a sound response failed and the connection was dropped. Evidence: test_keep_alive_header_beyond_any_time_is_no_failure failed with ValueError. Change: at most nine digits are read; the idle time is limited to 4 s anyway. Result: the test passes.

--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -26,7 +26,7 @@
 
 Small chunks take up to a millisecond of processor time per kilobyte.
 """
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 _KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=500)
 """Time before the endpoint's idle timeout at which reuse stops."""
 _DEFAULT_MAX_IDLE_TIME = datetime.timedelta(seconds=4)
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -197,3 +197,11 @@
         harness.disconnect(kind())
         assert harness.listener.end is not None
         assert not harness.exchange.is_response_invalid
+
+
+def test_keep_alive_header_beyond_any_time_is_no_failure():
+    harness = _Harness()
+    harness.receive(b"HTTP/1.1 200 OK\r\nId: mine\r\nKeep-Alive: timeout=" +
+                    b"9" * 5000 + b"\r\nContent-Length: 0\r\n\r\n")
+    assert harness.listener.end == "complete"
+    assert harness.connection.max_idle_time.total_seconds() == 4.0
