Give the modelled engines' attempts the new members of dispatch.Attempt

The model of streams (benchmarks/streams) implements dispatch.Attempt. It had neither pause nor resume nor is_response_invalid since they were added, and test_crash_fails_streams_that_may_run_once failed with AttributeError. The attribute is read-only in the protocol, as the model's attempt is frozen. Result: the whole suite without processes passes, and mypy.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -14,11 +14,18 @@
 class _Attempt:
     engine: stream_engine.StreamEngine
     run: run_module.Run
+    is_response_invalid: bool = False
 
     def abort(self) -> None:
         """See `dispatch.Attempt`."""
         self.engine.cancel(self.run)
 
+    def pause(self) -> None:
+        """See `dispatch.Attempt`; modelled callers are never slow."""
+
+    def resume(self) -> None:
+        """See `dispatch.Attempt`; modelled callers are never slow."""
+
 
 class EngineClient:
     """Implements `forwarding_context.EndpointClient` without a network."""
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -47,14 +47,14 @@
 
 
 class Attempt(typing.Protocol):
-    """A request that is being sent to an endpoint.
+    """A request that is being sent to an endpoint."""
 
-    Attributes:
-        is_response_invalid: Whether it failed because of what the endpoint
-            sent, and not because the connection was lost.
-    """
+    @property
+    def is_response_invalid(self) -> bool:
+        """Whether it failed because of what the endpoint sent.
 
-    is_response_invalid: bool
+        It did not if the connection was lost.
+        """
 
     def abort(self) -> None:
         """Closes the connection; the listener is not called again."""
