Don't take a version at another revision for one written after a restore

What callers would see: a key accepted up to two seconds later than its removal time allows.

Cause: a version that a VM knew at another revision was taken as written in the new era. The operator may have written it twice before, with the copy made in between, and a VM may have missed an era.

Change: only a revision above the first one seen in the era counts.

--- a/mustardwood/platform/freshness_gate.py
+++ b/mustardwood/platform/freshness_gate.py
@@ -52,20 +52,18 @@
         else:
             self._closed_until = self._clock.monotonic() + _REWRITE_TIME
 
-    def record_shown(self, version: int, position: store_client.Position,
-                     known: store_client.Position | None) -> None:
+    def record_shown(self, version: int,
+                     position: store_client.Position) -> None:
         """Records a configuration that the store has shown in this era.
 
         Args:
             version: Its version.
             position: Its position.
-            known: Position at which the same version was known before; None if
-                it was not.
         """
         self._shown_version = version
-        is_from_copy = (position.revision <= self._start.revision and
-                        (known is None or known.revision == position.revision))
-        if not is_from_copy:
+        # At a lower revision it may be the copy's, also if this VM knows that
+        # version at another revision: the operator may write a version twice.
+        if position > self._start:
             self._closed_until = None
 
     def is_open(self, version: int) -> bool:
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -327,10 +327,7 @@
             return
         version = decoded.table.version
         present = self.configuration_position
-        self._gate.record_shown(
-            version, item.position,
-            store_client.Position(present.era, present.revision)
-            if present.version == version else None)
+        self._gate.record_shown(version, item.position)
         if version < present.version:
             self._journal.write(
                 "configuration_rejected",
