Judge by unchanged items what a copy has

Cause: an endpoint that a copy lacked was taken for one that had left if its revision was not above the first one seen in the era, though other keys may have been written since the restore.

Change: the copy has at least the revisions of the items that are unchanged.

--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -114,6 +114,7 @@
         self._had_changes = True
         self._is_checking_era = False
         self._era_start: store_client.Position | None = None
+        self._copied_revision = 0
         self._position = store_client.Position()
         self._positions: dict[str, store_client.Position] = {}
         self._vms: set[str] = set()
@@ -186,12 +187,13 @@
         self.record_proof(requested_at, position.era)
         items = await self._client.read_range(endpoint_decoder.PREFIX,
                                               position.era)
+        registered_since = self._list_registered_since(items, position)
         for each in items:
             self._apply_endpoint(each)
         self._apply_vms(await self._client.read_range(VM_PREFIX, position.era))
         missing = self._directory.keep_only(
             {each.key.removeprefix(endpoint_decoder.PREFIX) for each in items},
-            self._list_registered_since(position))
+            registered_since)
         self._journal.write("store_read",
                             era=position.era,
                             revision=position.revision,
@@ -199,17 +201,27 @@
                             missing=missing)
         return position
 
-    def _list_registered_since(self,
+    def _list_registered_since(self, items: list[store_client.Item],
                                position: store_client.Position) -> set[str]:
-        """Returns the endpoints that a copy can't have at a given position.
+        """Returns the endpoints that may have registered since the copy.
 
-        Their registrations are of an earlier era and a higher revision.
+        The copy has at least the revisions of the items that are unchanged.
+
+        Args:
+            items: All registrations, none of which was applied yet.
+            position: The store's position.
         """
+        for each in items:
+            known = self._positions.get(each.key)
+            if (known is not None and known.era < each.era and
+                    known.revision == each.revision):
+                self._copied_revision = max(self._copied_revision,
+                                            each.revision)
         return {
             key.removeprefix(endpoint_decoder.PREFIX)
             for key, known in self._positions.items()
             if key.startswith(endpoint_decoder.PREFIX) and
-            known.era < position.era and known.revision > position.revision
+            known.era < position.era and known.revision > self._copied_revision
         }
 
     def _start_era(self, position: store_client.Position) -> None:
@@ -218,6 +230,7 @@
         if previous is not None and previous.era == position.era:
             return
         self._era_start = position
+        self._copied_revision = 0
         self._gate.start_era(position)
         if previous is None:
             return
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -407,6 +407,33 @@
     assert not harness.usable()
 
 
+def test_endpoint_that_a_copy_lacked_is_used_when_the_next_copy_shows_it():
+    """Other keys were written since the restore, beyond its revision."""
+    harness = _Harness()
+    harness.deliver([_make_endpoint(11, "i-2", era=0)], 11)
+    _restore(harness, _make_configuration(7, 5), _make_endpoint(3), revision=11)
+    harness.scheduler.advance(ms(2300))
+    assert harness.usable() == ["i-1"]
+    _restore(harness,
+             _make_configuration(7, 5, era=2),
+             _make_endpoint(3, era=2),
+             _make_endpoint(10, "i-2", era=2),
+             revision=11)
+    assert harness.usable() == ["i-1", "i-2"]
+
+
+def test_endpoint_that_a_copy_would_have_is_not_used_when_the_next_shows_it():
+    harness = _Harness()
+    harness.deliver([_make_endpoint(11, "i-2", era=0)], 11)
+    _restore(harness, _make_configuration(7, 5), _make_endpoint(11, "i-2"))
+    harness.scheduler.advance(ms(2300))
+    assert harness.usable() == ["i-2"]
+    _restore(harness, _make_configuration(7, 5, era=2), _make_endpoint(3,
+                                                                       era=2),
+             _make_endpoint(11, "i-2", era=2))
+    assert harness.usable() == ["i-2"]
+
+
 def test_leaving_endpoint_stays_so_until_it_writes_again_after_a_restore():
     harness = _Harness()
     harness.deliver([_make_endpoint(11, era=0, state="draining")], 11)
