Handle a Retry-After of any form from the store

What operators would see: the watch of the store started again after an error.

Cause: a delay of "inf" raises OverflowError, which was not expected.

Evidence: two cases of the new test failed before. Result: they pass.

--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -449,7 +449,7 @@
 def _parse_seconds(value: bytes) -> datetime.timedelta | None:
     try:
         return datetime.timedelta(seconds=float(value))
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
--- a/mustardwood/platform/tests/test_store_client.py
+++ b/mustardwood/platform/tests/test_store_client.py
@@ -33,9 +33,11 @@
         self.exchange = _Exchange()
         self._listener = listener
 
-    def answer(self, status, body=None, era=None):
+    def answer(self, status, body=None, era=None, headers=()):
         """Completes the call with a response."""
-        headers = [] if era is None else [(b"store-era", str(era).encode())]
+        headers = list(headers)
+        if era is not None:
+            headers.append((b"store-era", str(era).encode()))
         self._listener.receive_head(status, headers)
         self._listener.receive_data(json.dumps(body or {}).encode())
         self._listener.receive_end()
@@ -182,3 +184,13 @@
     renewal, call = harness.start(harness.client.renew_lease(waiting.result))
     call.answer(200, {}, 2)
     assert renewal.result is None
+
+
+@pytest.mark.parametrize("delay", [b"inf", b"nan", b"1e400", b"soon"])
+def test_delay_of_any_form_is_handled_after_a_rate_limited_call(delay):
+    harness = _Harness()
+    waiting, call = harness.start(harness.client.read_key("op/config"))
+    call.answer(429, era=1, headers=[(b"retry-after", delay)])
+    reason = waiting.result
+    waiting.addErrback(lambda _: None)
+    assert reason.check(errors.RateLimitedError)
