--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -18,7 +18,7 @@
 It is longer than the three missed heartbeats after which the registration of a
 crashed endpoint expires.
 """
-_MAX_LISTING_AGE = datetime.timedelta(seconds=7)
+_MAX_LISTING_AGE = datetime.timedelta(seconds=5)
 """Maximum age of a current list of endpoints: two waits of a watch."""
 _VERSION_MEMORY = datetime.timedelta(seconds=60)
 """Time for which a version is remembered after its last endpoint."""
