--- a/mustardwood/platform/tests/test_settings.py
+++ b/mustardwood/platform/tests/test_settings.py
@@ -10,6 +10,7 @@
 zone = "a"
 ip = "192.0.2.1"
 port_range = [7340, 7355]
+heartbeat_ms = 900
 unknown_field = 3
 [listen]
 front_addr = "192.0.2.1:8000"
@@ -35,6 +36,7 @@
     assert found.vm == "edge-a-1"
     assert found.key_removal_time.total_seconds() == 5
     assert found.grace.total_seconds() == 8
+    assert found.min_lapse_time.total_seconds() == 1.8
 
 
 @pytest.mark.parametrize("old, new, key", [
