Ignore the reload signal until the process has started

Cause: the signal's default action is to end the process, and the handler is installed after the imports.

Evidence: the new test failed before: exit by signal 1.

Change: the signal is ignored until the handler is there.

Result: the test passes.

--- a/mustardwood/platform/__main__.py
+++ b/mustardwood/platform/__main__.py
@@ -7,6 +7,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 import typing
 
@@ -49,6 +50,8 @@
 
 
 def _run(path: pathlib.Path) -> None:
+    # The settings are read later, so a reload before that needs nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Importing the reactor installs it.
     from twisted.internet import reactor
 
