--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -194,10 +194,7 @@
 
 def test_duplicate_events_of_a_resumed_stream_are_dropped():
     harness = harness_module.Harness()
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, caller = _start_stream(harness)
     first.listener.receive_failure(True, "reset")
     harness.client.sent[1].respond(body=b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
     assert caller.body.count(b"id: 1") == 1
@@ -216,10 +213,7 @@
 
 def test_stalled_stream_is_resumed_before_its_caller_disconnects():
     harness = harness_module.Harness()
-    harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, _ = _start_stream(harness)
     harness.scheduler.advance(ms(1900))
     assert first.is_aborted
     assert harness.client.sent[1].resume_after == 1
@@ -242,11 +236,8 @@
 
 def test_stalled_stream_is_resumed_when_another_endpoint_gets_room():
     harness = harness_module.Harness(endpoints=2)
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
+    first, caller = _start_stream(harness)
     load = _fill_other_endpoints(harness, first)
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
     harness.scheduler.advance(ms(1500))
     assert len(harness.client.sent) == 1
     harness.loads.subtract(_find_other_endpoint(harness, first), load)
@@ -260,10 +251,7 @@
 @pytest.mark.parametrize("is_connected", [True, False])
 def test_silent_endpoint_keeps_its_stream_if_the_next_one_refuses(is_connected):
     harness = harness_module.Harness(endpoints=2)
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, caller = _start_stream(harness)
     harness.scheduler.advance(ms(1300))
     if is_connected:
         harness.client.sent[1].respond(503, not_run=True)
@@ -305,10 +293,7 @@
 
 def test_two_endpoints_run_a_stream_only_during_the_takeover():
     harness = harness_module.Harness()
-    harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, _ = _start_stream(harness)
     harness.scheduler.advance(ms(1200))
     assert len(harness.client.sent) == 2
     harness.scheduler.advance(ms(300))
@@ -338,11 +323,8 @@
 def test_broken_stream_waits_for_room_until_its_deadline():
     """It can no longer be refused, so a maximum wait would only cut it."""
     harness = harness_module.Harness(endpoints=2)
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
+    first, caller = _start_stream(harness)
     load = _fill_other_endpoints(harness, first)
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
     harness.scheduler.advance(ms(900))
     first.listener.receive_failure(True, "reset")
     harness.scheduler.advance(ms(900))
@@ -372,10 +354,7 @@
 def test_accepted_stream_continues_after_its_key_was_removed():
     """The request was allowed when it was accepted."""
     harness = harness_module.Harness()
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, caller = _start_stream(harness)
     harness.authorizer.denial = dispatch.Refusal(401, "taken away")
     first.listener.receive_failure(True, "reset")
     harness.client.sent[1].respond(body=b"id: 2\ndata: b\n\n")
@@ -385,10 +364,7 @@
 def test_data_received_before_the_stall_timer_fires_late_is_not_lost():
     """Timers run before sockets are read when a VM was busy or suspended."""
     harness = harness_module.Harness()
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, caller = _start_stream(harness)
     harness.clock.advance(ms(3000))
     harness.scheduler.call_later(
         ms(0), lambda: first.listener.receive_data(b"id: 2\ndata: b\n\n"))
@@ -401,10 +377,7 @@
 def test_silent_attempt_stays_open_until_its_successor_is_connected():
     """Opening a connection to an unreachable endpoint takes 0.4 s to fail."""
     harness = harness_module.Harness(endpoints=2)
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, caller = _start_stream(harness)
     harness.client.is_connected = False
     harness.scheduler.advance(ms(1250))
     second = harness.client.sent[1]
@@ -418,10 +391,7 @@
 
 def test_silent_attempt_is_not_continued_at_an_unreachable_endpoint():
     harness = harness_module.Harness(endpoints=2)
-    harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, _ = _start_stream(harness)
     harness.health.record_unreachable(_find_other_endpoint(harness, first))
     harness.scheduler.advance(ms(650))
     harness.health.record_unreachable(_find_other_endpoint(harness, first))
@@ -433,10 +403,7 @@
 
 def test_responses_that_wait_when_the_takeover_ends_late_are_read_first():
     harness = harness_module.Harness(endpoints=2)
-    _, caller = harness.start(harness_module.make_stream_request(harness))
-    first = harness.client.sent[0]
-    first.begin()
-    first.listener.receive_data(b"id: 1\ndata: a\n\n")
+    first, caller = _start_stream(harness)
     harness.scheduler.advance(ms(1200))
     second = harness.client.sent[1]
     harness.clock.advance(ms(600))
@@ -498,6 +465,19 @@
     assert caller.status == 503
 
 
+def _start_stream(harness):
+    """Starts a stream, of which the caller gets the first event.
+
+    Returns:
+        The attempt and the caller.
+    """
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    attempt = harness.client.sent[-1]
+    attempt.begin()
+    attempt.listener.receive_data(b"id: 1\ndata: a\n\n")
+    return attempt, caller
+
+
 def _find_other_endpoint(harness, attempt):
     other, = {each.name for each in harness.list_usable()
              } - {attempt.endpoint.name}
