--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -25,6 +25,11 @@
         """See `dispatch.Attempt`."""
         return False
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """See `dispatch.Attempt`."""
+        return False
+
     def abort(self) -> None:
         """See `dispatch.Attempt`."""
         self.engine.cancel(self.run)
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -22,6 +22,8 @@
         is_stalled: Whether the endpoint exceeded the stall timeout.
         body: Buffered body of a response that is not sent on immediately.
         has_sent_events: Whether the caller got events of its stream.
+        partial_event_bytes: Number of bytes after the last complete event at
+            the end of its stream.
         is_truncated: Whether the body exceeded the buffer and is incomplete.
         error_bytes: Number of bytes received of the body of a response that is
             no success.
@@ -40,6 +42,7 @@
         self.is_stalled = False
         self.body = bytearray()
         self.has_sent_events = False
+        self.partial_event_bytes = 0
         self.is_truncated = False
         self.error_bytes = 0
         self.handle: forwarding_context.Attempt | None = None
@@ -49,6 +52,11 @@
         """Name of the endpoint."""
         return self.choice.endpoint.name
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether the response ends with its connection."""
+        return self.handle is not None and self.handle.is_close_delimited
+
     @property
     def is_success(self) -> bool:
         """Whether the head is that of a verified successful response."""
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -664,6 +664,8 @@
 
     def _end_attempt(self, attempt: attempt_record.AttemptRecord,
                      reason: str) -> None:
+        if self._request.is_stream and attempt.is_success:
+            attempt.partial_event_bytes = self._splitter.rest_size
         if attempt is self._silent_attempt:
             self._silent_attempt = None
             self._cancel_takeover_timer()
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -61,6 +61,10 @@
         It is false if the connection was lost.
         """
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether the response ends with its connection."""
+
     def abort(self) -> None:
         """Closes the connection; the listener is not called again."""
 
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -84,6 +84,8 @@
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
+            "close_delimited": attempt.is_close_delimited,
+            "partial_event_bytes": attempt.partial_event_bytes,
             "end": end,
         })
 
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -66,6 +66,7 @@
         self.is_aborted = False
         self.is_connected = True
         self.is_response_invalid = False
+        self.is_close_delimited = False
         self.is_paused = False
 
     def abort(self):
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -560,6 +560,20 @@
     assert (fields["version"], fields["proof_age_ms"]) == (7, 100)
 
 
+def test_log_line_tells_how_a_stream_was_framed_and_where_it_ended():
+    harness = harness_module.Harness()
+    harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.is_close_delimited = True
+    first.begin()
+    first.listener.receive_data(b"id: 1\ndata: a\n\nid: 2\nda")
+    first.listener.receive_failure(True, "reset")
+    harness.client.sent[1].respond(body=b"id: 2\ndata: b\n\n")
+    _, fields = harness.journal.lines[-1]
+    assert [(each["close_delimited"], each["partial_event_bytes"])
+            for each in fields["attempts"]] == [(True, 8), (False, 0)]
+
+
 def test_log_line_names_the_tiers_and_the_load_known_at_the_send():
     harness = harness_module.Harness(endpoints=1, slots=12)
     harness.loads.add("endpoint-0",
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -26,6 +26,8 @@
 
 Small chunks take up to a millisecond of processor time per kilobyte.
 """
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+"""Headers of which a response without either ends with its connection."""
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 _KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=500)
 """Time before the endpoint's idle timeout at which reuse stops."""
@@ -185,6 +187,8 @@
         for name, value in event.headers:
             if name == b"keep-alive":
                 self._apply_keep_alive(value)
+        exchange.is_close_delimited = not any(
+            name in _FRAMING_HEADERS for name, _ in event.headers)
         exchange.listener.receive_head(event.status_code, headers)
 
     def _handle_data(self, data: bytes | bytearray) -> None:
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -65,6 +65,8 @@
             sent.
         is_response_invalid: Whether it failed because of what the endpoint
             sent, and not because the connection was lost.
+        is_close_delimited: Whether the response has neither a length nor chunks
+            and ends with its connection; False before the response's head.
     """
 
     def __init__(self,
@@ -77,6 +79,7 @@
         self.is_finished = False
         self.is_connected = False
         self.is_response_invalid = False
+        self.is_close_delimited = False
         self._connection: _Connection | None = None
 
     def attach(self, connection: _Connection, is_connected: bool) -> None:
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -142,6 +142,14 @@
                                                              "complete")
 
 
+def test_only_a_response_without_length_and_chunks_is_close_delimited():
+    for framing, expected in ((b"", True), (b"Content-Length: 9\r\n", False),
+                              (b"Transfer-Encoding: chunked\r\n", False)):
+        harness = _Harness()
+        harness.receive(b"HTTP/1.1 200 OK\r\nId: mine\r\n%s\r\n" % framing)
+        assert harness.exchange.is_close_delimited == expected
+
+
 def test_response_without_length_fails_at_a_reset():
     harness = _Harness()
     harness.receive(b"HTTP/1.1 200 OK\r\nId: mine\r\n\r\ndata")
