--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -361,3 +361,31 @@
     def address(self):
         """Address of the server as IP:PORT."""
         return self._server.address
+
+
+class ClosingEndpoint:
+    """A fake endpoint that sends fixed bytes and closes the connection."""
+
+    def __init__(self, response):
+        """Starts the endpoint.
+
+        Args:
+            response: The bytes to send; a `%s` stands for the request's id.
+        """
+
+        class Handler(_Handler):
+            """Responds to one request on each connection."""
+
+            def do_POST(self):  # pylint: disable=invalid-name
+                """Sends the bytes and closes the connection regularly."""
+                self.read_body()
+                request_id = self.headers["Mustardwood-Attempt-Id"].encode()
+                self.close_connection = True
+                self.connection.sendall(response.replace(b"%s", request_id))
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """Address of the server as IP:PORT."""
+        return self._server.address
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -384,3 +384,48 @@
         vm.wait_until(lambda: started.call("/post/0", "key-3")[0] == 200)
     finally:
         started.stop()
+
+
+def _add_closing_endpoint(vm, store, body):
+    """Makes the stream route use an endpoint that closes after `body`."""
+    document = documents.make_document(version=8)
+    document["routes"][0]["resumable"] = False
+    store.put("op/config", document)
+    endpoint = fake_servers.ClosingEndpoint(_SIGNED + b"\r\n" + body)
+    store.put(
+        "servers/closing",
+        documents.make_registration(service="engine", address=endpoint.address))
+    vm.wait_until(lambda: vm.count_endpoints("closing") == 1)
+
+
+def test_stream_closed_inside_an_event_does_not_look_complete_to_its_caller(
+        vm, store):
+    _add_closing_endpoint(vm, store, b"id: 1\ndata: a\n\nid: 2\nda")
+    with pytest.raises((http.client.IncompleteRead, ConnectionResetError)):
+        vm.call("/stream/0")
+
+
+def test_stream_closed_inside_an_event_is_reset_for_a_caller_of_http_1_0(
+        vm, store):
+    """Such a caller takes a regular close for the end of the response."""
+    _add_closing_endpoint(vm, store, b"id: 1\ndata: a\n\nid: 2\nda")
+    with socket.create_connection(("127.0.0.1", vm.callers),
+                                  _TIMEOUT_SECONDS) as caller:
+        caller.sendall(f"POST /stream/0 HTTP/1.0\r\nHost: {documents.HOST}\r\n"
+                       "Mustardwood-Attempt-Id: old\r\n"
+                       "Authorization: Bearer key-1\r\n"
+                       "Content-Length: 0\r\n\r\n".encode())
+        with pytest.raises(ConnectionResetError):
+            while caller.recv(4096):
+                pass
+
+
+def test_stream_closed_between_two_events_is_complete(vm, store):
+    _add_closing_endpoint(vm, store, b"id: 1\ndata: a\n\n")
+    status, _, body = vm.call("/stream/0")
+    assert (status, body) == (200, b"id: 1\ndata: a\n\n")
+
+
+def test_stream_closed_before_its_first_event_is_answered_as_lost(vm, store):
+    _add_closing_endpoint(vm, store, b"")
+    assert vm.call("/stream/0")[0] == 502
