--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -21,6 +21,8 @@
             request.
         is_stalled: Whether the endpoint exceeded the stall timeout.
         body: Buffered body of a response that is not sent on immediately.
+        has_received_data: Whether a part of the body of its successful response
+            has arrived.
         has_sent_events: Whether the caller got events of its stream.
         partial_event_bytes: Number of bytes after the last complete event at
             the end of its stream.
@@ -41,6 +43,7 @@
         self.was_not_run = False
         self.is_stalled = False
         self.body = bytearray()
+        self.has_received_data = False
         self.has_sent_events = False
         self.partial_event_bytes = 0
         self.is_truncated = False
--- a/mustardwood/dispatch/event_splitter.py
+++ b/mustardwood/dispatch/event_splitter.py
@@ -5,6 +5,8 @@
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _MAX_END_BYTES = 4
 """Length of the longest end of an event, in bytes."""
+_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+"""Beginning of a line that is neither empty nor a comment."""
 _ID = re.compile(rb"^id:[ ]?(\d{1,18})\s*$", re.MULTILINE)
 
 
@@ -39,6 +41,23 @@
         """Number of bytes received after the last complete event."""
         return len(self._pending)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete.
+
+        Examples:
+            >>> splitter = EventSplitter(None)
+            >>> splitter.add(b"data: a\\n\\n: comment")
+            b'data: a\\n\\n'
+            >>> splitter.is_inside_event
+            False
+            >>> splitter.add(b"\\ndata")
+            b''
+            >>> splitter.is_inside_event
+            True
+        """
+        return _FIELD.search(self._pending) is not None
+
     def add(self, data: bytes) -> bytes:
         """Adds received bytes and returns the events that are now complete.
 
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -18,6 +18,7 @@
 from mustardwood.dispatch import router_refusals
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import stall_timeout
+from mustardwood.dispatch import stream_end
 from mustardwood.dispatch import stream_version_table
 from mustardwood.dispatch import version_lookup
 
@@ -161,6 +162,7 @@
                 self._break_off(attempt, "the error body is too long")
             return
         self._keep_only(attempt)
+        attempt.has_received_data = True
         self._release_prefill(attempt)
         self._record.record_first_byte()
         if self._request.is_stream:
@@ -181,6 +183,11 @@
         if not attempt.is_success:
             self._handle_error_response(attempt)
             return
+        if self._request.is_stream:
+            reason = stream_end.find_break(attempt, self._splitter)
+            if reason:
+                self.receive_failure(attempt, True, reason)
+                return
         self._keep_only(attempt)
         self._end_attempt(attempt, request_record.COMPLETE)
         self._context.health.record_success(attempt.endpoint)
@@ -664,7 +671,7 @@
 
     def _end_attempt(self, attempt: attempt_record.AttemptRecord,
                      reason: str) -> None:
-        if self._request.is_stream and attempt.is_success:
+        if self._request.is_stream and attempt.has_received_data:
             attempt.partial_event_bytes = self._splitter.rest_size
         if attempt is self._silent_attempt:
             self._silent_attempt = None
