--- a/mustardwood/standins/engine/tests/test_engine.py
+++ b/mustardwood/standins/engine/tests/test_engine.py
@@ -165,13 +165,17 @@
 
     async def scenario(client: _EngineClient) -> None:
         body = {"model": _MODEL, "prompt": _PROMPT, "stream": True}
-        pending = []
-        for attempt, priority in (("first", 3), ("low", 5), ("high", 0)):
+        engine = client.site.engine
+        started = []
+        for index, (attempt, priority) in enumerate(
+            (("first", 3), ("low", 5), ("high", 0))):
             headers = {"x-attempt-id": attempt, "x-priority": str(priority)}
-            pending.append(client.post("/v1/completions", body, headers))
-        started = [defer.ensureDeferred(answer) for answer in pending]
-        while client.site.engine.queued < 2:
-            await task.deferLater(reactor_runner.reactor, 0.01)
+            started.append(
+                defer.ensureDeferred(
+                    client.post("/v1/completions", body, headers)))
+            # Requests on different connections may overtake each other.
+            while (engine.running, engine.queued) != (1, index):
+                await task.deferLater(reactor_runner.reactor, 0.01)
         refused = await client.complete("refused")
         assert refused.code == 503
         assert refused.headers.getRawHeaders("x-not-started") == ["1"]
@@ -180,7 +184,7 @@
         log = await client.read_log()
         assert [attempt for attempt, _ in log] == ["first", "high", "low"]
 
-    _run(scenario, batch_limit=1, queue_limit=2, base_step_seconds=0.02)
+    _run(scenario, batch_limit=1, queue_limit=2, base_step_seconds=0.05)
 
 
 def test_engine_refuses_an_old_fencing_number_only_if_it_checks_fencing():
