--- a/mustardwood/standins/engine/tests/test_engine.py
+++ b/mustardwood/standins/engine/tests/test_engine.py
@@ -165,7 +165,7 @@
 
     async def scenario(client: _EngineClient) -> None:
         body = {"model": _MODEL, "prompt": _PROMPT, "stream": True}
-        engine = client.site.engine
+        stand_in = client.site.engine
         started = []
         for index, (attempt, priority) in enumerate(
             (("first", 3), ("low", 5), ("high", 0))):
@@ -174,7 +174,7 @@
                 defer.ensureDeferred(
                     client.post("/v1/completions", body, headers)))
             # Requests on different connections may overtake each other.
-            while (engine.running, engine.queued) != (1, index):
+            while (stand_in.running, stand_in.queued) != (1, index):
                 await task.deferLater(reactor_runner.reactor, 0.01)
         refused = await client.complete("refused")
         assert refused.code == 503
