--- a/mustardwood/dispatch/prompt.py
+++ b/mustardwood/dispatch/prompt.py
@@ -38,6 +38,20 @@
         """
         return self.parts[-2].key if len(self.parts) > 1 else ""
 
+    def list_shared_keys(self, max_count: int) -> list[str]:
+        """Returns the keys of the first shared parts, each of them once.
+
+        Args:
+            max_count: Maximum number of parts that are considered.
+
+        Examples:
+            >>> parts = [PromptPart(key, 9) for key in ("a", "", "b", "a", "c")]
+            >>> Prompt(tuple(parts)).list_shared_keys(8)
+            ['a', 'b']
+        """
+        shared = self.parts[:-1][:max_count]
+        return list(dict.fromkeys(each.key for each in shared if each.key))
+
     @property
     def shared_tokens(self) -> int:
         """Length of the shared prefix in tokens."""
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -16,6 +16,11 @@
 """End of an attempt that returned a complete response."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses that guarantee that a request has not run."""
+_MAX_LOGGED_PARTS = 8
+"""Maximum number of parts of a prompt in a log line; most prompts have three.
+"""
+_MAX_LOGGED_KEY_LENGTH = 32
+"""Length to which the key of a part is cut in a log line."""
 
 
 class RequestRecord:
@@ -122,6 +127,10 @@
             aims_ms=(_to_ms(request.first_byte_target),
                      _to_ms(request.inter_event_target)),
             prompt_tokens=request.prompt.input_tokens,
+            shared_parts=[
+                each[:_MAX_LOGGED_KEY_LENGTH]
+                for each in request.prompt.list_shared_keys(_MAX_LOGGED_PARTS)
+            ],
             queued_ms=_to_ms(self._waited),
             waited_for=self._limit,
             attempts=self._attempts,
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -574,6 +574,19 @@
             for each in fields["attempts"]] == [(True, 8), (False, 0)]
 
 
+def test_log_line_names_a_bounded_number_of_shared_parts():
+    harness = harness_module.Harness()
+    parts = tuple(
+        dispatch.PromptPart(f"{index}" * 40, 1) for index in range(12))
+    harness.start(
+        harness_module.make_stream_request(harness,
+                                           prompt=dispatch.Prompt(parts, 12,
+                                                                  1)))
+    harness.client.sent[0].respond(body=b"id: 1\ndata: a\n\n")
+    _, fields = harness.journal.lines[-1]
+    assert fields["shared_parts"] == [f"{index}" * 32 for index in range(8)]
+
+
 def test_log_line_names_the_tiers_and_the_load_known_at_the_send():
     harness = harness_module.Harness(endpoints=1, slots=12)
     harness.loads.add("endpoint-0",
