--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -389,3 +389,57 @@
     def address(self):
         """Address of the server as IP:PORT."""
         return self._server.address
+
+
+class CrashingEndpoint:
+    """A fake engine that crashes as it begins to write on one prompt part.
+
+    It is back at once, as a new process behind the same address.
+
+    Attributes:
+        crashes: Number of crashes so far.
+        served: Number of requests answered so far.
+    """
+
+    def __init__(self, part, on_crash):
+        """Starts the endpoint.
+
+        Args:
+            part: Key of the part.
+            on_crash: Called with the endpoint after each crash.
+        """
+        self.crashes = 0
+        self.served = 0
+        endpoint = self
+
+        class Handler(_Handler):
+            """Responds to requests."""
+
+            def do_POST(self):  # pylint: disable=invalid-name
+                """Sends one event, or crashes after the head."""
+                self.read_body()
+                keys = [
+                    each.partition(":")[0] for each in
+                    self.headers["Mustardwood-Prompt-Prefix"].split(",")
+                ]
+                self.send_response(200)
+                for name in ("Mustardwood-Attempt-Id",
+                             "Mustardwood-Replica-Signature"):
+                    self.send_header(name, self.headers.get(name, "signed"))
+                self.send_header("Transfer-Encoding", "chunked")
+                self.end_headers()
+                if part in keys[:-1]:
+                    endpoint.crashes += 1
+                    self.close_connection = True
+                    on_crash(endpoint)
+                    return
+                endpoint.served += 1
+                event = b"id: 1\ndata: event\n\n"
+                self.wfile.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(event), event))
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """Address of the server as IP:PORT."""
+        return self._server.address
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -27,6 +28,8 @@
 
 Callers abandon a VM that has not read their request after one second.
 """
+_MAX_CRASHES = 5
+"""Number of crashes after which no requests like theirs should be sent."""
 _ENDLESS_SECONDS = 10.0
 """Time for which endpoints send without end."""
 _SIGNED = (b"HTTP/1.1 200 OK\r\nMustardwood-Attempt-Id: %s\r\n"
@@ -129,7 +132,7 @@
             ) < until, "the condition did not hold in time"
             time.sleep(0.05)
 
-    def call(self, path, key="key-1"):
+    def call(self, path, key="key-1", headers=None):
         """Sends a request; returns the response's status, headers and body."""
         connection = http.client.HTTPConnection("127.0.0.1",
                                                 self.callers,
@@ -140,7 +143,8 @@
                            headers={
                                "Host": documents.HOST,
                                "Mustardwood-Attempt-Id": f"id{path}",
-                               "Authorization": f"Bearer {key}"
+                               "Authorization": f"Bearer {key}",
+                               **(headers or {})
                            })
         response = connection.getresponse()
         result = response.status, dict(response.getheaders()), response.read()
@@ -429,3 +433,61 @@
 def test_stream_closed_before_its_first_event_is_answered_as_lost(vm, store):
     _add_closing_endpoint(vm, store, b"")
     assert vm.call("/stream/0")[0] == 502
+
+
+def _start_crashing_engines(store, count):
+    """Registers engines that crash on the part "bad" and start again."""
+    document = documents.make_document(version=8)
+    document["routes"][0]["resumable"] = False
+    store.put("op/config", document)
+    start_times = itertools.count(1_700_000_000_000)
+    keys = {}
+
+    def register(engine):
+        store.put(
+            keys[engine],
+            documents.make_registration(service="engine",
+                                        address=engine.address,
+                                        born=next(start_times)))
+
+    for index in range(count):
+        engine = fake_servers.CrashingEndpoint("bad", register)
+        keys[engine] = f"servers/crashing-{index}"
+        register(engine)
+    return list(keys)
+
+
+def _call_with_part(vm, part, number):
+    """Returns the status of a stream with a part; 0 if it was broken off."""
+    headers = {
+        "Mustardwood-Token-Usage":
+            "300,40",
+        "Mustardwood-Prompt-Prefix":
+            f"aa:100,bb:100,{part}:50,{number}{part}:50",
+    }
+    try:
+        return vm.call(f"/stream/{number}{part}", headers=headers)[0]
+    except (OSError, http.client.HTTPException):
+        return 0
+
+
+def test_vms_stop_together_sending_a_prompt_part_that_crashes_engines(
+        tmp_path, vm, store):
+    """Requests come at both VMs; sound ones share all of their other parts."""
+    engines = _start_crashing_engines(store, 6)
+    other = _Vm(tmp_path, store, "vm-2")
+    other.start()
+    sound_statuses = []
+    try:
+        for each in (vm, other):
+            each.wait_until(lambda each=each: each.count_endpoints("crashing")
+                            == len(engines))
+        for number in range(24):
+            target = (vm, other)[number % 2]
+            _call_with_part(target, "bad", number)
+            sound_statuses.append(_call_with_part(target, "sound", number))
+            time.sleep(0.6)
+    finally:
+        other.stop()
+    assert sound_statuses == [200] * 24
+    assert sum(each.crashes for each in engines) <= _MAX_CRASHES
