--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -49,6 +49,7 @@
             health=health,
             prefix_caches=prefix_index,
             crashes=dispatch.CrashRecord(scheduler),
+            part_crashes=dispatch.PromptPartCrashes(scheduler, rng),
             placement=dispatch.Placement("zone", scheduler, loads, health,
                                          prefix_index, settings,
                                          lambda _: service, rng),
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -33,6 +33,9 @@
 from mustardwood.dispatch.prefix_cache_index import PrefixCacheIndex
 from mustardwood.dispatch.prompt import Prompt
 from mustardwood.dispatch.prompt import PromptPart
+from mustardwood.dispatch.prompt_part_crashes import PartCrash
+from mustardwood.dispatch.prompt_part_crashes import PartSuccess
+from mustardwood.dispatch.prompt_part_crashes import PromptPartCrashes
 from mustardwood.dispatch.refusal import Refusal
 from mustardwood.dispatch.retry_after_policy import RetryAfterPolicy
 from mustardwood.dispatch.retry_budget import RetryBudget
@@ -65,6 +68,8 @@
     "LoadTable",
     "Metrics",
     "Organisation",
+    "PartCrash",
+    "PartSuccess",
     "Placement",
     "PlacementLimit",
     "PlacementQueue",
@@ -72,6 +77,7 @@
     "PrefixCacheIndex",
     "Prompt",
     "PromptPart",
+    "PromptPartCrashes",
     "Refusal",
     "RetryAfterPolicy",
     "RetryBudget",
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -21,8 +21,11 @@
             request.
         is_stalled: Whether the endpoint exceeded the stall timeout.
         body: Buffered body of a response that is not sent on immediately.
-        has_received_data: Whether a part of the body of its successful response
-            has arrived.
+        first_data_at: Monotonic time at which the first part of the body of
+            its successful response arrived; None before that.
+        has_survived: Whether its endpoint has written for so long that the
+            request does not crash it.
+        was_cut_off: Whether the router has closed its connection.
         has_sent_events: Whether the caller got events of its stream.
         partial_event_bytes: Number of bytes after the last complete event at
             the end of its stream.
@@ -43,7 +46,9 @@
         self.was_not_run = False
         self.is_stalled = False
         self.body = bytearray()
-        self.has_received_data = False
+        self.first_data_at: datetime.timedelta | None = None
+        self.has_survived = False
+        self.was_cut_off = False
         self.has_sent_events = False
         self.partial_event_bytes = 0
         self.is_truncated = False
@@ -55,6 +60,19 @@
         """Name of the endpoint."""
         return self.choice.endpoint.name
 
+    @property
+    def incarnation(self) -> str:
+        """Name of the endpoint with the time of its last start.
+
+        An endpoint may start again under the name that it had.
+        """
+        return f"{self.endpoint}/{self.choice.endpoint.started}"
+
+    @property
+    def has_received_data(self) -> bool:
+        """Whether a part of the body of a successful response has arrived."""
+        return self.first_data_at is not None
+
     @property
     def is_close_delimited(self) -> bool:
         """Whether the response ends with its connection."""
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -5,7 +5,7 @@
 import http
 
 from mustardwood.dispatch import attempt_record
-from mustardwood.dispatch import crash_record
+from mustardwood.dispatch import crash_attribution
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import event_splitter
@@ -81,7 +81,7 @@
         self._software: str | None = None
         self._sends = 0
         self._runs = 0
-        self._fingerprint = crash_record.find_fingerprint(request)
+        self._attribution = crash_attribution.CrashAttribution(request, context)
         self._splitter = event_splitter.EventSplitter(request.last_event_id)
         self._is_head_sent = False
         self._is_unbuffered = False
@@ -162,7 +162,7 @@
                 self._break_off(attempt, "the error body is too long")
             return
         self._keep_only(attempt)
-        attempt.has_received_data = True
+        self._attribution.record_data(attempt)
         self._release_prefill(attempt)
         self._record.record_first_byte()
         if self._request.is_stream:
@@ -191,7 +191,7 @@
         self._keep_only(attempt)
         self._end_attempt(attempt, request_record.COMPLETE)
         self._context.health.record_success(attempt.endpoint)
-        self._context.crashes.record_success(self._fingerprint)
+        self._attribution.record_success(attempt)
         if self._request.is_stream:
             if not self._is_head_sent:
                 self._send_head(attempt, None)
@@ -216,10 +216,7 @@
                 self._retry_unsent(reason)
             return
         self._context.health.record_failure(attempt.endpoint)
-        if not attempt.status and not (attempt.handle is not None and
-                                       attempt.handle.is_response_invalid):
-            self._context.crashes.record_crash(self._fingerprint,
-                                               attempt.endpoint)
+        self._attribution.record_loss(attempt)
         if is_silent_attempt:
             return
         self._runs += 1
@@ -256,9 +253,9 @@
         if denial is not None:
             self._give_up("no longer allowed", denial)
             return
-        if context.crashes.is_blocked(self._fingerprint):
-            self._give_up("crashes endpoints",
-                          router_refusals.build_crash_refusal())
+        crash_refusal = self._attribution.find_refusal()
+        if crash_refusal is not None:
+            self._give_up("crashes endpoints", crash_refusal)
             return
         now = context.clock.monotonic()
         time_left = request.expires_at - now
@@ -556,7 +553,7 @@
         if (not self._may_run_again(self._runs + 1) or
                 request.expires_at <= context.clock.monotonic() or
                 self._find_denial() is not None or
-                context.crashes.is_blocked(self._fingerprint)):
+                self._attribution.find_refusal() is not None):
             return None
         usable = context.directory.list_usable(request.service)
         excluded = self._find_excluded(usable)
@@ -642,6 +639,7 @@
     def _break_off(self, attempt: attempt_record.AttemptRecord,
                    reason: str) -> None:
         """Closes the connection of an attempt whose response is invalid."""
+        attempt.was_cut_off = True
         if attempt.handle is not None:
             attempt.handle.abort()
         self.receive_failure(attempt, True, reason)
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -13,6 +13,7 @@
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import prefix_cache_index
+from mustardwood.dispatch import prompt_part_crashes
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
@@ -222,6 +223,7 @@
     health: endpoint_health.EndpointHealth
     prefix_caches: prefix_cache_index.PrefixCacheIndex
     crashes: crash_record.CrashRecord
+    part_crashes: prompt_part_crashes.PromptPartCrashes
     placement: placement_module.Placement
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
     retry_after: retry_after_policy.RetryAfterPolicy
--- a/mustardwood/dispatch/router_refusals.py
+++ b/mustardwood/dispatch/router_refusals.py
@@ -30,6 +30,19 @@
         "to no other for a minute. Change it before sending it again.")
 
 
+def build_crashing_part_refusal() -> refusal.Refusal:
+    """Returns the response to a request with a part that crashes endpoints.
+
+    The request was not sent. The status is not 503, after which callers send
+    the request again.
+    """
+    return refusal.Refusal(
+        http.HTTPStatus.BAD_GATEWAY,
+        "Several endpoints were lost as they began to answer requests with a "
+        "part of this prompt. The request has not run; it is refused for some "
+        "minutes. Change its prompt before sending it again.")
+
+
 def build_timeout_refusal(may_have_run: bool) -> refusal.Refusal:
     """Returns the response to a request whose deadline has passed."""
     if may_have_run:
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -218,6 +218,8 @@
         self.health = dispatch.EndpointHealth(self.clock)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
         self.crashes = dispatch.CrashRecord(self.clock)
+        self.part_crashes = dispatch.PromptPartCrashes(self.clock,
+                                                       random.Random(4))
         self.streams = dispatch.StreamVersionTable(self.clock)
         self.settings = dispatch.PlacementSettings()
         self.placement = dispatch.Placement(
@@ -235,6 +237,7 @@
             health=self.health,
             prefix_caches=self.prefix_caches,
             crashes=self.crashes,
+            part_crashes=self.part_crashes,
             placement=self.placement,
             retry_budgets=dispatch.ServiceRetryBudgets(random.Random(1), 0.2,
                                                        retry_burst, lambda: 1),
--- a/mustardwood/dispatch/tests/test_crashing_prompt_parts.py
+++ b/mustardwood/dispatch/tests/test_crashing_prompt_parts.py
@@ -175,4 +175,5 @@
             sent_at.append(second)
     assert len(sent_at) <= _MAX_CRASHES + 4
     gaps = [later - earlier for earlier, later in itertools.pairwise(sent_at)]
-    assert gaps[-1] > 2 * gaps[-2] or gaps[-1] > 600
+    assert all(later > 1.9 * earlier
+               for earlier, later in itertools.pairwise(gaps[2:]))
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -54,8 +54,9 @@
 
     def __init__(self, vm: str, clock: timing.Clock, loads: dispatch.LoadTable,
                  prefix_caches: dispatch.PrefixCacheIndex,
-                 crashes: dispatch.CrashRecord, proof: dispatch.FreshnessProof,
-                 rng: random.Random,
+                 crashes: dispatch.CrashRecord,
+                 part_crashes: dispatch.PromptPartCrashes,
+                 proof: dispatch.FreshnessProof, rng: random.Random,
                  streams: dispatch.StreamVersionTable) -> None:
         """Creates a protocol without peers.
 
@@ -65,6 +66,7 @@
             loads: Holds this VM's own load; the peers' loads are added to it.
             prefix_caches: Records which endpoints cache which prompt prefixes.
             crashes: Records which requests have crashed endpoints.
+            part_crashes: Records which parts of prompts have crashed engines.
             proof: Receives the peers' freshness proofs.
             rng: Draws the initial sequence number. It is random so that a
                 peer's echo of a message from before a restart matches no
@@ -76,6 +78,7 @@
         self._loads = loads
         self._prefix_caches = prefix_caches
         self._crashes = crashes
+        self._part_crashes = part_crashes
         self._proof = proof
         self._streams = streams
         self._peers: dict[str, _Peer] = {}
@@ -170,8 +173,13 @@
                    each.held_tokens
                   ) for name, each in self._loads.list_own_loads().items()
         }
-        return peer_update.Report(loads, self._prefix_caches.list_moves(),
-                                  self._crashes.list_recent_crashes())
+        crashes, successes = self._part_crashes.list_news()
+        return peer_update.Report(
+            loads, self._prefix_caches.list_moves(),
+            self._crashes.list_recent_crashes(),
+            [(each.part, each.engine, each.has_begun, each.age // _MILLISECOND)
+             for each in crashes],
+            [(each.part, each.age // _MILLISECOND) for each in successes])
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
@@ -227,6 +235,13 @@
             self._prefix_caches.record_prefix(endpoint, prefix_key)
         for fingerprint, endpoint in report.losses:
             self._crashes.record_peer_crash(fingerprint, endpoint)
+        for part, engine, has_begun, age_ms in report.part_crashes:
+            self._part_crashes.record_peer_crash(
+                dispatch.PartCrash(part, engine, has_begun,
+                                   age_ms * _MILLISECOND))
+        for part, age_ms in report.part_successes:
+            self._part_crashes.record_peer_success(
+                dispatch.PartSuccess(part, age_ms * _MILLISECOND))
 
     def forget_peer(self, name: str) -> None:
         """Discards the state of a peer that has left."""
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -8,6 +8,9 @@
 """Load of an endpoint: prefill tokens, requests, interactive streams and held
 tokens."""
 
+_Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+"""A time span; the limit, twelve days, keeps calculations with it safe."""
+
 
 class ConfigurationPosition(typing.NamedTuple):
     """Position of a configuration; the greater one is the newer.
@@ -35,11 +38,18 @@
             sent there although another endpoint is preferred for it.
         losses: Pairs of a request's fingerprint and an endpoint that recently
             crashed while it ran this request for the sender.
+        part_crashes: For each crash of an engine and each part of a prompt that
+            it had not written on: the part, the engine with the time of its
+            start, whether its response had begun, and milliseconds since.
+        part_successes: Parts with which engines wrote and did not crash, and
+            the milliseconds since they began to write.
     """
 
     loads: dict[str, LoadFigures]
     moves: list[tuple[str, str]] = []
     losses: list[tuple[str, str]] = []
+    part_crashes: list[tuple[str, str, bool, _Milliseconds]] = []
+    part_successes: list[tuple[str, _Milliseconds]] = []
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -33,10 +33,12 @@
                                              _MARGIN)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
         self.crashes = dispatch.CrashRecord(self.clock)
+        self.part_crashes = dispatch.PromptPartCrashes(self.clock,
+                                                       random.Random(name))
         self.streams = dispatch.StreamVersionTable(self.clock)
         self.protocol = peers.PeerProtocol(name, self.clock, self.loads,
-                                           self.prefix_caches,
-                                           self.crashes, self.proof,
+                                           self.prefix_caches, self.crashes,
+                                           self.part_crashes, self.proof,
                                            random.Random(seed), self.streams)
         self.configuration = peers.ConfigurationPosition(7, 0, 10)
 
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -73,6 +73,9 @@
         self._health = dispatch.EndpointHealth(self._clock)
         self._prefix_caches = dispatch.PrefixCacheIndex(self._clock)
         self._crashes = dispatch.CrashRecord(self._clock)
+        self._part_crashes = dispatch.PromptPartCrashes(
+            self._clock, self._rng, lambda part, change: self._journal.write(
+                "prompt_part", part=part, change=change))
         self._streams = dispatch.StreamVersionTable(self._clock)
         pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
         client = store_client.StoreClient(
@@ -90,9 +93,10 @@
             self._loads.count_peers, self._journal, self._rng)
         self._peers = peer_synchronizer.PeerSynchronizer(
             peers.PeerProtocol(self._settings.vm, self._clock, self._loads,
-                               self._prefix_caches, self._crashes, self._proof,
-                               self._rng, self._streams), self._loads,
-            self._clock, self._scheduler, pool, self._watcher, self._journal,
+                               self._prefix_caches, self._crashes,
+                               self._part_crashes, self._proof, self._rng,
+                               self._streams), self._loads, self._clock,
+            self._scheduler, pool, self._watcher, self._journal,
             self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
@@ -178,6 +182,7 @@
             health=self._health,
             prefix_caches=self._prefix_caches,
             crashes=self._crashes,
+            part_crashes=self._part_crashes,
             placement=dispatch.Placement(self._settings.zone, self._clock,
                                          self._loads, self._health,
                                          self._prefix_caches,
@@ -252,6 +257,9 @@
              self._get_configuration_version),
             ("mustardwood_peers", "Peers whose loads count.",
              lambda: float(self._loads.count_peers())),
+            ("mustardwood_blocked_prompt_parts",
+             "Parts of prompts that are refused because they crash engines.",
+             lambda: float(self._part_crashes.blocked_count)),
             ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
              lambda: float(self._journal.dropped)),
         ):
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -63,10 +63,12 @@
         self.journal = harness_module.FakeJournal()
         self.sent = []
         self.synchronizer = peer_synchronizer.PeerSynchronizer(
-            peers.PeerProtocol(name, self.clock, self.loads, self.prefix_caches,
-                               dispatch.CrashRecord(self.clock), self.proof,
-                               random.Random(name),
-                               self.streams), self.loads, self.clock,
+            peers.PeerProtocol(
+                name, self.clock, self.loads, self.prefix_caches,
+                dispatch.CrashRecord(self.clock),
+                dispatch.PromptPartCrashes(self.clock,
+                                           random.Random(name)), self.proof,
+                random.Random(name), self.streams), self.loads, self.clock,
             self.scheduler, self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: self.sent.append(
             (data, address))
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -84,7 +84,9 @@
         self.synchronizer = peer_synchronizer.PeerSynchronizer(
             peers.PeerProtocol(name, clock, loads,
                                dispatch.PrefixCacheIndex(clock),
-                               dispatch.CrashRecord(clock), self.proof, rng,
+                               dispatch.CrashRecord(clock),
+                               dispatch.PromptPartCrashes(clock, rng),
+                               self.proof, rng,
                                dispatch.StreamVersionTable(clock)), loads,
             clock, scheduler, self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: world.deliver(
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -88,11 +88,13 @@
     remote = peers.PeerProtocol(
         "vm-2", harness.clock, loads, dispatch.PrefixCacheIndex(harness.clock),
         dispatch.CrashRecord(harness.clock),
+        dispatch.PromptPartCrashes(harness.clock, random.Random(3)),
         dispatch.FreshnessProof(harness.clock, ms(5000), ms(500)),
         random.Random(1), dispatch.StreamVersionTable(harness.clock))
     local = peers.PeerProtocol(
         "vm-1", harness.clock, loads, dispatch.PrefixCacheIndex(harness.clock),
         dispatch.CrashRecord(harness.clock),
+        dispatch.PromptPartCrashes(harness.clock, random.Random(3)),
         dispatch.FreshnessProof(harness.clock, ms(5000), ms(500)),
         random.Random(2), dispatch.StreamVersionTable(harness.clock))
     journal = harness_module.FakeJournal()
