--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -309,3 +309,41 @@
     earlier.configuration = peers.ConfigurationPosition(8, 1, 50)
     later.configuration = peers.ConfigurationPosition(8, 2, 3)
     assert not _exchange_proof(later, earlier)
+
+
+def test_vms_learn_of_crashing_prompt_parts_from_each_other():
+    first, second = _Vm("first"), _Vm("second", 2)
+    for number in range(3):
+        (first, second)[number % 2].part_crashes.record_crash(
+            ["subject", "bad"], f"engine-{number}", has_begun=True)
+        second.receive(first.build_update(second))
+        first.receive(second.build_update(first))
+        _advance(_ms(600), first, second)
+    for each in (first, second):
+        assert each.part_crashes.find_blocked_part(("subject", "bad"))
+    second.part_crashes.record_success(["subject"], second.clock.monotonic())
+    first.receive(second.build_update(first))
+    assert not first.part_crashes.find_blocked_part(("subject", "other"))
+    assert first.part_crashes.find_blocked_part(("bad",))
+
+
+def test_report_of_prompt_parts_stays_small():
+    vm, peer = _Vm("vm"), _Vm("peer", 2)
+    size = len(vm.build_update(peer))
+    for number in range(100):
+        vm.part_crashes.record_crash(
+            [f"service/part-{number}-{part}" for part in range(64)],
+            f"i-0123456789abcdef-{number}/1700000000000",
+            has_begun=True)
+    assert len(vm.build_update(peer)) - size < 4096
+
+
+@pytest.mark.parametrize("news", [[["part", "engine", True, -1]],
+                                  [["part", "engine", True, 1 << 60]],
+                                  [["part", 7, True, 1]], [["part"]]])
+def test_malformed_news_of_prompt_parts_are_ignored(news):
+    vm, peer = _Vm("vm"), _Vm("peer", 2)
+    update = msgspec.msgpack.decode(peer.build_update(vm))
+    update[5] = [{}, [], [], news]
+    assert vm.receive(msgspec.msgpack.encode(update)) is None
+    assert not len(vm.part_crashes)
