--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -314,8 +314,10 @@
 def test_vms_learn_of_crashing_prompt_parts_from_each_other():
     first, second = _Vm("first"), _Vm("second", 2)
     for number in range(3):
-        (first, second)[number % 2].part_crashes.record_crash(
-            ["subject", "bad"], f"engine-{number}", has_begun=True)
+        (first,
+         second)[number % 2].part_crashes.record_crash(["subject", "bad"],
+                                                       f"engine-{number}",
+                                                       has_begun=True)
         second.receive(first.build_update(second))
         first.receive(second.build_update(first))
         _advance(_ms(600), first, second)
@@ -338,12 +340,13 @@
     assert len(vm.build_update(peer)) - size < 4096
 
 
-@pytest.mark.parametrize("news", [[["part", "engine", True, -1]],
-                                  [["part", "engine", True, 1 << 60]],
-                                  [["part", 7, True, 1]], [["part"]]])
+@pytest.mark.parametrize(
+    "news",
+    [[["part", "engine", True, -1]], [["part", "engine", True, 1 << 60]],
+     [["part", 7, True, 1]], [["part"]]])
 def test_malformed_news_of_prompt_parts_are_ignored(news):
     vm, peer = _Vm("vm"), _Vm("peer", 2)
     update = msgspec.msgpack.decode(peer.build_update(vm))
     update[5] = [{}, [], [], news]
     assert vm.receive(msgspec.msgpack.encode(update)) is None
-    assert not len(vm.part_crashes)
+    assert len(vm.part_crashes) == 0
