--- a/mustardwood/dispatch/crash_attribution.py
+++ b/mustardwood/dispatch/crash_attribution.py
@@ -30,11 +30,6 @@
         self._fingerprint = crash_record.find_fingerprint(request)
         self._parts = prompt_part_crashes.find_parts(request)
 
-    @property
-    def is_suspect(self) -> bool:
-        """Whether a part of the prompt may crash the engine that runs it."""
-        return self._context.part_crashes.is_suspect(self._parts)
-
     def find_refusal(self) -> refusal.Refusal | None:
         """Returns the refusal of a request that crashes endpoints, else None.
         """
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -264,8 +264,7 @@
             return
         usable = context.directory.list_usable(request.service)
         choice = context.placement.choose(request, usable,
-                                          self._find_excluded(usable),
-                                          self._attribution.is_suspect)
+                                          self._find_excluded(usable))
         if isinstance(choice, placement_limit.PlacementLimit):
             self._wait_in_queue(choice)
             return
@@ -560,8 +559,7 @@
         excluded = self._find_excluded(usable)
         if len(excluded) == len(usable):
             return None
-        choice = context.placement.choose(request, usable, excluded,
-                                          self._attribution.is_suspect)
+        choice = context.placement.choose(request, usable, excluded)
         if (isinstance(choice, placement_module.Choice) and
                 context.health.is_avoided(choice.endpoint.name)):
             return placement_limit.PlacementLimit.NO_ENDPOINT
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -84,11 +84,8 @@
         self._pools: dict[str, engine_pool.EnginePool] = {}
 
     def choose(
-            self,
-            request: service_request.ServiceRequest,
-            usable: _Endpoints,
-            tried: collections.abc.Set[str],
-            is_suspect: bool = False
+        self, request: service_request.ServiceRequest, usable: _Endpoints,
+        tried: collections.abc.Set[str]
     ) -> Choice | placement_limit.PlacementLimit:
         """Returns the best of the endpoints that were not tried before.
 
@@ -100,8 +97,6 @@
             request: The request.
             usable: Endpoints of its service that accept new requests.
             tried: Names of the endpoints that it was sent to before.
-            is_suspect: Whether it may crash the engine that runs it; it then
-                prefers engines with few other requests.
 
         Returns:
             The choice; the limit that keeps the request from being placed if
@@ -117,7 +112,7 @@
             return placement_limit.PlacementLimit.NO_ENDPOINT
         if not request.prompt.input_tokens:
             return self._choose_plain_endpoint(candidates)
-        return self._choose_engine(request, usable, candidates, is_suspect)
+        return self._choose_engine(request, usable, candidates)
 
     def find_long_prompt_engines(self, service: str,
                                  usable: _Endpoints) -> frozenset[str]:
@@ -168,13 +163,14 @@
 
     def _choose_engine(
             self, request: service_request.ServiceRequest, usable: _Endpoints,
-            candidates: _Endpoints,
-            is_suspect: bool) -> Choice | placement_limit.PlacementLimit:
+            candidates: _Endpoints) -> Choice | placement_limit.PlacementLimit:
         if self._settings.is_interactive(request):
             self._find_partition(request.service).record_inter_event_target(
                 request.inter_event_target)
         pool = self._find_pool(request.service, usable)
-        preferred = self._find_preferred_engine(request, pool)
+        is_long = self._settings.is_long(request)
+        preferred = pool.find_preferred_engine(
+            request.prompt.prefix_key or request.request_id, is_long)
         holders = self._prefix_caches.list_holders(request) | {preferred}
         parameters = self._find_service(request.service)
         costs = prompt_cost.PromptCost(
@@ -186,17 +182,14 @@
         best, least_cost = None, math.inf
         limits: collections.Counter[placement_limit.PlacementLimit] = (
             collections.Counter())
-        for each in pool.sample_engines(candidates, holders,
-                                        self._settings.is_long(request),
+        for each in pool.sample_engines(candidates, holders, is_long,
                                         self._settings.max_evaluated_engines,
                                         self._rng):
             cost = costs.find_cost(each)
             if isinstance(cost, placement_limit.PlacementLimit):
                 limits[cost] += 1
-                continue
-            cost += self._find_base_cost(each, is_suspect)
-            if cost < least_cost:
-                best, least_cost = each, cost
+            elif cost + self._find_base_cost(each) < least_cost:
+                best, least_cost = each, cost + self._find_base_cost(each)
         if best is None:
             return (limits.most_common(1)[0][0]
                     if limits else placement_limit.PlacementLimit.NO_ENDPOINT)
@@ -206,12 +199,6 @@
                       in holders, costs.find_added_load(best),
                       self._loads.find_load(best.name))
 
-    def _find_preferred_engine(self, request: service_request.ServiceRequest,
-                               pool: engine_pool.EnginePool) -> str:
-        return pool.find_preferred_engine(
-            request.prompt.prefix_key or request.request_id,
-            self._settings.is_long(request))
-
     def _find_cache_weight(self,
                            request: service_request.ServiceRequest) -> float:
         """Returns the weight of the delay that a cache miss causes for others.
@@ -222,14 +209,9 @@
         limit = request.first_byte_target * self._settings.affinity_targets
         return max(0.0, 1.0 - waited / limit) if limit else 0.0
 
-    def _find_base_cost(self,
-                        endpoint: endpoint_module.Endpoint,
-                        is_suspect: bool = False) -> float:
+    def _find_base_cost(self, endpoint: endpoint_module.Endpoint) -> float:
         cost = (self._health.find_failure_rate(endpoint.name) *
                 self._settings.failure_cost)
         if endpoint.zone != self._zone:
             cost += self._settings.zone_cost
-        if is_suspect:
-            cost += (self._settings.suspect_stream_cost *
-                     self._loads.find_load(endpoint.name).requests)
         return cost
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -55,9 +55,6 @@
             them is charged.
         failure_cost: Added cost of an endpoint whose recent responses all
             failed.
-        suspect_stream_cost: Added cost of a request that may crash its engine
-            for each other request there, whose response would be lost and has
-            to be generated again.
         min_slot_share: Share of an engine's slots that may be taken before it
             is given a request of the least urgent tier; the most urgent tier
             may take all. Values for tiers between them are interpolated, here
@@ -108,7 +105,6 @@
     queue_cost: float = 1.0
     zone_cost: float = 0.002
     failure_cost: float = 2.0
-    suspect_stream_cost: float = 0.5
     min_slot_share: float = 0.9
     max_queued_requests: int = 16
     max_prefill_tokens: int = 15_000
--- a/mustardwood/dispatch/prompt_part_crashes.py
+++ b/mustardwood/dispatch/prompt_part_crashes.py
@@ -39,12 +39,10 @@
 
 A VM that has started or was cut off thus blocks the same parts.
 """
-_REMOVAL_INTERVAL = datetime.timedelta(seconds=1)
-"""Interval at which old suspects are removed."""
 _MAX_REPORTED = 32
 """Maximum number of crashes, and of successes, in a report."""
 _MAX_SUSPECTS = 1024
-"""Maximum number of parts that are kept; they take about half a megabyte."""
+"""Maximum number of parts that are kept; they take five megabytes at most."""
 _MAX_CRASHES = 16
 """Maximum number of crashes that are kept of a part."""
 _MAX_PARTS = 64
@@ -112,8 +110,12 @@
 
     @property
     def engines(self) -> set[str]:
-        """Names of the engines that crashed after the response had begun."""
-        return {name for name, each in self.crashes.items() if each.has_begun}
+        """Names of the engines that crashed after the response had begun.
+
+        If there are none, those that crashed before.
+        """
+        begun = {name for name, each in self.crashes.items() if each.has_begun}
+        return begun or set(self.crashes)
 
     @property
     def last_crash_at(self) -> datetime.timedelta:
@@ -170,7 +172,6 @@
         self._recent_successes: dict[str, tuple[datetime.timedelta,
                                                 datetime.timedelta]] = {}
         self._evidence_reported_at = _NEVER
-        self._expired_removed_at = _NEVER
 
     def __len__(self) -> int:
         """Returns the number of parts that are suspected or blocked."""
@@ -227,19 +228,6 @@
         """Records a success that a peer has reported."""
         self._clear(success.part, self._clock.monotonic() - success.age)
 
-    def is_suspect(self, parts: tuple[str, ...]) -> bool:
-        """Returns whether a request may crash the engine that runs it.
-
-        Args:
-            parts: Names of the request's parts.
-        """
-        if not self._suspects:
-            return False
-        self._remove_expired()
-        return any(part in self._suspects and self._suspects[part].engines and
-                   not self._is_explained(part, parts, self._suspects)
-                   for part in parts)
-
     def find_blocked_part(self, parts: tuple[str, ...]) -> str:
         """Returns the part for which a request is refused; empty if none.
 
@@ -250,8 +238,7 @@
             return ""
         self._end_blocks()
         for part in parts:
-            if part in self._blocked and not self._is_explained(
-                    part, parts, self._blocked):
+            if part in self._blocked and not self._is_explained(part, parts):
                 return part
         return ""
 
@@ -287,25 +274,23 @@
             for engine, crash in self._suspects[part].crashes.items()
         ]
 
-    def _is_explained(self, part: str, parts: tuple[str, ...],
-                      others: collections.abc.Iterable[str]) -> bool:
-        """Returns whether another part may have caused all crashes of a part.
+    def _is_explained(self, part: str, parts: tuple[str, ...]) -> bool:
+        """Returns whether a blocked part that a request lacks was there too.
 
-        Args:
-            part: The part.
-            parts: Parts of the request, among which the other part is not.
-            others: Names of parts that may be the other part.
+        It must have been there at all crashes of the given part.
         """
         engines = self._suspects[part].engines
         return any(
             other not in parts and self._suspects[other].engines >= engines
-            for other in others)
+            for other in self._blocked)
 
     def _add_crash(self, part: str, engine: str, crash: _Crash) -> None:
         if crash.at <= self._cleared_at.get(part, _NEVER):
             return
-        self._remove_expired()
-        suspect = self._suspects.setdefault(part, _Suspect())
+        now = self._clock.monotonic()
+        suspect = self._suspects.get(part)
+        if suspect is None or _is_expired(suspect, now):
+            suspect = self._suspects[part] = _Suspect()
         self._suspects.move_to_end(part)
         known = suspect.crashes.get(engine)
         if known is not None and (known.has_begun or not crash.has_begun):
@@ -365,16 +350,6 @@
             if self._suspects[part].blocked_until <= now
         }
 
-    def _remove_expired(self) -> None:
-        """Removes parts whose crashes and block are old."""
-        now = self._clock.monotonic()
-        if now - self._expired_removed_at < _REMOVAL_INTERVAL:
-            return
-        self._expired_removed_at = now
-        for part, suspect in list(self._suspects.items()):
-            if _is_expired(suspect, now):
-                self._forget(part)
-
     def _forget(self, part: str) -> None:
         self._suspects.pop(part, None)
         self._blocked.discard(part)
--- a/mustardwood/dispatch/tests/test_crashing_prompt_parts.py
+++ b/mustardwood/dispatch/tests/test_crashing_prompt_parts.py
@@ -99,21 +99,6 @@
     assert not _crash(harness, "common", "subject", "bad")[1]
 
 
-def test_requests_with_a_suspect_part_run_beside_few_others():
-    """Their engine may crash and end all streams that run there."""
-    harness = harness_module.Harness(endpoints=2)
-    _crash(harness, "common", "bad")
-    busy = dispatch.EndpointLoad(requests=9)
-    harness.loads.add("endpoint-0", busy)
-    harness.prefix_caches.record_prefix("endpoint-0", "bad")
-    _, attempt = _send(harness, _make_request(harness, "common", "bad"))
-    assert attempt.endpoint.name == "endpoint-1"
-    attempt.respond(body=b"id: 1\ndata: a\n\n")
-    harness.prefix_caches.forget_endpoint("endpoint-1")
-    _, attempt = _send(harness, _make_request(harness, "common", "bad"))
-    assert attempt.endpoint.name == "endpoint-0"
-
-
 def test_blocked_request_is_refused_at_once_and_not_to_be_repeated():
     harness = harness_module.Harness(endpoints=12)
     for _ in range(8):
--- a/mustardwood/dispatch/tests/test_prompt_part_crashes.py
+++ b/mustardwood/dispatch/tests/test_prompt_part_crashes.py
@@ -81,27 +81,13 @@
     assert record.blocks("waiting")
 
 
-def test_part_is_suspect_until_it_succeeds_or_its_crash_is_old():
+def test_unrelated_part_does_not_explain_crashes_without_a_response():
     record = _Record()
-    record.crash("waiting", has_begun=False)
-    record.crash("cleared")
-    record.crash("old")
-    record.succeed("cleared")
-    assert not record.crashes.is_suspect(("waiting", "cleared", "unknown"))
-    assert record.crashes.is_suspect(("unknown", "old"))
-    record.clock.advance(ms(60_000))
-    assert not record.crashes.is_suspect(("old",))
-    assert len(record.crashes) == 0
-
-
-def test_request_without_one_of_the_suspect_parts_is_not_suspect():
-    record = _Record()
-    record.crash("common", "subject", "bad")
-    assert record.crashes.is_suspect(("common", "subject", "bad"))
-    assert not record.crashes.is_suspect(("common", "subject"))
-    record.crash("common", "subject")
-    assert record.crashes.is_suspect(("common", "subject"))
-    assert not record.crashes.is_suspect(("common", "bad"))
+    for _ in range(6):
+        record.crash("headless", has_begun=False)
+        record.crash("other")
+    assert record.blocks("headless")
+    assert record.blocks("other")
 
 
 def test_simultaneous_crashes_count_once():
