--- a/mustardwood/dispatch/prompt_part_crashes.py
+++ b/mustardwood/dispatch/prompt_part_crashes.py
@@ -50,8 +50,6 @@
 _MAX_NAME_LENGTH = 40
 """Maximum length of a part's name; a longer one is replaced by a digest."""
 _DIGEST_BYTES = 16
-_MILLISECOND = datetime.timedelta(milliseconds=1)
-
 _NEVER = -datetime.timedelta(days=10_000)
 """Monotonic time before any other."""
 
