Add a failing test of tiers that share an engine's priority

With more tiers than engines have priorities, the two most urgent tiers get the same one, so that an engine preempts the newest of both, whichever is more urgent.

--- a/mustardwood/platform/tests/test_request_priority.py
+++ b/mustardwood/platform/tests/test_request_priority.py
@@ -86,6 +86,18 @@
     assert set(priorities) == set(range(10))
 
 
+def test_most_urgent_tiers_never_share_an_engine_priority():
+    """Engines preempt the newest of the requests that they take for equals."""
+    table = _make_table(range(4), range(3))
+    priorities = [
+        _find_engine_priority(table, organisation, route)
+        for organisation in range(4)
+        for route in range(3)
+    ]
+    assert priorities[:10] == list(range(10))
+    assert set(priorities[10:]) == {9}
+
+
 def test_organisation_without_priority_has_that_of_the_route():
     table = _make_table((None, 1), (0, 2))
     assert [
