Let only the least urgent tiers share an engine's priority

Callers of the most urgent organisations could have their requests preempted while less urgent ones ran on: with more than ten tiers, neighbouring ones shared a priority, the two most urgent ones first, and an engine preempts the newest of those that it takes for equals. With twelve tiers, priority 0 and 5 had two tiers each.

The ten most urgent tiers now have a priority each, and the others share the last one. The request line also has the number of tiers, which shows whether any are shared.

--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -117,6 +117,7 @@
             resumes=request.resumed_request_id,
             last_event_id=request.last_event_id,
             tier=request.tier,
+            tier_count=request.tier_count,
             route_tier=request.route_tier,
             organisation_tier=request.organisation_tier,
             outcome=outcome,
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -60,12 +60,10 @@
 def _find_engine_priority(request: dispatch.ServiceRequest) -> int:
     """Returns the priority of a request on an engine.
 
-    If there are more tiers than priorities, neighbouring tiers share one.
+    If there are more tiers than priorities, the least urgent ones share the
+    last priority. An engine can't tell these apart when it preempts a request.
     """
-    priority = request.tier
-    if request.tier_count > _PRIORITY_COUNT:
-        priority = request.tier * _PRIORITY_COUNT // request.tier_count
-    return max(0, min(priority, _PRIORITY_COUNT - 1))
+    return max(0, min(request.tier, _PRIORITY_COUNT - 1))
 
 
 class _ResponseDecoder:
