Count every connection lost under a request as a crash

Cause: the record of crashing requests counted only connections lost before the head of a response. Requests that crash an engine as it begins to write, or while it writes, never counted. Blocks of prompt parts, added since, caught those before the first event, late and only where the prompt had shared parts. Crashes were also counted by the name of an engine, under which it may start again; and a block that had ended took three more crashes to return, at each VM that had started since.

Now every connection that an endpoint loses under a request counts, by its name and the time of its start. A block that has ended returns with the next crash, for twice as long, and VMs report the time that is left of their blocks. The request line has the request's fingerprint and which attempts count, and a line names each block.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -5,6 +5,7 @@
 through the protocols that `ForwardingContext` holds.
 """
 
+from mustardwood.dispatch.crash_record import CrashBlock
 from mustardwood.dispatch.crash_record import CrashRecord
 from mustardwood.dispatch.endpoint import Endpoint
 from mustardwood.dispatch.endpoint_directory import EndpointDirectory
@@ -53,6 +54,7 @@
     "Attempt",
     "AttemptListener",
     "Caller",
+    "CrashBlock",
     "CrashRecord",
     "Endpoint",
     "EndpointDirectory",
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -26,6 +26,8 @@
         has_survived: Whether its endpoint has written for so long that the
             request does not crash it.
         was_cut_off: Whether the router has closed its connection.
+        counts_as_crash: Whether its endpoint may have crashed under the
+            request.
         has_sent_events: Whether the caller got events of its stream.
         partial_event_bytes: Number of bytes after the last complete event at
             the end of its stream.
@@ -49,6 +51,7 @@
         self.first_data_at: datetime.timedelta | None = None
         self.has_survived = False
         self.was_cut_off = False
+        self.counts_as_crash = False
         self.has_sent_events = False
         self.partial_event_bytes = 0
         self.is_truncated = False
--- a/mustardwood/dispatch/crash_attribution.py
+++ b/mustardwood/dispatch/crash_attribution.py
@@ -30,6 +30,11 @@
         self._fingerprint = crash_record.find_fingerprint(request)
         self._parts = prompt_part_crashes.find_parts(request)
 
+    @property
+    def fingerprint(self) -> str:
+        """Digest that stays the same when a caller retries the request."""
+        return self._fingerprint
+
     def find_refusal(self) -> refusal.Refusal | None:
         """Returns the refusal of a request that crashes endpoints, else None.
         """
@@ -44,9 +49,9 @@
         if attempt.was_cut_off or (attempt.handle is not None and
                                    attempt.handle.is_response_invalid):
             return
-        if not attempt.status:
-            self._context.crashes.record_crash(self._fingerprint,
-                                               attempt.endpoint)
+        attempt.counts_as_crash = True
+        self._context.crashes.record_crash(self._fingerprint,
+                                           attempt.incarnation)
         has_written = (attempt.has_sent_events if self._request.is_stream else
                        attempt.has_received_data)
         if not has_written and (not attempt.status or attempt.is_success):
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -92,7 +92,8 @@
         self._queue_timer: forwarding_context.Timer | None = None
         self._lookup: version_lookup.VersionLookup | None = None
         self._is_queued = False
-        self._record = request_record.RequestRecord(request, context)
+        self._record = request_record.RequestRecord(
+            request, context, self._attribution.fingerprint)
 
     @property
     def is_done(self) -> bool:
@@ -207,6 +208,8 @@
                         was_sent: bool, reason: str) -> None:
         """Handles the failure of an open attempt without a whole response."""
         is_silent_attempt = attempt is self._silent_attempt
+        if was_sent:
+            self._attribution.record_loss(attempt)
         self._end_attempt(attempt, reason)
         if not was_sent:
             self._context.health.record_unreachable(attempt.endpoint)
@@ -216,7 +219,6 @@
                 self._retry_unsent(reason)
             return
         self._context.health.record_failure(attempt.endpoint)
-        self._attribution.record_loss(attempt)
         if is_silent_attempt:
             return
         self._runs += 1
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -27,8 +27,10 @@
     """Collects the decisions about a request and logs them at its end."""
 
     def __init__(self, request: service_request.ServiceRequest,
-                 context: forwarding_context.ForwardingContext) -> None:
+                 context: forwarding_context.ForwardingContext,
+                 fingerprint: str) -> None:
         self._request = request
+        self._fingerprint = fingerprint
         self._context = context
         self._first_byte_at: datetime.timedelta | None = None
         self._last_events_at: datetime.timedelta | None = None
@@ -91,6 +93,7 @@
             "status": attempt.status,
             "close_delimited": attempt.is_close_delimited,
             "partial_event_bytes": attempt.partial_event_bytes,
+            "counts_as_crash": attempt.counts_as_crash,
             "end": end,
         })
 
@@ -112,6 +115,7 @@
         self._context.journal.write(
             "request",
             request_id=request.request_id,
+            fingerprint=self._fingerprint,
             route=request.route,
             organisation=request.organisation,
             resumes=request.resumed_request_id,
--- a/mustardwood/dispatch/tests/test_crash_record.py
+++ b/mustardwood/dispatch/tests/test_crash_record.py
@@ -205,21 +205,28 @@
     harness = harness_module.Harness(endpoints=9)
     for index in range(3):
         _lose(harness, f"id-{index}", "after events")
+    harness.scheduler.advance(ms(50_000))
     started = harness_module.Harness(endpoints=9)
-    for _ in range(10):
-        harness.scheduler.advance(ms(500))
-        for fingerprint, endpoint in harness.crashes.list_recent_crashes():
-            started.crashes.record_peer_crash(fingerprint, endpoint)
+    for block in harness.crashes.list_blocks():
+        started.crashes.record_peer_block(block)
     assert not _lose(started, "id-9", "after events")[1]
+    started.scheduler.advance(ms(11_000))
+    assert _lose(started, "id-10", "after events")[1]
+    assert not _lose(started, "id-11", "after events")[1]
 
 
-def test_repeated_reports_of_a_crash_do_not_prolong_a_block():
+def test_reports_of_a_block_do_not_prolong_it():
+    """Two VMs tell each other of the same block again and again."""
     harness = harness_module.Harness(endpoints=9)
     for index in range(3):
         _lose(harness, f"id-{index}", "after events")
-    crashes = harness.crashes.list_recent_crashes()
-    for _ in range(130):
+    other = harness_module.Harness(endpoints=9)
+    for _ in range(61):
+        for sender, receiver in ((harness, other), (other, harness)):
+            for block in sender.crashes.list_blocks():
+                receiver.crashes.record_peer_block(block)
         harness.scheduler.advance(ms(1000))
-        for fingerprint, endpoint in crashes:
-            harness.crashes.record_peer_crash(fingerprint, endpoint)
-    assert _lose(harness, "id-9", "after events")[1]
+        other.scheduler.advance(ms(1000))
+    for each in (harness, other):
+        assert each.crashes.blocked_count == 0
+        assert _lose(each, "id-9", "after events")[1]
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -179,7 +179,9 @@
             self._crashes.list_recent_crashes(),
             [(each.part, each.engine, each.has_begun, each.age // _MILLISECOND)
              for each in crashes],
-            [(each.part, each.age // _MILLISECOND) for each in successes])
+            [(each.part, each.age // _MILLISECOND) for each in successes],
+            [(each.fingerprint, each.time_left // _MILLISECOND, each.count)
+             for each in self._crashes.list_blocks()])
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
@@ -235,6 +237,10 @@
             self._prefix_caches.record_prefix(endpoint, prefix_key)
         for fingerprint, endpoint in report.losses:
             self._crashes.record_peer_crash(fingerprint, endpoint)
+        for fingerprint, time_left_ms, count in report.request_blocks:
+            self._crashes.record_peer_block(
+                dispatch.CrashBlock(fingerprint, time_left_ms * _MILLISECOND,
+                                    count))
         for part, engine, has_begun, age_ms in report.part_crashes:
             self._part_crashes.record_peer_crash(
                 dispatch.PartCrash(part, engine, has_begun,
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -11,6 +11,9 @@
 _Milliseconds = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 """A time span; the limit, twelve days, keeps calculations with it safe."""
 
+_BlockCount = typing.Annotated[int, msgspec.Meta(ge=1, le=1000)]
+"""A number of blocks of one request, of which the durations are doubled."""
+
 
 class ConfigurationPosition(typing.NamedTuple):
     """Position of a configuration; the greater one is the newer.
@@ -43,6 +46,9 @@
             start, whether its response had begun, and milliseconds since.
         part_successes: Parts with which engines wrote and did not crash, and
             the milliseconds since they began to write.
+        request_blocks: For each request that is blocked because it crashes
+            endpoints: its fingerprint, the milliseconds until the end of the
+            block and the number of its blocks.
     """
 
     loads: dict[str, LoadFigures]
@@ -50,6 +56,7 @@
     losses: list[tuple[str, str]] = []
     part_crashes: list[tuple[str, str, bool, _Milliseconds]] = []
     part_successes: list[tuple[str, _Milliseconds]] = []
+    request_blocks: list[tuple[str, _Milliseconds, _BlockCount]] = []
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -72,7 +72,11 @@
         self._directory = dispatch.EndpointDirectory(self._clock)
         self._health = dispatch.EndpointHealth(self._clock)
         self._prefix_caches = dispatch.PrefixCacheIndex(self._clock)
-        self._crashes = dispatch.CrashRecord(self._clock)
+        self._crashes = dispatch.CrashRecord(
+            self._clock, lambda fingerprint, duration: self._journal.write(
+                "request_blocked",
+                fingerprint=fingerprint,
+                for_s=duration.total_seconds()))
         self._part_crashes = dispatch.PromptPartCrashes(
             self._clock, self._rng, lambda part, change: self._journal.write(
                 "prompt_part", part=part, change=change))
@@ -257,6 +261,9 @@
              self._get_configuration_version),
             ("mustardwood_peers", "Peers whose loads count.",
              lambda: float(self._loads.count_peers())),
+            ("mustardwood_blocked_requests",
+             "Requests that are refused because they crash endpoints.",
+             lambda: float(self._crashes.blocked_count)),
             ("mustardwood_blocked_prompt_parts",
              "Parts of prompts that are refused because they crash engines.",
              lambda: float(self._part_crashes.blocked_count)),
