--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -269,12 +269,14 @@
         received_headers: Headers of the requests received so far.
         arrivals: Monotonic times at which requests arrived, by attempt id.
         padding: Bytes that follow the text of each response.
+        rate_limit: Value of the header with its rate limit; None for none.
     """
 
     def __init__(self):
         self.received_headers = []
         self.arrivals = {}
         self.padding = b""
+        self.rate_limit = None
         endpoint = self
 
         class Handler(_Handler):
@@ -288,6 +290,8 @@
                 endpoint.arrivals[attempt_id] = time.monotonic()
                 headers = [("Mustardwood-Attempt-Id", attempt_id),
                            ("Mustardwood-Replica-Signature", "signed")]
+                if endpoint.rate_limit is not None:
+                    headers.append(("Server-Limit", endpoint.rate_limit))
                 if self.path.startswith("/stream/"):
                     self._send_events(headers)
                     return
