Keep all VMs together within the rate limits that endpoints state

An endpoint in need that stated how many requests a second it accepts went on to get as many as before: nothing read the statement.

EndpointRateLimits divides a limit among as many VMs as it has requests per second, chosen alike by all VMs through rendezvous hashing, each with a token bucket that is empty at first. Placement leaves out endpoints without a token, and every send takes one. VMs report statements with their age, and the newest wins. A limit of 0 lets one request through in 10 s, whose response shows whether it still holds.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -39,6 +39,7 @@
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
         service = dispatch.ServiceParameters(SERVICE, parameters.memory_tokens,
                                              parameters.event_tokens)
+        rate_limits = dispatch.EndpointRateLimits(name, scheduler, lambda: ())
         self.context = dispatch.ForwardingContext(
             clock=scheduler,
             scheduler=scheduler,
@@ -50,8 +51,9 @@
             prefix_caches=prefix_index,
             crashes=dispatch.CrashRecord(scheduler),
             part_crashes=dispatch.PromptPartCrashes(scheduler, rng),
+            rate_limits=rate_limits,
             placement=dispatch.Placement("zone", scheduler, loads, health,
-                                         prefix_index, settings,
+                                         prefix_index, rate_limits, settings,
                                          lambda _: service, rng),
             retry_budgets=dispatch.ServiceRetryBudgets(rng, _RETRY_RATIO,
                                                        _RETRY_BURST,
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -11,6 +11,8 @@
 from mustardwood.dispatch.endpoint_directory import EndpointDirectory
 from mustardwood.dispatch.endpoint_health import EndpointHealth
 from mustardwood.dispatch.endpoint_load import EndpointLoad
+from mustardwood.dispatch.endpoint_rate_limits import EndpointRateLimits
+from mustardwood.dispatch.endpoint_rate_limits import RateReport
 from mustardwood.dispatch.engine_partition import EnginePartition
 from mustardwood.dispatch.event_splitter import EventSplitter
 from mustardwood.dispatch.forwarding import Forwarding
@@ -37,6 +39,7 @@
 from mustardwood.dispatch.prompt_part_crashes import PartCrash
 from mustardwood.dispatch.prompt_part_crashes import PartSuccess
 from mustardwood.dispatch.prompt_part_crashes import PromptPartCrashes
+from mustardwood.dispatch.rate_statement import RateStatement
 from mustardwood.dispatch.refusal import Refusal
 from mustardwood.dispatch.retry_after_policy import RetryAfterPolicy
 from mustardwood.dispatch.retry_budget import RetryBudget
@@ -60,6 +63,7 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoad",
+    "EndpointRateLimits",
     "EnginePartition",
     "EventSplitter",
     "Forwarding",
@@ -80,6 +84,8 @@
     "Prompt",
     "PromptPart",
     "PromptPartCrashes",
+    "RateReport",
+    "RateStatement",
     "Refusal",
     "RetryAfterPolicy",
     "RetryBudget",
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -65,11 +65,8 @@
 
     @property
     def incarnation(self) -> str:
-        """Name of the endpoint with the time of its last start.
-
-        An endpoint may start again under the name that it had.
-        """
-        return f"{self.endpoint}/{self.choice.endpoint.started}"
+        """Name of the endpoint with the time of its last start."""
+        return self.choice.endpoint.incarnation
 
     @property
     def has_received_data(self) -> bool:
--- a/mustardwood/dispatch/endpoint.py
+++ b/mustardwood/dispatch/endpoint.py
@@ -28,3 +28,11 @@
     is_leaving: bool = False
     started: int = 0
     version: str = ""
+
+    @property
+    def incarnation(self) -> str:
+        """Name with the time of the last start.
+
+        An endpoint may start again under the name that it had.
+        """
+        return f"{self.name}/{self.started}"
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -12,6 +12,7 @@
 from mustardwood.dispatch import forwarding_context
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import placement_limit
+from mustardwood.dispatch import rate_statement as rate_statement_module
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import request_record
 from mustardwood.dispatch import retry_policy
@@ -149,6 +150,18 @@
             attempt.handle.resume()
             self._start_stall_timer()
 
+    def record_rate(
+            self, attempt: attempt_record.AttemptRecord,
+            rate_statement: rate_statement_module.RateStatement) -> None:
+        """Records what a response states of its endpoint's rate limit.
+
+        A misdirected request was answered by another endpoint.
+        """
+        if attempt.status != http.HTTPStatus.MISDIRECTED_REQUEST:
+            self._context.rate_limits.record_response(attempt.choice.endpoint,
+                                                      rate_statement,
+                                                      attempt.is_verified)
+
     def receive_data(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
         """Handles a part of the response's body of an open attempt."""
@@ -289,6 +302,7 @@
         self._attempt = attempt
         self._sends += 1
         self._tried_endpoints.add(attempt.endpoint)
+        context.rate_limits.record_send(choice.endpoint)
         context.loads.add(attempt.endpoint, attempt.load)
         context.prefix_caches.record_request(attempt.endpoint, request,
                                              choice.is_preferred)
@@ -310,6 +324,11 @@
         if len(self._find_excluded(usable)) == len(usable):
             self._give_up("no endpoint left", None)
             return
+        if (limit is placement_limit.PlacementLimit.RATE and
+                not self._is_head_sent and
+                not context.rate_limits.has_share(usable)):
+            self._give_up("no share of a rate limit", None)
+            return
         if not self._is_queued:
             if not self._is_head_sent:
                 self._queue_timer = context.scheduler.call_later(
@@ -708,14 +727,22 @@
         self._forwarding = forwarding
         self._attempt = attempt
 
-    def receive_head(self, status: int, headers: forwarding_context.Headers,
-                     is_verified: bool, was_not_run: bool) -> None:
+    def receive_head(
+        self,
+        status: int,
+        headers: forwarding_context.Headers,
+        is_verified: bool,
+        was_not_run: bool,
+        rate_statement: rate_statement_module.
+        RateStatement = rate_statement_module.RateStatement()
+    ) -> None:
         """See `forwarding_context.AttemptListener`."""
         attempt = self._attempt
         attempt.status = status
         attempt.headers = headers
         attempt.is_verified = is_verified
         attempt.was_not_run = was_not_run
+        self._forwarding.record_rate(attempt, rate_statement)
 
     def receive_data(self, data: bytes) -> None:
         """See `forwarding_context.AttemptListener`."""
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -10,10 +10,12 @@
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_directory
 from mustardwood.dispatch import endpoint_health
+from mustardwood.dispatch import endpoint_rate_limits
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import prefix_cache_index
 from mustardwood.dispatch import prompt_part_crashes
+from mustardwood.dispatch import rate_statement as rate_statement_module
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
@@ -79,8 +81,15 @@
 class AttemptListener(typing.Protocol):
     """Receives the response to an attempt, or its failure."""
 
-    def receive_head(self, status: int, headers: Headers, is_verified: bool,
-                     was_not_run: bool) -> None:
+    def receive_head(
+        self,
+        status: int,
+        headers: Headers,
+        is_verified: bool,
+        was_not_run: bool,
+        rate_statement: rate_statement_module.
+        RateStatement = rate_statement_module.RateStatement()
+    ) -> None:
         """Receives the head of a response.
 
         Args:
@@ -89,6 +98,7 @@
             is_verified: Whether the response carries the endpoint's signature.
             was_not_run: Whether the endpoint states that it did not run the
                 request.
+            rate_statement: What it states of the endpoint's rate limit.
         """
 
     def receive_data(self, data: bytes) -> None:
@@ -224,6 +234,7 @@
     prefix_caches: prefix_cache_index.PrefixCacheIndex
     crashes: crash_record.CrashRecord
     part_crashes: prompt_part_crashes.PromptPartCrashes
+    rate_limits: endpoint_rate_limits.EndpointRateLimits
     placement: placement_module.Placement
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
     retry_after: retry_after_policy.RetryAfterPolicy
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -10,6 +10,7 @@
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import endpoint_rate_limits
 from mustardwood.dispatch import engine_partition
 from mustardwood.dispatch import engine_pool
 from mustardwood.dispatch import load_table
@@ -68,6 +69,7 @@
                  loads: load_table.LoadTable,
                  health: endpoint_health.EndpointHealth,
                  prefix_caches: prefix_cache_index.PrefixCacheIndex,
+                 rate_limits: endpoint_rate_limits.EndpointRateLimits,
                  settings: placement_settings.PlacementSettings,
                  find_service: collections.abc.Callable[
                      [str], service_parameters.ServiceParameters],
@@ -77,6 +79,7 @@
         self._loads = loads
         self._health = health
         self._prefix_caches = prefix_caches
+        self._rate_limits = rate_limits
         self._partitions: dict[str, engine_partition.EnginePartition] = {}
         self._settings = settings
         self._find_service = find_service
@@ -104,12 +107,15 @@
         """
         untried = ([each for each in usable if each.name not in tried]
                    if tried else usable)
-        avoided = self._health.list_avoided()
-        reachable = ([each for each in untried if each.name not in avoided]
-                     if avoided else untried)
-        candidates = reachable or untried
-        if not candidates:
+        if not untried:
             return placement_limit.PlacementLimit.NO_ENDPOINT
+        allowed = self._rate_limits.list_allowed(untried, request.tier)
+        if not allowed:
+            return placement_limit.PlacementLimit.RATE
+        avoided = self._health.list_avoided()
+        reachable = ([each for each in allowed if each.name not in avoided]
+                     if avoided else allowed)
+        candidates = reachable or allowed
         if not request.prompt.input_tokens:
             return self._choose_plain_endpoint(candidates)
         return self._choose_engine(request, usable, candidates)
--- a/mustardwood/dispatch/placement_limit.py
+++ b/mustardwood/dispatch/placement_limit.py
@@ -10,6 +10,8 @@
         SLOTS: The engine has as many requests as it may have.
         MEMORY: The engine's KV cache has no room for the request.
         PREFILL: The engine has as many prompt tokens to prefill as it may have.
+        RATE: The endpoint's rate limit is used up, or a more urgent request
+            waits for it.
         RESERVED: The engine is reserved for interactive streams.
         NO_ENDPOINT: There is no endpoint that was not tried before.
     """
@@ -17,5 +19,6 @@
     SLOTS = "slots"
     MEMORY = "memory"
     PREFILL = "prefill"
+    RATE = "rate"
     RESERVED = "reserved"
     NO_ENDPOINT = "no endpoint"
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -88,10 +88,14 @@
             self.listener.receive_data(body)
         self.listener.receive_end()
 
-    def begin(self, status=200, verified=True, not_run=False):
+    def begin(self,
+              status=200,
+              verified=True,
+              not_run=False,
+              rate=dispatch.RateStatement()):
         """Delivers the head of a response."""
         self.listener.receive_head(status, [(b"X-From", b"endpoint")], verified,
-                                   not_run)
+                                   not_run, rate)
 
 
 class FakeClient:
@@ -221,10 +225,13 @@
         self.part_crashes = dispatch.PromptPartCrashes(self.clock,
                                                        random.Random(4))
         self.streams = dispatch.StreamVersionTable(self.clock)
+        self.vms = ["vm-1"]
+        self.rate_limits = dispatch.EndpointRateLimits("vm-1", self.clock,
+                                                       lambda: self.vms)
         self.settings = dispatch.PlacementSettings()
         self.placement = dispatch.Placement(
             "zone-a", self.clock, self.loads, self.health, self.prefix_caches,
-            self.settings,
+            self.rate_limits, self.settings,
             lambda name: dispatch.ServiceParameters(name, memory_tokens, 6),
             random.Random(3))
         self.context = dispatch.ForwardingContext(
@@ -238,6 +245,7 @@
             prefix_caches=self.prefix_caches,
             crashes=self.crashes,
             part_crashes=self.part_crashes,
+            rate_limits=self.rate_limits,
             placement=self.placement,
             retry_budgets=dispatch.ServiceRetryBudgets(random.Random(1), 0.2,
                                                        retry_burst, lambda: 1),
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -57,7 +57,8 @@
                  crashes: dispatch.CrashRecord,
                  part_crashes: dispatch.PromptPartCrashes,
                  proof: dispatch.FreshnessProof, rng: random.Random,
-                 streams: dispatch.StreamVersionTable) -> None:
+                 streams: dispatch.StreamVersionTable,
+                 rate_limits: dispatch.EndpointRateLimits) -> None:
         """Creates a protocol without peers.
 
         Args:
@@ -72,6 +73,7 @@
                 peer's echo of a message from before a restart matches no
                 message of this process.
             streams: Records which software versions began streams.
+            rate_limits: Records the rate limits that endpoints state.
         """
         self._vm = vm
         self._clock = clock
@@ -81,6 +83,7 @@
         self._part_crashes = part_crashes
         self._proof = proof
         self._streams = streams
+        self._rate_limits = rate_limits
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
 
@@ -181,7 +184,9 @@
              for each in crashes],
             [(each.part, each.age // _MILLISECOND) for each in successes],
             [(each.fingerprint, each.time_left // _MILLISECOND, each.count)
-             for each in self._crashes.list_blocks()])
+             for each in self._crashes.list_blocks()],
+            [(each.endpoint, each.limit, each.age // _MILLISECOND)
+             for each in self._rate_limits.list_reports()])
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
@@ -241,6 +246,10 @@
             self._crashes.record_peer_block(
                 dispatch.CrashBlock(fingerprint, time_left_ms * _MILLISECOND,
                                     count))
+        for endpoint, limit, age_ms in report.rate_limits:
+            self._rate_limits.record_peer_report(
+                sender,
+                dispatch.RateReport(endpoint, limit, age_ms * _MILLISECOND))
         for part, engine, has_begun, age_ms in report.part_crashes:
             self._part_crashes.record_peer_crash(
                 dispatch.PartCrash(part, engine, has_begun,
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -14,6 +14,9 @@
 _BlockCount = typing.Annotated[int, msgspec.Meta(ge=1, le=1000)]
 """A number of blocks of one request, of which the durations are doubled."""
 
+_RateLimit = typing.Annotated[float, msgspec.Meta(ge=0, le=1e15)]
+"""A number of requests a second."""
+
 
 class ConfigurationPosition(typing.NamedTuple):
     """Position of a configuration; the greater one is the newer.
@@ -49,6 +52,9 @@
         request_blocks: For each request that is blocked because it crashes
             endpoints: its fingerprint, the milliseconds until the end of the
             block and the number of its blocks.
+        rate_limits: For each endpoint that states a rate limit, or has stated
+            one: its name with the time of its start, the limit in requests a
+            second, if any, and milliseconds since the statement.
     """
 
     loads: dict[str, LoadFigures]
@@ -57,6 +63,7 @@
     part_crashes: list[tuple[str, str, bool, _Milliseconds]] = []
     part_successes: list[tuple[str, _Milliseconds]] = []
     request_blocks: list[tuple[str, _Milliseconds, _BlockCount]] = []
+    rate_limits: list[tuple[str, _RateLimit | None, _Milliseconds]] = []
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -36,10 +36,13 @@
         self.part_crashes = dispatch.PromptPartCrashes(self.clock,
                                                        random.Random(name))
         self.streams = dispatch.StreamVersionTable(self.clock)
+        self.rate_limits = dispatch.EndpointRateLimits(name, self.clock, lambda:
+                                                       ())
         self.protocol = peers.PeerProtocol(name, self.clock, self.loads,
                                            self.prefix_caches, self.crashes,
                                            self.part_crashes, self.proof,
-                                           random.Random(seed), self.streams)
+                                           random.Random(seed), self.streams,
+                                           self.rate_limits)
         self.configuration = peers.ConfigurationPosition(7, 0, 10)
 
     def build_update(self, other):
@@ -350,3 +353,38 @@
     update[5] = [{}, [], [], news]
     assert vm.receive(msgspec.msgpack.encode(update)) is None
     assert len(vm.part_crashes) == 0
+
+
+def test_blocked_requests_are_reported_with_the_time_that_is_left():
+    sender, receiver = _Vm("a"), _Vm("b")
+    for number in range(3):
+        sender.crashes.record_crash("poison", f"engine-{number}/1")
+    sender.clock.advance(datetime.timedelta(seconds=50))
+    receiver.receive(sender.build_update(receiver))
+    assert receiver.crashes.is_blocked("poison")
+    receiver.clock.advance(datetime.timedelta(seconds=11))
+    assert not receiver.crashes.is_blocked("poison")
+
+
+def test_rate_limits_and_their_ends_are_reported_to_peers():
+    sender, receiver = _Vm("a"), _Vm("b")
+    endpoint = dispatch.Endpoint("engine", "service", "192.0.2.1", 80, "zone",
+                                 8)
+    for limit in (2.5, None):
+        sender.clock.advance(datetime.timedelta(seconds=3))
+        sender.rate_limits.record_response(endpoint,
+                                           dispatch.RateStatement(limit), True)
+        receiver.clock.advance(datetime.timedelta(seconds=3))
+        receiver.receive(sender.build_update(receiver))
+        assert receiver.rate_limits.find_limit(endpoint) == limit
+
+
+@pytest.mark.parametrize("limit", [-1.0, float("nan"), float("inf"), 1e300])
+def test_report_with_an_impossible_rate_limit_is_ignored(limit):
+    sender, receiver = _Vm("a"), _Vm("b")
+    endpoint = dispatch.Endpoint("engine", "service", "192.0.2.1", 80, "zone",
+                                 8)
+    sender.rate_limits.record_response(endpoint, dispatch.RateStatement(limit),
+                                       True)
+    receiver.receive(sender.build_update(receiver))
+    assert receiver.rate_limits.find_limit(endpoint) is None
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -80,6 +80,10 @@
         self._part_crashes = dispatch.PromptPartCrashes(
             self._clock, self._rng, lambda part, change: self._journal.write(
                 "prompt_part", part=part, change=change))
+        self._rate_limits = dispatch.EndpointRateLimits(
+            self._settings.vm, self._clock, lambda: self._peers.peer_names,
+            self._log_rate_limit, lambda endpoint, problem: self._journal.write(
+                "rate_limit_rejected", endpoint=endpoint, error=problem))
         self._streams = dispatch.StreamVersionTable(self._clock)
         pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
         client = store_client.StoreClient(
@@ -99,8 +103,8 @@
             peers.PeerProtocol(self._settings.vm, self._clock, self._loads,
                                self._prefix_caches, self._crashes,
                                self._part_crashes, self._proof, self._rng,
-                               self._streams), self._loads, self._clock,
-            self._scheduler, pool, self._watcher, self._journal,
+                               self._streams, self._rate_limits), self._loads,
+            self._clock, self._scheduler, pool, self._watcher, self._journal,
             self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
@@ -187,9 +191,10 @@
             prefix_caches=self._prefix_caches,
             crashes=self._crashes,
             part_crashes=self._part_crashes,
+            rate_limits=self._rate_limits,
             placement=dispatch.Placement(self._settings.zone, self._clock,
                                          self._loads, self._health,
-                                         self._prefix_caches,
+                                         self._prefix_caches, self._rate_limits,
                                          dispatch.PlacementSettings(),
                                          self._find_service, self._rng),
             retry_budgets=dispatch.ServiceRetryBudgets(
@@ -207,6 +212,14 @@
             return dispatch.ServiceParameters(name)
         return configuration.table.find_service(name)
 
+    def _log_rate_limit(self, endpoint: str, limit: float | None, source: str,
+                        refusals: int) -> None:
+        self._journal.write("rate_limit",
+                            endpoint=endpoint,
+                            limit=limit,
+                            source=source,
+                            refusals_before=refusals)
+
     def _handle_vm_change(self, name: str, value: bytes | None) -> None:
         self._peers.set_vm(name, value)
 
@@ -267,6 +280,12 @@
             ("mustardwood_blocked_prompt_parts",
              "Parts of prompts that are refused because they crash engines.",
              lambda: float(self._part_crashes.blocked_count)),
+            ("mustardwood_rate_limited_endpoints",
+             "Endpoints that state a rate limit.",
+             lambda: float(self._rate_limits.limited_count)),
+            ("mustardwood_rate_limit_refusals",
+             "Times that a rate limit kept a request from an endpoint.",
+             lambda: float(self._rate_limits.refusal_count)),
             ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
              lambda: float(self._journal.dropped)),
         ):
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -5,6 +5,7 @@
 from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood.platform import headers
+from mustardwood.platform import rate_limit_decoder
 
 _MAX_IDLE_TIME_FOR_SINGLE_RUN = datetime.timedelta(seconds=1)
 """Maximum idle time of a connection for requests that may run only once.
@@ -90,8 +91,10 @@
         names = {name.lower() for name, _ in response_headers}
         is_verified = (headers.SIGNATURE in names and
                        b"content-encoding" not in names)
-        self._listener.receive_head(status, forwarded, is_verified,
-                                    headers.NOT_RUN in names or status == 421)
+        self._listener.receive_head(
+            status, forwarded, is_verified,
+            headers.NOT_RUN in names or status == 421,
+            rate_limit_decoder.decode_statement(response_headers))
 
     def receive_data(self, data: bytes) -> None:
         """Passes on a part of the response's body."""
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -87,6 +87,11 @@
         """Number of peers that are registered or have sent updates recently."""
         return len(self._addresses)
 
+    @property
+    def peer_names(self) -> collections.abc.Iterable[str]:
+        """Names of these peers."""
+        return self._addresses.keys()
+
     def start(self) -> None:
         """Starts to send updates."""
         self._send_updates()
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -82,12 +82,12 @@
                                                   loads.count_peers,
                                                   self.journal, rng)
         self.synchronizer = peer_synchronizer.PeerSynchronizer(
-            peers.PeerProtocol(name, clock, loads,
-                               dispatch.PrefixCacheIndex(clock),
-                               dispatch.CrashRecord(clock),
-                               dispatch.PromptPartCrashes(clock, rng),
-                               self.proof, rng,
-                               dispatch.StreamVersionTable(clock)), loads,
+            peers.PeerProtocol(
+                name, clock, loads, dispatch.PrefixCacheIndex(clock),
+                dispatch.CrashRecord(clock),
+                dispatch.PromptPartCrashes(clock, rng), self.proof, rng,
+                dispatch.StreamVersionTable(clock),
+                dispatch.EndpointRateLimits(name, clock, lambda: ())), loads,
             clock, scheduler, self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: world.deliver(
             self, data, address)
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -90,13 +90,15 @@
         dispatch.CrashRecord(harness.clock),
         dispatch.PromptPartCrashes(harness.clock, random.Random(3)),
         dispatch.FreshnessProof(harness.clock, ms(5000), ms(500)),
-        random.Random(1), dispatch.StreamVersionTable(harness.clock))
+        random.Random(1), dispatch.StreamVersionTable(harness.clock),
+        dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()))
     local = peers.PeerProtocol(
         "vm-1", harness.clock, loads, dispatch.PrefixCacheIndex(harness.clock),
         dispatch.CrashRecord(harness.clock),
         dispatch.PromptPartCrashes(harness.clock, random.Random(3)),
         dispatch.FreshnessProof(harness.clock, ms(5000), ms(500)),
-        random.Random(2), dispatch.StreamVersionTable(harness.clock))
+        random.Random(2), dispatch.StreamVersionTable(harness.clock),
+        dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()))
     journal = harness_module.FakeJournal()
     synchronizer = peer_synchronizer.PeerSynchronizer(local, loads,
                                                       harness.clock,
