--- a/mustardwood/dispatch/tests/test_crashing_prompt_parts.py
+++ b/mustardwood/dispatch/tests/test_crashing_prompt_parts.py
@@ -109,6 +109,15 @@
     assert "has not run" in caller.refusal.message
 
 
+def test_parts_of_one_repeated_request_stay_usable_for_others():
+    harness = harness_module.Harness(endpoints=12)
+    sent = sum(
+        _crash(harness, "common", "subject", body=b"repeated")[1]
+        for _ in range(8))
+    assert sent == 3
+    assert _serve(harness, "common", "subject")
+
+
 def test_last_part_is_never_the_cause():
     harness = harness_module.Harness(endpoints=12)
     for _ in range(12):
