Count repeats of one request once for the parts of its prompt

Callers whose requests shared a part of their prompt with a repeated request that crashes engines were refused with 502 for one to two minutes, although their requests were sound.

Cause: each crash was blamed on all shared parts anew, also when all crashes came from one request. Three of them blocked the parts, beside the request.

Crashes of a part carry the fingerprint of the request now, also between VMs, and those of one request count once.

--- a/mustardwood/dispatch/crash_attribution.py
+++ b/mustardwood/dispatch/crash_attribution.py
@@ -57,7 +57,8 @@
         if not has_written and (not attempt.status or attempt.is_success):
             self._context.part_crashes.record_crash(self._parts,
                                                     attempt.incarnation,
-                                                    attempt.is_success)
+                                                    attempt.is_success,
+                                                    self._fingerprint)
 
     def record_data(self, attempt: attempt_record.AttemptRecord) -> None:
         """Records that a part of a successful response has arrived."""
--- a/mustardwood/dispatch/prompt_part_crashes.py
+++ b/mustardwood/dispatch/prompt_part_crashes.py
@@ -63,12 +63,14 @@
         engine: Name of the engine, with the time of its start.
         has_begun: Whether the response had begun, with its head.
         age: Time since the crash.
+        request: Fingerprint of the request; empty if unknown.
     """
 
     part: str
     engine: str
     has_begun: bool
     age: datetime.timedelta = datetime.timedelta()
+    request: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +90,7 @@
 class _Crash:
     at: datetime.timedelta
     has_begun: bool
+    request: str
 
 
 @dataclasses.dataclass
@@ -135,6 +138,9 @@
     if they have the others too. The next success clears it; a crash without
     the others shows that it is the cause.
 
+    Repeats of one request count once: they say nothing of its parts that they
+    don't say of the whole request, which `CrashRecord` blocks.
+
     A block ends after a time, and its part is tried again. Each VM adds a
     random share to that time, so that one VM tries first and reports the crash
     to the others, which prolong their blocks.
@@ -181,20 +187,25 @@
         self._end_blocks()
         return len(self._blocked)
 
-    def record_crash(self, parts: collections.abc.Iterable[str], engine: str,
-                     has_begun: bool) -> None:
+    def record_crash(self,
+                     parts: collections.abc.Iterable[str],
+                     engine: str,
+                     has_begun: bool,
+                     request: str = "") -> None:
         """Records a crash at this VM, and reports it to peers.
 
         Args:
             parts: Names of the request's parts.
             engine: Name of the engine, with the time of its start.
             has_begun: Whether the response had begun.
+            request: Fingerprint of the request; empty if unknown.
         """
         now = self._clock.monotonic()
         for part in parts:
             known = self._recent_crashes.pop((part, engine), None)
-            crash = _Crash(now, has_begun or
-                           (known is not None and known.has_begun))
+            crash = _Crash(
+                now, has_begun or (known is not None and known.has_begun),
+                request)
             self._recent_crashes[part, engine] = crash
             self._add_crash(part, engine, crash)
         while len(self._recent_crashes) > _MAX_REPORTED:
@@ -204,7 +215,8 @@
         """Records a crash that a peer has reported."""
         self._add_crash(
             crash.part, crash.engine,
-            _Crash(self._clock.monotonic() - crash.age, crash.has_begun))
+            _Crash(self._clock.monotonic() - crash.age, crash.has_begun,
+                   crash.request))
 
     def record_success(self, parts: collections.abc.Iterable[str],
                        began_at: datetime.timedelta) -> None:
@@ -251,7 +263,8 @@
             if recorded_at < oldest:
                 del self._recent_successes[part]
         crashes = [
-            PartCrash(part, engine, crash.has_begun, now - crash.at)
+            PartCrash(part, engine, crash.has_begun, now - crash.at,
+                      crash.request)
             for (part, engine), crash in self._recent_crashes.items()
         ]
         if self._blocked and now - self._evidence_reported_at >= (
@@ -267,7 +280,8 @@
     def _list_evidence(self, now: datetime.timedelta) -> list[PartCrash]:
         self._end_blocks()
         return [
-            PartCrash(part, engine, crash.has_begun, now - crash.at)
+            PartCrash(part, engine, crash.has_begun, now - crash.at,
+                      crash.request)
             for part in sorted(self._blocked)
             for engine, crash in self._suspects[part].crashes.items()
         ]
@@ -363,12 +377,19 @@
 
 
 def _compute_score(suspect: _Suspect, now: datetime.timedelta) -> float:
-    """Returns the weighted number of crashes that are no simultaneous ones."""
+    """Returns the weighted number of crashes by different requests.
+
+    Simultaneous ones count once.
+    """
     score, weight = 0.0, 0.0
+    counted_requests = set()
     counted_at = now - _CRASH_LIFETIME - _MIN_CRASH_INTERVAL
     for crash in sorted(suspect.crashes.values(), key=lambda each: each.at):
         if crash.at < now - _CRASH_LIFETIME:
             continue
+        if crash.request and crash.request in counted_requests:
+            continue
+        counted_requests.add(crash.request)
         new_weight = 1.0 if crash.has_begun else _WAITING_WEIGHT
         if crash.at - counted_at >= _MIN_CRASH_INTERVAL:
             score, weight, counted_at = score + weight, new_weight, crash.at
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -180,8 +180,8 @@
         return peer_update.Report(
             loads, self._prefix_caches.list_moves(),
             self._crashes.list_recent_crashes(),
-            [(each.part, each.engine, each.has_begun, each.age // _MILLISECOND)
-             for each in crashes],
+            [(each.part, each.engine, each.has_begun,
+              each.age // _MILLISECOND, each.request) for each in crashes],
             [(each.part, each.age // _MILLISECOND) for each in successes],
             [(each.fingerprint, each.time_left // _MILLISECOND, each.count)
              for each in self._crashes.list_blocks()],
@@ -250,10 +250,10 @@
             self._rate_limits.record_peer_report(
                 sender,
                 dispatch.RateReport(endpoint, limit, age_ms * _MILLISECOND))
-        for part, engine, has_begun, age_ms in report.part_crashes:
+        for part, engine, has_begun, age_ms, request in report.part_crashes:
             self._part_crashes.record_peer_crash(
                 dispatch.PartCrash(part, engine, has_begun,
-                                   age_ms * _MILLISECOND))
+                                   age_ms * _MILLISECOND, request))
         for part, age_ms in report.part_successes:
             self._part_crashes.record_peer_success(
                 dispatch.PartSuccess(part, age_ms * _MILLISECOND))
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -46,7 +46,8 @@
             crashed while it ran this request for the sender.
         part_crashes: For each crash of an engine and each part of a prompt that
             it had not written on: the part, the engine with the time of its
-            start, whether its response had begun, and milliseconds since.
+            start, whether its response had begun, milliseconds since, and the
+            fingerprint of the request.
         part_successes: Parts with which engines wrote and did not crash, and
             the milliseconds since they began to write.
         request_blocks: For each request that is blocked because it crashes
@@ -60,7 +61,7 @@
     loads: dict[str, LoadFigures]
     moves: list[tuple[str, str]] = []
     losses: list[tuple[str, str]] = []
-    part_crashes: list[tuple[str, str, bool, _Milliseconds]] = []
+    part_crashes: list[tuple[str, str, bool, _Milliseconds, str]] = []
     part_successes: list[tuple[str, _Milliseconds]] = []
     request_blocks: list[tuple[str, _Milliseconds, _BlockCount]] = []
     rate_limits: list[tuple[str, _RateLimit | None, _Milliseconds]] = []
