Cut off responses in tiny chunks before they take processor time

Cause: such a response was cut off by its bytes, after 288 KB. Those are 49,000 chunks, and each takes about 25 microseconds to parse, so a single response took more than a second of a VM's processor. With 16 callers, several were parsed at a time.

The number of parts of a body counts now: more than 2,048 with less than five bytes on average are too much framing. Larger chunks count as body, as before.

Evidence: the new test failed before for both kinds of response (328 KB were read).

--- a/mustardwood/http1/received_bytes.py
+++ b/mustardwood/http1/received_bytes.py
@@ -6,6 +6,13 @@
 Heads, informational responses and the framing of chunks count. It has room for
 three heads of the maximum size.
 """
+_MAX_SMALL_PARTS = 2048
+"""Parts of bodies that may have less than `_SMALL_PART_BYTES` on average.
+
+Each takes about 25 microseconds to parse, however small it is.
+"""
+_SMALL_PART_BYTES = 5
+"""Size from which a chunk is larger than its framing."""
 _MAX_INFORMATIONAL_RESPONSES = 16
 """Informational responses of an exchange; ordinary servers send one or two."""
 _MAX_DISCARDED_RESPONSES = 8
@@ -30,6 +37,7 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._discarded_bytes = 0
+        self._parts = 0
         self._discarded_responses = 0
         self._informational_responses = 0
 
@@ -38,11 +46,13 @@
         self._received_bytes += count
 
     def add_body(self, count: int) -> None:
-        """Counts bytes of the response's body."""
+        """Counts a part of the response's body, of some bytes."""
+        self._parts += 1
         self._body_bytes += count
 
     def add_discarded(self, count: int) -> None:
-        """Counts bytes of the body of a response to another request."""
+        """Counts a part of the body of a response to another request."""
+        self._parts += 1
         self._discarded_bytes += count
 
     def add_discarded_response(self) -> None:
@@ -63,6 +73,10 @@
             return "too many responses to other requests"
         if self._informational_responses > _MAX_INFORMATIONAL_RESPONSES:
             return "too many informational responses"
+        bodies = self._body_bytes + self._discarded_bytes
+        if (self._parts > _MAX_SMALL_PARTS and
+                bodies < _SMALL_PART_BYTES * self._parts):
+            return "too much framing"
         return ""
 
     def find_framing_excess(self) -> str:
--- a/mustardwood/http1/tests/test_unbounded_responses.py
+++ b/mustardwood/http1/tests/test_unbounded_responses.py
@@ -154,3 +154,11 @@
     harness.connection.dataReceived(_OK + b"Content-Length: 5000000\r\n\r\n" +
                                     b"x" * 5_000_000)
     assert harness.listener.end == "complete"
+
+
+@pytest.mark.parametrize("head", [_OK, _OTHER])
+def test_chunks_of_one_byte_are_cut_off_before_they_take_long(head):
+    harness = _Harness()
+    begin = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    assert harness.receive(begin, b"1\r\nx\r\n") <= len(begin) + _READ_BYTES
+    assert harness.listener.end == "too much framing"
