--- a/mustardwood/dispatch/prompt_part_crashes.py
+++ b/mustardwood/dispatch/prompt_part_crashes.py
@@ -203,9 +203,8 @@
         now = self._clock.monotonic()
         for part in parts:
             known = self._recent_crashes.pop((part, engine), None)
-            crash = _Crash(
-                now, has_begun or (known is not None and known.has_begun),
-                request)
+            crash = _Crash(now, has_begun or
+                           (known is not None and known.has_begun), request)
             self._recent_crashes[part, engine] = crash
             self._add_crash(part, engine, crash)
         while len(self._recent_crashes) > _MAX_REPORTED:
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -180,8 +180,8 @@
         return peer_update.Report(
             loads, self._prefix_caches.list_moves(),
             self._crashes.list_recent_crashes(),
-            [(each.part, each.engine, each.has_begun,
-              each.age // _MILLISECOND, each.request) for each in crashes],
+            [(each.part, each.engine, each.has_begun, each.age // _MILLISECOND,
+              each.request) for each in crashes],
             [(each.part, each.age // _MILLISECOND) for each in successes],
             [(each.fingerprint, each.time_left // _MILLISECOND, each.count)
              for each in self._crashes.list_blocks()],
