Name what changes in a rate limit by a type of its own

The callback of EndpointRateLimits took four values in a row; it gets a RateLimitChange. Modules of dispatch import rate_statement under its own name, and the test of real VMs checks their log lines. No decision changes.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -12,6 +12,7 @@
 from mustardwood.dispatch.endpoint_health import EndpointHealth
 from mustardwood.dispatch.endpoint_load import EndpointLoad
 from mustardwood.dispatch.endpoint_rate_limits import EndpointRateLimits
+from mustardwood.dispatch.endpoint_rate_limits import RateLimitChange
 from mustardwood.dispatch.endpoint_rate_limits import RateReport
 from mustardwood.dispatch.engine_partition import EnginePartition
 from mustardwood.dispatch.event_splitter import EventSplitter
@@ -84,6 +85,7 @@
     "Prompt",
     "PromptPart",
     "PromptPartCrashes",
+    "RateLimitChange",
     "RateReport",
     "RateStatement",
     "Refusal",
--- a/mustardwood/dispatch/endpoint_rate_limits.py
+++ b/mustardwood/dispatch/endpoint_rate_limits.py
@@ -71,6 +71,24 @@
     age: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimitChange:
+    """A change of an endpoint's rate limit, for the log.
+
+    Attributes:
+        endpoint: Name of the endpoint with the time of its start.
+        limit: The new limit in requests per second; None if it has ended.
+        source: The VM that received the statement.
+        refusals: Number of times that the old limit kept a request of this VM
+            from the endpoint.
+    """
+
+    endpoint: str
+    limit: float | None
+    source: str
+    refusals: int
+
+
 @dataclasses.dataclass
 class _State:
     """What is known of an endpoint.
@@ -129,8 +147,8 @@
         vm: str,
         clock: timing.Clock,
         list_vms: collections.abc.Callable[[], collections.abc.Iterable[str]],
-        on_change: collections.abc.Callable[[str, float | None, str, int],
-                                            None] | None = None,
+        on_change: collections.abc.Callable[[RateLimitChange], None] |
+        None = None,
         on_problem: collections.abc.Callable[[str, str], None] | None = None
     ) -> None:
         """Creates a table without limits.
@@ -139,9 +157,7 @@
             vm: Name of this VM.
             clock: Source of the monotonic time.
             list_vms: Returns the names of the other VMs.
-            on_change: Called with an endpoint, its new limit, the VM that
-                received the statement and the number of times that the old
-                limit kept a request from the endpoint.
+            on_change: Called when the limit of an endpoint has changed.
             on_problem: Called with an endpoint and why its statement can't be
                 read, once for each pair.
         """
@@ -153,6 +169,8 @@
         self._problems: set[tuple[str, str]] = set()
         self._states: collections.OrderedDict[
             str, _State] = collections.OrderedDict()
+        # The known VMs and whether this one has a share, by endpoint and number
+        # of shares.
         self._holders: dict[tuple[str, int], tuple[frozenset[str], bool]] = {}
         self._limited: set[str] = set()
         self._all_reported_at = _NEVER
@@ -293,7 +311,7 @@
         else:
             self._limited.add(name)
         if self._on_change is not None:
-            self._on_change(name, limit, source, refusals)
+            self._on_change(RateLimitChange(name, limit, source, refusals))
 
     def _drop_old(self) -> None:
         oldest = self._clock.monotonic() - _STATEMENT_LIFETIME
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -12,7 +12,7 @@
 from mustardwood.dispatch import forwarding_context
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import placement_limit
-from mustardwood.dispatch import rate_statement as rate_statement_module
+from mustardwood.dispatch import rate_statement
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import request_record
 from mustardwood.dispatch import retry_policy
@@ -150,16 +150,15 @@
             attempt.handle.resume()
             self._start_stall_timer()
 
-    def record_rate(
-            self, attempt: attempt_record.AttemptRecord,
-            rate_statement: rate_statement_module.RateStatement) -> None:
+    def record_rate(self, attempt: attempt_record.AttemptRecord,
+                    stated_rate: rate_statement.RateStatement) -> None:
         """Records what a response states of its endpoint's rate limit.
 
         A misdirected request was answered by another endpoint.
         """
         if attempt.status != http.HTTPStatus.MISDIRECTED_REQUEST:
             self._context.rate_limits.record_response(attempt.choice.endpoint,
-                                                      rate_statement,
+                                                      stated_rate,
                                                       attempt.is_verified)
 
     def receive_data(self, attempt: attempt_record.AttemptRecord,
@@ -733,8 +732,8 @@
         headers: forwarding_context.Headers,
         is_verified: bool,
         was_not_run: bool,
-        rate_statement: rate_statement_module.
-        RateStatement = rate_statement_module.RateStatement()
+        stated_rate: rate_statement.RateStatement = (
+            rate_statement.RateStatement())
     ) -> None:
         """See `forwarding_context.AttemptListener`."""
         attempt = self._attempt
@@ -742,7 +741,7 @@
         attempt.headers = headers
         attempt.is_verified = is_verified
         attempt.was_not_run = was_not_run
-        self._forwarding.record_rate(attempt, rate_statement)
+        self._forwarding.record_rate(attempt, stated_rate)
 
     def receive_data(self, data: bytes) -> None:
         """See `forwarding_context.AttemptListener`."""
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -15,7 +15,7 @@
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import prefix_cache_index
 from mustardwood.dispatch import prompt_part_crashes
-from mustardwood.dispatch import rate_statement as rate_statement_module
+from mustardwood.dispatch import rate_statement
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
@@ -87,8 +87,8 @@
         headers: Headers,
         is_verified: bool,
         was_not_run: bool,
-        rate_statement: rate_statement_module.
-        RateStatement = rate_statement_module.RateStatement()
+        stated_rate: rate_statement.RateStatement = (
+            rate_statement.RateStatement())
     ) -> None:
         """Receives the head of a response.
 
@@ -98,7 +98,7 @@
             is_verified: Whether the response carries the endpoint's signature.
             was_not_run: Whether the endpoint states that it did not run the
                 request.
-            rate_statement: What it states of the endpoint's rate limit.
+            stated_rate: What it states of the endpoint's rate limit.
         """
 
     def receive_data(self, data: bytes) -> None:
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -78,41 +78,26 @@
                 "status" if attempt.status >= 400 else "broken")
         self._context.metrics.count_attempt(self._request.service, kind)
         now = self._context.clock.monotonic()
+        endpoint = attempt.choice.endpoint
+        rate_limit = self._context.rate_limits.find_limit(endpoint)
         self._attempts.append({
-            "endpoint":
-                attempt.endpoint,
-            "software":
-                attempt.choice.endpoint.version,
-            "sent_events":
-                attempt.has_sent_events,
-            "cost":
-                round(attempt.choice.cost, 3),
-            "cached":
-                attempt.choice.is_cached,
-            "prefill_tokens":
-                attempt.choice.load.prefill_tokens,
-            "engine_requests":
-                attempt.choice.known_load.requests,
-            "engine_prefill_tokens":
-                attempt.choice.known_load.prefill_tokens,
-            "engine_slots":
-                attempt.choice.endpoint.slots,
-            "rate_limit":
-                self._context.rate_limits.find_limit(attempt.choice.endpoint),
-            "after_ms":
-                _to_ms(attempt.sent_at - self._request.arrived_at),
-            "for_ms":
-                _to_ms(now - attempt.sent_at),
-            "status":
-                attempt.status,
-            "close_delimited":
-                attempt.is_close_delimited,
-            "partial_event_bytes":
-                attempt.partial_event_bytes,
-            "counts_as_crash":
-                attempt.counts_as_crash,
-            "end":
-                end,
+            "endpoint": endpoint.name,
+            "software": endpoint.version,
+            "sent_events": attempt.has_sent_events,
+            "cost": round(attempt.choice.cost, 3),
+            "cached": attempt.choice.is_cached,
+            "prefill_tokens": attempt.choice.load.prefill_tokens,
+            "engine_requests": attempt.choice.known_load.requests,
+            "engine_prefill_tokens": attempt.choice.known_load.prefill_tokens,
+            "engine_slots": endpoint.slots,
+            "rate_limit": rate_limit,
+            "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
+            "for_ms": _to_ms(now - attempt.sent_at),
+            "status": attempt.status,
+            "close_delimited": attempt.is_close_delimited,
+            "partial_event_bytes": attempt.partial_event_bytes,
+            "counts_as_crash": attempt.counts_as_crash,
+            "end": end,
         })
 
     def finish(self, outcome: str, status: int) -> None:
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -212,13 +212,12 @@
             return dispatch.ServiceParameters(name)
         return configuration.table.find_service(name)
 
-    def _log_rate_limit(self, endpoint: str, limit: float | None, source: str,
-                        refusals: int) -> None:
+    def _log_rate_limit(self, change: dispatch.RateLimitChange) -> None:
         self._journal.write("rate_limit",
-                            endpoint=endpoint,
-                            limit=limit,
-                            source=source,
-                            refusals_before=refusals)
+                            endpoint=change.endpoint,
+                            limit=change.limit,
+                            source=change.source,
+                            refusals_before=change.refusals)
 
     def _handle_vm_change(self, name: str, value: bytes | None) -> None:
         self._peers.set_vm(name, value)
--- a/mustardwood/platform/tests/test_rate_limits_processes.py
+++ b/mustardwood/platform/tests/test_rate_limits_processes.py
@@ -98,6 +98,7 @@
     assert most <= 2.3 * _WINDOW_SECONDS * _LIMIT_TOLERANCE + _SPARE_REQUESTS
     assert most >= 2.3 * _WINDOW_SECONDS / 2
     assert all(len(each.arrivals) > 100 for each in others)
+    assert all(vm.find_events("rate_limit") for vm in fleet.vms)
 
 
 def test_endpoint_that_states_no_limit_any_more_gets_its_share_again(fleet):
