--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -270,6 +270,8 @@
         arrivals: Monotonic times at which requests arrived, by attempt id.
         padding: Bytes that follow the text of each response.
         rate_limit: Value of the header with its rate limit; None for none.
+        stated_headers: Further headers of all its responses.
+        is_full: Whether it turns requests away with status 503.
     """
 
     def __init__(self):
@@ -277,6 +279,8 @@
         self.arrivals = {}
         self.padding = b""
         self.rate_limit = None
+        self.stated_headers = []
+        self.is_full = False
         endpoint = self
 
         class Handler(_Handler):
@@ -292,6 +296,11 @@
                            ("Mustardwood-Replica-Signature", "signed")]
                 if endpoint.rate_limit is not None:
                     headers.append(("Server-Limit", endpoint.rate_limit))
+                headers += endpoint.stated_headers
+                if endpoint.is_full:
+                    self.send(503, b"full",
+                              [*headers, ("Mustardwood-Not-Executed", "1")])
+                    return
                 if self.path.startswith("/stream/"):
                     self._send_events(headers)
                     return
