Leave out endpoints as soon as a response says that they leave

Cause: a replica that leaves says so in all its answers, seconds before the store shows it as draining; only the store was read.

Change: EndpointNotices holds what responses have shown of an endpoint, for one of its starts, with moment and source: that it leaves, or that its address is another's. EndpointDirectory decides by these and by the registration, so first sends, retries, resumptions, takeovers and queued requests pass the same place. Any response that carries the request's id counts, also a 503 and one that lost its race; a 421 is another endpoint's. VMs report what they have learnt themselves for a second. The notice of a replaced address, which stayed at the VM that got the 421, goes the same way.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -33,7 +33,8 @@
                  settings: dispatch.PlacementSettings, vms: int,
                  rng: random.Random) -> None:
         self.name = name
-        directory = _make_directory(scheduler, engines, parameters)
+        notices = dispatch.EndpointNotices(name, scheduler)
+        directory = _make_directory(scheduler, engines, parameters, notices)
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
@@ -46,6 +47,7 @@
             client=engine_client.EngineClient(scheduler, engines),
             authorizer=null_objects.AllowAllAuthorizer(),
             directory=directory,
+            notices=notices,
             loads=loads,
             health=health,
             prefix_caches=prefix_index,
@@ -83,11 +85,11 @@
 
 
 def _make_directory(
-    scheduler: scheduler_module.Scheduler,
-    engines: collections.abc.Mapping[str, stream_engine.StreamEngine],
-    parameters: engine_parameters.EngineParameters
-) -> dispatch.EndpointDirectory:
-    directory = dispatch.EndpointDirectory(scheduler)
+        scheduler: scheduler_module.Scheduler,
+        engines: collections.abc.Mapping[str, stream_engine.StreamEngine],
+        parameters: engine_parameters.EngineParameters,
+        notices: dispatch.EndpointNotices) -> dispatch.EndpointDirectory:
+    directory = dispatch.EndpointDirectory(scheduler, notices)
     for number, (name, engine) in enumerate(engines.items()):
         directory.set_endpoint(
             dispatch.Endpoint(name,
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -11,9 +11,14 @@
 from mustardwood.dispatch.endpoint_directory import EndpointDirectory
 from mustardwood.dispatch.endpoint_health import EndpointHealth
 from mustardwood.dispatch.endpoint_load import EndpointLoad
+from mustardwood.dispatch.endpoint_notices import EndpointNotice
+from mustardwood.dispatch.endpoint_notices import EndpointNotices
+from mustardwood.dispatch.endpoint_notices import NoticeKind
+from mustardwood.dispatch.endpoint_notices import NoticeSource
 from mustardwood.dispatch.endpoint_rate_limits import EndpointRateLimits
 from mustardwood.dispatch.endpoint_rate_limits import RateLimitChange
 from mustardwood.dispatch.endpoint_rate_limits import RateReport
+from mustardwood.dispatch.endpoint_statements import EndpointStatements
 from mustardwood.dispatch.engine_partition import EnginePartition
 from mustardwood.dispatch.event_splitter import EventSplitter
 from mustardwood.dispatch.forwarding import Forwarding
@@ -64,7 +69,10 @@
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoad",
+    "EndpointNotice",
+    "EndpointNotices",
     "EndpointRateLimits",
+    "EndpointStatements",
     "EnginePartition",
     "EventSplitter",
     "Forwarding",
@@ -74,6 +82,8 @@
     "Journal",
     "LoadTable",
     "Metrics",
+    "NoticeKind",
+    "NoticeSource",
     "Organisation",
     "PartCrash",
     "PartSuccess",
--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -6,18 +6,13 @@
 
 from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
+from mustardwood.dispatch import endpoint_notices
 
 REGISTRATION_GRACE = datetime.timedelta(seconds=2.2)
 """Time after a store outage in which endpoints register again.
 
 The platform guarantees two seconds; the rest covers the delay of the watch.
 """
-_REPLACED_MARK_LIFETIME = datetime.timedelta(seconds=10)
-"""Time for which an endpoint stays marked as replaced.
-
-It is longer than the three missed heartbeats after which the registration of a
-crashed endpoint expires.
-"""
 _MAX_LISTING_AGE = datetime.timedelta(seconds=5)
 """Maximum age of a current list of endpoints: two waits of a watch."""
 _VERSION_MEMORY = datetime.timedelta(seconds=60)
@@ -41,6 +36,9 @@
 class EndpointDirectory:
     """Keeps the endpoints that are registered in the store.
 
+    An endpoint leaves if its registration says so or if a VM has learnt it from
+    a response, which may be seconds sooner.
+
     Failure: during a long outage of the store, registrations expire although
     the endpoints still serve requests. A removal that is received within
     `REGISTRATION_GRACE` after the outage takes effect at the end of that grace
@@ -52,12 +50,19 @@
     registration again, or it still stands after `_CONFIRMATION_TIME`.
     """
 
-    def __init__(self, clock: timing.Clock) -> None:
+    def __init__(self, clock: timing.Clock,
+                 notices: endpoint_notices.EndpointNotices) -> None:
+        """Creates an empty directory.
+
+        Args:
+            clock: Source of the monotonic time.
+            notices: What VMs have learnt of endpoints from responses.
+        """
         self._clock = clock
+        self._notices = notices
+        self._notice_version = notices.version
         self._endpoints: dict[str, endpoint_module.Endpoint] = {}
         self._pending_removals: dict[str, datetime.timedelta] = {}
-        self._replaced: dict[str, tuple[endpoint_module.Endpoint,
-                                        datetime.timedelta]] = {}
         self._removals: dict[str, _Removal] = {}
         self._unconfirmed: dict[str, datetime.timedelta] = {}
         self._missing_in_copy: set[str] = set()
@@ -179,27 +184,15 @@
         self._missing_in_copy.update(registered_since & set(missing))
         return missing
 
-    def mark_replaced(self, endpoint: endpoint_module.Endpoint) -> None:
-        """Marks an endpoint whose address is now used by another endpoint.
-
-        Failure: many endpoints crash and restart immediately under new ids.
-        Until the old registrations expire, each VM would send requests to them
-        again and again. The mark has no effect once the endpoint registers
-        with a new start time.
-        """
-        self._replaced[endpoint.name] = (endpoint, self._clock.monotonic() +
-                                         _REPLACED_MARK_LIFETIME)
-        self._by_service.clear()
-
     def list_usable(self, service: str) -> tuple[endpoint_module.Endpoint, ...]:
         """Returns the endpoints of a service that accept new requests."""
         self._process_expirations()
         known = self._by_service.get(service)
         if known is None:
-            known = tuple(each for _, each in sorted(self._endpoints.items())
-                          if each.service == service and not each.is_leaving and
-                          not self._is_replaced(each) and
-                          each.name not in self._unconfirmed)
+            known = tuple(
+                each for _, each in sorted(self._endpoints.items())
+                if each.service == service and not self._has_left(each) and
+                each.name not in self._unconfirmed)
             self._by_service[service] = known
         return known
 
@@ -268,6 +261,9 @@
         removed = self._endpoints.pop(name, None)
         if removed is None:
             return False
+        if not removed.started:
+            # The next start under this name can't be told from this one.
+            self._notices.forget(removed.incarnation)
         if removed.is_leaving or name not in self._missing_in_copy:
             self._record_removal(removed)
         self._missing_in_copy.discard(name)
@@ -287,16 +283,18 @@
         due = self._clock.monotonic() + _CONFIRMATION_TIME
         self._unconfirmed = dict.fromkeys(self._unconfirmed, due)
 
-    def _is_replaced(self, endpoint: endpoint_module.Endpoint) -> bool:
-        marked = self._replaced.get(endpoint.name)
-        return marked is not None and marked[0].started == endpoint.started
+    def _has_left(self, endpoint: endpoint_module.Endpoint) -> bool:
+        """Returns whether an endpoint accepts no new requests."""
+        return endpoint.is_leaving or any(
+            self._notices.has(endpoint.incarnation, kind)
+            for kind in endpoint_notices.NoticeKind)
 
     def _process_expirations(self) -> None:
         now = self._clock.monotonic()
-        for name, (_, due) in list(self._replaced.items()):
-            if now >= due:
-                del self._replaced[name]
-                self._by_service.clear()
+        self._notices.drop_expired()
+        if self._notice_version != self._notices.version:
+            self._notice_version = self._notices.version
+            self._by_service.clear()
         for name, due in list(self._unconfirmed.items()):
             if now >= due:
                 del self._unconfirmed[name]
--- /dev/null
+++ b/mustardwood/dispatch/endpoint_statements.py
@@ -0,0 +1,18 @@
+"""What a response says of its endpoint, besides the response itself."""
+
+import dataclasses
+
+from mustardwood.dispatch import rate_statement
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointStatements:
+    """What the head of a response states of its endpoint.
+
+    Attributes:
+        rate: Its rate limit.
+        is_leaving: Whether it accepts no new requests, until it starts again.
+    """
+
+    rate: rate_statement.RateStatement = rate_statement.RateStatement()
+    is_leaving: bool = False
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -8,11 +8,12 @@
 from mustardwood.dispatch import crash_attribution
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import endpoint_notices
+from mustardwood.dispatch import endpoint_statements
 from mustardwood.dispatch import event_splitter
 from mustardwood.dispatch import forwarding_context
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import placement_limit
-from mustardwood.dispatch import rate_statement
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import request_record
 from mustardwood.dispatch import retry_policy
@@ -150,16 +151,22 @@
             attempt.handle.resume()
             self._start_stall_timer()
 
-    def record_rate(self, attempt: attempt_record.AttemptRecord,
-                    stated_rate: rate_statement.RateStatement) -> None:
-        """Records what a response states of its endpoint's rate limit.
+    def record_statements(
+            self, attempt: attempt_record.AttemptRecord,
+            statements: endpoint_statements.EndpointStatements) -> None:
+        """Records what a response states of its endpoint.
 
-        A misdirected request was answered by another endpoint.
+        This also holds for a response that is no longer expected. A misdirected
+        request was answered by another endpoint.
         """
-        if attempt.status != http.HTTPStatus.MISDIRECTED_REQUEST:
-            self._context.rate_limits.record_response(attempt.choice.endpoint,
-                                                      stated_rate,
-                                                      attempt.is_verified)
+        context, endpoint = self._context, attempt.choice.endpoint
+        if attempt.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        if statements.is_leaving:
+            context.notices.record(endpoint.incarnation,
+                                   endpoint_notices.NoticeKind.LEAVING)
+        context.rate_limits.record_response(endpoint, statements.rate,
+                                            attempt.is_verified)
 
     def receive_data(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
@@ -412,7 +419,8 @@
         self._end_attempt(attempt, f"status {attempt.status}")
         if attempt.was_not_run:
             if attempt.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-                self._context.directory.mark_replaced(attempt.choice.endpoint)
+                self._context.notices.record(
+                    attempt.incarnation, endpoint_notices.NoticeKind.REPLACED)
             if is_silent_attempt:
                 self._runs -= 1
             elif not self._return_to_silent_attempt():
@@ -732,8 +740,8 @@
         headers: forwarding_context.Headers,
         is_verified: bool,
         was_not_run: bool,
-        stated_rate: rate_statement.RateStatement = (
-            rate_statement.RateStatement())
+        statements: endpoint_statements.EndpointStatements = (
+            endpoint_statements.EndpointStatements())
     ) -> None:
         """See `forwarding_context.AttemptListener`."""
         attempt = self._attempt
@@ -741,7 +749,7 @@
         attempt.headers = headers
         attempt.is_verified = is_verified
         attempt.was_not_run = was_not_run
-        self._forwarding.record_rate(attempt, stated_rate)
+        self._forwarding.record_statements(attempt, statements)
 
     def receive_data(self, data: bytes) -> None:
         """See `forwarding_context.AttemptListener`."""
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -10,12 +10,13 @@
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_directory
 from mustardwood.dispatch import endpoint_health
+from mustardwood.dispatch import endpoint_notices
 from mustardwood.dispatch import endpoint_rate_limits
+from mustardwood.dispatch import endpoint_statements
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import prefix_cache_index
 from mustardwood.dispatch import prompt_part_crashes
-from mustardwood.dispatch import rate_statement
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
@@ -87,8 +88,8 @@
         headers: Headers,
         is_verified: bool,
         was_not_run: bool,
-        stated_rate: rate_statement.RateStatement = (
-            rate_statement.RateStatement())
+        statements: endpoint_statements.EndpointStatements = (
+            endpoint_statements.EndpointStatements())
     ) -> None:
         """Receives the head of a response.
 
@@ -98,7 +99,7 @@
             is_verified: Whether the response carries the endpoint's signature.
             was_not_run: Whether the endpoint states that it did not run the
                 request.
-            stated_rate: What it states of the endpoint's rate limit.
+            statements: What it states of the endpoint.
         """
 
     def receive_data(self, data: bytes) -> None:
@@ -229,6 +230,7 @@
     client: EndpointClient
     authorizer: Authorizer
     directory: endpoint_directory.EndpointDirectory
+    notices: endpoint_notices.EndpointNotices
     loads: load_table.LoadTable
     health: endpoint_health.EndpointHealth
     prefix_caches: prefix_cache_index.PrefixCacheIndex
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -81,9 +81,14 @@
         """Records that the response is read again."""
         self.is_paused = False
 
-    def respond(self, status=200, body=b"", verified=True, not_run=False):
+    def respond(self,
+                status=200,
+                body=b"",
+                verified=True,
+                not_run=False,
+                **statements):
         """Delivers a complete response."""
-        self.begin(status, verified, not_run)
+        self.begin(status, verified, not_run, **statements)
         if body:
             self.listener.receive_data(body)
         self.listener.receive_end()
@@ -92,10 +97,12 @@
               status=200,
               verified=True,
               not_run=False,
-              rate=dispatch.RateStatement()):
+              rate=dispatch.RateStatement(),
+              leaving=False):
         """Delivers the head of a response."""
         self.listener.receive_head(status, [(b"X-From", b"endpoint")], verified,
-                                   not_run, rate)
+                                   not_run,
+                                   dispatch.EndpointStatements(rate, leaving))
 
 
 class FakeClient:
@@ -217,7 +224,8 @@
         self.journal = FakeJournal()
         self.queue = dispatch.PlacementQueue(self.clock, self.scheduler)
         self.metrics = FakeMetrics()
-        self.directory = dispatch.EndpointDirectory(self.clock)
+        self.notices = dispatch.EndpointNotices("vm-1", self.clock)
+        self.directory = dispatch.EndpointDirectory(self.clock, self.notices)
         self.loads = dispatch.LoadTable(self.clock)
         self.health = dispatch.EndpointHealth(self.clock)
         self.prefix_caches = dispatch.PrefixCacheIndex(self.clock)
@@ -240,6 +248,7 @@
             client=self.client,
             authorizer=self.authorizer,
             directory=self.directory,
+            notices=self.notices,
             loads=self.loads,
             health=self.health,
             prefix_caches=self.prefix_caches,
--- a/mustardwood/dispatch/tests/test_directory.py
+++ b/mustardwood/dispatch/tests/test_directory.py
@@ -12,7 +12,8 @@
 
 def _make_directory():
     clock = timing.ManualClock()
-    directory = dispatch.EndpointDirectory(clock)
+    directory = dispatch.EndpointDirectory(
+        clock, dispatch.EndpointNotices("vm-1", clock))
     for index in range(2):
         directory.set_endpoint(harness_module.make_endpoint(index))
     return clock, directory
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -18,6 +18,7 @@
 _SEQUENCE_BITS = 48
 """Size of the random initial sequence number."""
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_NOTICE_KINDS = frozenset(dispatch.NoticeKind)
 
 
 @dataclasses.dataclass
@@ -58,7 +59,8 @@
                  part_crashes: dispatch.PromptPartCrashes,
                  proof: dispatch.FreshnessProof, rng: random.Random,
                  streams: dispatch.StreamVersionTable,
-                 rate_limits: dispatch.EndpointRateLimits) -> None:
+                 rate_limits: dispatch.EndpointRateLimits,
+                 notices: dispatch.EndpointNotices) -> None:
         """Creates a protocol without peers.
 
         Args:
@@ -74,6 +76,7 @@
                 message of this process.
             streams: Records which software versions began streams.
             rate_limits: Records the rate limits that endpoints state.
+            notices: Records what VMs learn of endpoints from responses.
         """
         self._vm = vm
         self._clock = clock
@@ -84,6 +87,7 @@
         self._proof = proof
         self._streams = streams
         self._rate_limits = rate_limits
+        self._notices = notices
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
 
@@ -186,7 +190,9 @@
             [(each.fingerprint, each.time_left // _MILLISECOND, each.count)
              for each in self._crashes.list_blocks()],
             [(each.endpoint, each.limit, each.age // _MILLISECOND)
-             for each in self._rate_limits.list_reports()])
+             for each in self._rate_limits.list_reports()],
+            [(each.endpoint, each.kind, each.age // _MILLISECOND)
+             for each in self._notices.list_reports()])
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
@@ -250,6 +256,12 @@
             self._rate_limits.record_peer_report(
                 sender,
                 dispatch.RateReport(endpoint, limit, age_ms * _MILLISECOND))
+        for endpoint, kind, age_ms in report.notices:
+            if kind in _NOTICE_KINDS:
+                self._notices.record_peer_notice(
+                    sender,
+                    dispatch.EndpointNotice(endpoint, dispatch.NoticeKind(kind),
+                                            age_ms * _MILLISECOND))
         for part, engine, has_begun, age_ms, request in report.part_crashes:
             self._part_crashes.record_peer_crash(
                 dispatch.PartCrash(part, engine, has_begun,
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -38,11 +38,12 @@
         self.streams = dispatch.StreamVersionTable(self.clock)
         self.rate_limits = dispatch.EndpointRateLimits(name, self.clock, lambda:
                                                        ())
+        self.notices = dispatch.EndpointNotices(name, self.clock)
         self.protocol = peers.PeerProtocol(name, self.clock, self.loads,
                                            self.prefix_caches, self.crashes,
                                            self.part_crashes, self.proof,
                                            random.Random(seed), self.streams,
-                                           self.rate_limits)
+                                           self.rate_limits, self.notices)
         self.configuration = peers.ConfigurationPosition(7, 0, 10)
 
     def build_update(self, other):
@@ -388,3 +389,21 @@
                                        True)
     receiver.receive(sender.build_update(receiver))
     assert receiver.rate_limits.find_limit(endpoint) is None
+
+
+@pytest.mark.parametrize("kind", list(dispatch.NoticeKind))
+def test_notice_of_an_endpoint_reaches_peers(kind):
+    sender, receiver = _Vm("sender"), _Vm("receiver", 2)
+    sender.notices.record("endpoint-0/5", kind)
+    receiver.receive(sender.build_update(receiver))
+    assert receiver.notices.has("endpoint-0/5", kind)
+
+
+def test_notice_of_an_unknown_kind_is_ignored():
+    receiver = _Vm("receiver")
+    report = peers.peer_update.Report({}, notices=[("endpoint-0/5", "new", 7)])
+    update = peers.peer_update.PeerUpdate(
+        "later", 1, 0, -1, peers.ConfigurationPosition(),
+        msgspec.Raw(msgspec.msgpack.encode(report)))
+    assert receiver.receive(msgspec.msgpack.encode(update)) is not None
+    assert not receiver.notices.list_reports()
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -69,7 +69,9 @@
         self._proof = dispatch.FreshnessProof(self._clock,
                                               self._settings.key_removal_time,
                                               _FORWARDING_MARGIN)
-        self._directory = dispatch.EndpointDirectory(self._clock)
+        self._notices = dispatch.EndpointNotices(self._settings.vm, self._clock,
+                                                 self._log_notice)
+        self._directory = dispatch.EndpointDirectory(self._clock, self._notices)
         self._health = dispatch.EndpointHealth(self._clock)
         self._prefix_caches = dispatch.PrefixCacheIndex(self._clock)
         self._crashes = dispatch.CrashRecord(
@@ -103,9 +105,9 @@
             peers.PeerProtocol(self._settings.vm, self._clock, self._loads,
                                self._prefix_caches, self._crashes,
                                self._part_crashes, self._proof, self._rng,
-                               self._streams, self._rate_limits), self._loads,
-            self._clock, self._scheduler, pool, self._watcher, self._journal,
-            self._settings.vm)
+                               self._streams, self._rate_limits, self._notices),
+            self._loads, self._clock, self._scheduler, pool, self._watcher,
+            self._journal, self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
             self._settings.listen.peers, lambda: self._peers.peer_count,
@@ -186,6 +188,7 @@
             client=endpoint_client.HttpEndpointClient(pool),
             authorizer=self._authorizer,
             directory=self._directory,
+            notices=self._notices,
             loads=self._loads,
             health=self._health,
             prefix_caches=self._prefix_caches,
@@ -212,6 +215,13 @@
             return dispatch.ServiceParameters(name)
         return configuration.table.find_service(name)
 
+    def _log_notice(self, notice: dispatch.NoticeSource) -> None:
+        self._journal.write("endpoint_notice",
+                            endpoint=notice.endpoint,
+                            kind=notice.kind,
+                            source=notice.vm,
+                            age_s=notice.age.total_seconds())
+
     def _log_rate_limit(self, change: dispatch.RateLimitChange) -> None:
         self._journal.write("rate_limit",
                             endpoint=change.endpoint,
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -5,7 +5,7 @@
 from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood.platform import headers
-from mustardwood.platform import rate_limit_decoder
+from mustardwood.platform import statement_decoder
 
 _MAX_IDLE_TIME_FOR_SINGLE_RUN = datetime.timedelta(seconds=1)
 """Maximum idle time of a connection for requests that may run only once.
@@ -94,7 +94,7 @@
         self._listener.receive_head(
             status, forwarded, is_verified,
             headers.NOT_RUN in names or status == 421,
-            rate_limit_decoder.decode_statement(response_headers))
+            statement_decoder.decode_statements(response_headers))
 
     def receive_data(self, data: bytes) -> None:
         """Passes on a part of the response's body."""
--- /dev/null
+++ b/mustardwood/platform/statement_decoder.py
@@ -0,0 +1,28 @@
+"""Decodes what an endpoint states of itself in a response."""
+
+from mustardwood import dispatch
+from mustardwood import http1
+from mustardwood.platform import headers
+from mustardwood.platform import rate_limit_decoder
+
+_IS_LEAVING = b"1"
+
+
+def decode_statements(
+        response_headers: http1.Headers) -> dispatch.EndpointStatements:
+    """Returns what a response states of its endpoint.
+
+    Args:
+        response_headers: All headers of the response.
+
+    Examples:
+        >>> decode_statements([(b"Server-Leaving", b"1")]).is_leaving
+        True
+        >>> decode_statements([(b"Server-Leaving", b"0")]).is_leaving
+        False
+    """
+    return dispatch.EndpointStatements(
+        rate=rate_limit_decoder.decode_statement(response_headers),
+        is_leaving=any(name.lower() == headers.LEAVING and
+                       value.strip(b" \t") == _IS_LEAVING
+                       for name, value in response_headers))
--- a/mustardwood/platform/tests/test_endpoint_client.py
+++ b/mustardwood/platform/tests/test_endpoint_client.py
@@ -27,13 +27,13 @@
 
     def __init__(self):
         self.head = None
-        self.rate_statement = None
+        self.statements = None
 
     def receive_head(self, status, headers, is_verified, was_not_run,
-                     rate_statement):
+                     statements):
         """Records the head of the response."""
         self.head = status, headers, is_verified, was_not_run
-        self.rate_statement = rate_statement
+        self.statements = statements
 
 
 def _send(resume_after=None, **changes):
@@ -107,7 +107,8 @@
 def test_stated_rate_limit_is_passed_on():
     (_, _, decoder, _), listener = _send()
     decoder.receive_head(503, [_ID, (b"Server-Limit", b"2.5")])
-    assert listener.rate_statement == dispatch.RateStatement(2.5)
+    assert listener.statements == dispatch.EndpointStatements(
+        dispatch.RateStatement(2.5))
 
 
 @pytest.mark.parametrize("headers", [[], [(b"Mustardwood-Attempt-Id", b"b2")]])
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -68,8 +68,9 @@
                 dispatch.CrashRecord(self.clock),
                 dispatch.PromptPartCrashes(self.clock, random.Random(name)),
                 self.proof, random.Random(name), self.streams,
-                dispatch.EndpointRateLimits(name, self.clock, lambda:
-                                            ())), self.loads, self.clock,
+                dispatch.EndpointRateLimits(name, self.clock, lambda: ()),
+                dispatch.EndpointNotices(name,
+                                         self.clock)), self.loads, self.clock,
             self.scheduler, self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: self.sent.append(
             (data, address))
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -69,7 +69,8 @@
         client = store_client.StoreClient(simulated_store.STORE_ADDRESS,
                                           self.pool, scheduler)
         self.journal = _Journal()
-        self.directory = dispatch.EndpointDirectory(clock)
+        self.directory = dispatch.EndpointDirectory(
+            clock, dispatch.EndpointNotices(name, clock))
         self.proof = dispatch.FreshnessProof(clock, _KEY_REMOVAL_TIME, ms(500))
         loads = dispatch.LoadTable(clock)
         self.watcher = store_watcher.StoreWatcher(
@@ -87,8 +88,9 @@
                 dispatch.CrashRecord(clock),
                 dispatch.PromptPartCrashes(clock, rng), self.proof, rng,
                 dispatch.StreamVersionTable(clock),
-                dispatch.EndpointRateLimits(name, clock, lambda: ())), loads,
-            clock, scheduler, self.pool, self.watcher, self.journal, name)
+                dispatch.EndpointRateLimits(name, clock, lambda: ()),
+                dispatch.EndpointNotices(name, clock)), loads, clock, scheduler,
+            self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: world.deliver(
             self, data, address)
         registration = vm_registration.VmRegistration(
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -79,7 +79,8 @@
         self.clock = timing.ManualClock()
         self.scheduler = harness_module.FakeScheduler(self.clock)
         self.client = client or _Client()
-        self.directory = dispatch.EndpointDirectory(self.clock)
+        self.directory = dispatch.EndpointDirectory(
+            self.clock, dispatch.EndpointNotices("vm-1", self.clock))
         self.proof = dispatch.FreshnessProof(self.clock,
                                              datetime.timedelta(seconds=5),
                                              ms(500))
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -91,14 +91,16 @@
         dispatch.PromptPartCrashes(harness.clock, random.Random(3)),
         dispatch.FreshnessProof(harness.clock, ms(5000), ms(500)),
         random.Random(1), dispatch.StreamVersionTable(harness.clock),
-        dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()))
+        dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()),
+        dispatch.EndpointNotices("vm", harness.clock))
     local = peers.PeerProtocol(
         "vm-1", harness.clock, loads, dispatch.PrefixCacheIndex(harness.clock),
         dispatch.CrashRecord(harness.clock),
         dispatch.PromptPartCrashes(harness.clock, random.Random(3)),
         dispatch.FreshnessProof(harness.clock, ms(5000), ms(500)),
         random.Random(2), dispatch.StreamVersionTable(harness.clock),
-        dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()))
+        dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()),
+        dispatch.EndpointNotices("vm", harness.clock))
     journal = harness_module.FakeJournal()
     synchronizer = peer_synchronizer.PeerSynchronizer(local, loads,
                                                       harness.clock,
