Add failing tests of endpoints that ask for a pause

Nothing reads the Retry-After of an endpoint's 503: three real VMs send to the endpoint again at once, use up their retries there and refuse requests that another endpoint had room for. If all endpoints ask for a pause, the caller is told to come back long before its end.

--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -39,12 +39,15 @@
         is_complete: Whether the whole response was received.
         seconds: Time from the last byte sent to the end of the response or of
             the connection.
+        retry_after: Seconds after which the caller may send the request again,
+            as the response says; 0 if it does not.
     """
 
     attempt_id: str
     status: int
     is_complete: bool
     seconds: float
+    retry_after: float = 0.0
 
 
 def find_late_arrivals(endpoint, left_at):
@@ -131,11 +134,12 @@
 
     def read(self, pause_seconds=0.0):
         """Reads the response, with a pause after each part of its body."""
-        status, is_complete = 0, False
+        status, is_complete, retry_after = 0, False, 0.0
         response = http.client.HTTPResponse(self._stream)
         try:
             response.begin()
             status = response.status
+            retry_after = float(response.headers.get("Retry-After") or 0)
             self.may_reuse = not response.will_close
             while response.read(64 * 1024):
                 time.sleep(pause_seconds)
@@ -143,7 +147,7 @@
         except (OSError, http.client.HTTPException):
             self.may_reuse = False
         return Outcome(self._attempt_id, status, is_complete,
-                       time.monotonic() - self._sent_at)
+                       time.monotonic() - self._sent_at, retry_after)
 
 
 class _KeptStream(io.BufferedReader):
--- a/mustardwood/platform/tests/test_endpoint_statements_processes.py
+++ b/mustardwood/platform/tests/test_endpoint_statements_processes.py
@@ -128,3 +128,45 @@
     stated_at = time.monotonic()
     fleet.call_for(1.5)
     assert max(endpoint.arrivals.values()) > stated_at + 1.0
+
+
+def _count_most_arrivals_in_pauses(endpoint, vm, pause_seconds):
+    """Returns the largest number of a VM's requests in any of its pauses.
+
+    A pause begins with each arrival, which is answered at once; the first half
+    second does not count.
+    """
+    times = [
+        time for attempt_id, time in endpoint.arrivals.items()
+        if attempt_id.startswith(vm.name)
+    ]
+    return max(
+        sum(start + 0.5 < each < start + pause_seconds
+            for each in times)
+        for start in times)
+
+
+@pytest.mark.parametrize(("service", "path"), [("api", "/post/20"),
+                                               ("engine", "/stream/2/10")])
+def test_endpoint_that_asks_for_a_pause_gets_no_requests_during_it(
+        fleet, service, path):
+    full = fleet.endpoints[service][0]
+    full.is_full = True
+    full.stated_headers = [("Retry-After", "2.5")]
+    outcomes = fleet.call_for(6.0, path)
+    assert {each.status for each in outcomes} == {200}
+    for vm in fleet.vms:
+        assert _count_most_arrivals_in_pauses(full, vm, 2.5) <= 2
+    # A pause ends: some VM has tried again.
+    assert len(full.arrivals) > len(fleet.vms)
+
+
+def test_request_is_refused_at_once_if_all_endpoints_ask_for_a_pause(fleet):
+    for endpoint in fleet.endpoints["api"]:
+        endpoint.is_full = True
+        endpoint.stated_headers = [("Retry-After", "4")]
+    fleet.call_for(0.5)
+    outcomes = fleet.call_for(1.0)
+    assert {each.status for each in outcomes} == {503}
+    assert max(each.seconds for each in outcomes) < 0.2
+    assert min(each.retry_after for each in outcomes) > 2.0
