Keep requests from endpoints that ask for a pause

Cause: a replica that turns a request away with 503 may add Retry-After and wants nothing from that machine for so long; the header was passed over.

Change: EndpointPauses keeps this VM's requests from the endpoint, at the place at which rate limits do. The pause that ends last counts, up to ten minutes. Its end is delayed at random and followed by one request, then twice as many each quarter second. Peers hear of it by EndpointNotices and use the endpoint if no other has room. If all endpoints of a service ask for a pause, the most urgent requests wait for the first one that ends in time, and the rest is refused at once with the time until then. Values that are no number are logged once.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -41,6 +41,7 @@
         service = dispatch.ServiceParameters(SERVICE, parameters.memory_tokens,
                                              parameters.event_tokens)
         rate_limits = dispatch.EndpointRateLimits(name, scheduler, lambda: ())
+        pauses = dispatch.EndpointPauses(scheduler, rng, notices)
         self.context = dispatch.ForwardingContext(
             clock=scheduler,
             scheduler=scheduler,
@@ -54,9 +55,10 @@
             crashes=dispatch.CrashRecord(scheduler),
             part_crashes=dispatch.PromptPartCrashes(scheduler, rng),
             rate_limits=rate_limits,
+            pauses=pauses,
             placement=dispatch.Placement("zone", scheduler, loads, health,
-                                         prefix_index, rate_limits, settings,
-                                         lambda _: service, rng),
+                                         prefix_index, rate_limits, pauses,
+                                         settings, lambda _: service, rng),
             retry_budgets=dispatch.ServiceRetryBudgets(rng, _RETRY_RATIO,
                                                        _RETRY_BURST,
                                                        lambda: vms),
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -15,6 +15,8 @@
 from mustardwood.dispatch.endpoint_notices import EndpointNotices
 from mustardwood.dispatch.endpoint_notices import NoticeKind
 from mustardwood.dispatch.endpoint_notices import NoticeSource
+from mustardwood.dispatch.endpoint_pauses import EndpointPauses
+from mustardwood.dispatch.endpoint_pauses import MAX_PAUSE
 from mustardwood.dispatch.endpoint_rate_limits import EndpointRateLimits
 from mustardwood.dispatch.endpoint_rate_limits import RateLimitChange
 from mustardwood.dispatch.endpoint_rate_limits import RateReport
@@ -35,6 +37,7 @@
 from mustardwood.dispatch.load_table import LoadTable
 from mustardwood.dispatch.load_table import PEER_REPORT_LIFETIME
 from mustardwood.dispatch.organisation import Organisation
+from mustardwood.dispatch.pause_statement import PauseStatement
 from mustardwood.dispatch.placement import Placement
 from mustardwood.dispatch.placement_limit import PlacementLimit
 from mustardwood.dispatch.placement_queue import PlacementQueue
@@ -59,6 +62,7 @@
 from mustardwood.dispatch.stream_version_table import StreamVersionTable
 
 __all__ = [
+    "MAX_PAUSE",
     "PEER_REPORT_LIFETIME",
     "Attempt",
     "AttemptListener",
@@ -71,6 +75,7 @@
     "EndpointLoad",
     "EndpointNotice",
     "EndpointNotices",
+    "EndpointPauses",
     "EndpointRateLimits",
     "EndpointStatements",
     "EnginePartition",
@@ -87,6 +92,7 @@
     "Organisation",
     "PartCrash",
     "PartSuccess",
+    "PauseStatement",
     "Placement",
     "PlacementLimit",
     "PlacementQueue",
--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -287,7 +287,8 @@
         """Returns whether an endpoint accepts no new requests."""
         return endpoint.is_leaving or any(
             self._notices.has(endpoint.incarnation, kind)
-            for kind in endpoint_notices.NoticeKind)
+            for kind in (endpoint_notices.NoticeKind.LEAVING,
+                         endpoint_notices.NoticeKind.REPLACED))
 
     def _process_expirations(self) -> None:
         now = self._clock.monotonic()
--- a/mustardwood/dispatch/endpoint_notices.py
+++ b/mustardwood/dispatch/endpoint_notices.py
@@ -27,17 +27,22 @@
         REPLACED: Its address is used by another endpoint. Its registration
             expires after three missed heartbeats, which is sooner than the end
             of the notice.
+        PAUSED: It has asked a VM for a pause, because it is full.
     """
 
     LEAVING = "leaving"
     REPLACED = "replaced"
+    PAUSED = "paused"
 
 
 _LIFETIMES = {
     NoticeKind.LEAVING: datetime.timedelta(minutes=10),
     NoticeKind.REPLACED: datetime.timedelta(seconds=10),
 }
-"""Time after which a notice that was not repeated is dropped."""
+"""Time after which a notice that was not repeated is dropped.
+
+Those of other kinds state it themselves.
+"""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,11 +53,13 @@
         endpoint: Name of the endpoint with the time of its start.
         kind: What was learnt.
         age: Time since then.
+        duration: Length of a pause; 0 for other kinds.
     """
 
     endpoint: str
     kind: NoticeKind
     age: datetime.timedelta
+    duration: datetime.timedelta = datetime.timedelta()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +82,7 @@
 @dataclasses.dataclass(frozen=True)
 class _Entry:
     learnt_at: datetime.timedelta
+    expires_at: datetime.timedelta
     received_at: datetime.timedelta
     vm: str
 
@@ -109,32 +117,44 @@
         self._on_notice = on_notice
         self._entries: collections.OrderedDict[tuple[
             str, NoticeKind], _Entry] = collections.OrderedDict()
+        self._counts: collections.Counter[NoticeKind] = collections.Counter()
         self._next_expiry = datetime.timedelta.max
         self.version = 0
 
-    def record(self, endpoint: str, kind: NoticeKind) -> None:
+    def record(
+        self,
+        endpoint: str,
+        kind: NoticeKind,
+        duration: datetime.timedelta = datetime.timedelta()
+    ) -> None:
         """Records what a response has shown.
 
         Args:
             endpoint: Name of the endpoint with the time of its start.
             kind: What it has shown.
+            duration: Length of a pause.
         """
-        self._add(endpoint, kind, self._clock.monotonic(), self._vm)
+        self._add(
+            EndpointNotice(endpoint, kind, datetime.timedelta(), duration),
+            self._vm)
 
     def record_peer_notice(self, peer: str, notice: EndpointNotice) -> None:
         """Records a notice that a peer has reported."""
-        self._add(notice.endpoint, notice.kind,
-                  self._clock.monotonic() - notice.age, peer)
+        self._add(notice, peer)
 
     def has(self, endpoint: str, kind: NoticeKind) -> bool:
         """Returns whether there is a notice of an endpoint."""
+        self.drop_expired()
         return (endpoint, kind) in self._entries
 
+    def has_any(self, kind: NoticeKind) -> bool:
+        """Returns whether there may be a notice of a kind."""
+        return self._counts[kind] > 0
+
     def forget(self, endpoint: str) -> None:
         """Drops the notices of an endpoint."""
         for kind in NoticeKind:
-            if self._entries.pop((endpoint, kind), None) is not None:
-                self.version += 1
+            self._remove((endpoint, kind))
 
     def drop_expired(self) -> None:
         """Drops the notices that no longer hold."""
@@ -143,12 +163,10 @@
             return
         self._next_expiry = datetime.timedelta.max
         for key, entry in list(self._entries.items()):
-            expires_at = entry.learnt_at + _LIFETIMES[key[1]]
-            if now >= expires_at:
-                del self._entries[key]
-                self.version += 1
+            if now >= entry.expires_at:
+                self._remove(key)
             else:
-                self._next_expiry = min(self._next_expiry, expires_at)
+                self._next_expiry = min(self._next_expiry, entry.expires_at)
 
     def list_reports(self) -> list[EndpointNotice]:
         """Returns the notices to report to peers."""
@@ -159,25 +177,36 @@
                 break
             if entry.vm == self._vm and len(recent) < _MAX_REPORTED:
                 recent.append(
-                    EndpointNotice(endpoint, kind, now - entry.learnt_at))
+                    EndpointNotice(endpoint, kind, now - entry.learnt_at,
+                                   entry.expires_at - entry.learnt_at))
         return recent
 
-    def _add(self, endpoint: str, kind: NoticeKind,
-             learnt_at: datetime.timedelta, vm: str) -> None:
-        key = endpoint, kind
+    def _add(self, notice: EndpointNotice, vm: str) -> None:
+        key = notice.endpoint, notice.kind
         now = self._clock.monotonic()
-        if now - learnt_at >= _LIFETIMES[kind]:
-            return
+        learnt_at = now - notice.age
+        expires_at = learnt_at + _LIFETIMES.get(notice.kind, notice.duration)
         known = self._entries.get(key)
-        if known is not None:
-            if learnt_at > known.learnt_at:
-                self._entries[key] = dataclasses.replace(known,
-                                                         learnt_at=learnt_at)
+        if expires_at <= now or (known is not None and
+                                 expires_at <= known.expires_at):
+            return
+        self._next_expiry = min(self._next_expiry, expires_at)
+        if known is not None and notice.kind in _LIFETIMES:
+            self._entries[key] = dataclasses.replace(known,
+                                                     learnt_at=learnt_at,
+                                                     expires_at=expires_at)
             return
-        self._entries[key] = _Entry(learnt_at, now, vm)
-        self._next_expiry = min(self._next_expiry, learnt_at + _LIFETIMES[kind])
+        self._remove(key)
+        self._entries[key] = _Entry(learnt_at, expires_at, now, vm)
+        self._counts[notice.kind] += 1
         self.version += 1
         if len(self._entries) > _MAX_NOTICES:
-            self._entries.popitem(last=False)
-        if self._on_notice is not None:
-            self._on_notice(NoticeSource(endpoint, kind, vm, now - learnt_at))
+            self._remove(next(iter(self._entries)))
+        if known is None and self._on_notice is not None:
+            self._on_notice(
+                NoticeSource(notice.endpoint, notice.kind, vm, notice.age))
+
+    def _remove(self, key: tuple[str, NoticeKind]) -> None:
+        if self._entries.pop(key, None) is not None:
+            self._counts[key[1]] -= 1
+            self.version += 1
--- a/mustardwood/dispatch/endpoint_statements.py
+++ b/mustardwood/dispatch/endpoint_statements.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from mustardwood.dispatch import pause_statement
 from mustardwood.dispatch import rate_statement
 
 
@@ -12,7 +13,9 @@
     Attributes:
         rate: Its rate limit.
         is_leaving: Whether it accepts no new requests, until it starts again.
+        pause: The pause that it asks this VM for.
     """
 
     rate: rate_statement.RateStatement = rate_statement.RateStatement()
     is_leaving: bool = False
+    pause: pause_statement.PauseStatement = pause_statement.PauseStatement()
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -165,6 +165,7 @@
         if statements.is_leaving:
             context.notices.record(endpoint.incarnation,
                                    endpoint_notices.NoticeKind.LEAVING)
+        context.pauses.record_response(endpoint, statements.pause)
         context.rate_limits.record_response(endpoint, statements.rate,
                                             attempt.is_verified)
 
@@ -308,6 +309,7 @@
         self._attempt = attempt
         self._sends += 1
         self._tried_endpoints.add(attempt.endpoint)
+        context.pauses.record_send(choice.endpoint)
         context.rate_limits.record_send(choice.endpoint)
         context.loads.add(attempt.endpoint, attempt.load)
         context.prefix_caches.record_request(attempt.endpoint, request,
@@ -330,6 +332,14 @@
         if len(self._find_excluded(usable)) == len(usable):
             self._give_up("no endpoint left", None)
             return
+        if limit is placement_limit.PlacementLimit.PAUSED:
+            pause = self._find_pause(usable)
+            if pause is not None:
+                self._give_up(
+                    "endpoints ask for a pause",
+                    router_refusals.build_not_run_refusal(
+                        max(pause, context.retry_after.draw_delay(request))))
+                return
         if (limit is placement_limit.PlacementLimit.RATE and
                 not self._is_head_sent and
                 not context.rate_limits.has_share(usable)):
@@ -341,6 +351,23 @@
                     self._compute_queue_time(), self._refuse_queued)
             self._enter_queue()
 
+    def _find_pause(
+        self, usable: collections.abc.Sequence[endpoint_module.Endpoint]
+    ) -> datetime.timedelta | None:
+        """Returns the time until an endpoint may be used; None to wait for it.
+
+        The most urgent requests wait for the first pause that ends in time.
+        """
+        if self._is_head_sent:
+            return None
+        excluded = self._find_excluded(usable)
+        pause = self._context.pauses.find_time_left(
+            each for each in usable if each.name not in excluded)
+        if (pause < self._compute_queue_time() and
+                not self._context.queue.has_more_urgent(self._request)):
+            return None
+        return pause
+
     def _compute_queue_time(self) -> datetime.timedelta:
         """Returns for how long a request waits before it is refused.
 
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -11,6 +11,7 @@
 from mustardwood.dispatch import endpoint_directory
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_notices
+from mustardwood.dispatch import endpoint_pauses
 from mustardwood.dispatch import endpoint_rate_limits
 from mustardwood.dispatch import endpoint_statements
 from mustardwood.dispatch import load_table
@@ -217,6 +218,9 @@
             has_begun: Whether an engine has run a part of it.
         """
 
+    def has_more_urgent(self, request: service_request.ServiceRequest) -> bool:
+        """Returns whether a more urgent request of its service waits."""
+
     def remove(self, request: service_request.ServiceRequest) -> None:
         """Removes a request if it is in the queue."""
 
@@ -237,6 +241,7 @@
     crashes: crash_record.CrashRecord
     part_crashes: prompt_part_crashes.PromptPartCrashes
     rate_limits: endpoint_rate_limits.EndpointRateLimits
+    pauses: endpoint_pauses.EndpointPauses
     placement: placement_module.Placement
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
     retry_after: retry_after_policy.RetryAfterPolicy
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -10,6 +10,7 @@
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import endpoint_pauses
 from mustardwood.dispatch import endpoint_rate_limits
 from mustardwood.dispatch import engine_partition
 from mustardwood.dispatch import engine_pool
@@ -70,6 +71,7 @@
                  health: endpoint_health.EndpointHealth,
                  prefix_caches: prefix_cache_index.PrefixCacheIndex,
                  rate_limits: endpoint_rate_limits.EndpointRateLimits,
+                 pauses: endpoint_pauses.EndpointPauses,
                  settings: placement_settings.PlacementSettings,
                  find_service: collections.abc.Callable[
                      [str], service_parameters.ServiceParameters],
@@ -80,6 +82,7 @@
         self._health = health
         self._prefix_caches = prefix_caches
         self._rate_limits = rate_limits
+        self._pauses = pauses
         self._partitions: dict[str, engine_partition.EnginePartition] = {}
         self._settings = settings
         self._find_service = find_service
@@ -109,9 +112,13 @@
                    if tried else usable)
         if not untried:
             return placement_limit.PlacementLimit.NO_ENDPOINT
-        allowed = self._rate_limits.list_allowed(untried, request.tier)
+        unpaused = self._pauses.list_allowed(untried)
+        if not unpaused:
+            return placement_limit.PlacementLimit.PAUSED
+        allowed = self._rate_limits.list_allowed(unpaused, request.tier)
         if not allowed:
             return placement_limit.PlacementLimit.RATE
+        allowed = self._pauses.list_not_full(allowed)
         avoided = self._health.list_avoided()
         reachable = ([each for each in allowed if each.name not in avoided]
                      if avoided else allowed)
--- a/mustardwood/dispatch/placement_limit.py
+++ b/mustardwood/dispatch/placement_limit.py
@@ -10,6 +10,7 @@
         SLOTS: The engine has as many requests as it may have.
         MEMORY: The engine's KV cache has no room for the request.
         PREFILL: The engine has as many prompt tokens to prefill as it may have.
+        PAUSED: The endpoint has asked this VM for a pause.
         RATE: The endpoint's rate limit is used up, or a more urgent request
             waits for it.
         RESERVED: The engine is reserved for interactive streams.
@@ -19,6 +20,7 @@
     SLOTS = "slots"
     MEMORY = "memory"
     PREFILL = "prefill"
+    PAUSED = "paused"
     RATE = "rate"
     RESERVED = "reserved"
     NO_ENDPOINT = "no endpoint"
--- a/mustardwood/dispatch/placement_queue.py
+++ b/mustardwood/dispatch/placement_queue.py
@@ -65,6 +65,11 @@
             self._is_retry_scheduled = True
             self._scheduler.call_later(_RETRY_INTERVAL, self._retry_requests)
 
+    def has_more_urgent(self, request: service_request.ServiceRequest) -> bool:
+        """See `forwarding_context.Queue`."""
+        return any(each.service == request.service and each.tier < request.tier
+                   for each in self._waiting)
+
     def remove(self, request: service_request.ServiceRequest) -> None:
         """Removes a request if it is in the queue."""
         self._waiting.pop(request, None)
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -98,11 +98,13 @@
               verified=True,
               not_run=False,
               rate=dispatch.RateStatement(),
-              leaving=False):
+              leaving=False,
+              pause=None):
         """Delivers the head of a response."""
-        self.listener.receive_head(status, [(b"X-From", b"endpoint")], verified,
-                                   not_run,
-                                   dispatch.EndpointStatements(rate, leaving))
+        self.listener.receive_head(
+            status, [(b"X-From", b"endpoint")], verified, not_run,
+            dispatch.EndpointStatements(rate, leaving,
+                                        dispatch.PauseStatement(pause)))
 
 
 class FakeClient:
@@ -236,10 +238,12 @@
         self.vms = ["vm-1"]
         self.rate_limits = dispatch.EndpointRateLimits("vm-1", self.clock,
                                                        lambda: self.vms)
+        self.pauses = dispatch.EndpointPauses(self.clock, random.Random(5),
+                                              self.notices)
         self.settings = dispatch.PlacementSettings()
         self.placement = dispatch.Placement(
             "zone-a", self.clock, self.loads, self.health, self.prefix_caches,
-            self.rate_limits, self.settings,
+            self.rate_limits, self.pauses, self.settings,
             lambda name: dispatch.ServiceParameters(name, memory_tokens, 6),
             random.Random(3))
         self.context = dispatch.ForwardingContext(
@@ -255,6 +259,7 @@
             crashes=self.crashes,
             part_crashes=self.part_crashes,
             rate_limits=self.rate_limits,
+            pauses=self.pauses,
             placement=self.placement,
             retry_budgets=dispatch.ServiceRetryBudgets(random.Random(1), 0.2,
                                                        retry_burst, lambda: 1),
--- a/mustardwood/dispatch/tests/test_endpoint_notices.py
+++ b/mustardwood/dispatch/tests/test_endpoint_notices.py
@@ -204,7 +204,7 @@
 @pytest.mark.parametrize("kind", list(dispatch.NoticeKind))
 def test_one_response_tells_all_vms(vms, kind):
     fleet = _Fleet(vms, loss=0.05)
-    fleet.vms[0].record("endpoint-0/5", kind)
+    fleet.vms[0].record("endpoint-0/5", kind, ms(5000))
     sent = 0
     for _ in range(4):
         sent += fleet.exchange_reports()
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -191,7 +191,8 @@
              for each in self._crashes.list_blocks()],
             [(each.endpoint, each.limit, each.age // _MILLISECOND)
              for each in self._rate_limits.list_reports()],
-            [(each.endpoint, each.kind, each.age // _MILLISECOND)
+            [(each.endpoint, each.kind, each.age // _MILLISECOND,
+              each.duration // _MILLISECOND)
              for each in self._notices.list_reports()])
 
     def receive_update(
@@ -256,12 +257,13 @@
             self._rate_limits.record_peer_report(
                 sender,
                 dispatch.RateReport(endpoint, limit, age_ms * _MILLISECOND))
-        for endpoint, kind, age_ms in report.notices:
+        for endpoint, kind, age_ms, duration_ms in report.notices:
             if kind in _NOTICE_KINDS:
                 self._notices.record_peer_notice(
                     sender,
                     dispatch.EndpointNotice(endpoint, dispatch.NoticeKind(kind),
-                                            age_ms * _MILLISECOND))
+                                            age_ms * _MILLISECOND,
+                                            duration_ms * _MILLISECOND))
         for part, engine, has_begun, age_ms, request in report.part_crashes:
             self._part_crashes.record_peer_crash(
                 dispatch.PartCrash(part, engine, has_begun,
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -57,8 +57,8 @@
             one: its name with the time of its start, the limit in requests a
             second, if any, and milliseconds since the statement.
         notices: For each endpoint of which the sender has learnt something: its
-            name with the time of its start, the kind of notice, and
-            milliseconds since. Receivers ignore kinds that they do not know.
+            name with the time of its start, the kind of notice, milliseconds
+            since, and the milliseconds for which a pause lasts. Receivers ignore kinds that they do not know.
     """
 
     loads: dict[str, LoadFigures]
@@ -68,7 +68,7 @@
     part_successes: list[tuple[str, _Milliseconds]] = []
     request_blocks: list[tuple[str, _Milliseconds, _BlockCount]] = []
     rate_limits: list[tuple[str, _RateLimit | None, _Milliseconds]] = []
-    notices: list[tuple[str, str, _Milliseconds]] = []
+    notices: list[tuple[str, str, _Milliseconds, _Milliseconds]] = []
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -394,14 +394,15 @@
 @pytest.mark.parametrize("kind", list(dispatch.NoticeKind))
 def test_notice_of_an_endpoint_reaches_peers(kind):
     sender, receiver = _Vm("sender"), _Vm("receiver", 2)
-    sender.notices.record("endpoint-0/5", kind)
+    sender.notices.record("endpoint-0/5", kind, _ms(2000))
     receiver.receive(sender.build_update(receiver))
     assert receiver.notices.has("endpoint-0/5", kind)
 
 
 def test_notice_of_an_unknown_kind_is_ignored():
     receiver = _Vm("receiver")
-    report = peers.peer_update.Report({}, notices=[("endpoint-0/5", "new", 7)])
+    report = peers.peer_update.Report({},
+                                      notices=[("endpoint-0/5", "new", 7, 0)])
     update = peers.peer_update.PeerUpdate(
         "later", 1, 0, -1, peers.ConfigurationPosition(),
         msgspec.Raw(msgspec.msgpack.encode(report)))
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -86,6 +86,10 @@
             self._settings.vm, self._clock, lambda: self._peers.peer_names,
             self._log_rate_limit, lambda endpoint, problem: self._journal.write(
                 "rate_limit_rejected", endpoint=endpoint, error=problem))
+        self._pauses = dispatch.EndpointPauses(
+            self._clock, self._rng, self._notices,
+            lambda endpoint, problem: self._journal.write(
+                "pause_rejected", endpoint=endpoint, error=problem))
         self._streams = dispatch.StreamVersionTable(self._clock)
         pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
         client = store_client.StoreClient(
@@ -195,9 +199,11 @@
             crashes=self._crashes,
             part_crashes=self._part_crashes,
             rate_limits=self._rate_limits,
+            pauses=self._pauses,
             placement=dispatch.Placement(self._settings.zone, self._clock,
                                          self._loads, self._health,
                                          self._prefix_caches, self._rate_limits,
+                                         self._pauses,
                                          dispatch.PlacementSettings(),
                                          self._find_service, self._rng),
             retry_budgets=dispatch.ServiceRetryBudgets(
@@ -295,6 +301,9 @@
             ("mustardwood_rate_limit_refusals",
              "Times that a rate limit kept a request from an endpoint.",
              lambda: float(self._rate_limits.refusal_count)),
+            ("mustardwood_paused_endpoints",
+             "Endpoints that have asked this VM for a pause.",
+             lambda: float(self._pauses.paused_count)),
             ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
              lambda: float(self._journal.dropped)),
         ):
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -92,9 +92,9 @@
         is_verified = (headers.SIGNATURE in names and
                        b"content-encoding" not in names)
         self._listener.receive_head(
-            status, forwarded, is_verified,
-            headers.NOT_RUN in names or status == 421,
-            statement_decoder.decode_statements(response_headers))
+            status, forwarded, is_verified, headers.NOT_RUN in names or
+            status == 421,
+            statement_decoder.decode_statements(status, response_headers))
 
     def receive_data(self, data: bytes) -> None:
         """Passes on a part of the response's body."""
