--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -257,13 +257,7 @@
             self._rate_limits.record_peer_report(
                 sender,
                 dispatch.RateReport(endpoint, limit, age_ms * _MILLISECOND))
-        for endpoint, kind, age_ms, duration_ms in report.notices:
-            if kind in _NOTICE_KINDS:
-                self._notices.record_peer_notice(
-                    sender,
-                    dispatch.EndpointNotice(endpoint, dispatch.NoticeKind(kind),
-                                            age_ms * _MILLISECOND,
-                                            duration_ms * _MILLISECOND))
+        self._apply_notices(sender, report)
         for part, engine, has_begun, age_ms, request in report.part_crashes:
             self._part_crashes.record_peer_crash(
                 dispatch.PartCrash(part, engine, has_begun,
@@ -272,6 +266,15 @@
             self._part_crashes.record_peer_success(
                 dispatch.PartSuccess(part, age_ms * _MILLISECOND))
 
+    def _apply_notices(self, sender: str, report: peer_update.Report) -> None:
+        for endpoint, kind, age_ms, duration_ms in report.notices:
+            if kind in _NOTICE_KINDS:
+                self._notices.record_peer_notice(
+                    sender,
+                    dispatch.EndpointNotice(endpoint, dispatch.NoticeKind(kind),
+                                            age_ms * _MILLISECOND,
+                                            duration_ms * _MILLISECOND))
+
     def forget_peer(self, name: str) -> None:
         """Discards the state of a peer that has left."""
         self._peers.pop(name, None)
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -58,7 +58,8 @@
             second, if any, and milliseconds since the statement.
         notices: For each endpoint of which the sender has learnt something: its
             name with the time of its start, the kind of notice, milliseconds
-            since, and the milliseconds for which a pause lasts. Receivers ignore kinds that they do not know.
+            since, and the milliseconds for which a pause lasts. Receivers
+            ignore kinds that they do not know.
     """
 
     loads: dict[str, LoadFigures]
