Resume streams after the loss of all VMs

Cause: the version that began a stream was known in the VMs' memory alone, and all of them may lose power at the same moment. After that no stream could be resumed, whether one version served or several.

Change: StreamJournal keeps the versions of services in the store and, while several are possible, the streams that each VM begins, with each new one. New resumable streams begin at a version that was saved. What stays unknown is refused as before.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -34,7 +34,6 @@
                  rng: random.Random) -> None:
         self.name = name
         notices = dispatch.EndpointNotices(name, scheduler)
-        directory = _make_directory(scheduler, engines, parameters, notices)
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
@@ -47,7 +46,7 @@
             scheduler=scheduler,
             client=engine_client.EngineClient(scheduler, engines),
             authorizer=null_objects.AllowAllAuthorizer(),
-            directory=directory,
+            directory=_make_directory(scheduler, engines, parameters, notices),
             notices=notices,
             loads=loads,
             health=health,
@@ -66,7 +65,8 @@
             queue=dispatch.PlacementQueue(scheduler, scheduler),
             journal=null_objects.NullJournal(),
             metrics=null_objects.NullMetrics(),
-            streams=dispatch.StreamVersionTable(scheduler))
+            streams=dispatch.StreamVersionTable(scheduler),
+            version_record=null_objects.SingleVersionRecord())
 
     def send_peer_update(self, other: "ModelledVm", streams: dict[str, bytes],
                          questions: bytes) -> None:
--- a/mustardwood/benchmarks/streams/null_objects.py
+++ b/mustardwood/benchmarks/streams/null_objects.py
@@ -26,6 +26,23 @@
         return {}
 
 
+class SingleVersionRecord:
+    """Record of services of one software version, which is not told."""
+
+    def find_only_version(self, service: str,
+                          period: datetime.timedelta) -> None:
+        """See `forwarding_context.VersionRecord`."""
+        del service, period
+
+    def is_recorded(self, service: str, version: str) -> bool:
+        """See `forwarding_context.VersionRecord`."""
+        del service, version
+        return True
+
+    def handle_new_stream(self) -> None:
+        """See `forwarding_context.VersionRecord`."""
+
+
 class NullJournal:
     """Journal that discards all events."""
 
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -59,7 +59,10 @@
 from mustardwood.dispatch.service_parameters import ServiceParameters
 from mustardwood.dispatch.service_request import ServiceRequest
 from mustardwood.dispatch.service_retry_budgets import ServiceRetryBudgets
+from mustardwood.dispatch.stream_journal import JournalStore
+from mustardwood.dispatch.stream_journal import StreamJournal
 from mustardwood.dispatch.stream_version_table import StreamVersionTable
+from mustardwood.dispatch.version_history import VersionHistory
 
 __all__ = [
     "MAX_PAUSE",
@@ -85,6 +88,7 @@
     "FreshnessProof",
     "Headers",
     "Journal",
+    "JournalStore",
     "LoadTable",
     "Metrics",
     "NoticeKind",
@@ -115,6 +119,8 @@
     "ServiceParameters",
     "ServiceRequest",
     "ServiceRetryBudgets",
+    "StreamJournal",
     "StreamVersionTable",
+    "VersionHistory",
     "Timer",
 ]
--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -217,6 +217,20 @@
             self._complete_since = time
         self._listed_at = time
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all registrations were listed recently."""
+        return (self._listed_at is not None and
+                self._clock.monotonic() - self._listed_at <= _MAX_LISTING_AGE)
+
+    def list_versions(self) -> dict[str, set[str]]:
+        """Returns the versions of the registered endpoints by service."""
+        self._process_expirations()
+        versions: dict[str, set[str]] = {}
+        for each in self._endpoints.values():
+            versions.setdefault(each.service, set()).add(each.version)
+        return versions
+
     def find_only_version(self, service: str,
                           period: datetime.timedelta) -> str | None:
         """Returns the only software version that a service has recently had.
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -265,9 +265,12 @@
         request = self._request
         if (version and request.stream_id and
                 request.retry_policy is retry_policy.RetryPolicy.RESUMABLE):
+            self._context.streams.record_service(request.service,
+                                                 request.time_limit)
             self._context.streams.record(
                 stream_version_table.find_key(request.service,
                                               request.stream_id), version)
+            self._context.version_record.handle_new_stream()
 
     def _send_next(self) -> None:
         context, request = self._context, self._request
@@ -625,18 +628,38 @@
     ) -> set[str]:
         """Returns the names of the usable endpoints that must not be chosen.
 
-        A stream of an unknown software version can't go on at any endpoint.
+        A stream of an unknown software version can't go on at any endpoint. A
+        new stream begins at a version that has been saved, if there is one, so
+        that its version can be told after the loss of all VMs.
         """
-        if self._software is None and not self._tried_endpoints:
+        unrecorded = self._find_unrecorded(usable)
+        if (self._software is None and not self._tried_endpoints and
+                not unrecorded):
             return set()
         return {
             each.name
             for each in usable
-            if each.name in self._tried_endpoints or
-            (self._software is not None and
-             (not each.version or each.version != self._software))
+            if each.name in self._tried_endpoints or each.version in unrecorded
+            or (self._software is not None and
+                (not each.version or each.version != self._software))
         }
 
+    def _find_unrecorded(
+            self, usable: collections.abc.Iterable[endpoint_module.Endpoint]
+    ) -> set[str]:
+        """Returns the versions at which a new resumable stream must not begin.
+        """
+        request = self._request
+        if (self._software is not None or
+                request.retry_policy is not retry_policy.RetryPolicy.RESUMABLE):
+            return set()
+        versions = {each.version for each in usable}
+        unrecorded = {
+            each for each in versions if
+            not self._context.version_record.is_recorded(request.service, each)
+        }
+        return set() if unrecorded == versions else unrecorded
+
     def _keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
         """Aborts the other one of two open attempts, if there are two.
 
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -199,6 +199,28 @@
         """
 
 
+class VersionRecord(typing.Protocol):
+    """What was saved of the software versions of services."""
+
+    def find_only_version(self, service: str,
+                          period: datetime.timedelta) -> str | None:
+        """Returns the only version that may have begun a service's stream.
+
+        Args:
+            service: Name of the service.
+            period: Time before now in which the stream may have begun.
+
+        Returns:
+            The version; None if several may have.
+        """
+
+    def is_recorded(self, service: str, version: str) -> bool:
+        """Returns whether a version has been saved."""
+
+    def handle_new_stream(self) -> None:
+        """Saves a stream that has just begun at this VM, if that is needed."""
+
+
 class Queue(typing.Protocol):
     """Holds requests until an endpoint has free capacity."""
 
@@ -249,3 +271,4 @@
     journal: Journal
     metrics: Metrics
     streams: stream_version_table.StreamVersionTable
+    version_record: VersionRecord
--- a/mustardwood/dispatch/stream_version_table.py
+++ b/mustardwood/dispatch/stream_version_table.py
@@ -38,6 +38,9 @@
     its next update, and asks them about streams that it does not know, for
     example after a restart. It is soft state: a stream that no VM
     knows can't be resumed, but never goes on at a wrong version.
+
+    Attributes:
+        own_count: Number of times that this VM has begun or resumed a stream.
     """
 
     def __init__(self, clock: timing.Clock) -> None:
@@ -46,6 +49,10 @@
             bytes, _Stream] = collections.OrderedDict()
         self._new: dict[bytes, str] = {}
         self._questions: dict[bytes, None] = {}
+        self._own: collections.OrderedDict[
+            bytes, datetime.timedelta] = collections.OrderedDict()
+        self._services: dict[str, datetime.timedelta] = {}
+        self.own_count = 0
 
     @property
     def has_new_streams(self) -> bool:
@@ -65,6 +72,11 @@
             version: Version of the software that sent its first event.
         """
         self._add(key, version)
+        self._own[key] = self._clock.monotonic()
+        self._own.move_to_end(key)
+        self.own_count += 1
+        if len(self._own) > _MAX_STREAMS:
+            self._own.popitem(last=False)
         self._new[key] = version
         _limit(self._new)
 
@@ -78,6 +90,52 @@
             for key in _split(keys)[:_MAX_SENT]:
                 self._add(key, version)
 
+    def record_service(self, service: str,
+                       time_limit: datetime.timedelta) -> None:
+        """Records that a service has streams that callers may resume.
+
+        Args:
+            service: Name of the service.
+            time_limit: Maximum time from the start of a stream to its end.
+        """
+        known = self._services.get(service, datetime.timedelta())
+        self._services[service] = max(known, time_limit)
+
+    def list_services(self) -> dict[str, datetime.timedelta]:
+        """Returns the services with such streams, and their time limits."""
+        return dict(self._services)
+
+    def record_saved_streams(self, streams: dict[str, bytes],
+                             is_own: bool) -> None:
+        """Records streams that the store shows.
+
+        Args:
+            streams: The concatenated keys of the streams by version.
+            is_own: Whether this VM has begun them, perhaps before a restart.
+        """
+        for version, keys in streams.items():
+            for key in _split(keys):
+                self._add(key, version)
+                if is_own and key not in self._own:
+                    self._own[key] = self._clock.monotonic()
+
+    def list_own_streams(self, since: datetime.timedelta) -> dict[str, bytes]:
+        """Returns the streams that this VM has begun or resumed.
+
+        Args:
+            since: Monotonic time of the oldest ones.
+
+        Returns:
+            The concatenated keys of the streams by version.
+        """
+        recent = []
+        for key, recorded_at in reversed(self._own.items()):
+            if recorded_at < since:
+                break
+            if key in self._streams:
+                recent.append((key, self._streams[key].version))
+        return _join_by_version(recent)
+
     def _add(self, key: bytes, version: str) -> None:
         """Adds a stream; one with two versions stays unknown."""
         known = self._streams.pop(key, None)
@@ -131,6 +189,7 @@
                     len(self._streams) <= _MAX_STREAMS):
                 return
             del self._streams[key]
+            self._own.pop(key, None)
 
 
 def find_key(service: str, request_id: str) -> bytes:
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -211,6 +211,27 @@
         self.attempts.append(end)
 
 
+class FakeJournalStore:
+    """Records the writes of a `StreamJournal`; the test ends them.
+
+    Attributes:
+        histories: Pairs of a value and the function that ends its write.
+        streams: The same of this VM's streams.
+    """
+
+    def __init__(self):
+        self.histories = []
+        self.streams = []
+
+    def write_history(self, value, on_end):
+        """Records a write of the history."""
+        self.histories.append((value, on_end))
+
+    def write_streams(self, value, on_end):
+        """Records a write of streams."""
+        self.streams.append((value, on_end))
+
+
 class Harness:
     """A `ForwardingContext` with fakes, whose parts tests can access."""
 
@@ -236,6 +257,10 @@
                                                        random.Random(4))
         self.streams = dispatch.StreamVersionTable(self.clock)
         self.vms = ["vm-1"]
+        self.saved = FakeJournalStore()
+        self.journal_of_streams = dispatch.StreamJournal(
+            "vm-1", self.clock, self.scheduler, self.streams, self.directory,
+            lambda: self.vms, self.saved, self.journal, False)
         self.rate_limits = dispatch.EndpointRateLimits("vm-1", self.clock,
                                                        lambda: self.vms)
         self.pauses = dispatch.EndpointPauses(self.clock, random.Random(5),
@@ -267,7 +292,8 @@
             queue=self.queue,
             journal=self.journal,
             metrics=self.metrics,
-            streams=self.streams)
+            streams=self.streams,
+            version_record=self.journal_of_streams)
         for index in range(endpoints):
             self.directory.set_endpoint(make_endpoint(index, slots))
 
--- a/mustardwood/dispatch/version_lookup.py
+++ b/mustardwood/dispatch/version_lookup.py
@@ -76,5 +76,6 @@
         context = self._context
         if not context.loads.count_peers():
             return None
-        return context.directory.find_only_version(self._request.service,
-                                                   self._request.time_limit)
+        service, period = self._request.service, self._request.time_limit
+        return (context.directory.find_only_version(service, period) or
+                context.version_record.find_only_version(service, period))
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -24,6 +24,7 @@
 from mustardwood.platform import freshness_gate
 from mustardwood.platform import freshness_reader
 from mustardwood.platform import graceful_shutdown
+from mustardwood.platform import journal_store
 from mustardwood.platform import metrics
 from mustardwood.platform import peer_synchronizer
 from mustardwood.platform import request_server
@@ -95,13 +96,22 @@
         client = store_client.StoreClient(
             settings_module.parse_address(self._settings.store.address), pool,
             self._scheduler)
+        stream_store = journal_store.JournalStore(client, self._clock,
+                                                  self._journal,
+                                                  self._settings.vm)
+        client.add_era_listener(stream_store.handle_era_change)
+        self._stream_journal = dispatch.StreamJournal(
+            self._settings.vm, self._clock, self._scheduler, self._streams,
+            self._directory, lambda: self._peers.peer_names, stream_store,
+            self._journal, self._settings.is_first_start)
+        stream_store.attach(self._stream_journal)
         self._loads = dispatch.LoadTable(self._clock)
         self._watcher = store_watcher.StoreWatcher(
             client, self._clock, self._scheduler, self._directory, self._proof,
             freshness_gate.FreshnessGate(self._clock,
                                          self._settings.is_first_start),
             self._journal, self._forget_endpoint, self._handle_vm_change,
-            self._rng, self._settings.min_lapse_time)
+            stream_store, self._rng, self._settings.min_lapse_time)
         self._reader = freshness_reader.FreshnessReader(
             client, self._clock, self._scheduler, self._proof, self._watcher,
             self._loads.count_peers, self._journal, self._rng)
@@ -138,6 +148,7 @@
                                              interface=host)
         self._watcher.start()
         self._reader.start()
+        self._stream_journal.start()
         if listen.peers:
             self._serve_page(listen.peers, peer_synchronizer.CONFIGURATION_PATH,
                              self._build_configuration)
@@ -213,7 +224,8 @@
             queue=dispatch.PlacementQueue(self._clock, self._scheduler),
             journal=self._journal,
             metrics=self._metrics,
-            streams=self._streams)
+            streams=self._streams,
+            version_record=self._stream_journal)
 
     def _find_service(self, name: str) -> dispatch.ServiceParameters:
         configuration = self._watcher.configuration
@@ -301,6 +313,9 @@
             ("mustardwood_rate_limit_refusals",
              "Times that a rate limit kept a request from an endpoint.",
              lambda: float(self._rate_limits.refusal_count)),
+            ("mustardwood_stream_journal_writes",
+             "Writes of streams to the store by this VM.",
+             lambda: float(self._stream_journal.write_count)),
             ("mustardwood_paused_endpoints",
              "Endpoints that have asked this VM for a pause.",
              lambda: float(self._pauses.paused_count)),
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -114,6 +114,10 @@
     at: int = 0
 
 
+class _Written(msgspec.Struct):
+    revision: int
+
+
 class _Grant(msgspec.Struct, frozen=True):
     lease_id: int
 
@@ -269,6 +273,39 @@
         body = {"expected_revision": [], "write": [row], "remove": []}
         await self._call_with_lease("POST", "/kv-txn", lease, body)
 
+    async def replace_key(self, key: str, value: bytes,
+                          revision: int) -> int | None:
+        """Writes a key if it has not changed.
+
+        Args:
+            key: The key.
+            value: The new value.
+            revision: Revision of the key's last change; 0 if it must not exist.
+
+        Returns:
+            The store's new revision; None if the key has changed.
+        """
+        row = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "lease_id": 0,
+        }
+        body = {
+            "expected_revision": [{
+                "key": key,
+                "revision": revision
+            }],
+            "write": [row],
+            "remove": []
+        }
+        response = await self._call("POST",
+                                    "/kv-txn",
+                                    body=body,
+                                    accepted=(200, 412))
+        if response.status == 412:
+            return None
+        return msgspec.json.decode(response.body, type=_Written).revision
+
     async def _call_with_lease(
             self,
             method: str,
@@ -322,13 +359,16 @@
         for notify in self._era_listeners:
             notify()
 
-    async def _call(self,
-                    method: str,
-                    path: str,
-                    query: dict[str, str] | None = None,
-                    timeout: datetime.timedelta = CALL_TIMEOUT,
-                    body: dict[str, typing.Any] | None = None,
-                    era: int | None = None) -> _Response:
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+        body: dict[str, typing.Any] | None = None,
+        era: int | None = None,
+        accepted: collections.abc.Container[int] = (200, 404)
+    ) -> _Response:
         """Makes a call; `era` is the only era in which it is valid, if any."""
         if era not in (None, self._era):
             raise _make_era_error()
@@ -353,7 +393,7 @@
             raise errors.RateLimitedError(
                 "The store's rate limit refused the call.", "Call again later.",
                 response.retry_after or _DEFAULT_RETRY_AFTER)
-        if response.status not in (200, 404):
+        if response.status not in accepted:
             raise errors.UnavailableError(
                 f"The store responded to {path} with status {response.status}.",
                 "Call again; calls are retried until the store responds.")
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -15,6 +15,7 @@
 from mustardwood.platform import configuration_decoder
 from mustardwood.platform import endpoint_decoder
 from mustardwood.platform import freshness_gate
+from mustardwood.platform import journal_store
 from mustardwood.platform import store_client
 
 CONFIGURATION_KEY = "op/config"
@@ -85,7 +86,7 @@
                  on_endpoint_restart: collections.abc.Callable[[str], None],
                  on_vm_change: collections.abc.Callable[[str, bytes | None],
                                                         None],
-                 rng: random.Random,
+                 stream_store: journal_store.JournalStore, rng: random.Random,
                  min_lapse_time: datetime.timedelta) -> None:
         """Creates a watcher; `start` starts it.
 
@@ -101,6 +102,7 @@
                 restarted.
             on_vm_change: Called with the name of a VM and its registration,
                 or None if the registration was removed.
+            stream_store: Receives the journal of streams.
             rng: Draws the waits of watches and the jitter of the backoff.
             min_lapse_time: Shortest store outage in which the registration of
                 an endpoint can expire.
@@ -114,6 +116,7 @@
         self._journal = journal
         self._on_endpoint_restart = on_endpoint_restart
         self._on_vm_change = on_vm_change
+        self._stream_store = stream_store
         self._rng = rng
         self._min_lapse_time = min_lapse_time
         self._is_stopped = False
@@ -193,6 +196,8 @@
         # Reading the ranges takes longer. Requests with API keys are already
         # allowed before that.
         self.record_proof(requested_at, position.era)
+        self._stream_store.apply_listing(await self._client.read_range(
+            journal_store.PREFIX, position.era))
         items = await self._client.read_range(endpoint_decoder.PREFIX,
                                               position.era)
         registered_since = self._list_registered_since(items, position)
@@ -262,6 +267,8 @@
                 self._apply_endpoint(each)
             elif each.key.startswith(VM_PREFIX):
                 self._apply_vm(each)
+            elif each.key.startswith(journal_store.PREFIX):
+                self._stream_store.apply_item(each)
         return max(position, next_position)
 
     def _draw_watch_wait(self) -> datetime.timedelta:
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -191,7 +191,7 @@
             if path == "/kv-watch":
                 return self._watch(query)
             if path == "/kv-txn":
-                return self._write(json.loads(body)["write"])
+                return self._write(**json.loads(body))
             return self._handle_lease_call(path, body)
 
     def _watch(self, query):
@@ -216,10 +216,16 @@
             self._end_leases()
         return 0, None
 
-    def _write(self, rows):
-        if any(row["lease_id"] not in self._lease_ends for row in rows):
+    def _write(self, expected_revision, write, remove):
+        assert not remove
+        if any(row["lease_id"] and row["lease_id"] not in self._lease_ends
+               for row in write):
             return 404, {}
-        for row in rows:
+        if any(
+                self._items.get(row["key"], {"revision": 0})["revision"] !=
+                row["revision"] for row in expected_revision):
+            return 412, {}
+        for row in write:
             self._change(row["key"], {
                 "value": row["value"],
                 "lease_id": row["lease_id"]
--- a/mustardwood/platform/tests/simulated_store.py
+++ b/mustardwood/platform/tests/simulated_store.py
@@ -124,10 +124,14 @@
             return 200, {"lease_id": lease_id}
         if path == "/kv-txn":
             row, = body["write"]
-            if row["lease_id"] not in leases:
+            if row["lease_id"] and row["lease_id"] not in leases:
                 return 404, {}
+            for expected in body["expected_revision"]:
+                item = self.find(expected["key"]) or {"revision": 0}
+                if item["revision"] != expected["revision"]:
+                    return 412, {}
             self.write(row["key"], row["value"], row["lease_id"])
-            return 200, {}
+            return 200, {"revision": self.contents["revision"]}
         lease_id = int(path.rpartition("/")[2])
         if lease_id not in leases:
             return 404, {}
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -18,6 +18,7 @@
 from mustardwood.platform import authorizer
 from mustardwood.platform import freshness_gate
 from mustardwood.platform import freshness_reader
+from mustardwood.platform import journal_store
 from mustardwood.platform import peer_synchronizer
 from mustardwood.platform import store_client
 from mustardwood.platform import store_watcher
@@ -73,11 +74,14 @@
             clock, dispatch.EndpointNotices(name, clock))
         self.proof = dispatch.FreshnessProof(clock, _KEY_REMOVAL_TIME, ms(500))
         loads = dispatch.LoadTable(clock)
+        self.stream_store = journal_store.JournalStore(client, clock,
+                                                       self.journal, name)
+        client.add_era_listener(self.stream_store.handle_era_change)
         self.watcher = store_watcher.StoreWatcher(
             client, clock, scheduler, self.directory, self.proof,
-            freshness_gate.FreshnessGate(clock,
-                                         is_first_start=False), self.journal,
-            lambda _: None, self._handle_vm_change, rng, _MIN_LAPSE_TIME)
+            freshness_gate.FreshnessGate(clock, is_first_start=False),
+            self.journal, lambda _: None, self._handle_vm_change,
+            self.stream_store, rng, _MIN_LAPSE_TIME)
         reader = freshness_reader.FreshnessReader(client, clock, scheduler,
                                                   self.proof, self.watcher,
                                                   loads.count_peers,
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -10,6 +10,7 @@
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.platform import freshness_gate
+from mustardwood.platform import journal_store
 from mustardwood.platform import store_client
 from mustardwood.platform import store_watcher
 from mustardwood.platform.tests import documents
@@ -91,6 +92,8 @@
             self.client, self.clock, self.scheduler, self.directory, self.proof,
             freshness_gate.FreshnessGate(self.clock, is_first_start=False),
             self.journal, self.restarted.append, self.vms.__setitem__,
+            journal_store.JournalStore(self.client,
+                                       self.clock, self.journal, "vm-1"),
             random.Random(seed), _MIN_LAPSE_TIME)
         self.watcher.start()
         self.scheduler.advance(_BATCH_DELAY)
