Derive the times of store watches from the deployment's bounds

Cause: each VM's watch ended after two seconds and was delayed by 0.3 s after a change, whatever the deployment's bounds. The large site excuses lost connections for 5 s and has 4 s for changes, and pays twice the calls it needs.

Change: the wait is contact_ms less a second (2, 3 and 4 s on the three sizes of sites), the delay 0.15 of the time for configurations and draining (0.3, 0.45 and 0.6 s).

An idle VM of the large site makes a watch call each 4 s instead of each 2 s.

--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -16,6 +16,17 @@
 The page is not served if the variable is unset.
 """
 
+_CONNECTION_LOSS_MARGIN = datetime.timedelta(seconds=1)
+"""Time for the timeout of a watch and for opening another connection."""
+_MIN_WATCH_WAIT = datetime.timedelta(seconds=1)
+_MAX_WATCH_WAIT = datetime.timedelta(seconds=4)
+"""Bounds of a watch's wait; it ends within the maximum age of a listing."""
+_BATCH_SHARE = 0.15
+"""Share of the time in which changes must take effect that delays a watch."""
+_MIN_BATCH_DELAY = datetime.timedelta(milliseconds=100)
+_MAX_BATCH_DELAY = datetime.timedelta(seconds=1)
+"""Bounds of the delay between a change and the next watch."""
+
 
 class Listen(msgspec.Struct, frozen=True):
     """Addresses to listen on, as IP:PORT.
@@ -38,6 +49,10 @@
     Attributes:
         grace_seconds: Time between SIGTERM and SIGKILL.
         key_removal_ms: Time after which a removed API key must be refused.
+        contact_ms: Time after a disturbance from which a VM must keep the other
+            bounds.
+        apply_ms: Time in which a configuration must take effect.
+        drain_ms: Time in which VMs must learn that an endpoint leaves.
         keys_fail_closed: Whether requests with API keys are refused while there
             is no current proof that the configuration is the newest.
         retry_share: Number of retries allowed per request, over all VMs.
@@ -46,6 +61,9 @@
 
     grace_seconds: float = msgspec.field(name="grace_s", default=8.0)
     key_removal_ms: float = msgspec.field(name="revoke_ms", default=5000.0)
+    contact_ms: float = 3000.0
+    apply_ms: float = msgspec.field(name="config_apply_ms", default=2000.0)
+    drain_ms: float = 2000.0
     keys_fail_closed: bool = msgspec.field(name="fail_closed", default=True)
     retry_share: float = msgspec.field(name="retry_ratio", default=0.1)
     spare_retries: float = msgspec.field(name="retry_burst", default=10.0)
@@ -93,6 +111,28 @@
         """Time after which a removed API key must be refused."""
         return datetime.timedelta(milliseconds=self.bounds.key_removal_ms)
 
+    @property
+    def max_watch_wait(self) -> datetime.timedelta:
+        """Maximum wait of a watch, after which a dead connection is detected.
+
+        With the margin of the call's timeout and the backoff, changes are late
+        by less than the time for which the loss of connections excuses it.
+        """
+        wait = (datetime.timedelta(milliseconds=self.bounds.contact_ms) -
+                _CONNECTION_LOSS_MARGIN)
+        return min(max(wait, _MIN_WATCH_WAIT), _MAX_WATCH_WAIT)
+
+    @property
+    def batch_delay(self) -> datetime.timedelta:
+        """Time for which changes are gathered before they are read.
+
+        It is a small part of the time in which changes must take effect.
+        """
+        delay = datetime.timedelta(
+            milliseconds=min(self.bounds.apply_ms, self.bounds.drain_ms) *
+            _BATCH_SHARE)
+        return min(max(delay, _MIN_BATCH_DELAY), _MAX_BATCH_DELAY)
+
     @property
     def min_lapse_time(self) -> datetime.timedelta:
         """Shortest store outage in which a registration can expire.
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -1,6 +1,7 @@
 """Watches the configuration, endpoints and VMs in the platform's store."""
 
 import collections.abc
+import dataclasses
 import datetime
 import random
 
@@ -16,31 +17,15 @@
 from mustardwood.platform import endpoint_decoder
 from mustardwood.platform import freshness_gate
 from mustardwood.platform import journal_store
+from mustardwood.platform import settings as settings_module
 from mustardwood.platform import store_client
 
 CONFIGURATION_KEY = "op/config"
 """Key of the configuration."""
 VM_PREFIX = "vms/"
 """Prefix of the keys of this system's VMs; it is followed by the VM's name."""
-MAX_WATCH_WAIT = datetime.timedelta(seconds=2)
-"""Maximum wait of a watch, after which a dead connection is detected.
-
-With the margin of the call's timeout and the backoff, changes are late by less
-than the three seconds for which the loss of connections excuses it.
-
-A freshness proof is dated at the time of the request, so the proof from a watch
-is as old as its wait; `FreshnessReader` obtains newer ones.
-"""
-_BATCH_DELAY = datetime.timedelta(milliseconds=300)
-"""Delay between a change and the next watch.
-
-Load pattern: many endpoints and VMs register at the same time, and each change
-would end the watches of all VMs, which costs one billed call per VM. All the
-changes during the delay are delivered by one call. The delay is about a seventh
-of the two seconds in which changes must take effect.
-"""
 _MIN_WATCH_FRACTION = 0.25
-"""Minimum wait of the watch after a change, as a fraction of `MAX_WATCH_WAIT`.
+"""Minimum wait of the watch after a change, as a fraction of the longest wait.
 
 A change ends the watches of all VMs at the same time. Random waits spread the
 VMs' next proofs over time, so that the newest proof of all VMs is always young.
@@ -63,6 +48,32 @@
 Configuration = configuration_decoder.Configuration
 
 
+@dataclasses.dataclass(frozen=True)
+class WatchTimes:
+    """Times of watches, which follow from the deployment's bounds.
+
+    Load pattern: many endpoints and VMs register at the same time, and each
+    change would end the watches of all VMs, which costs one billed call per VM.
+    All the changes during the batch delay are delivered by one call.
+
+    A freshness proof is dated at the time of the request, so the proof from a
+    watch is as old as its wait; `FreshnessReader` obtains newer ones.
+
+    Attributes:
+        max_wait: Maximum wait of a watch.
+        batch_delay: Delay between a change and the next watch.
+    """
+
+    max_wait: datetime.timedelta
+    batch_delay: datetime.timedelta
+
+    @classmethod
+    def from_settings(
+            cls, settings: settings_module.PlatformSettings) -> "WatchTimes":
+        """Returns the times for the bounds in the settings."""
+        return cls(settings.max_watch_wait, settings.batch_delay)
+
+
 class StoreWatcher:
     """Keeps the configuration and the list of endpoints up to date.
 
@@ -87,7 +98,7 @@
                  on_vm_change: collections.abc.Callable[[str, bytes | None],
                                                         None],
                  stream_store: journal_store.JournalStore, rng: random.Random,
-                 min_lapse_time: datetime.timedelta) -> None:
+                 times: WatchTimes, min_lapse_time: datetime.timedelta) -> None:
         """Creates a watcher; `start` starts it.
 
         Args:
@@ -104,6 +115,7 @@
                 or None if the registration was removed.
             stream_store: Receives the journal of streams.
             rng: Draws the waits of watches and the jitter of the backoff.
+            times: Times of watches.
             min_lapse_time: Shortest store outage in which the registration of
                 an endpoint can expire.
         """
@@ -118,6 +130,7 @@
         self._on_vm_change = on_vm_change
         self._stream_store = stream_store
         self._rng = rng
+        self._times = times
         self._min_lapse_time = min_lapse_time
         self._is_stopped = False
         self._failures = 0
@@ -178,7 +191,7 @@
                 self.record_proof(requested_at, position.era)
                 self._directory.record_listing(requested_at)
                 if self._had_changes:
-                    await self._sleep(_BATCH_DELAY)
+                    await self._sleep(self._times.batch_delay)
             except store_client.HistoryLostError as error:
                 self._journal.write("store_history_lost", error=error.message)
                 position = None
@@ -275,8 +288,9 @@
         if self._failures:
             return _RECOVERY_WATCH_WAIT
         if not self._had_changes:
-            return MAX_WATCH_WAIT
-        return MAX_WATCH_WAIT * self._rng.uniform(_MIN_WATCH_FRACTION, 1.0)
+            return self._times.max_wait
+        return self._times.max_wait * self._rng.uniform(_MIN_WATCH_FRACTION,
+                                                        1.0)
 
     def _apply_vms(self, items: list[store_client.Item]) -> None:
         """Applies a complete listing of the VMs."""
--- a/mustardwood/platform/tests/test_settings.py
+++ b/mustardwood/platform/tests/test_settings.py
@@ -39,6 +39,23 @@
     assert found.min_lapse_time.total_seconds() == 1.8
 
 
+@pytest.mark.parametrize(("contact", "apply", "wait", "batch"), [
+    (3000, 2000, 2.0, 0.3),
+    (4000, 3000, 3.0, 0.45),
+    (5000, 4000, 4.0, 0.6),
+    (1000, 500, 1.0, 0.1),
+    (60_000, 60_000, 4.0, 1.0),
+])
+def test_times_of_watches_follow_from_the_bounds(tmp_path, contact, apply, wait,
+                                                 batch):
+    bounds = (f"[bounds]\ncontact_ms = {contact}\nconfig_apply_ms = {apply}\n"
+              f"drain_ms = {apply + 500}")
+    found = settings.read_settings(
+        _write(tmp_path, _TEXT.replace("[bounds]", bounds)))
+    assert found.max_watch_wait.total_seconds() == wait
+    assert round(found.batch_delay.total_seconds(), 2) == batch
+
+
 @pytest.mark.parametrize("old, new, key", [
     ('front_addr = "192.0.2.1:8000"', 'front_addr = "192.0.2.1"',
      "$.listen.front_addr"),
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -79,9 +79,10 @@
         client.add_era_listener(self.stream_store.handle_era_change)
         self.watcher = store_watcher.StoreWatcher(
             client, clock, scheduler, self.directory, self.proof,
-            freshness_gate.FreshnessGate(clock, is_first_start=False),
-            self.journal, lambda _: None, self._handle_vm_change,
-            self.stream_store, rng, _MIN_LAPSE_TIME)
+            freshness_gate.FreshnessGate(clock,
+                                         is_first_start=False), self.journal,
+            lambda _: None, self._handle_vm_change, self.stream_store, rng,
+            store_watcher.WatchTimes(ms(2000), ms(300)), _MIN_LAPSE_TIME)
         reader = freshness_reader.FreshnessReader(client, clock, scheduler,
                                                   self.proof, self.watcher,
                                                   loads.count_peers,
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -17,6 +17,7 @@
 
 ms = harness_module.ms
 _BATCH_DELAY = ms(300)
+_TIMES = store_watcher.WatchTimes(ms(2000), _BATCH_DELAY)
 _MINUTE = ms(60_000)
 _MIN_LAPSE_TIME = ms(2400)
 _CONFIGURATION = store_watcher.CONFIGURATION_KEY
@@ -94,7 +95,7 @@
             self.journal, self.restarted.append, self.vms.__setitem__,
             journal_store.JournalStore(self.client,
                                        self.clock, self.journal, "vm-1"),
-            random.Random(seed), _MIN_LAPSE_TIME)
+            random.Random(seed), _TIMES, _MIN_LAPSE_TIME)
         self.watcher.start()
         self.scheduler.advance(_BATCH_DELAY)
 
@@ -256,7 +257,7 @@
         harness = _Harness(seed)
         harness.deliver([], 10)
         waits.add(harness.client.watches[0][2])
-        assert harness.client.watches[1][2] == store_watcher.MAX_WATCH_WAIT
+        assert harness.client.watches[1][2] == _TIMES.max_wait
     assert len(waits) > 10
     assert max(waits) - min(waits) > ms(500)
 
@@ -284,7 +285,7 @@
     """Lets watches end without changes after their whole time."""
     end = harness.clock.monotonic() + duration
     while harness.clock.monotonic() < end:
-        harness.scheduler.advance(store_watcher.MAX_WATCH_WAIT)
+        harness.scheduler.advance(_TIMES.max_wait)
         harness.deliver([], 10)
 
 
@@ -295,7 +296,7 @@
     _watch_for(harness, ms(15_000))
     assert harness.directory.find_only_version("api", _MINUTE) == "v1"
     # The pending watch has not ended yet.
-    harness.scheduler.advance(store_watcher.MAX_WATCH_WAIT)
+    harness.scheduler.advance(_TIMES.max_wait)
     assert harness.directory.find_only_version("api", _MINUTE) == "v1"
 
 
@@ -545,7 +546,7 @@
     harness.scheduler.advance(ms(600))
     assert harness.client.watches[-1][2] < ms(100)
     harness.deliver([], 10)
-    assert harness.client.watches[-1][2] == store_watcher.MAX_WATCH_WAIT
+    assert harness.client.watches[-1][2] == _TIMES.max_wait
 
 
 def test_later_era_of_a_peer_causes_one_read_each_second():
