Keep the number of freshness reads small where news is slow

Cause: VMs read at uniformly random ages of the proof, and drew again only after a proof younger than 0.6 s. In a large fleet a proof is that old when it arrives, so many VMs read before they hear of the first read.

Change: exponentially weighted ages, and another draw after each new proof.

Result: with news after 0.6 s, 195 VMs made 329 reads in 20 s of virtual time and 400 VMs 587; both make fewer than 200 now, as the test demands.

--- a/mustardwood/platform/freshness_reader.py
+++ b/mustardwood/platform/freshness_reader.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import math
 import random
 
 import msgspec
@@ -49,6 +50,12 @@
     reads when the proof reaches a random age, which is drawn again after each
     new proof. The other VMs receive the proof with the peers' updates, so the
     number of reads does not grow with the number of VMs.
+
+    The ages are those of exponentially weighted timers [1]_.
+
+    References:
+        .. [1] J. Nonnenmacher and E. Biersack, "Scalable feedback for large
+           groups", IEEE/ACM Transactions on Networking 7(3), 1999.
     """
 
     def __init__(self, client: store_client.StoreClient, clock: timing.Clock,
@@ -77,6 +84,7 @@
         self._journal = journal
         self._rng = rng
         self._is_reading = False
+        self._proof_read_at: datetime.timedelta | None = None
         self._read_age = self._draw_age()
 
     def start(self) -> None:
@@ -89,7 +97,7 @@
             # The VMs' reads are spread anew for when they prove something.
             self._read_age = ((age or datetime.timedelta()) + self._draw_age() -
                               _MIN_READ_AGE)
-        elif age is not None and age < _MIN_READ_AGE:
+        elif age is not None and self._is_new(age):
             self._read_age = self._draw_age()
         elif ((age is None or age >= self._read_age) and
               self._watcher.is_connected and not self._is_reading):
@@ -98,6 +106,17 @@
                 self._log_error)
         self._scheduler.call_later(_CHECK_INTERVAL, self._check_proof)
 
+    def _is_new(self, age: datetime.timedelta) -> bool:
+        """Returns whether the proof is newer than at the last check.
+
+        In large deployments, proofs of peers may be older than the minimum age
+        when they are received.
+        """
+        read_at = self._clock.monotonic() - age
+        is_new = self._proof_read_at is None or read_at > self._proof_read_at
+        self._proof_read_at = read_at
+        return is_new
+
     def _log_error(self, reason: failure.Failure) -> None:
         """Logs an unexpected error; the next check reads again."""
         self._journal.write("error",
@@ -106,9 +125,17 @@
                             traceback=reason.getTraceback())
 
     def _draw_age(self) -> datetime.timedelta:
-        spread = min(_AGE_SPREAD_PER_PEER * self._count_peers(),
-                     _MAX_AGE_SPREAD)
-        return _MIN_READ_AGE + spread * self._rng.random()
+        """Returns a random age, of which larger ones are more probable.
+
+        The probability grows exponentially with the age, the faster the more
+        VMs there are. So few VMs read before they learn of the first read,
+        also if that takes a large part of the spread.
+        """
+        peers = self._count_peers()
+        spread = min(_AGE_SPREAD_PER_PEER * peers, _MAX_AGE_SPREAD)
+        growth = 1.0 + math.log(peers + 1)
+        share = math.log1p(self._rng.random() * math.expm1(growth)) / growth
+        return _MIN_READ_AGE + spread * share
 
     async def _read(self) -> None:
         requested_at = self._clock.monotonic()
--- a/mustardwood/platform/tests/test_freshness_reader.py
+++ b/mustardwood/platform/tests/test_freshness_reader.py
@@ -1,7 +1,9 @@
 """Tests of the reads that renew the freshness proof."""
 
+import collections
 import random
 
+import pytest
 from twisted.internet import defer
 
 from mustardwood import dispatch
@@ -127,6 +129,27 @@
     assert reads[9] < 2 * 60
 
 
+@pytest.mark.parametrize("count", [9, 60, 195, 400])
+def test_slow_news_of_proofs_do_not_multiply_the_reads(count):
+    """In large fleets a VM learns of another one's read after 0.6 s."""
+    clock = timing.ManualClock()
+    scheduler = harness_module.FakeScheduler(clock)
+    vms = [_Vm(seed, count - 1, clock, scheduler) for seed in range(count)]
+    read_count = 0
+    known = collections.deque([clock.monotonic()] * 6, maxlen=6)
+    for _ in range(200):
+        scheduler.advance(ms(100))
+        for vm in vms:
+            while vm.client.reads:
+                vm.client.reads.pop().callback((_item(), _POSITION))
+                read_count += 1
+        for vm in vms:
+            vm.proof.record(known[0])
+        known.append(clock.monotonic() - min(vm.proof.get_age() for vm in vms))
+        assert clock.monotonic() - known[0] < ms(3500)
+    assert read_count < 20 * 10
+
+
 def test_configuration_is_not_read_while_a_read_proves_nothing():
     """A restored store shows an older configuration for some seconds."""
     vm = _Vm(peers=8)
