--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -13,8 +13,8 @@
 from mustardwood.dispatch.endpoint_load import EndpointLoad
 from mustardwood.dispatch.endpoint_notices import EndpointNotice
 from mustardwood.dispatch.endpoint_notices import EndpointNotices
+from mustardwood.dispatch.endpoint_notices import NoticeEvent
 from mustardwood.dispatch.endpoint_notices import NoticeKind
-from mustardwood.dispatch.endpoint_notices import NoticeSource
 from mustardwood.dispatch.endpoint_pauses import EndpointPauses
 from mustardwood.dispatch.endpoint_pauses import MAX_PAUSE
 from mustardwood.dispatch.endpoint_rate_limits import EndpointRateLimits
@@ -91,8 +91,8 @@
     "JournalStore",
     "LoadTable",
     "Metrics",
+    "NoticeEvent",
     "NoticeKind",
-    "NoticeSource",
     "Organisation",
     "PartCrash",
     "PartSuccess",
@@ -121,6 +121,6 @@
     "ServiceRetryBudgets",
     "StreamJournal",
     "StreamVersionTable",
-    "VersionHistory",
     "Timer",
+    "VersionHistory",
 ]
--- a/mustardwood/dispatch/endpoint_notices.py
+++ b/mustardwood/dispatch/endpoint_notices.py
@@ -63,8 +63,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class NoticeSource:
-    """Where a notice comes from, for the log.
+class NoticeEvent:
+    """A new notice, for the log.
 
     Attributes:
         endpoint: Name of the endpoint with the time of its start.
@@ -103,7 +103,7 @@
         self,
         vm: str,
         clock: timing.Clock,
-        on_notice: collections.abc.Callable[[NoticeSource], None] | None = None
+        on_notice: collections.abc.Callable[[NoticeEvent], None] | None = None
     ) -> None:
         """Creates a table without notices.
 
@@ -204,7 +204,7 @@
             self._remove(next(iter(self._entries)))
         if known is None and self._on_notice is not None:
             self._on_notice(
-                NoticeSource(notice.endpoint, notice.kind, vm, notice.age))
+                NoticeEvent(notice.endpoint, notice.kind, vm, notice.age))
 
     def _remove(self, key: tuple[str, NoticeKind]) -> None:
         if self._entries.pop(key, None) is not None:
--- a/mustardwood/dispatch/stream_journal.py
+++ b/mustardwood/dispatch/stream_journal.py
@@ -62,6 +62,8 @@
     leaves several versions possible, each VM also saves the streams that it
     begins, at once: a stream that began within the time of a write is lost.
 
+    It implements `forwarding_context.VersionRecord`.
+
     Attributes:
         write_count: Number of successful writes of streams.
     """
@@ -142,27 +144,19 @@
         self._saved_count = -1
 
     def handle_new_stream(self) -> None:
-        """Saves a stream that has just begun at this VM, if that is needed."""
+        """See `forwarding_context.VersionRecord`."""
         self._save_streams()
 
     def find_only_version(self, service: str,
                           period: datetime.timedelta) -> str | None:
-        """Returns the only version that may have begun a service's stream.
-
-        Args:
-            service: Name of the service.
-            period: Time before now in which the stream may have begun.
-
-        Returns:
-            The version; None if several may have.
-        """
+        """See `forwarding_context.VersionRecord`."""
         version = self._history.find_only_version(service, period,
                                                   self._clock.now())
         present = self._directory.list_versions().get(service, set())
         return version if present <= {version} else None
 
     def is_recorded(self, service: str, version: str) -> bool:
-        """Returns whether a version is part of the saved history."""
+        """See `forwarding_context.VersionRecord`."""
         return self._history.has(service, version)
 
     def _run(self) -> None:
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -235,7 +235,7 @@
             return dispatch.ServiceParameters(name)
         return configuration.table.find_service(name)
 
-    def _log_notice(self, notice: dispatch.NoticeSource) -> None:
+    def _log_notice(self, notice: dispatch.NoticeEvent) -> None:
         self._journal.write("endpoint_notice",
                             endpoint=notice.endpoint,
                             kind=notice.kind,
