Refuse the tiers after a refused one, and count light load at all times

Callers saw urgent tiers refused while larger, less urgent requests began, and tiers refused beside engines with five of 32 slots in use. Each VM kept a refusal per tier, and only for tiers that it had refused itself, so a less urgent tier was admitted while a more urgent one was still refused. The time of light load began anew with each moment at which the demand fitted, so demand around the capacity kept a tier out for seconds.

A refusal now holds for a service from its first refused tier on, whichever tier showed it, and one more tier is admitted for each second of light load. The three new tests fail without the change.

--- a/mustardwood/dispatch/tests/test_tier_admission.py
+++ b/mustardwood/dispatch/tests/test_tier_admission.py
@@ -87,6 +87,38 @@
     assert _send(harness, 1, 1) == 1
 
 
+def test_tiers_after_a_refused_one_are_refused_as_long(harness):
+    # A less urgent tier began while a more urgent one was still refused.
+    harness.admission.set_peer_demands("vm-2",
+                                       [dispatch.TierDemand("engine", 0, 0.9)])
+    assert _send(harness, 1, 1) == 0
+    harness.admission.set_peer_demands("vm-2", [])
+    assert _send(harness, 2, 1, ms(0)) == 0
+    assert _send(harness, 1, 1, ms(2_000)) == 0
+    assert _send(harness, 2, 1) == 1
+
+
+def test_refusal_is_known_whichever_tier_a_vm_serves(harness):
+    # VMs that had only urgent requests went on to admit the less urgent ones.
+    harness.admission.set_peer_demands("vm-2",
+                                       [dispatch.TierDemand("engine", 0, 0.9)])
+    assert _send(harness, 0, 1) == 1
+    harness.admission.set_peer_demands("vm-2", [])
+    assert _send(harness, 1, 1) == 0
+
+
+def test_demand_around_the_capacity_keeps_no_tier_refused_beside_idle_engines():
+    # Each moment with capacity used to restart the time of light load.
+    harness = harness_module.Harness(endpoints=1)
+    admitted = 0
+    for step in range(40):
+        demand = 0.9 if step % 2 else 0.0
+        harness.admission.set_peer_demands(
+            "vm-2", [dispatch.TierDemand("engine", 0, demand)])
+        admitted += _send(harness, 1, 1, ms(100))
+    assert admitted >= 30
+
+
 def test_only_the_next_tier_is_admitted_if_engines_stay_lightly_loaded():
     harness = harness_module.Harness(endpoints=1)
     harness.admission.set_peer_demands("vm-2", [
--- a/mustardwood/dispatch/tier_admission.py
+++ b/mustardwood/dispatch/tier_admission.py
@@ -23,9 +23,9 @@
 It is that of three lost reports at the longest interval.
 """
 _MIN_REFUSAL_TIME = datetime.timedelta(seconds=2)
-"""Time for which a tier is refused at least.
+"""Time for which a tier and those after it are refused at least.
 
-Otherwise, random changes of the demand would admit it again and again.
+Otherwise, random changes of the demand would admit them again and again.
 """
 _MAX_REPORTED = 64
 """Maximum number of services and tiers in one report: half a kilobyte."""
@@ -39,7 +39,7 @@
 _LIGHT_LOAD_SHARE = 0.5
 """Share of the slots up to which engines are lightly loaded."""
 _LIGHT_LOAD_TIME = datetime.timedelta(seconds=1)
-"""Time for which they are until one more tier is admitted."""
+"""Time for which they are for each further tier that is admitted."""
 _MIN_WEIGHT = 0.5
 """Minimum weight of the time since the start in the demand."""
 
@@ -117,7 +117,7 @@
         self._reported_at = clock.monotonic()
         self._peers: dict[str, _PeerDemand] = {}
         self._totals: dict[str, dict[int, float]] = {}
-        self._refused_until: dict[tuple[str, int], datetime.timedelta] = {}
+        self._refusals: dict[str, dict[int, datetime.timedelta]] = {}
         self._light_loads: dict[str, _LightLoad] = {}
         self._is_changed = True
 
@@ -148,19 +148,16 @@
         """
         if not request.prompt.input_tokens or not usable:
             return True
-        service, tier = request.service, request.tier
-        now = self._clock.monotonic()
+        service, now = request.service, self._clock.monotonic()
+        spare_tiers = self._count_spare_tiers(service, usable)
         first_refused = self._find_first_refused(service,
                                                  self._find_capacity(usable))
-        if first_refused is None:
-            self._light_loads.pop(service, None)
-        else:
-            is_light = self._are_lightly_loaded(service, usable)
-            if tier == first_refused and is_light:
-                return True
-            if tier >= first_refused:
-                self._refused_until[service, tier] = now + _MIN_REFUSAL_TIME
-        return self._refused_until.get((service, tier), now) <= now
+        refusals = self._refusals.setdefault(service, {})
+        if first_refused is not None:
+            refusals[first_refused] = now + _MIN_REFUSAL_TIME
+        for tier in [tier for tier, until in refusals.items() if until <= now]:
+            del refusals[tier]
+        return request.tier < min(refusals, default=math.inf) + spare_tiers
 
     def find_demands(self, service: str) -> dict[int, float]:
         """Returns the demand of all VMs for a service's engines by tier."""
@@ -221,10 +218,14 @@
                                           max(limit, _MIN_RATE) * mean_time)
             for limit in limits)
 
-    def _are_lightly_loaded(self, service: str, usable: _Endpoints) -> bool:
-        """Returns whether the engines have had free slots for some time.
+    def _count_spare_tiers(self, service: str, usable: _Endpoints) -> int:
+        """Returns how many refused tiers are admitted all the same.
 
-        The demand was then estimated too high, or it has just fallen.
+        It is one for each `_LIGHT_LOAD_TIME` for which the engines have had
+        free slots. The demand was then estimated too high, or it has just
+        fallen. The time is measured whether or not a tier is refused:
+        otherwise, demand that varies around the capacity would keep a tier
+        refused beside idle engines.
         """
         now = self._clock.monotonic()
         known = self._loads.list_total_loads()
@@ -234,7 +235,7 @@
         if (light is None or light.engines != len(usable) or requests
                 >= _LIGHT_LOAD_SHARE * sum(each.slots for each in usable)):
             light = self._light_loads[service] = _LightLoad(len(usable), now)
-        return now - light.since >= _LIGHT_LOAD_TIME
+        return (now - light.since) // _LIGHT_LOAD_TIME
 
     def _list_totals(self) -> dict[str, dict[int, float]]:
         """Returns the demand of all VMs by service and tier."""
