Make fewer calls to the store in large deployments

With more than eight peers, watches now last up to twice as long and the backoff grows up to two seconds, which with a call that times out stays within the time for which an outage excuses a VM. Updates between VMs tell the store's position up to which the sender knows all changes, so that a VM whose watch has fallen silent learns it from its peers instead of from the end of the watch. A list of endpoints counts as current for 8 s instead of 5 s.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -13,8 +13,11 @@
 
 The platform guarantees two seconds; the rest covers the delay of the watch.
 """
-_MAX_LISTING_AGE = datetime.timedelta(seconds=5)
-"""Maximum age of a current list of endpoints: two waits of a watch."""
+_MAX_LISTING_AGE = datetime.timedelta(seconds=8)
+"""Maximum age of a current list of endpoints.
+
+It is that of two waits of a watch, or one of a large deployment.
+"""
 _VERSION_MEMORY = datetime.timedelta(seconds=60)
 """Time for which a version is remembered after its last endpoint."""
 _REMOVAL_RECORD_LIFETIME = datetime.timedelta(seconds=60)
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -47,6 +47,10 @@
 
     It does no I/O.
 
+    Attributes:
+        store_position: The store's era and its revision up to which this VM
+            knows all changes; updates tell it to the peers.
+
     A peer's freshness proof is converted to this VM's clock, since the clocks
     of two VMs are not synchronised. The peer's update names a message that it
     has received from this VM, and the time from the store read behind its proof
@@ -82,6 +86,7 @@
             notices: Records what VMs learn of endpoints from responses.
             admission: Receives the peers' demand for engines.
         """
+        self.store_position = (0, 0)
         self._vm = vm
         self._clock = clock
         self._loads = loads
@@ -176,7 +181,7 @@
                      peer_update.PeerUpdate(
                          self._vm, self._sequence, peer.last_sequence,
                          _compute_proof_lead(peer, requested_at), configuration,
-                         report, streams, questions))))
+                         report, streams, questions, self.store_position))))
         return updates
 
     def _build_report(self) -> peer_update.Report:
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -17,6 +17,8 @@
 _RateLimit = typing.Annotated[float, msgspec.Meta(ge=0, le=1e15)]
 """A number of requests a second."""
 
+_Counter = typing.Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
 _Tier = typing.Annotated[int, msgspec.Meta(ge=0, le=10**6)]
 
 _EngineShare = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
@@ -98,6 +100,8 @@
             began them.
         questions: Concatenated keys of streams whose version the sender asks
             for.
+        store_position: The store's era and its revision up to which the sender
+            knows all changes.
     """
 
     sender: str
@@ -108,3 +112,4 @@
     report: msgspec.Raw
     streams: dict[str, bytes] = {}
     questions: bytes = b""
+    store_position: tuple[_Counter, _Counter] = (0, 0)
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -117,7 +117,7 @@
             self._journal, self._forget_endpoint, self._handle_vm_change,
             stream_store, self._rng,
             store_watcher.WatchTimes.from_settings(self._settings),
-            self._settings.min_lapse_time)
+            self._settings.min_lapse_time, self._loads.count_peers)
         self._reader = freshness_reader.FreshnessReader(
             client, self._clock, self._scheduler, self._proof, self._watcher,
             self._loads.count_peers, self._journal, self._rng)
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -126,6 +126,7 @@
                 now - self._sent_at >= _KEEPALIVE_INTERVAL):
             self._sent_load_version = self._loads.version
             self._sent_at = now
+            self._protocol.store_position = self._watcher.position
             for name, update in self._protocol.build_updates(
                     self._addresses, self._watcher.configuration_position):
                 self.port.send(update, self._addresses[name])
@@ -172,6 +173,8 @@
                     received, self._watcher.configuration_position):
                 self.port.send(reply, self._addresses[name])
         self._watcher.check_era(received.configuration.era)
+        self._watcher.record_peer_position(
+            store_client.Position(*received.store_position))
         if (received.configuration > self._watcher.configuration_position and
                 not self._is_fetching):
             self._is_fetching = True
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -18,6 +18,8 @@
 
 _CONNECTION_LOSS_MARGIN = datetime.timedelta(seconds=1)
 """Time for the timeout of a watch and for opening another connection."""
+_MAX_CALL_TIME = datetime.timedelta(seconds=2)
+"""Time for a call that times out and for the next one."""
 _MIN_WATCH_WAIT = datetime.timedelta(seconds=1)
 _MAX_WATCH_WAIT = datetime.timedelta(seconds=4)
 """Bounds of a watch's wait; it ends within the maximum age of a listing."""
@@ -122,6 +124,16 @@
                 _CONNECTION_LOSS_MARGIN)
         return min(max(wait, _MIN_WATCH_WAIT), _MAX_WATCH_WAIT)
 
+    @property
+    def max_store_backoff(self) -> datetime.timedelta:
+        """Maximum backoff of calls to the store in large deployments.
+
+        Together with a call that times out, it ends within the time for which
+        an outage excuses a VM.
+        """
+        return (datetime.timedelta(milliseconds=self.bounds.contact_ms) -
+                _MAX_CALL_TIME)
+
     @property
     def batch_delay(self) -> datetime.timedelta:
         """Time for which changes are gathered before they are read.
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -28,6 +28,7 @@
 """Delay after a rate-limited call whose response names no delay."""
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _ERA_HEADER = b"store-era"
+_WATCH_PATH = "/kv-watch"
 _MAX_ERA_DIGITS = 18
 """Maximum number of digits of an era, so that it fits into 64 bits."""
 
@@ -161,6 +162,7 @@
         self._era: int | None = None
         self._era_listeners: list[collections.abc.Callable[[], None]] = []
         self._calls_of_era: dict[_CallListener, http1.Exchange] = {}
+        self._watches: dict[_CallListener, http1.Exchange] = {}
         self.calls: collections.Counter[str] = collections.Counter()
 
     def add_era_listener(self,
@@ -226,7 +228,7 @@
             "wait_ms": str(wait // datetime.timedelta(milliseconds=1)),
         }
         response = await self._call("GET",
-                                    "/kv-watch",
+                                    _WATCH_PATH,
                                     query,
                                     timeout=wait + _WATCH_MARGIN,
                                     era=after.era)
@@ -234,6 +236,12 @@
         return (decode_items(changes.events,
                              after.era), Position(after.era, changes.at))
 
+    def abort_watches(self) -> None:
+        """Fails the pending watches, whose connection no longer works."""
+        for listener, exchange in list(self._watches.items()):
+            exchange.abort()
+            listener.receive_failure(True, "the watch missed a change")
+
     async def grant_lease(self, time_to_live: datetime.timedelta) -> Lease:
         """Creates a lease."""
         body = {"ttl_ms": time_to_live // _MILLISECOND}
@@ -336,6 +344,8 @@
                                    max_body_bytes=_MAX_RESPONSE_BYTES)
         if depends_on_era:
             self._calls_of_era[listener] = exchange
+        if request.target.startswith(_WATCH_PATH):
+            self._watches[listener] = exchange
         timer = self._scheduler.call_later(
             timeout, lambda: _abort_call(exchange, listener))
         try:
@@ -343,6 +353,7 @@
         finally:
             timer.cancel()
             self._calls_of_era.pop(listener, None)
+            self._watches.pop(listener, None)
 
     def _record_era(self, era: int) -> None:
         if self._era is not None and era <= self._era:
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -40,10 +40,22 @@
 _BACKOFF_BASE = datetime.timedelta(milliseconds=60)
 """Base of the exponential backoff after failed calls."""
 _MAX_BACKOFF = datetime.timedelta(milliseconds=500)
-"""Maximum backoff.
+"""Maximum backoff of a VM with few peers.
 
 It is a tenth of the time after which a removed key must be refused.
 """
+_PEERS_AT_MIN_TIMES = 8
+"""Number of peers up to which waits and backoffs are not extended."""
+_MAX_WAIT_FACTOR = 2.0
+"""Maximum factor by which watches last longer in large deployments.
+
+`EndpointDirectory` takes a list of endpoints for current for somewhat longer.
+"""
+_MAX_LAG = datetime.timedelta(seconds=1)
+"""Time for which a peer may know of changes that a pending watch has not shown.
+
+It is the longest interval at which peers send updates.
+"""
 
 Configuration = configuration_decoder.Configuration
 
@@ -60,18 +72,42 @@
     watch is as old as its wait; `FreshnessReader` obtains newer ones.
 
     Attributes:
-        max_wait: Maximum wait of a watch.
+        max_wait: Maximum wait of a watch of a VM with few peers.
         batch_delay: Delay between a change and the next watch.
+        max_backoff: Maximum backoff after failed calls with many peers.
     """
 
     max_wait: datetime.timedelta
     batch_delay: datetime.timedelta
+    max_backoff: datetime.timedelta = _MAX_BACKOFF
 
     @classmethod
     def from_settings(
             cls, settings: settings_module.PlatformSettings) -> "WatchTimes":
         """Returns the times for the bounds in the settings."""
-        return cls(settings.max_watch_wait, settings.batch_delay)
+        return cls(settings.max_watch_wait, settings.batch_delay,
+                   max(settings.max_store_backoff, _MAX_BACKOFF))
+
+    def find_max_wait(self, peers_count: int) -> datetime.timedelta:
+        """Returns the maximum wait of a watch with a number of peers.
+
+        Load pattern: in a large deployment, watches that end without a change
+        are most of the billed calls. A watch also ends so that a connection
+        that has fallen silent is detected. With many peers, some watch ends
+        soon, and its VM tells the others which changes they have missed.
+        """
+        return self.max_wait * min(_find_size_factor(peers_count),
+                                   _MAX_WAIT_FACTOR)
+
+    def find_max_backoff(self, peers_count: int) -> datetime.timedelta:
+        """Returns the maximum backoff with a number of peers.
+
+        Load pattern: during an outage all VMs call again and again, and refused
+        calls are billed, too. With many peers one of them calls soon after the
+        end of the outage and passes its freshness proof on to the others.
+        """
+        return min(_MAX_BACKOFF * _find_size_factor(peers_count),
+                   self.max_backoff)
 
 
 class StoreWatcher:
@@ -98,7 +134,8 @@
                  on_vm_change: collections.abc.Callable[[str, bytes | None],
                                                         None],
                  stream_store: journal_store.JournalStore, rng: random.Random,
-                 times: WatchTimes, min_lapse_time: datetime.timedelta) -> None:
+                 times: WatchTimes, min_lapse_time: datetime.timedelta,
+                 count_peers: collections.abc.Callable[[], int]) -> None:
         """Creates a watcher; `start` starts it.
 
         Args:
@@ -118,6 +155,7 @@
             times: Times of watches.
             min_lapse_time: Shortest store outage in which the registration of
                 an endpoint can expire.
+            count_peers: Returns the number of peers whose updates arrive.
         """
         self._client = client
         self._clock = clock
@@ -132,6 +170,9 @@
         self._rng = rng
         self._times = times
         self._min_lapse_time = min_lapse_time
+        self._count_peers = count_peers
+        self._is_watching = False
+        self._lags_since: datetime.timedelta | None = None
         self._is_stopped = False
         self._failures = 0
         self._had_changes = True
@@ -269,8 +310,12 @@
 
     async def _watch(self,
                      position: store_client.Position) -> store_client.Position:
-        items, next_position = await self._client.watch("", position,
-                                                        self._draw_watch_wait())
+        self._is_watching, self._lags_since = True, None
+        try:
+            items, next_position = await self._client.watch(
+                "", position, self._draw_watch_wait())
+        finally:
+            self._is_watching = False
         self._had_changes = bool(items)
         self._record_success()
         for each in items:
@@ -287,10 +332,10 @@
     def _draw_watch_wait(self) -> datetime.timedelta:
         if self._failures:
             return _RECOVERY_WATCH_WAIT
+        max_wait = self._times.find_max_wait(self._count_peers())
         if not self._had_changes:
-            return self._times.max_wait
-        return self._times.max_wait * self._rng.uniform(_MIN_WATCH_FRACTION,
-                                                        1.0)
+            return max_wait
+        return max_wait * self._rng.uniform(_MIN_WATCH_FRACTION, 1.0)
 
     def _apply_vms(self, items: list[store_client.Item]) -> None:
         """Applies a complete listing of the VMs."""
@@ -310,6 +355,32 @@
         self._on_vm_change(item.key.removeprefix(VM_PREFIX),
                            None if item.value is None else item.decode_value())
 
+    def record_peer_position(self, position: store_client.Position) -> None:
+        """Ends a pending watch that has not shown changes that a peer knows.
+
+        Failure: the watch's connection has fallen silent without a reset.
+
+        Args:
+            position: Position of the last change that the peer knows.
+        """
+        if (not self._is_watching or position.era != self._position.era or
+                position <= self._position):
+            return
+        now = self._clock.monotonic()
+        if self._lags_since is None:
+            self._lags_since = now
+        elif now - self._lags_since >= _MAX_LAG:
+            self._lags_since = None
+            self._journal.write("store_watch_silent",
+                                revision=self._position.revision,
+                                peer_revision=position.revision)
+            self._client.abort_watches()
+
+    @property
+    def position(self) -> store_client.Position:
+        """Position up to which all changes are known."""
+        return self._position
+
     def check_era(self, era: int) -> None:
         """Asks the store for its era if a peer knows a later one.
 
@@ -492,10 +563,11 @@
                 "store_lost",
                 error=str(error),
                 proof_age_s=None if age is None else age.total_seconds())
-        delay = min(_BACKOFF_BASE * 2**min(self._failures, 8), _MAX_BACKOFF)
+        max_backoff = self._times.find_max_backoff(self._count_peers())
+        delay = min(_BACKOFF_BASE * 2**min(self._failures, 8), max_backoff)
         delay *= 0.5 + 0.5 * self._rng.random()
         if isinstance(error, errors.RateLimitedError):
-            delay = max(delay, min(error.retry_after, _MAX_BACKOFF))
+            delay = max(delay, min(error.retry_after, max_backoff))
         return self._sleep(delay)
 
     def _sleep(self, delay: datetime.timedelta) -> defer.Deferred[None]:
@@ -504,6 +576,10 @@
         return deferred
 
 
+def _find_size_factor(peers_count: int) -> float:
+    return max(1.0, peers_count / _PEERS_AT_MIN_TIMES)
+
+
 def _make_configuration_position(
         item: store_client.Item,
         configuration: Configuration) -> peers.ConfigurationPosition:
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -24,11 +24,17 @@
         self.configuration_position = position
         self.applied = []
         self.eras = []
+        self.position = (position.era, position.revision)
+        self.peer_positions = []
 
     def check_era(self, era):
         """Records the era that a peer knows."""
         self.eras.append(era)
 
+    def record_peer_position(self, position):
+        """Records the position that a peer knows."""
+        self.peer_positions.append(position)
+
     def apply_peer_configuration(self, item):
         """Records the configuration read from a peer."""
         self.applied.append(item)
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -73,10 +73,14 @@
 
 class _Watcher:
     configuration_position = peers.ConfigurationPosition(5, 0, 5)
+    position = (0, 5)
 
     def check_era(self, era):
         """Ignores the peer's era."""
 
+    def record_peer_position(self, position):
+        """Ignores the peer's position."""
+
     def apply_peer_configuration(self, item):
         """Fails; no configuration is expected."""
         raise AssertionError(item)
