Split the forwarding of a request by concern

Change: the package `mustardwood/forwarding` holds the wait for an endpoint with room (`room_wait`), the open attempts with the takeover (`attempts`), the version at which a stream goes on (`stream_version`) and what the caller got (`forwarded_response`). No decision changes.

--- /dev/null
+++ b/mustardwood/forwarding/attempts.py
@@ -0,0 +1,347 @@
+"""Open attempts of a request, with the takeover of a silent one."""
+
+import collections.abc
+import datetime
+
+from mustardwood.dispatch import attempt_record
+from mustardwood.dispatch import endpoint_load
+from mustardwood.dispatch import forwarding_context
+from mustardwood.dispatch import placement as placement_module
+from mustardwood.dispatch import placement_limit
+from mustardwood.dispatch import request_record
+from mustardwood.dispatch import service_request
+from mustardwood.dispatch import stall_timeout
+from mustardwood.forwarding import attempt_listener
+from mustardwood.forwarding import forwarded_response
+from mustardwood.forwarding import response_handler
+from mustardwood.forwarding import room_wait
+from mustardwood.forwarding import stream_version
+
+_MAX_SENDS = 4
+"""Maximum number of sends of one request, including those that did not run."""
+_TAKEOVER_TIME = datetime.timedelta(milliseconds=250)
+"""Time for which a silent attempt stays open beside its successor.
+
+An endpoint that refuses a request does so within a few round trips. Until then
+the silent attempt may still go on; after that, two endpoints would run the
+request.
+"""
+_CONNECTION_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+"""Interval at which the takeover waits for the successor's connection."""
+
+
+class Attempts:
+    """Sends a request to endpoints and keeps its open attempts.
+
+    An endpoint that is only silent may go on. Its attempt therefore stays open
+    until another endpoint has room for the request and has not refused it.
+
+    Attributes:
+        runs: Number of endpoints that may have run the request, without the
+            current one.
+    """
+
+    def __init__(self, request: service_request.ServiceRequest,
+                 context: forwarding_context.ForwardingContext,
+                 record: request_record.RequestRecord,
+                 response: forwarded_response.ForwardedResponse,
+                 version: stream_version.StreamVersion,
+                 wait: room_wait.RoomWait,
+                 handler: response_handler.ResponseHandler,
+                 is_allowed: collections.abc.Callable[[], bool]) -> None:
+        """Creates the attempts; none is open.
+
+        Args:
+            request: The request.
+            context: Objects that all requests share.
+            record: Log line of the request.
+            response: What the caller got of the response.
+            version: Software version of the stream.
+            wait: Wait for an endpoint with room.
+            handler: Receives the responses.
+            is_allowed: Returns whether the request may still be sent.
+        """
+        self._request = request
+        self._context = context
+        self._record = record
+        self._response = response
+        self._version = version
+        self._wait = wait
+        self._handler = handler
+        self._is_allowed = is_allowed
+        self._current: attempt_record.AttemptRecord | None = None
+        self._silent: attempt_record.AttemptRecord | None = None
+        self._tried: set[str] = set()
+        self._sends = 0
+        self.runs = 0
+        self._stall_timer: forwarding_context.Timer | None = None
+        self._takeover_timer: forwarding_context.Timer | None = None
+
+    @property
+    def current(self) -> attempt_record.AttemptRecord | None:
+        """The attempt that was sent last, if it is open."""
+        return self._current
+
+    @property
+    def silent(self) -> attempt_record.AttemptRecord | None:
+        """The stalled attempt that is open beside its successor, if any."""
+        return self._silent
+
+    @property
+    def tried(self) -> collections.abc.Set[str]:
+        """Names of the endpoints that the request was sent to."""
+        return self._tried
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether the request was sent to an endpoint."""
+        return self._sends > 0
+
+    @property
+    def may_send(self) -> bool:
+        """Whether the maximum number of sends is not reached."""
+        return self._sends < _MAX_SENDS
+
+    def is_open(self, attempt: attempt_record.AttemptRecord) -> bool:
+        """Returns whether the response of an attempt is still expected."""
+        return attempt in (self._current, self._silent)
+
+    def may_run_again(self, runs: int) -> bool:
+        """Returns whether one more endpoint may run the request.
+
+        Args:
+            runs: Number of endpoints that may have run it.
+        """
+        return (self._request.retry_policy.allows_rerun and
+                self._response.can_continue and
+                runs < self._request.max_runs and self.may_send)
+
+    def take_retry(self) -> bool:
+        """Takes a retry from the budget; returns False if it is used up."""
+        return self._context.retry_budgets.take_retry(self._request.service,
+                                                      self._request.urgency)
+
+    def send(self, choice: placement_module.Choice, now: datetime.timedelta,
+             time_left: datetime.timedelta) -> None:
+        """Sends the request to an endpoint.
+
+        Args:
+            choice: The endpoint.
+            now: Monotonic time.
+            time_left: Time until the request's deadline.
+        """
+        context, request = self._context, self._request
+        attempt = attempt_record.AttemptRecord(choice, now)
+        self._current = attempt
+        self._sends += 1
+        self._tried.add(attempt.endpoint)
+        context.pauses.record_send(choice.endpoint)
+        context.rate_limits.record_send(choice.endpoint)
+        context.loads.add(attempt.endpoint, attempt.load)
+        context.prefix_caches.record_request(attempt.endpoint, request,
+                                             choice.is_preferred)
+        self.start_stall_timer()
+        attempt.handle = context.client.send(
+            request, choice.endpoint, time_left, self._response.resume_after,
+            attempt_listener.AttemptListener(self._handler, attempt))
+
+    def send_successor(self) -> bool:
+        """Sends the request of the current, silent attempt to another endpoint.
+
+        If no endpoint has room, the request is queued, and the silent attempt
+        goes on in the meantime.
+
+        Returns:
+            Whether it was sent.
+        """
+        context, request = self._context, self._request
+        silent = self._current
+        if silent is None:
+            return False
+        choice = self._choose_successor()
+        if isinstance(choice, placement_limit.PlacementLimit):
+            self._record.record_wait(choice)
+            self._wait.enter_queue(self._version.software or "", True)
+            return False
+        self._wait.leave_queue()
+        if choice is None or not self.take_retry():
+            return False
+        now = context.clock.monotonic()
+        context.health.record_unreachable(silent.endpoint)
+        self.runs += 1
+        self._silent = silent
+        self.send(choice, now, request.expires_at - now)
+        self._takeover_timer = context.scheduler.call_later(
+            _TAKEOVER_TIME, self._check_takeover)
+        return True
+
+    def keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Aborts the other one of two open attempts, if there are two.
+
+        Args:
+            attempt: The attempt whose endpoint sends the response.
+        """
+        self._wait.leave_queue()
+        if attempt is self._current:
+            self._end_takeover()
+            return
+        successor = self._current
+        self._cancel_takeover_timer()
+        self._silent, self._current = None, attempt
+        if successor is not None:
+            self.abort(successor, "silent endpoint goes on")
+
+    def return_to_silent(self) -> bool:
+        """Continues with the silent attempt if its successor has failed.
+
+        Returns:
+            Whether there is a silent attempt.
+        """
+        if self._silent is None:
+            return False
+        self._cancel_takeover_timer()
+        self._current, self._silent = self._silent, None
+        self.runs -= 1
+        if not self.send_successor():
+            self.start_stall_timer()
+        return True
+
+    def abort_all(self, reason: str) -> None:
+        """Aborts all open attempts.
+
+        Args:
+            reason: How they ended, for the log.
+        """
+        for attempt in (self._silent, self._current):
+            if attempt is not None:
+                self.abort(attempt, reason)
+
+    def abort(self, attempt: attempt_record.AttemptRecord, reason: str) -> None:
+        """Closes the connection of an open attempt.
+
+        Args:
+            attempt: The attempt.
+            reason: How it ended, for the log.
+        """
+        self.end(attempt, reason)
+        if attempt.handle is not None:
+            attempt.handle.abort()
+
+    def end(self, attempt: attempt_record.AttemptRecord, reason: str) -> None:
+        """Releases what an attempt that has ended holds.
+
+        Args:
+            attempt: The attempt.
+            reason: How it ended, for the log.
+        """
+        splitter = self._response.splitter
+        if self._request.is_stream and attempt.has_received_data:
+            attempt.partial_event_bytes = splitter.rest_size
+        if attempt is self._silent:
+            self._silent = None
+            self._cancel_takeover_timer()
+            splitter.drop_rest()
+        elif attempt is self._current:
+            self._current = None
+            self.cancel_stall_timer()
+            self._wait.leave_queue()
+        self._context.loads.subtract(attempt.endpoint, attempt.load)
+        self._record.add_attempt(attempt, reason)
+
+    def release_prefill(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Subtracts the prefill of an attempt from its endpoint's load."""
+        if attempt.load.prefill_tokens:
+            done = endpoint_load.EndpointLoad(
+                prefill_tokens=attempt.load.prefill_tokens)
+            self._context.loads.subtract(attempt.endpoint, done)
+            attempt.load = attempt.load - done
+
+    def start_stall_timer(self) -> None:
+        """Starts the time after which the current attempt counts as stalled."""
+        self.cancel_stall_timer()
+        self._stall_timer = self._context.scheduler.call_later(
+            stall_timeout.find_stall_timeout(self._request),
+            self._confirm_stall)
+
+    def cancel_stall_timer(self) -> None:
+        """Cancels the stall timeout, if it is running."""
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
+    def _confirm_stall(self) -> None:
+        """Lets data be read that has arrived before the attempt stalls.
+
+        Timers run before sockets are read. If the VM was busy or suspended, the
+        data of sound endpoints is still waiting.
+        """
+        self._stall_timer = self._context.scheduler.call_later(
+            datetime.timedelta(), self._handle_stall)
+
+    def _handle_stall(self) -> None:
+        self._stall_timer = None
+        attempt = self._current
+        if attempt is None:
+            return
+        self._mark_stalled(attempt)
+        if (self._request.retry_policy.allows_rerun and
+                not self.send_successor()):
+            self.start_stall_timer()
+
+    def _mark_stalled(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Records a failure of a stalled endpoint and releases the prefill.
+
+        Failure: an endpoint never responds to some of its requests. Their
+        prompts would count as waiting there until the callers disconnect, and
+        keep other requests away from an engine that has free capacity.
+        """
+        if not attempt.is_stalled:
+            attempt.is_stalled = True
+            self._context.health.record_failure(attempt.endpoint)
+            self.release_prefill(attempt)
+
+    def _choose_successor(
+        self
+    ) -> placement_module.Choice | placement_limit.PlacementLimit | None:
+        """Returns where to continue a silent attempt; None if nowhere.
+
+        An endpoint that is avoided after a failed connection is worse than a
+        silent one.
+        """
+        context, request = self._context, self._request
+        if (not self.may_run_again(self.runs + 1) or
+                request.expires_at <= context.clock.monotonic() or
+                not self._is_allowed()):
+            return None
+        usable = context.directory.list_usable(request.service)
+        excluded = self._version.find_excluded(usable, self._tried)
+        if len(excluded) == len(usable):
+            return None
+        choice = context.placement.choose(request, usable, excluded)
+        if (isinstance(choice, placement_module.Choice) and
+                context.health.is_avoided(choice.endpoint.name)):
+            return placement_limit.PlacementLimit.NO_ENDPOINT
+        return choice
+
+    def _check_takeover(self) -> None:
+        """Ends the takeover if the successor has a connection.
+
+        Data that has arrived is read before, as in `_confirm_stall`.
+        """
+        successor = self._current
+        is_connected = (successor is None or successor.handle is None or
+                        successor.handle.is_connected)
+        self._takeover_timer = self._context.scheduler.call_later(
+            datetime.timedelta()
+            if is_connected else _CONNECTION_CHECK_INTERVAL,
+            self._end_takeover if is_connected else self._check_takeover)
+
+    def _end_takeover(self) -> None:
+        """Aborts the silent attempt, if there is one."""
+        if self._silent is not None:
+            self.abort(self._silent, "silent")
+
+    def _cancel_takeover_timer(self) -> None:
+        if self._takeover_timer is not None:
+            self._takeover_timer.cancel()
+            self._takeover_timer = None
