--- a/mustardwood/tests/test_imports.py
+++ b/mustardwood/tests/test_imports.py
@@ -9,8 +9,8 @@
 
 _ROOT = pathlib.Path(mustardwood.__file__).parent
 _CORE_PACKAGES = frozenset({
-    "cells", "claims", "configuration", "dispatch", "errors", "membership",
-    "messages", "replication", "reports", "routing", "scheduling"
+    "cells", "claims", "configuration", "dispatch", "errors", "leadership",
+    "membership", "messages", "replication", "reports", "routing", "scheduling"
 })
 _CORE_LIBRARIES = frozenset({
     "automat", "hdrh", "msgspec", "pyjson5", "sortedcontainers", "tree_sitter",
