Write keys under a lease on a condition, and let others listen to the watch

A term is acquired by a write that must not replace another VM's key, ends with its lease, and whose revision becomes a fencing token; replace_key now takes a lease for that. Keys of duties arrive with the watch that each VM has in any case: StoreWatcher.add_listener calls functions with the listing and the changes under a prefix. Without listeners it makes the same calls as before.

--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -273,22 +273,32 @@
         body = {"expected_revision": [], "write": [row], "remove": []}
         await self._call_with_lease("POST", "/kv-txn", lease, body)
 
-    async def replace_key(self, key: str, value: bytes,
-                          revision: int) -> int | None:
+    async def replace_key(self,
+                          key: str,
+                          value: bytes,
+                          revision: int,
+                          lease: Lease | None = None) -> int | None:
         """Writes a key if it has not changed.
 
+        A write without an answer may take effect seconds later, if the key has
+        not changed and the lease has not ended by then.
+
         Args:
             key: The key.
             value: The new value.
             revision: Revision of the key's last change; 0 if it must not exist.
+            lease: Lease under which the key is written; None for none.
 
         Returns:
             The store's new revision; None if the key has changed.
+
+        Raises:
+            errors.LeaseLostError: If the lease has ended.
         """
         row = {
             "key": key,
             "value": base64.b64encode(value).decode(),
-            "lease_id": 0,
+            "lease_id": 0 if lease is None else lease.lease_id,
         }
         body = {
             "expected_revision": [{
@@ -298,33 +308,47 @@
             "write": [row],
             "remove": []
         }
-        response = await self._call("POST",
-                                    "/kv-txn",
-                                    body=body,
-                                    accepted=(200, 412))
+        if lease is None:
+            response = await self._call("POST",
+                                        "/kv-txn",
+                                        body=body,
+                                        accepted=(200, 412))
+        else:
+            response = await self._call_with_lease("POST",
+                                                   "/kv-txn",
+                                                   lease,
+                                                   body,
+                                                   accepted=(200, 404, 412))
         if response.status == 412:
             return None
         return msgspec.json.decode(response.body, type=_Written).revision
 
     async def _call_with_lease(
-            self,
-            method: str,
-            path: str,
-            lease: Lease,
-            body: dict[str, typing.Any] | None = None) -> None:
+        self,
+        method: str,
+        path: str,
+        lease: Lease,
+        body: dict[str, typing.Any] | None = None,
+        accepted: collections.abc.Container[int] = (200, 404)
+    ) -> _Response:
         """Makes a call that names a lease.
 
         A restored store may have given the lease's id to another VM, so a
         lease of an earlier era counts as ended whatever the response.
         """
         try:
-            response = await self._call(method, path, body=body, era=lease.era)
+            response = await self._call(method,
+                                        path,
+                                        body=body,
+                                        era=lease.era,
+                                        accepted=accepted)
         except EraChangedError as error:
             raise errors.LeaseLostError(error.message,
                                         "Open another one.") from error
         if response.status == 404:
             raise errors.LeaseLostError("The lease has ended.",
                                         "Open another one.")
+        return response
 
     async def _send(self, request: http1.HttpRequest,
                     timeout: datetime.timedelta,
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -46,6 +46,9 @@
 """
 
 Configuration = configuration_decoder.Configuration
+_ListingListener = collections.abc.Callable[
+    [list[store_client.Item], store_client.Position], None]
+_ItemListener = collections.abc.Callable[[store_client.Item], None]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -141,6 +144,8 @@
         self._position = store_client.Position()
         self._positions: dict[str, store_client.Position] = {}
         self._vms: set[str] = set()
+        self._listeners: dict[str, list[tuple[_ListingListener,
+                                              _ItemListener]]] = {}
         self.configuration: Configuration | None = None
         self.item: store_client.Item | None = None
 
@@ -161,6 +166,23 @@
         """Whether a read of the configuration would be a freshness proof."""
         return self._gate.is_open(self.configuration_position.version)
 
+    def add_listener(self, prefix: str, on_listing: _ListingListener,
+                     on_item: _ItemListener) -> None:
+        """Adds functions that are called with further keys.
+
+        Each prefix costs one more read whenever all keys are read, except that
+        of the VMs, which is read in any case.
+
+        Args:
+            prefix: Prefix of the keys.
+            on_listing: Called with all items under the prefix, and a position
+                of the store that they are not older than. Changes before it
+                may have been missed. Later ones follow, and some of those that
+                the listing contains may be repeated.
+            on_item: Called with each change under the prefix.
+        """
+        self._listeners.setdefault(prefix, []).append((on_listing, on_item))
+
     def start(self) -> None:
         """Starts to watch the store."""
         defer.Deferred.fromCoroutine(self._watch_changes()).addErrback(
@@ -216,7 +238,8 @@
         registered_since = self._list_registered_since(items, position)
         for each in items:
             self._apply_endpoint(each)
-        self._apply_vms(await self._client.read_range(VM_PREFIX, position.era))
+        vms = await self._client.read_range(VM_PREFIX, position.era)
+        self._apply_vms(vms)
         missing = self._directory.keep_only(
             {each.key.removeprefix(endpoint_decoder.PREFIX) for each in items},
             registered_since)
@@ -225,6 +248,12 @@
                             revision=position.revision,
                             endpoints=len(items),
                             missing=missing)
+        for prefix, listeners in self._listeners.items():
+            listed = vms
+            if prefix != VM_PREFIX:
+                listed = await self._client.read_range(prefix, position.era)
+            for on_listing, _ in listeners:
+                on_listing(listed, position)
         return position
 
     def _list_registered_since(self, items: list[store_client.Item],
@@ -282,6 +311,10 @@
                 self._apply_vm(each)
             elif each.key.startswith(journal_store.PREFIX):
                 self._stream_store.apply_item(each)
+            for prefix, listeners in self._listeners.items():
+                if each.key.startswith(prefix):
+                    for _, on_item in listeners:
+                        on_item(each)
         return max(position, next_position)
 
     def _draw_watch_wait(self) -> datetime.timedelta:
--- a/mustardwood/platform/tests/test_store_client.py
+++ b/mustardwood/platform/tests/test_store_client.py
@@ -194,3 +194,40 @@
     reason = waiting.result
     waiting.addErrback(lambda _: None)
     assert reason.check(errors.RateLimitedError)
+
+
+def test_key_written_under_a_lease_returns_its_revision():
+    """The revision is the fencing token of the holder of the key."""
+    harness = _Harness()
+    lease = store_client.Lease(17, 1)
+    waiting, call = harness.start(
+        harness.client.replace_key("duties/leader", b"vm-1", 0, lease))
+    sent = json.loads(call.request.body)
+    assert sent["write"][0]["lease_id"] == 17
+    assert sent["expected_revision"] == [{
+        "key": "duties/leader",
+        "revision": 0
+    }]
+    call.answer(200, {"revision": 41}, 1)
+    assert waiting.result == 41
+
+
+def test_key_that_has_changed_is_not_written_under_a_lease():
+    """Another VM was first."""
+    harness = _Harness()
+    waiting, call = harness.start(
+        harness.client.replace_key("duties/leader", b"vm-1", 3,
+                                   store_client.Lease(17, 1)))
+    call.answer(412, {}, 1)
+    assert waiting.result is None
+
+
+@pytest.mark.parametrize("status, era", [(404, 1), (200, 2), (412, 2)])
+def test_key_is_not_written_under_a_lease_that_was_lost(status, era):
+    """The lease expired, or belongs to another VM in a new era."""
+    harness = _Harness()
+    waiting, call = harness.start(
+        harness.client.replace_key("duties/leader", b"vm-1", 0,
+                                   store_client.Lease(17, 1)))
+    call.answer(status, {"revision": 41}, era)
+    assert isinstance(_get_error(waiting), errors.LeaseLostError)
