Decode the settings of duties

The settings of deployments with duties have a table cloud_api and further bounds. They are only checked if duties are named, so that no other deployment can fail to start because of them.

--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -26,6 +26,8 @@
 _MIN_BATCH_DELAY = datetime.timedelta(milliseconds=100)
 _MAX_BATCH_DELAY = datetime.timedelta(seconds=1)
 """Bounds of the delay between a change and the next watch."""
+_MAX_DUTY_NUMBER = 1e9
+"""Largest number of a setting of duties; a time fits into a `timedelta`."""
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -57,6 +59,15 @@
             is no current proof that the configuration is the newest.
         retry_share: Number of retries allowed per request, over all VMs.
         spare_retries: Number of retries allowed in addition, over all VMs.
+        fencing_enforced: Whether the platform's API checks fencing tokens.
+        lease_ms: Time within which no VM may carry out a duty, then another
+            VM, then the first one again.
+        thaw_ms: Time after a suspension in which late calls are excused.
+        report_window_seconds: Length of a window of the usage report.
+        usage_error: Largest relative error of a reported number.
+        usage_delay_seconds: Time after a window's end at which its usage is
+            due.
+        max_skew_ms: Largest difference between the clocks of two VMs.
     """
 
     grace_seconds: float = msgspec.field(name="grace_s", default=8.0)
@@ -67,6 +78,15 @@
     keys_fail_closed: bool = msgspec.field(name="fail_closed", default=True)
     retry_share: float = msgspec.field(name="retry_ratio", default=0.1)
     spare_retries: float = msgspec.field(name="retry_burst", default=10.0)
+    fencing_enforced: bool = False
+    lease_ms: float = 3000.0
+    thaw_ms: float = 300.0
+    report_window_seconds: float = msgspec.field(name="report_window_s",
+                                                 default=5.0)
+    usage_error: float = 0.05
+    usage_delay_seconds: float = msgspec.field(name="usage_delay_s",
+                                               default=10.0)
+    max_skew_ms: float = 6000.0
 
 
 class Store(msgspec.Struct, frozen=True):
@@ -79,6 +99,22 @@
     address: str
 
 
+class CloudApi(msgspec.Struct, frozen=True):
+    """The platform's API, which duties call. See `DutySettings` for its checks.
+
+    Attributes:
+        address: IP:PORT.
+        rate_per_s: Calls per second that the API accepts.
+        duties: Names of the duties that one VM at a time carries out.
+        duty_per_s: Duty calls per second that it accepts from all VMs.
+    """
+
+    address: str
+    rate_per_s: float = 50.0
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = 50.0
+
+
 class PlatformSettings(msgspec.Struct, frozen=True):
     """The settings that the platform gives a process.
 
@@ -94,6 +130,7 @@
         heartbeat_ms: Interval at which endpoints renew their registrations.
         peer_ports: First and last port for messages between VMs.
         is_first_start: Whether the whole system starts for the first time.
+        cloud_api: The platform's API; None if there are no duties.
     """
 
     vm: str = msgspec.field(name="node_name")
@@ -105,6 +142,7 @@
     heartbeat_ms: float = 1200.0
     peer_ports: tuple[int, ...] = msgspec.field(name="port_range", default=())
     is_first_start: bool = msgspec.field(name="is_bootstrap", default=False)
+    cloud_api: CloudApi | None = None
 
     @property
     def key_removal_time(self) -> datetime.timedelta:
@@ -172,6 +210,8 @@
                          ("$.listen.ready", found.listen.readiness),
                          ("$.platform.address", found.store.address)):
         parse_address(address, key)
+    if found.cloud_api is not None and found.cloud_api.duties:
+        _check_duties(found.cloud_api, found.bounds)
     return found
 
 
@@ -196,6 +236,35 @@
     return host, int(port)
 
 
+def _check_duties(api: CloudApi, bounds: Bounds) -> None:
+    """Checks what only duties use, so that other deployments can't fail."""
+    parse_address(api.address, "$.cloud_api.address")
+    for key, value in (
+        ("$.cloud_api.rate_per_s", api.rate_per_s),
+        ("$.cloud_api.duty_per_s", api.duty_per_s),
+        ("$.bounds.lease_ms", bounds.lease_ms),
+        ("$.bounds.report_window_s", bounds.report_window_seconds),
+        ("$.bounds.usage_error", bounds.usage_error),
+        ("$.bounds.usage_delay_s", bounds.usage_delay_seconds),
+    ):
+        _check_number(key, value, is_zero_allowed=False)
+    for key, value in (("$.bounds.thaw_ms", bounds.thaw_ms),
+                       ("$.bounds.max_skew_ms", bounds.max_skew_ms)):
+        _check_number(key, value, is_zero_allowed=True)
+
+
+def _check_number(key: str, value: float, is_zero_allowed: bool) -> None:
+    # NaN compares as false, too.
+    is_valid = 0 < value <= _MAX_DUTY_NUMBER or value == 0 and is_zero_allowed
+    if not is_valid:
+        least = "at least 0" if is_zero_allowed else "more than 0"
+        raise errors.SettingsError(
+            f"{key} is {value:g}, which is not {least} and at most "
+            f"{_MAX_DUTY_NUMBER:g}.",
+            "Correct the value, or name no duties.",
+            key=key)
+
+
 def _extract_key(message: str) -> str:
     _, found, rest = message.partition("at `")
     return rest.partition("`")[0] if found else "$"
