Elect the holder of duties through the store

DutyLeadership carries out the commands of the election with StoreClient, fed by the watch. Duties owns it, and is where further parts of duties belong; without duties in the settings it creates nothing. SIGTERM ends the term and its lease. Metrics tell the holder, the token and the ended terms by reason.

The simulated stores now renew a lease by its own time to live, end it at once when it is revoked, and do not reuse the id of an ended one within an era, as the store does. The simulated pool can lose answers, execute writes late, slow calls down and hold back what arrives at a suspended VM.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -19,6 +19,7 @@
 from mustardwood import peers
 from mustardwood import timing
 from mustardwood.platform import authorizer
+from mustardwood.platform import duties
 from mustardwood.platform import endpoint_client
 from mustardwood.platform import event_journal
 from mustardwood.platform import freshness_gate
@@ -134,6 +135,10 @@
             self._settings.listen.peers, lambda: self._peers.peer_count,
             self._rng)
         client.add_era_listener(self._registration.handle_era_change)
+        self._duties = duties.Duties.from_settings(self._settings, client,
+                                                   self._watcher, self._clock,
+                                                   self._scheduler,
+                                                   self._journal)
         self._authorizer = authorizer.Authorizer(
             self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
         self._metrics = metrics.ProcessMetrics()
@@ -330,6 +335,7 @@
              lambda: float(self._journal.dropped)),
         ):
             self._metrics.add_gauge(name, help_text, get_value)
+        self._duties.add_metrics(self._metrics)
         self._serve_page(f"{self._settings.ip}:{port}", metrics.PATH,
                          self._metrics.build_page)
 
@@ -343,6 +349,7 @@
 
     def _start_shutdown(self) -> None:
         if not self._shutdown.has_begun:
+            self._duties.stop()
             self._registration.stop()
             self._shutdown.start(self._port, self._settings.grace)
 
--- /dev/null
+++ b/mustardwood/platform/duties.py
@@ -0,0 +1,100 @@
+"""What only exists in deployments whose settings name duties."""
+
+import datetime
+
+from mustardwood import dispatch
+from mustardwood import leadership
+from mustardwood import timing
+from mustardwood.platform import duty_leadership
+from mustardwood.platform import duty_settings
+from mustardwood.platform import metrics as metrics_module
+from mustardwood.platform import settings as settings_module
+from mustardwood.platform import store_client
+from mustardwood.platform import store_watcher
+
+_NOTICE_TIME = datetime.timedelta(milliseconds=200)
+"""Time of the calls by which a candidate acquires the term, and of the watch.
+
+Together with the batch delay, for which VMs do not watch the store after the
+key was removed, it is the stagger of the candidates.
+"""
+
+
+class Duties:
+    """Owns the leadership and the duties of this VM.
+
+    Attributes:
+        settings: The settings of the duties; None if there are no duties.
+        leadership: Elects the VM that carries them out; None without duties.
+    """
+
+    def __init__(self,
+                 settings: duty_settings.DutySettings | None,
+                 elected: duty_leadership.DutyLeadership | None = None) -> None:
+        """Creates the duties; `from_settings` creates all that they need.
+
+        Args:
+            settings: The settings of the duties; None if there are no duties.
+            elected: The leadership; None if there are no duties.
+        """
+        self.settings = settings
+        self.leadership = elected
+
+    @classmethod
+    def from_settings(cls, found: settings_module.PlatformSettings,
+                      client: store_client.StoreClient,
+                      watcher: store_watcher.StoreWatcher, clock: timing.Clock,
+                      scheduler: dispatch.Scheduler,
+                      journal: dispatch.Journal) -> "Duties":
+        """Creates what the settings require, and nothing without duties.
+
+        Duties that this version does not know are logged once, and the others
+        are carried out.
+
+        Args:
+            found: The settings of the process.
+            client: Calls the store.
+            watcher: Watches the store; it is not started yet.
+            clock: Its monotonic time must include the time of suspensions.
+            scheduler: Schedules calls.
+            journal: Logs what the duties do.
+        """
+        settings = duty_settings.DutySettings.from_settings(found)
+        if settings is None:
+            return cls(None)
+        if settings.unknown_duties:
+            journal.write("duties_unknown", duties=settings.unknown_duties)
+        if not settings.duties:
+            return cls(settings)
+        elected = duty_leadership.DutyLeadership(
+            client, clock, scheduler, journal, found.vm,
+            leadership.ElectionTimes.from_bound(
+                settings.lease_time, found.batch_delay + _NOTICE_TIME))
+        elected.attach(watcher)
+        return cls(settings, elected)
+
+    def stop(self) -> None:
+        """Ends the term at once; the process stops."""
+        if self.leadership is not None:
+            self.leadership.stop()
+
+    def add_metrics(self, metrics: metrics_module.ProcessMetrics) -> None:
+        """Adds the metrics of the duties.
+
+        Args:
+            metrics: The metrics of the process.
+        """
+        elected = self.leadership
+        if elected is None:
+            return
+        metrics.add_gauge(
+            "mustardwood_duty_holder",
+            "Whether this VM may carry out the duties at present.",
+            lambda: float(elected.find_term() is not None))
+        metrics.add_gauge(
+            "mustardwood_duty_token",
+            "Fencing token of the term that is known; 0 if none.",
+            lambda: float(elected.token))
+        metrics.add_counter("mustardwood_terms_ended",
+                            "Terms of this VM that have ended, by reason.",
+                            "reason", lambda: elected.ended_terms)
--- a/mustardwood/platform/metrics.py
+++ b/mustardwood/platform/metrics.py
@@ -5,6 +5,8 @@
 import http
 
 import prometheus_client
+import prometheus_client.core
+import prometheus_client.registry
 
 from mustardwood import http1
 
@@ -52,6 +54,22 @@
                                         registry=self._registry)
         gauge.set_function(get_value)
 
+    def add_counter(
+        self, name: str, help_text: str, label: str,
+        get_values: collections.abc.Callable[[], collections.abc.Mapping[str,
+                                                                         int]]
+    ) -> None:
+        """Adds a counter whose values are read when the page is requested.
+
+        Args:
+            name: Name of the metric, without its suffix.
+            help_text: Description of the metric on the page.
+            label: Name of its label.
+            get_values: Returns the values by the values of the label.
+        """
+        self._registry.register(
+            _LabelledCounter(name, help_text, label, get_values))
+
     def count_request(self, tier: int, outcome: str, status: int,
                       took: datetime.timedelta,
                       first_byte: datetime.timedelta | None) -> None:
@@ -71,3 +89,27 @@
         return http1.Page(http.HTTPStatus.OK,
                           prometheus_client.generate_latest(self._registry),
                           prometheus_client.CONTENT_TYPE_LATEST)
+
+
+class _LabelledCounter(prometheus_client.registry.Collector):
+    """A counter whose values are read when the page is requested."""
+
+    def __init__(
+        self, name: str, help_text: str, label: str,
+        get_values: collections.abc.Callable[[], collections.abc.Mapping[str,
+                                                                         int]]
+    ) -> None:
+        self._name = name
+        self._help_text = help_text
+        self._label = label
+        self._get_values = get_values
+
+    def collect(
+        self
+    ) -> collections.abc.Iterable[prometheus_client.core.CounterMetricFamily]:
+        """Returns the present values."""
+        family = prometheus_client.core.CounterMetricFamily(
+            self._name, self._help_text, labels=[self._label])
+        for each, value in self._get_values().items():
+            family.add_metric([each], value)
+        return [family]
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -65,6 +65,7 @@
         self._waiting_watches = 0
         self.silent_since = 0.0
         self._lease_ends = {}
+        self._last_lease = 0
         self.era = 0
         self.is_unavailable = False
         store = self
@@ -133,6 +134,8 @@
             items, changes, self._revision, lease_ends = copy
             self._items, self._changes = dict(items), list(changes)
             self._lease_ends = dict(lease_ends)
+            # Ids are given out again, as the store does.
+            self._last_lease = max(self._lease_ends, default=0)
             self.era += 1
             self.is_unavailable = False
 
@@ -234,20 +237,25 @@
 
     def _handle_lease_call(self, path, body):
         if path == "/kv-lease":
-            lease_id = max(self._lease_ends, default=0) + 1
+            self._last_lease += 1
+            lease_id = self._last_lease
             ttl_ms = json.loads(body)["ttl_ms"]
-            self._lease_ends[lease_id] = time.monotonic() + ttl_ms / 1000
+            self._lease_ends[lease_id] = (time.monotonic() + ttl_ms / 1000,
+                                          ttl_ms / 1000)
             return 200, {"lease_id": lease_id, "ttl_ms": ttl_ms}
         _, call, lease_id = path.split("/")
         if int(lease_id) not in self._lease_ends:
             return 404, {}
-        self._lease_ends[int(
-            lease_id)] = time.monotonic() + (12 if call == "kv-keep" else 0)
+        _, time_to_live = self._lease_ends[int(lease_id)]
+        remaining = time_to_live if call == "kv-keep" else 0
+        self._lease_ends[int(lease_id)] = (time.monotonic() + remaining,
+                                           time_to_live)
+        self._end_leases()
         return 200, {}
 
     def _end_leases(self):
         now = time.monotonic()
-        for lease_id, end in list(self._lease_ends.items()):
+        for lease_id, (end, _) in list(self._lease_ends.items()):
             if end <= now:
                 del self._lease_ends[lease_id]
                 for key, item in list(self._items.items()):
--- a/mustardwood/platform/tests/simulated_store.py
+++ b/mustardwood/platform/tests/simulated_store.py
@@ -31,6 +31,7 @@
             "changes": [],
             "revision": 1,
             "leases": {},
+            "times_to_live": {},
             "next_lease": 1
         }
 
@@ -120,6 +121,7 @@
         if path == "/kv-lease":
             lease_id = self.contents["next_lease"]
             self.contents["next_lease"] += 1
+            self.contents["times_to_live"][lease_id] = ms(body["ttl_ms"])
             leases[lease_id] = now + ms(body["ttl_ms"])
             return 200, {"lease_id": lease_id}
         if path == "/kv-txn":
@@ -135,7 +137,11 @@
         lease_id = int(path.rpartition("/")[2])
         if lease_id not in leases:
             return 404, {}
-        leases[lease_id] = now + ms(12_000)
+        if path.startswith("/kv-lease-end/"):
+            leases[lease_id] = now
+            self.end_leases()
+        else:
+            leases[lease_id] = now + self.contents["times_to_live"][lease_id]
         return 200, {}
 
     def answer_watches(self):
@@ -171,6 +177,13 @@
 
     Attributes:
         is_cut: Whether neither the store nor peers can be reached.
+        loses_answers: Whether the store executes calls, but their answers do
+            not arrive.
+        slowdown_ms: Milliseconds that are added to each way of a message.
+        late_writes: Number of the next transactions whose answers are lost and
+            that the store executes `late_by` later.
+        late_by: Time after which it does so.
+        calls: Methods and targets of the calls to the store.
     """
 
     def __init__(self, store, scheduler, rng, find_peer):
@@ -187,15 +200,42 @@
         self._rng = rng
         self._find_peer = find_peer
         self.is_cut = False
+        self.loses_answers = False
+        self.slowdown_ms = 0
+        self.late_writes = 0
+        self.late_by = ms(2000)
+        self.calls = []
+        self._held = None
+
+    def freeze(self):
+        """Holds back what arrives, since the VM is suspended."""
+        self._held = []
+
+    def thaw(self):
+        """Delivers what was held back."""
+        held, self._held = self._held, None
+        for function in held:
+            function()
 
     def _later(self, function):
-        self._scheduler.call_later(ms(self._rng.uniform(1, 15)), function)
+        delay = self._rng.uniform(1, 15) + self.slowdown_ms
+        self._scheduler.call_later(ms(delay), function)
+
+    def _receive_later(self, function):
+        self._later(lambda: function()
+                    if self._held is None else self._held.append(function))
 
     def send(self, address, request: http1.HttpRequest, listener, **limits):
         """See `http1.ConnectionPool`."""
         del limits
         exchange = _Exchange()
         if address == STORE_ADDRESS:
+            self.calls.append((request.method, request.target))
+            if request.target == "/kv-txn" and self.late_writes:
+                self.late_writes -= 1
+                self._scheduler.call_later(self.late_by,
+                                           lambda: self._execute_late(request))
+                return exchange
             self._later(lambda: self._call_store(request, listener, exchange))
         else:
             self._later(lambda: self._call_peer(address, listener, exchange))
@@ -210,6 +250,11 @@
             request.target, body, lambda status, answer: self._answer(
                 status, answer, self._store.era, listener, exchange))
 
+    def _execute_late(self, request):
+        if not self._store.is_away:
+            self._store.call(request.target, json.loads(request.body),
+                             lambda *_: None)
+
     def _fail(self, listener, exchange):
         """Resets the connection, or lets the call time out."""
         if self._rng.random() < 0.5 and not exchange.is_finished:
@@ -222,14 +267,14 @@
         def deliver():
             if self.is_cut:
                 self._fail(listener, exchange)
-            elif not exchange.is_finished:
+            elif not self.loses_answers and not exchange.is_finished:
                 exchange.is_finished = True
                 listener.receive_head(status,
                                       [(b"Store-Era", str(era).encode())])
                 listener.receive_data(data)
                 listener.receive_end()
 
-        self._later(deliver)
+        self._receive_later(deliver)
 
     def _call_peer(self, address, listener, exchange):
         peer = self._find_peer(address)
