--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -6,6 +6,7 @@
 from spec import check
 from spec import claim_protocol
 from spec import configuration_protocol
+from spec import leadership_protocol
 
 SPECIFICATIONS = (
     check.Specification(name="claim",
@@ -21,6 +22,9 @@
                             configuration_protocol.make_protocol,
                             configuration_protocol.RESTART),
                         guards=configuration_protocol.RESTART_GUARDS),
+    check.Specification(name="leadership",
+                        make_protocol=leadership_protocol.make_protocol,
+                        guards=tuple(leadership_protocol.Guard)),
 )
 """The specifications to check."""
 
