--- a/mustardwood/leadership/tests/test_leader_election.py
+++ b/mustardwood/leadership/tests/test_leader_election.py
@@ -353,6 +353,20 @@
     assert write.expected_revision == 0
 
 
+def test_late_write_under_an_older_lease_does_not_begin_a_term():
+    """The older lease ends in the store while the present one is renewed."""
+    election = _Election()
+    election.do("show_listing", None, _ERA, 10)
+    grant, = election.run(_TIMES.lease)
+    write, = election.do("receive_lease", grant, 7, _ERA)
+    election.do("lose_call", write)
+    grant = election.run_to_grant()
+    election.do("receive_lease", grant, 9, _ERA)
+    election.show("a", 20, lease_id=7)
+    assert election.machine.holder == ""
+    assert election.machine.phase is leadership.ElectionPhase.WAITING
+
+
 def test_key_of_this_vm_that_nobody_renews_is_replaced():
     """After a restore, a late write may be under the lease of another VM."""
     election = _Election()
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -171,13 +171,14 @@
         is_in_service: Whether the load balancer sends it new connections.
     """
 
-    def __init__(self, folder, name, store):
+    def __init__(self, folder, name, store, further_settings=""):
         """Writes the settings; `start` starts the process.
 
         Args:
             folder: Folder for the settings and the log.
             name: Name of the VM.
             store: The fake store.
+            further_settings: Further tables of the settings.
         """
         self.name = name
         self.is_in_service = False
@@ -200,6 +201,7 @@
 retry_burst = 10
 [platform]
 address = "{store.address}"
+{further_settings}
 """,
                                   encoding="utf-8")
         self._log = folder / f"{name}.log"
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -560,3 +560,24 @@
     assert harness.client.reads == 2
     harness.watcher.check_era(1)
     assert harness.client.reads == 3
+
+
+def test_listeners_get_the_listing_and_the_changes_of_their_prefix():
+    """Keys of duties must not cost a second watch."""
+    harness = _Harness()
+    listings, changes = [], []
+    harness.watcher.add_listener("duties/", lambda *each: listings.append(each),
+                                 changes.append)
+    harness.deliver([
+        documents.make_item("duties/leader", b"{}", 11),
+        documents.make_item("vms/vm-9", b"192.0.2.9:1", 12)
+    ], 12)
+    assert [each.key for each in changes] == ["duties/leader"]
+    assert not listings
+    # All keys are read again after a loss of the history.
+    leader = documents.make_item("duties/leader", b"{}", 13)
+    harness.client.ranges["duties/"] = [leader]
+    harness.client.fail(
+        store_client.HistoryLostError("Lost.", "Read the keys again."))
+    harness.scheduler.advance(_BATCH_DELAY)
+    assert listings == [([leader], (0, 10))]
