Test a late renewal answer, and a late reading of a restored store

Trials on a copy without single rules of the election: two changes failed no test, the expiry before a renewal's answer is taken, and the end of the time in which a former holder acquires the term at once after a restore. Both have a test now that fails without the rule.

--- a/mustardwood/leadership/tests/test_candidate_order.py
+++ b/mustardwood/leadership/tests/test_candidate_order.py
@@ -62,4 +62,4 @@
             holder = order.list_candidates()[0]
             moves += 1
         order.set_registration(vm, (1, 1000 + number))
-    assert moves < 20
+    assert moves <= 5
--- a/mustardwood/leadership/tests/test_leader_election.py
+++ b/mustardwood/leadership/tests/test_leader_election.py
@@ -141,6 +141,22 @@
     assert election.ended == ["expired"]
 
 
+def test_expired_term_stays_expired_although_its_lease_was_renewed():
+    """A VM that was suspended at the end of its term may not have noticed.
+
+    Others may have seen that it had no term.
+    """
+    election = _make_holder()
+    renewals = []
+    while len(renewals) < 3:
+        renewals += election.run(_TIMES.renewal_interval)
+    election.clock.advance(ms(400))
+    assert election.term is None
+    election.do("receive_renewal", renewals[-1])
+    assert election.term is None
+    assert election.ended == ["expired"]
+
+
 def test_lost_renewals_end_the_term_and_the_lease():
     """A holder cut off in one direction would keep the key without acting."""
     election = _make_holder()
@@ -416,6 +432,16 @@
     assert write.expected_revision == 20
 
 
+def test_former_holder_that_reads_a_restored_store_late_waits_like_others():
+    """Another VM may have held the term since its own lease has ended."""
+    election = _make_holder()
+    expires_at = election.term.expires_at
+    election.do("change_era")
+    election.clock.advance(expires_at - election.now)
+    assert not election.do("show_listing", None, _ERA + 1, 12)
+    assert not election.run(_TIMES.lease - ms(1))
+
+
 def test_restore_ends_no_lease():
     """Its id may belong to another VM now."""
     election = _make_holder()
