--- a/mustardwood/platform/tests/test_duty_leadership.py
+++ b/mustardwood/platform/tests/test_duty_leadership.py
@@ -163,6 +163,54 @@
     assert world.find_holders() == [name]
 
 
+def test_holder_that_does_not_learn_of_a_restore_is_waited_for():
+    """The copy is older than the term, and no answer reaches the holder.
+
+    It acts until its lease would have ended, which the store has forgotten.
+    """
+    world = duty_fleet.World(1, 4)
+    copy = world.store.copy()
+    name, _ = world.wait_for_holder()
+    world.run(6000)
+    world.vms[name].pool.loses_answers = True
+    world.store.restore(copy)
+    world.run(1500)
+    assert world.find_holders() == [name]
+    world.run(1500)
+    successor, _ = world.wait_for_holder(limit_ms=4000)
+    assert successor != name
+
+
+def test_answer_to_a_renewal_that_was_held_up_does_not_prolong_the_term():
+    """The holder is suspended after it sent the renewal, and then cut off.
+
+    Its lease ends in the store a lease's time after the renewal arrived there,
+    whenever the answer is read.
+    """
+    world, holder = _make_world()
+    holder.pool.slowdown_ms = 30
+    world.run(2000)
+    lease_id = world.store.find(duty_leadership.LEADER_KEY)["lease_id"]
+    sent = _count_calls(holder, f"kv-keep/{lease_id}")
+    while _count_calls(holder, f"kv-keep/{lease_id}") == sent:
+        world.run(20)
+    sent_at = world.now
+    holder.freeze()
+    # The term has not ended yet when the answer is read.
+    expires_at = holder.leadership.find_term().expires_at
+    world.run((expires_at - world.now) // ms(1) - 40)
+    holder.thaw(world.now)
+    holder.pool.is_cut = True
+    term = holder.leadership.find_term()
+    assert sent_at + ms(2400) < term.expires_at <= sent_at + ms(2500)
+    successor = holder.name
+    while successor == holder.name:
+        world.run(20)
+        successor = (world.find_holders() or [holder.name])[0]
+    world.run(5000)
+    assert world.find_holders() == [successor]
+
+
 def test_others_acquire_the_term_when_the_holder_is_lost_in_a_restore():
     """Nobody ends a lease that the store has forgotten."""
     world, holder = _make_world()
