--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -620,3 +620,24 @@
         harness.scheduler.advance(ms(1_500))
         harness.watcher.record_peer_position(position)
     assert len(harness.client.watches) == 1
+
+
+def test_listeners_get_the_listing_and_the_changes_of_their_prefix():
+    """Keys of duties must not cost a second watch."""
+    harness = _Harness()
+    listings, changes = [], []
+    harness.watcher.add_listener("duties/", lambda *each: listings.append(each),
+                                 changes.append)
+    harness.deliver([
+        documents.make_item("duties/leader", b"{}", 11),
+        documents.make_item("vms/vm-9", b"192.0.2.9:1", 12)
+    ], 12)
+    assert [each.key for each in changes] == ["duties/leader"]
+    assert not listings
+    # All keys are read again after a loss of the history.
+    leader = documents.make_item("duties/leader", b"{}", 13)
+    harness.client.ranges["duties/"] = [leader]
+    harness.client.fail(
+        store_client.HistoryLostError("Lost.", "Read the keys again."))
+    harness.scheduler.advance(_BATCH_DELAY)
+    assert listings == [([leader], (0, 10))]
