Count the requests that endpoints began to run

The usage report needs one count for each request of a caller, at the time at which it first began. RequestRecord knows all attempts of a request, so the calls of RequestCounter are there and forwarding.py is unchanged: a stream is counted at its first event; a plain request at the time at which it was sent, if its endpoint answered with success, 500 or 504, or if the connection broke or was aborted after it was sent. Attempts that did not run and resumptions of streams are not counted. Without duties, NoRequestCounter is used.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -31,6 +31,8 @@
 from mustardwood.dispatch.forwarding_context import Headers
 from mustardwood.dispatch.forwarding_context import Journal
 from mustardwood.dispatch.forwarding_context import Metrics
+from mustardwood.dispatch.forwarding_context import NoRequestCounter
+from mustardwood.dispatch.forwarding_context import RequestCounter
 from mustardwood.dispatch.forwarding_context import Scheduler
 from mustardwood.dispatch.forwarding_context import Timer
 from mustardwood.dispatch.freshness_proof import FreshnessProof
@@ -94,6 +96,7 @@
     "JournalStore",
     "LoadTable",
     "Metrics",
+    "NoRequestCounter",
     "NoticeEvent",
     "NoticeKind",
     "Organisation",
@@ -110,6 +113,7 @@
     "PromptPartCrashes",
     "RateLimitChange",
     "RateReport",
+    "RequestCounter",
     "RateStatement",
     "Refusal",
     "RetryAfterPolicy",
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -222,6 +222,27 @@
         """Saves a stream that has just begun at this VM, if that is needed."""
 
 
+class RequestCounter(typing.Protocol):
+    """Counts the requests that endpoints began to run."""
+
+    def record_begin(self, organisation: str,
+                     began_at: datetime.timedelta) -> None:
+        """Counts a request, once, when it is known that it began to run.
+
+        Args:
+            organisation: Name of its organisation.
+            began_at: Monotonic time at which it began, as far as is known.
+        """
+
+
+class NoRequestCounter:
+    """Counts nothing, where the usage is not reported."""
+
+    def record_begin(self, organisation: str,
+                     began_at: datetime.timedelta) -> None:
+        """See `RequestCounter`."""
+
+
 class Queue(typing.Protocol):
     """Holds requests until an endpoint has free capacity."""
 
@@ -274,3 +295,4 @@
     metrics: Metrics
     streams: stream_version_table.StreamVersionTable
     version_record: VersionRecord
+    usage: RequestCounter = NoRequestCounter()
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -18,6 +18,8 @@
 """Outcome of a request whose caller disconnected before the end."""
 COMPLETE = "complete"
 """End of an attempt that returned a complete response."""
+_RUN_STATUSES = frozenset({500, 504})
+"""HTTP statuses of failures that mean that a plain request began to run."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses that guarantee that a request has not run."""
 _MAX_LOGGED_PARTS = 8
@@ -46,6 +48,8 @@
         self._waited = datetime.timedelta()
         self._limit: placement_limit.PlacementLimit | None = None
         self._attempts: list[dict[str, typing.Any]] = []
+        # A resumption continues a request that was counted at its first event.
+        self._is_counted = not request.organisation or request.is_resumption
 
     def record_first_byte(self) -> None:
         """Records the arrival of the first byte of a response."""
@@ -59,6 +63,7 @@
             self._longest_pause = max(self._longest_pause,
                                       now - self._last_events_at)
         self._last_events_at = now
+        self._count_begin(now)
 
     def record_wait(self, limit: placement_limit.PlacementLimit) -> None:
         """Records that no endpoint had room, and which limit was reached."""
@@ -85,6 +90,8 @@
                 "status" if attempt.status >= 400 else "broken")
         self._context.metrics.count_attempt(self._request.service, kind)
         now = self._context.clock.monotonic()
+        if not self._request.is_stream and _began_to_run(attempt):
+            self._count_begin(attempt.sent_at)
         endpoint = attempt.choice.endpoint
         rate_limit = self._context.rate_limits.find_limit(endpoint)
         self._attempts.append({
@@ -154,6 +161,13 @@
             demands=self._list_demands() if outcome == NO_CAPACITY else {},
             **self._context.authorizer.describe())
 
+    def _count_begin(self, began_at: datetime.timedelta) -> None:
+        """Counts the request in the usage unless it was counted before."""
+        if not self._is_counted:
+            self._is_counted = True
+            self._context.usage.record_begin(self._request.organisation,
+                                             began_at)
+
     def _list_demands(self) -> dict[str, float]:
         """Returns the known demand for engines by tier, for the log."""
         demands = self._context.admission.find_demands(self._request.service)
@@ -179,6 +193,19 @@
         return engines
 
 
+def _began_to_run(attempt: attempt_record.AttemptRecord) -> bool:
+    """Returns whether an endpoint probably began to run a plain request.
+
+    It did if it answered, or if its connection broke after the request was
+    sent. A plain request runs for milliseconds, so it began when it was sent.
+    """
+    if attempt.was_not_run:
+        return False
+    if attempt.status:
+        return attempt.is_success or attempt.status in _RUN_STATUSES
+    return attempt.handle is not None and attempt.handle.is_connected
+
+
 def _classify(outcome: str, status: int) -> str:
     """Returns the value of an outcome in the metrics."""
     if outcome in (ANSWERED, CALLER_GONE):
