Send clocks and counts of requests in the updates between VMs

True time and the usage need what peers know. PeerUpdateWithUsage adds an optional last field to the update; an update without it has the same bytes as before, and older releases ignore it. UsageExchange says which peer gets a report, and receives those of peers.

The tests of peers pass, with 4 new ones.

--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -12,6 +12,7 @@
 from mustardwood import dispatch
 from mustardwood import timing
 from mustardwood.peers import peer_update
+from mustardwood.peers import usage_exchange
 
 _MAX_SEND_TIMES = 256
 """Number of send times that are kept per peer; they cover about ten seconds."""
@@ -55,15 +56,20 @@
     long the update was delayed.
     """
 
-    def __init__(self, vm: str, clock: timing.Clock, loads: dispatch.LoadTable,
+    def __init__(self,
+                 vm: str,
+                 clock: timing.Clock,
+                 loads: dispatch.LoadTable,
                  prefix_caches: dispatch.PrefixCacheIndex,
                  crashes: dispatch.CrashRecord,
                  part_crashes: dispatch.PromptPartCrashes,
-                 proof: dispatch.FreshnessProof, rng: random.Random,
+                 proof: dispatch.FreshnessProof,
+                 rng: random.Random,
                  streams: dispatch.StreamVersionTable,
                  rate_limits: dispatch.EndpointRateLimits,
                  notices: dispatch.EndpointNotices,
-                 admission: dispatch.TierAdmission) -> None:
+                 admission: dispatch.TierAdmission,
+                 usage: usage_exchange.UsageExchange | None = None) -> None:
         """Creates a protocol without peers.
 
         Args:
@@ -81,6 +87,8 @@
             rate_limits: Records the rate limits that endpoints state.
             notices: Records what VMs learn of endpoints from responses.
             admission: Receives the peers' demand for engines.
+            usage: Adds this VM's counts of requests to updates; None if
+                requests are not counted.
         """
         self._vm = vm
         self._clock = clock
@@ -93,6 +101,7 @@
         self._rate_limits = rate_limits
         self._notices = notices
         self._admission = admission
+        self._usage = usage
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
 
@@ -170,13 +179,16 @@
             peer.send_times[self._sequence] = now
             if len(peer.send_times) > _MAX_SEND_TIMES:
                 peer.send_times.popitem(last=False)
+            fields = (self._vm, self._sequence, peer.last_sequence,
+                      _compute_proof_lead(peer, requested_at), configuration,
+                      report, streams, questions)
+            counted = (None if self._usage is None else
+                       self._usage.build_report(name))
             updates.append(
                 (name,
                  msgspec.msgpack.encode(
-                     peer_update.PeerUpdate(
-                         self._vm, self._sequence, peer.last_sequence,
-                         _compute_proof_lead(peer, requested_at), configuration,
-                         report, streams, questions))))
+                     peer_update.PeerUpdate(*fields) if counted is None else
+                     peer_update.PeerUpdateWithUsage(*fields, usage=counted))))
         return updates
 
     def _build_report(self) -> peer_update.Report:
@@ -215,7 +227,8 @@
             received from the same peer.
         """
         try:
-            update = msgspec.msgpack.decode(data, type=peer_update.PeerUpdate)
+            update = msgspec.msgpack.decode(
+                data, type=peer_update.PeerUpdateWithUsage)
             report = bytes(update.report)
             known_peer = self._peers.get(update.sender)
             new_report = (
@@ -230,6 +243,8 @@
             return None
         peer.last_sequence = update.sequence
         peer.received_at = self._clock.monotonic()
+        if self._usage is not None and update.usage is not None:
+            self._usage.receive_report(update.sender, update.usage)
         if new_report is not None:
             peer.report = report
             self._apply_report(update.sender, new_report)
@@ -292,6 +307,8 @@
     def forget_peer(self, name: str) -> None:
         """Discards the state of a peer that has left."""
         self._peers.pop(name, None)
+        if self._usage is not None:
+            self._usage.forget_peer(name)
 
 
 def _encode_demands(
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from mustardwood import usage as usage_module
+
 LoadFigures = tuple[int, int, int, int]
 """Load of an endpoint: prefill tokens, requests, interactive streams and held
 tokens."""
@@ -108,3 +110,14 @@
     report: msgspec.Raw
     streams: dict[str, bytes] = {}
     questions: bytes = b""
+
+
+class PeerUpdateWithUsage(PeerUpdate, frozen=True, array_like=True):
+    """An update with an optional last field, which older VMs ignore.
+
+    Attributes:
+        usage: The sender's clock and counts of requests; None if it does not
+            count requests, or has sent them to the receiver recently.
+    """
+
+    usage: usage_module.UsageReport | None = None
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -9,6 +9,7 @@
 from mustardwood import dispatch
 from mustardwood import peers
 from mustardwood import timing
+from mustardwood import usage as usage_module
 from mustardwood.dispatch.tests import harness as harness_module
 
 _KEY_REMOVAL_TIME = datetime.timedelta(seconds=5)
@@ -25,7 +26,7 @@
 
 class _Vm:
 
-    def __init__(self, name, seed=1):
+    def __init__(self, name, seed=1, usage=None):
         self.name = name
         self.clock = timing.ManualClock()
         self.loads = dispatch.LoadTable(self.clock)
@@ -47,7 +48,7 @@
                                            self.part_crashes, self.proof,
                                            random.Random(seed), self.streams,
                                            self.rate_limits, self.notices,
-                                           self.admission)
+                                           self.admission, usage)
         self.configuration = peers.ConfigurationPosition(7, 0, 10)
 
     def build_update(self, other):
@@ -426,3 +427,75 @@
         assert receiver.admission.find_demands("engine") == {0: 0.5, 5: 2.25}
     _advance(_ms(4000), sender, receiver)
     assert not receiver.admission.find_demands("engine")
+
+
+class _UsageExchange:
+    """Sends fixed reports and records the received ones."""
+
+    def __init__(self, *reports):
+        self._reports = list(reports)
+        self.received = []
+        self.forgotten = []
+
+    def build_report(self, receiver):
+        """Returns the next report."""
+        del receiver
+        return self._reports.pop(0) if self._reports else None
+
+    def receive_report(self, sender, report):
+        """Records a report."""
+        self.received.append((sender, report))
+
+    def forget_peer(self, name):
+        """Records the name of a peer that has left."""
+        self.forgotten.append(name)
+
+
+_USAGE = usage_module.UsageReport(1_700_000_000_000, 7, 100, True,
+                                  {101: {
+                                      "hule930": 3
+                                  }})
+
+
+def test_usage_reaches_peers():
+    """Failure: counts of requests are lost between VMs."""
+    counting, holder = _UsageExchange(_USAGE), _UsageExchange()
+    sender, receiver = _Vm("vm-1", usage=counting), _Vm("vm-2", usage=holder)
+    receiver.receive(sender.build_update(receiver))
+    assert holder.received == [("vm-1", _USAGE)]
+    receiver.receive(sender.build_update(receiver))
+    assert len(holder.received) == 1
+    receiver.protocol.forget_peer("vm-1")
+    assert holder.forgotten == ["vm-1"]
+
+
+def test_update_with_usage_is_accepted_by_older_releases():
+    """Failure: VMs of two releases don't understand each other in a rollout."""
+    sender, receiver = _Vm("vm-1", usage=_UsageExchange(_USAGE)), _Vm("vm-2")
+    data = sender.build_update(receiver)
+    older = msgspec.msgpack.decode(data, type=peers.PeerUpdate)
+    assert older.sender == "vm-1"
+    assert receiver.receive(data) is not None
+
+
+def test_update_of_a_vm_without_duties_has_no_usage_field():
+    """Failure: deployments without duties pay for a field that they don't use.
+    """
+    sender, receiver = _Vm("vm-1"), _Vm("vm-2", usage=_UsageExchange())
+    data = sender.build_update(receiver)
+    assert len(msgspec.msgpack.decode(data)) == 8
+    receiver.receive(data)
+    data = _Vm("vm-3", usage=_UsageExchange()).build_update(receiver)
+    assert len(msgspec.msgpack.decode(data)) == 8
+
+
+def test_usage_of_a_late_duplicate_is_ignored():
+    """Failure: the clock in a datagram that arrives late counts as new."""
+    holder = _UsageExchange()
+    sender = _Vm("vm-1", usage=_UsageExchange(_USAGE))
+    receiver = _Vm("vm-2", usage=holder)
+    sender.receive(receiver.build_update(sender))
+    first = sender.build_update(receiver)
+    receiver.receive(sender.build_update(receiver))
+    receiver.receive(first)
+    assert not holder.received
