Report the usage from the VM that holds the term

Duties now create the client of duty calls and, with the duty usage_report, UsageReporting: it counts the requests of the process, exchanges counts with the updates between VMs, and carries out what UsageReporter decides. The record is the key duties/usage, which arrives with the watch; it is written on condition that it and the key of the term have not changed, in the era in which both were shown. StoreClient.replace_key takes conditions on further keys and an era for that. Calls now end after leadership.MAX_CALL_TIME instead of 2 s, since the next term relies on it. Without duties nothing is created.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -122,23 +122,24 @@
         self._reader = freshness_reader.FreshnessReader(
             client, self._clock, self._scheduler, self._proof, self._watcher,
             self._loads.count_peers, self._journal, self._rng)
+        self._duties = duties.Duties.from_settings(
+            self._settings, client, self._watcher, self._clock, self._scheduler,
+            self._journal, pool, lambda: self._peers.peer_names, self._rng)
+        counted = self._duties.usage
         self._peers = peer_synchronizer.PeerSynchronizer(
             peers.PeerProtocol(self._settings.vm, self._clock, self._loads,
                                self._prefix_caches, self._crashes,
                                self._part_crashes, self._proof, self._rng,
                                self._streams, self._rate_limits, self._notices,
-                               self._admission), self._loads, self._clock,
-            self._scheduler, pool, self._watcher, self._journal,
-            self._settings.vm)
+                               self._admission,
+                               None if counted is None else counted.exchange),
+            self._loads, self._clock, self._scheduler, pool, self._watcher,
+            self._journal, self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
             self._settings.listen.peers, lambda: self._peers.peer_count,
             self._rng)
         client.add_era_listener(self._registration.handle_era_change)
-        self._duties = duties.Duties.from_settings(self._settings, client,
-                                                   self._watcher, self._clock,
-                                                   self._scheduler,
-                                                   self._journal)
         self._authorizer = authorizer.Authorizer(
             self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
         self._metrics = metrics.ProcessMetrics()
@@ -168,6 +169,7 @@
             self._reactor.listenUDP(port, self._peers.port, interface=host)
             self._registration.start()
             self._peers.start()
+        self._duties.start()
         signal.signal(
             signal.SIGTERM,
             lambda *_: self._reactor.callFromThread(self._start_shutdown))
@@ -237,7 +239,8 @@
             journal=self._journal,
             metrics=self._metrics,
             streams=self._streams,
-            version_record=self._stream_journal)
+            version_record=self._stream_journal,
+            usage=self._duties.request_counter)
 
     def _find_service(self, name: str) -> dispatch.ServiceParameters:
         configuration = self._watcher.configuration
--- a/mustardwood/platform/duties.py
+++ b/mustardwood/platform/duties.py
@@ -1,16 +1,21 @@
 """What only exists in deployments whose settings name duties."""
 
+import collections.abc
 import datetime
+import random
 
 from mustardwood import dispatch
+from mustardwood import http1
 from mustardwood import leadership
 from mustardwood import timing
+from mustardwood.platform import duty_client
 from mustardwood.platform import duty_leadership
 from mustardwood.platform import duty_settings
 from mustardwood.platform import metrics as metrics_module
 from mustardwood.platform import settings as settings_module
 from mustardwood.platform import store_client
 from mustardwood.platform import store_watcher
+from mustardwood.platform import usage_reporting
 
 _NOTICE_TIME = datetime.timedelta(milliseconds=200)
 """Time of the calls by which a candidate acquires the term, and of the watch.
@@ -26,26 +31,35 @@
     Attributes:
         settings: The settings of the duties; None if there are no duties.
         leadership: Elects the VM that carries them out; None without duties.
+        calls: Sends the calls of the duties; None without duties.
+        usage: Reports the usage; None without that duty.
     """
 
     def __init__(self,
                  settings: duty_settings.DutySettings | None,
-                 elected: duty_leadership.DutyLeadership | None = None) -> None:
+                 elected: duty_leadership.DutyLeadership | None = None,
+                 calls: duty_client.DutyClient | None = None) -> None:
         """Creates the duties; `from_settings` creates all that they need.
 
         Args:
             settings: The settings of the duties; None if there are no duties.
             elected: The leadership; None if there are no duties.
+            calls: Sends the calls; None if there are no duties.
         """
         self.settings = settings
         self.leadership = elected
+        self.calls = calls
+        self.usage: usage_reporting.UsageReporting | None = None
 
     @classmethod
     def from_settings(cls, found: settings_module.PlatformSettings,
                       client: store_client.StoreClient,
                       watcher: store_watcher.StoreWatcher, clock: timing.Clock,
-                      scheduler: dispatch.Scheduler,
-                      journal: dispatch.Journal) -> "Duties":
+                      scheduler: dispatch.Scheduler, journal: dispatch.Journal,
+                      pool: http1.ConnectionPool,
+                      list_peers: collections.abc.Callable[
+                          [], collections.abc.Iterable[str]],
+                      rng: random.Random) -> "Duties":
         """Creates what the settings require, and nothing without duties.
 
         Duties that this version does not know are logged once, and the others
@@ -58,6 +72,9 @@
             clock: Its monotonic time must include the time of suspensions.
             scheduler: Schedules calls.
             journal: Logs what the duties do.
+            pool: Sends the calls of the duties.
+            list_peers: Returns the names of the other VMs.
+            rng: Draws the number of this process.
         """
         settings = duty_settings.DutySettings.from_settings(found)
         if settings is None:
@@ -71,7 +88,28 @@
             leadership.ElectionTimes.from_bound(
                 settings.lease_time, found.batch_delay + _NOTICE_TIME))
         elected.attach(watcher)
-        return cls(settings, elected)
+        calls = duty_client.DutyClient(
+            settings.address, pool, scheduler, journal,
+            lambda term: _has_token(elected, term.token))
+        created = cls(settings, elected, calls)
+        if duty_settings.USAGE_REPORT in settings.duties:
+            created.usage = usage_reporting.UsageReporting(
+                settings, found.vm, client, elected, calls, list_peers, clock,
+                scheduler, journal, rng)
+            created.usage.attach(watcher)
+        return created
+
+    @property
+    def request_counter(self) -> dispatch.RequestCounter:
+        """Counts the requests that began to run, if they are reported."""
+        if self.usage is None:
+            return dispatch.NoRequestCounter()
+        return self.usage.counter
+
+    def start(self) -> None:
+        """Starts the duties of which this VM has a part even without a term."""
+        if self.usage is not None:
+            self.usage.start()
 
     def stop(self) -> None:
         """Ends the term at once; the process stops."""
@@ -98,3 +136,20 @@
         metrics.add_counter("mustardwood_terms_ended",
                             "Terms of this VM that have ended, by reason.",
                             "reason", lambda: elected.ended_terms)
+        calls = self.calls
+        if calls is not None:
+            metrics.add_counter(
+                "mustardwood_duty_calls",
+                "Duty calls of this VM that have ended, by path and outcome.",
+                "end", lambda: {
+                    f"{path} {outcome}": count
+                    for (path, outcome), count in calls.calls.items()
+                })
+        if self.usage is not None:
+            self.usage.add_metrics(metrics)
+
+
+def _has_token(elected: duty_leadership.DutyLeadership, token: int) -> bool:
+    """Returns whether the term with a token is still proven."""
+    term = elected.find_term()
+    return term is not None and term.token == token
--- a/mustardwood/platform/duty_client.py
+++ b/mustardwood/platform/duty_client.py
@@ -14,9 +14,8 @@
 from mustardwood import leadership
 from mustardwood.platform import headers
 
-CALL_TIMEOUT = datetime.timedelta(seconds=2)
-"""Timeout of a call; an API slowed down by a factor of 50 responds in 0.5 s
-if it usually needs 10 ms."""
+CALL_TIMEOUT = leadership.MAX_CALL_TIME
+"""Timeout of a call; the next term begins to act that long after the last."""
 _MAX_RESPONSE_BYTES = 64 * 1024
 """Maximum size of a response's body, which is not used."""
 _MAX_RETRY_AFTER = datetime.timedelta(minutes=1)
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -277,7 +277,10 @@
                           key: str,
                           value: bytes,
                           revision: int,
-                          lease: Lease | None = None) -> int | None:
+                          lease: Lease | None = None,
+                          conditions: collections.abc.Mapping[str, int] |
+                          None = None,
+                          era: int | None = None) -> int | None:
         """Writes a key if it has not changed.
 
         A write without an answer may take effect seconds later, if the key has
@@ -288,12 +291,18 @@
             value: The new value.
             revision: Revision of the key's last change; 0 if it must not exist.
             lease: Lease under which the key is written; None for none.
+            conditions: Revisions of the last changes of other keys that must
+                not have changed either; None for none.
+            era: The store's era of these revisions; it is not needed with a
+                lease. None to write in any era.
 
         Returns:
-            The store's new revision; None if the key has changed.
+            The store's new revision; None if a key has changed.
 
         Raises:
             errors.LeaseLostError: If the lease has ended.
+            EraChangedError: If the store is no longer in the era `era`. The
+                write may have taken effect, or do so later.
         """
         row = {
             "key": key,
@@ -302,9 +311,12 @@
         }
         body = {
             "expected_revision": [{
-                "key": key,
-                "revision": revision
-            }],
+                "key": each,
+                "revision": expected
+            } for each, expected in {
+                key: revision,
+                **(conditions or {})
+            }.items()],
             "write": [row],
             "remove": []
         }
@@ -312,6 +324,7 @@
             response = await self._call("POST",
                                         "/kv-txn",
                                         body=body,
+                                        era=era,
                                         accepted=(200, 412))
         else:
             response = await self._call_with_lease("POST",
--- a/mustardwood/platform/tests/test_duties.py
+++ b/mustardwood/platform/tests/test_duties.py
@@ -2,6 +2,7 @@
 
 import random
 
+from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -46,13 +47,14 @@
     scheduler = harness_module.FakeScheduler(clock)
     journal = harness_module.FakeJournal()
     watcher = _Watcher()
-    client = store_client.StoreClient(
-        simulated_store.STORE_ADDRESS,
-        simulated_store.SimulatedPool(simulated_store.SimulatedStore(clock),
-                                      scheduler, random.Random(1),
-                                      lambda _: None), scheduler)
+    pool = simulated_store.SimulatedPool(simulated_store.SimulatedStore(clock),
+                                         scheduler, random.Random(1),
+                                         lambda _: None)
+    client = store_client.StoreClient(simulated_store.STORE_ADDRESS, pool,
+                                      scheduler)
     found = duties.Duties.from_settings(settings.read_settings(path), client,
-                                        watcher, clock, scheduler, journal)
+                                        watcher, clock, scheduler, journal,
+                                        pool, lambda: (), random.Random(2))
     return found, watcher, journal
 
 
@@ -68,6 +70,9 @@
     """Deployments without duties must be served as before."""
     found, watcher, journal = _create(tmp_path, None)
     assert found.settings is None and found.leadership is None
+    assert found.usage is None
+    assert isinstance(found.request_counter, dispatch.NoRequestCounter)
+    found.start()
     assert not watcher.prefixes
     assert not journal.lines
     assert "duty" not in _build_metrics(found)
