Await the counts of half of the VMs, and bound the ledger

A holder that reaches the store but not its peers finalized windows with its own counts only. It now waits until half of the VMs have reported since the end of a window, for 20 s at most. The ledger discarded old windows only when others were finalized, so an outage of the store would have filled the memory of the VMs that keep counts; it now holds the last 12 windows in any case.

Without the first rule, test_holder_without_its_peers_waits_for_their_counts fails, without the second test_ledger_stays_small_while_nothing_is_finalized.

--- a/mustardwood/usage/tests/fleet.py
+++ b/mustardwood/usage/tests/fleet.py
@@ -82,7 +82,7 @@
 
     def write(self, vm, write):
         """Carries out a write, or a part of it, as `fate` says."""
-        fate = "down" if vm.is_cut_off else self.fate
+        fate = ("down" if vm.is_cut_off and not vm.reaches_store else self.fate)
         if fate == "down":
             self._fleet.later(ms(50),
                               lambda: vm.reporter.handle_store_failure("down"))
@@ -142,7 +142,7 @@
         self.calls.append((vm.name, send.window, self._fleet.clock.now()))
         assert send.term.token > self._refused.get(vm.name, -1)
         fate = self.fate
-        if vm.is_cut_off:
+        if vm.is_cut_off and not vm.reaches_store:
             self._answer(vm, send, "FAILED", ms(400))
         elif fate == "ok":
             self._answer(vm, send, self._apply(vm, send), _DELAY)
@@ -175,12 +175,18 @@
 
 
 class Vm:
-    """The parts of a VM that count and report its usage."""
+    """The parts of a VM that count and report its usage.
+
+    Attributes:
+        is_cut_off: Whether no other VM can be reached, nor the store.
+        reaches_store: Whether the store and the API can be reached even so.
+    """
 
     def __init__(self, fleet, name, skew, incarnation):
         self.fleet = fleet
         self.name = name
         self.is_cut_off = False
+        self.reaches_store = False
         self.clock = SkewedClock(fleet.clock, skew)
         self.journal = harness_module.FakeJournal()
         self.true_time = usage.TrueTime(self.clock,
--- a/mustardwood/usage/tests/test_failures.py
+++ b/mustardwood/usage/tests/test_failures.py
@@ -192,6 +192,22 @@
     assert {window, window + 1, window + 2} <= set(fleet.platform.accepted)
 
 
+def test_holder_without_its_peers_waits_for_their_counts():
+    """Failure: a holder that only reaches the store reports its own counts."""
+    fleet = _start()
+    window = fleet.window + 2
+    fleet.run_to(window - 1, ms(3000))
+    holder = fleet.find("vm-0")
+    holder.is_cut_off = holder.reaches_store = True
+    fleet.run_to(window + 1, ms(4500))
+    assert window not in fleet.platform.accepted
+    holder.is_cut_off = False
+    fleet.run(ms(4000))
+    assert fleet.find_error(window) <= _TOLERANCE
+    fleet.run_to(window + 6)
+    _check(fleet, [window + 3, window + 4])
+
+
 @pytest.mark.parametrize("jump_s", [-6, 3, 6])
 def test_clock_jump_of_one_vm_moves_no_requests(jump_s):
     """Failure: a VM whose clock jumps counts into other windows."""
--- a/mustardwood/usage/tests/test_usage_exchange.py
+++ b/mustardwood/usage/tests/test_usage_exchange.py
@@ -101,7 +101,7 @@
         sender.clock.advance(ms(1000))
     window = _WINDOWS.find_window(receiver.clock.now())
     assert len(receiver.ledger.find_total(window)) == 1300
-    assert not receiver.ledger.is_complete(window - 5, ["vm-0"])
+    assert receiver.ledger.count_reports(window - 5, ["vm-0"]) == 0
 
 
 def test_reports_that_arrive_twice_or_in_another_order_change_nothing():
@@ -139,3 +139,20 @@
 def test_keepers_of_a_single_vm():
     """Failure: a deployment with one VM has nobody to keep its counts."""
     assert usage.choose_keepers("a", ("a",)) == ("a",)
+
+
+def test_ledger_stays_small_while_nothing_is_finalized():
+    """Failure: the counts of an hour without the store fill the memory."""
+    sender, receiver = _Vm(("vm-1",)), _Vm((), "vm-1")
+    first = _WINDOWS.find_window(receiver.clock.now()) + 1
+    for _ in range(720):
+        for vm in (sender, receiver):
+            vm.clock.advance(ms(5000))
+        sender.begin(3)
+        receiver.exchange.receive_report("vm-0",
+                                         sender.exchange.build_report("vm-1"))
+    kept = [
+        window for window in range(first, first + 720)
+        if receiver.ledger.find_total(window)
+    ]
+    assert 10 <= len(kept) <= 13
--- a/mustardwood/usage/tests/test_usage_reporter.py
+++ b/mustardwood/usage/tests/test_usage_reporter.py
@@ -34,8 +34,12 @@
                            }}, self.clock.now())
 
     def decide(self, token: int | None = 7, after=ms(0)):
-        """Returns the actions after some time."""
+        """Returns the actions after some time.
+
+        The VM's own counts are recorded before, as in the process.
+        """
         self.clock.advance(after)
+        self.ledger.record("vm-1", 1, self.first, True, {}, self.clock.now())
         term = None if token is None else leadership.Term(
             "vm-1", token,
             self.clock.monotonic() + ms(2500))
--- a/mustardwood/usage/usage_ledger.py
+++ b/mustardwood/usage/usage_ledger.py
@@ -68,6 +68,7 @@
             self._vms[vm] = _VmState(first_window, now)
         left_out: dict[int, int] = {}
         newest = self._windows.find_window(now) + 1
+        self._discard_before(newest - usage_counter.MAX_WINDOWS)
         for window, by_organisation in counts.items():
             if not newest - usage_counter.MAX_WINDOWS <= window <= newest:
                 continue
@@ -82,15 +83,12 @@
         return left_out
 
     def close_windows(self, through: int) -> None:
-        """Marks windows as finalized and discards old ones.
+        """Marks windows as finalized, so that further counts are left out.
 
         Args:
             through: The last window that is finalized.
         """
         self._closed_through = max(self._closed_through, through)
-        oldest = self._closed_through - usage_counter.MAX_WINDOWS
-        for window in [each for each in self._counts if each < oldest]:
-            del self._counts[window]
 
     def forget_vm(self, vm: str) -> None:
         """Stops waiting for a VM that has left; its counts are kept."""
@@ -108,11 +106,11 @@
         return min((each.first_window for each in self._vms.values()),
                    default=None)
 
-    def is_complete(self, window: int,
-                    vms: collections.abc.Iterable[str]) -> bool:
-        """Returns whether all VMs have reported since the end of a window."""
+    def count_reports(self, window: int,
+                      vms: collections.abc.Iterable[str]) -> int:
+        """Returns how many VMs have reported since the end of a window."""
         complete_at = self._windows.find_end(window) + _COMPLETION_MARGIN
-        return all(
+        return sum(
             each in self._vms and self._vms[each].reported_at >= complete_at
             for each in vms)
 
@@ -135,3 +133,7 @@
         covering = sum(
             each.first_window <= window for each in self._vms.values())
         return 0 < len(self._vms) <= 2 * covering
+
+    def _discard_before(self, oldest: int) -> None:
+        for window in [each for each in self._counts if each < oldest]:
+            del self._counts[window]
--- a/mustardwood/usage/window_choice.py
+++ b/mustardwood/usage/window_choice.py
@@ -12,6 +12,12 @@
 VMs report once a second, with an update that is sent at most a second later; it
 thus covers the loss of one datagram in deployments of up to 200 VMs.
 """
+_MAX_WAITING_TIME = datetime.timedelta(seconds=20)
+"""Time after the end of a window after which it is finalized in any case.
+
+A holder that reaches the store, but few other VMs, would report too little. A
+partition is over by then, or the VMs that were lost are no longer registered.
+"""
 _SENDING_TIME = datetime.timedelta(seconds=2)
 """Time before a report is due that is reserved for writing and sending.
 
@@ -38,12 +44,25 @@
     """
     ready = 0
     last_ended = windows.find_last_ended(now)
-    while first + ready <= last_ended and (
-            now >= windows.find_end(first + ready) + _SETTLING_TIME or
-            ledger.is_complete(first + ready, vms)):
+    while first + ready <= last_ended and _is_ready(
+            now - windows.find_end(first + ready),
+            ledger.count_reports(first + ready, vms), len(vms)):
         ready += 1
     latest = windows.find_due_time(first) - _SENDING_TIME
     pair_ready_at = windows.find_end(first + 1) + _SETTLING_TIME
     if ready == 1 and now < latest and pair_ready_at <= latest:
         return 0
     return ready
+
+
+def _is_ready(age: datetime.timedelta, reports: int, vms: int) -> bool:
+    """Returns whether no further reports of a window are awaited.
+
+    Args:
+        age: Time since the end of the window.
+        reports: Number of VMs that have reported since then.
+        vms: Number of all VMs.
+    """
+    if reports == vms or age >= _MAX_WAITING_TIME:
+        return True
+    return age >= _SETTLING_TIME and 2 * reports >= vms
