Decode scaling of services and the kind of endpoints

A service's configuration may limit and price its endpoints, and registrations say whether an endpoint is preemptible and when it leaves; the planner of endpoints needs both. `scaling` is decoded apart from the rest of the document: a minimum above the maximum, a negative price or a wrong type leaves out only the `scaling` of that service, with one log line `configuration_part_rejected`. RouteTable and EndpointDirectory list services and registered endpoints.

--- a/mustardwood/dispatch/endpoint.py
+++ b/mustardwood/dispatch/endpoint.py
@@ -1,6 +1,7 @@
 """Endpoints, which run requests."""
 
 import dataclasses
+import datetime
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,6 +18,9 @@
         is_leaving: Whether it announced that it accepts no new requests.
         started: Time of its last start in Unix milliseconds; 0 if unknown.
         version: Version of its software; empty if unknown.
+        is_preemptible: Whether its availability zone may reclaim it.
+        leaves_after: Time from the writing of the registration until the
+            endpoint leaves; None if the registration names none.
     """
 
     name: str
@@ -28,6 +32,8 @@
     is_leaving: bool = False
     started: int = 0
     version: str = ""
+    is_preemptible: bool = False
+    leaves_after: datetime.timedelta | None = None
 
     @property
     def incarnation(self) -> str:
--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -196,6 +196,13 @@
             self._by_service[service] = known
         return known
 
+    def list_registered(self,
+                        service: str) -> tuple[endpoint_module.Endpoint, ...]:
+        """Returns the endpoints of a service, including those that leave."""
+        self._process_expirations()
+        return tuple(each for each in self._endpoints.values()
+                     if each.service == service)
+
     def find_endpoint(self, name: str) -> endpoint_module.Endpoint | None:
         """Returns the endpoint with a name, including one that is leaving."""
         self._process_expirations()
--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -81,6 +81,10 @@
         return self._services.get(name) or service_parameters.ServiceParameters(
             name)
 
+    def list_services(self) -> tuple[service_parameters.ServiceParameters, ...]:
+        """Returns the parameters of all services that the table lists."""
+        return tuple(self._services.values())
+
 
 def _add_stream_targets(
     services: collections.abc.Iterable[service_parameters.ServiceParameters],
--- a/mustardwood/platform/configuration_decoder.py
+++ b/mustardwood/platform/configuration_decoder.py
@@ -7,6 +7,8 @@
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import http1
+from mustardwood import scaling
+from mustardwood.platform import scaling_decoder
 
 _STREAMING_ROUTE = "streaming"
 _IDEMPOTENT_ROUTE = "idempotent"
@@ -65,10 +67,15 @@
 
 
 class _Service(msgspec.Struct, frozen=True):
-    """A service as the store holds it; `runtime` describes its engines."""
+    """A service as the store holds it.
+
+    `runtime` describes its engines; `scaling` is decoded apart, so that an
+    error in it concerns nothing else.
+    """
 
     name: str
     runtime: _Runtime | None = None
+    scaling: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Document(msgspec.Struct, frozen=True):
@@ -85,10 +92,13 @@
     Attributes:
         table: Routes, services and API keys.
         limits: Limits of callers' connections.
+        problems: Parts of the document that were left out because they are
+            invalid, each with its reason.
     """
 
     table: dispatch.RouteTable
     limits: http1.ConnectionLimits
+    problems: tuple[str, ...] = ()
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -105,19 +115,21 @@
             f"The stored configuration is malformed: {error}.",
             "Write a valid one; the previous version stays in use.")
     has_keys = document.tenants is not None
+    problems: list[str] = []
     table = dispatch.RouteTable(
         document.version,
         [_decode_route(each, has_keys) for each in document.routes], [
             dispatch.Organisation(each.name, frozenset(each.api_keys),
                                   each.priority)
             for each in document.tenants or ()
-        ], [_decode_service(each) for each in document.services])
+        ], [_decode_service(each, problems) for each in document.services])
     limits = document.limits
     return Configuration(
         table,
         http1.ConnectionLimits(limits.max_header_bytes, limits.max_body_bytes,
                                _to_timedelta(limits.header_timeout_ms),
-                               _to_timedelta(limits.idle_timeout_ms)))
+                               _to_timedelta(limits.idle_timeout_ms)),
+        tuple(problems))
 
 
 def _decode_route(route: _Route, has_keys: bool) -> dispatch.Route:
@@ -140,11 +152,24 @@
                           needs_key=has_keys and not route.anonymous)
 
 
-def _decode_service(service: _Service) -> dispatch.ServiceParameters:
-    if service.runtime is None:
-        return dispatch.ServiceParameters(service.name)
-    return dispatch.ServiceParameters(service.name, service.runtime.kv_capacity,
-                                      max(1, service.runtime.stride))
+def _decode_service(service: _Service,
+                    problems: list[str]) -> dispatch.ServiceParameters:
+    """Returns the parameters of a service.
+
+    Args:
+        service: The service.
+        problems: Receives the reason why a part of it is left out.
+    """
+    runtime = service.runtime or _Runtime()
+    limits: scaling.ScalingParameters | None = None
+    try:
+        limits = scaling_decoder.decode_scaling(service.scaling)
+    except errors.ConfigurationError as error:
+        problems.append(f"Service {service.name!r}: {error}")
+    return dispatch.ServiceParameters(service.name,
+                                      runtime.kv_capacity,
+                                      max(1, runtime.stride),
+                                      scaling=limits)
 
 
 def _decode_retry_policy(route: _Route) -> dispatch.RetryPolicy:
--- a/mustardwood/platform/endpoint_decoder.py
+++ b/mustardwood/platform/endpoint_decoder.py
@@ -1,5 +1,6 @@
 """Decodes the registrations of endpoints in the platform's store."""
 
+import datetime
 import typing
 
 import msgspec
@@ -18,7 +19,8 @@
 class _Registration(msgspec.Struct, frozen=True):
     """A registration as the store holds it.
 
-    `born` is the time of the endpoint's start, in milliseconds since the epoch.
+    `born` is the time of the endpoint's start, in milliseconds since the epoch;
+    `leaves_ms` is the time that remains in the state `draining`.
     """
 
     service: str
@@ -29,6 +31,8 @@
     born: int = 0
     version: typing.Annotated[str,
                               msgspec.Meta(max_length=_MAX_VERSION_LENGTH)] = ""
+    preemptible: bool = False
+    leaves_ms: float | None = None
 
 
 def decode_endpoint(key: str, value: bytes) -> dispatch.Endpoint:
@@ -41,7 +45,9 @@
         registration = msgspec.json.decode(value, type=_Registration)
         host, port = settings.parse_address(registration.address)
         is_leaving = _IS_LEAVING_BY_STATE[registration.state]
-    except (msgspec.MsgspecError, errors.SettingsError, KeyError) as error:
+        leaves_after = _decode_leaving_time(registration)
+    except (msgspec.MsgspecError, errors.SettingsError, KeyError,
+            OverflowError) as error:
         raise errors.ConfigurationError(
             f"The registration {key!r} is invalid: {error}.",
             "It is ignored; whoever wrote it must correct it.")
@@ -53,4 +59,21 @@
                              slots=registration.slots,
                              is_leaving=is_leaving,
                              started=registration.born,
-                             version=registration.version)
+                             version=registration.version,
+                             is_preemptible=registration.preemptible,
+                             leaves_after=leaves_after)
+
+
+def _decode_leaving_time(
+        registration: _Registration) -> datetime.timedelta | None:
+    """Returns the time until an endpoint leaves; None if none is named.
+
+    Args:
+        registration: The registration; a negative time is one that has passed.
+
+    Raises:
+        OverflowError: If the time is longer than can be represented.
+    """
+    if registration.leaves_ms is None:
+        return None
+    return datetime.timedelta(milliseconds=max(0.0, registration.leaves_ms))
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -411,6 +411,10 @@
                             era=item.era,
                             revision=item.revision,
                             version=decoded.table.version)
+        for problem in decoded.problems:
+            self._journal.write("configuration_part_rejected",
+                                version=decoded.table.version,
+                                error=problem)
 
     def _is_of_present_era(self, era: int) -> bool:
         return self._era_start is not None and self._era_start.era == era
