--- a/mustardwood/platform/metrics.py
+++ b/mustardwood/platform/metrics.py
@@ -5,6 +5,7 @@
 import http
 
 import prometheus_client
+from prometheus_client import registry
 
 from mustardwood import http1
 
@@ -52,6 +53,14 @@
                                         registry=self._registry)
         gauge.set_function(get_value)
 
+    def add_collector(self, collector: registry.Collector) -> None:
+        """Adds metrics that are read when the page is requested.
+
+        Args:
+            collector: Returns the metrics.
+        """
+        self._registry.register(collector)
+
     def count_request(self, tier: int, outcome: str, status: int,
                       took: datetime.timedelta,
                       first_byte: datetime.timedelta | None) -> None:
