--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -16,11 +16,13 @@
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import http1
+from mustardwood import leadership
 from mustardwood import peers
 from mustardwood import timing
 from mustardwood.platform import authorizer
 from mustardwood.platform import duties
 from mustardwood.platform import endpoint_client
+from mustardwood.platform import endpoint_scaling
 from mustardwood.platform import event_journal
 from mustardwood.platform import freshness_gate
 from mustardwood.platform import freshness_reader
@@ -29,6 +31,8 @@
 from mustardwood.platform import metrics
 from mustardwood.platform import peer_synchronizer
 from mustardwood.platform import request_server
+from mustardwood.platform import scaling_settings
+from mustardwood.platform import service_state_reader
 from mustardwood.platform import settings as settings_module
 from mustardwood.platform import store_client
 from mustardwood.platform import store_watcher
@@ -136,12 +140,13 @@
             self._rng)
         client.add_era_listener(self._registration.handle_era_change)
         self._duties = duties.Duties.from_settings(self._settings, client,
-                                                   self._watcher, self._clock,
-                                                   self._scheduler,
+                                                   self._watcher, pool,
+                                                   self._clock, self._scheduler,
                                                    self._journal)
         self._authorizer = authorizer.Authorizer(
             self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
         self._metrics = metrics.ProcessMetrics()
+        self._duties.add_endpoint_scaling(self._make_scaling)
         self._server = request_server.RequestServer(self._make_context(pool),
                                                     self._watcher)
         self._port: typing.Any = None
@@ -161,6 +166,7 @@
         self._watcher.start()
         self._reader.start()
         self._stream_journal.start()
+        self._duties.start()
         if listen.peers:
             self._serve_page(listen.peers, peer_synchronizer.CONFIGURATION_PATH,
                              self._build_configuration)
@@ -239,6 +245,22 @@
             streams=self._streams,
             version_record=self._stream_journal)
 
+    def _make_scaling(
+            self, leaders: leadership.Leadership,
+            calls: leadership.DutyCalls) -> endpoint_scaling.EndpointScaling:
+        found = scaling_settings.ScalingSettings.from_environment(os.environ)
+        reader = service_state_reader.ServiceStateReader(
+            self._directory, self._admission, self._loads, self._list_services,
+            lambda: self._peers.peer_count, found.pinned_counts, self._journal)
+        return endpoint_scaling.EndpointScaling(self._clock, self._scheduler,
+                                                self._journal, reader, leaders,
+                                                calls, found, self._metrics)
+
+    def _list_services(self) -> tuple[dispatch.ServiceParameters, ...]:
+        configuration = self._watcher.configuration
+        return () if configuration is None else (
+            configuration.table.list_services())
+
     def _find_service(self, name: str) -> dispatch.ServiceParameters:
         configuration = self._watcher.configuration
         if configuration is None:
--- a/mustardwood/platform/duties.py
+++ b/mustardwood/platform/duties.py
@@ -1,12 +1,16 @@
 """What only exists in deployments whose settings name duties."""
 
+import collections.abc
 import datetime
 
 from mustardwood import dispatch
+from mustardwood import http1
 from mustardwood import leadership
 from mustardwood import timing
+from mustardwood.platform import duty_client
 from mustardwood.platform import duty_leadership
 from mustardwood.platform import duty_settings
+from mustardwood.platform import endpoint_scaling
 from mustardwood.platform import metrics as metrics_module
 from mustardwood.platform import settings as settings_module
 from mustardwood.platform import store_client
@@ -19,6 +23,10 @@
 key was removed, it is the stagger of the candidates.
 """
 
+_MakeScaling = collections.abc.Callable[
+    [leadership.Leadership, leadership.DutyCalls],
+    endpoint_scaling.EndpointScaling]
+
 
 class Duties:
     """Owns the leadership and the duties of this VM.
@@ -26,24 +34,30 @@
     Attributes:
         settings: The settings of the duties; None if there are no duties.
         leadership: Elects the VM that carries them out; None without duties.
+        calls: Sends duty calls; None without duties.
     """
 
     def __init__(self,
                  settings: duty_settings.DutySettings | None,
-                 elected: duty_leadership.DutyLeadership | None = None) -> None:
+                 elected: duty_leadership.DutyLeadership | None = None,
+                 calls: leadership.DutyCalls | None = None) -> None:
         """Creates the duties; `from_settings` creates all that they need.
 
         Args:
             settings: The settings of the duties; None if there are no duties.
             elected: The leadership; None if there are no duties.
+            calls: Sends duty calls; None if there are no duties.
         """
         self.settings = settings
         self.leadership = elected
+        self.calls = calls
+        self._scaling: endpoint_scaling.EndpointScaling | None = None
 
     @classmethod
     def from_settings(cls, found: settings_module.PlatformSettings,
                       client: store_client.StoreClient,
-                      watcher: store_watcher.StoreWatcher, clock: timing.Clock,
+                      watcher: store_watcher.StoreWatcher,
+                      pool: http1.ConnectionPool, clock: timing.Clock,
                       scheduler: dispatch.Scheduler,
                       journal: dispatch.Journal) -> "Duties":
         """Creates what the settings require, and nothing without duties.
@@ -55,6 +69,7 @@
             found: The settings of the process.
             client: Calls the store.
             watcher: Watches the store; it is not started yet.
+            pool: Sends the duty calls.
             clock: Its monotonic time must include the time of suspensions.
             scheduler: Schedules calls.
             journal: Logs what the duties do.
@@ -71,7 +86,31 @@
             leadership.ElectionTimes.from_bound(
                 settings.lease_time, found.batch_delay + _NOTICE_TIME))
         elected.attach(watcher)
-        return cls(settings, elected)
+
+        def is_proven(term: leadership.Term) -> bool:
+            current = elected.find_term()
+            return current is not None and current.token == term.token
+
+        return cls(
+            settings, elected,
+            duty_client.DutyClient(settings.address, pool, scheduler, journal,
+                                   is_proven))
+
+    def add_endpoint_scaling(self, make: _MakeScaling) -> None:
+        """Adds the ordering of endpoints if the settings name that duty.
+
+        Args:
+            make: Creates it from the leadership and the calls.
+        """
+        if (self.settings is not None and self.leadership is not None and
+                self.calls is not None and
+                duty_settings.AUTOSCALE in self.settings.duties):
+            self._scaling = make(self.leadership, self.calls)
+
+    def start(self) -> None:
+        """Starts the duties."""
+        if self._scaling is not None:
+            self._scaling.start()
 
     def stop(self) -> None:
         """Ends the term at once; the process stops."""
--- a/mustardwood/platform/tests/test_duties.py
+++ b/mustardwood/platform/tests/test_duties.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -46,13 +48,14 @@
     scheduler = harness_module.FakeScheduler(clock)
     journal = harness_module.FakeJournal()
     watcher = _Watcher()
-    client = store_client.StoreClient(
-        simulated_store.STORE_ADDRESS,
-        simulated_store.SimulatedPool(simulated_store.SimulatedStore(clock),
-                                      scheduler, random.Random(1),
-                                      lambda _: None), scheduler)
+    pool = simulated_store.SimulatedPool(simulated_store.SimulatedStore(clock),
+                                         scheduler, random.Random(1),
+                                         lambda _: None)
+    client = store_client.StoreClient(simulated_store.STORE_ADDRESS, pool,
+                                      scheduler)
     found = duties.Duties.from_settings(settings.read_settings(path), client,
-                                        watcher, clock, scheduler, journal)
+                                        watcher, pool, clock, scheduler,
+                                        journal)
     return found, watcher, journal
 
 
@@ -98,3 +101,33 @@
     found.leadership.ended_terms["expired"] += 2
     assert 'mustardwood_terms_ended_total{reason="expired"} 2.0' in (
         _build_metrics(found))
+
+
+class _Scaling:
+
+    def __init__(self):
+        self.is_started = False
+
+    def start(self):
+        """See `endpoint_scaling.EndpointScaling`."""
+        self.is_started = True
+
+
+@pytest.mark.parametrize("names, expected", [(None, False),
+                                             (["usage_report"], False),
+                                             (["autoscale"], True)])
+def test_endpoints_are_ordered_where_the_settings_name_that_duty(
+        tmp_path, names, expected):
+    """Deployments without that duty must not call the API."""
+    found, _, _ = _create(tmp_path, names)
+    scaling = _Scaling()
+    made = []
+
+    def make(leaders, calls):
+        made.append((leaders, calls))
+        return scaling
+
+    found.add_endpoint_scaling(make)
+    found.start()
+    assert scaling.is_started == expected
+    assert made == ([(found.leadership, found.calls)] if expected else [])
