Count endpoints that remain where no more are available

After a refusal for lack of endpoints, the plan counted those that a zone still had as lost and ordered them in the other zones once more; a rollout that drained preemptible endpoints one by one did the same to a whole zone. The plan now keeps what is there, and only a zone where more endpoints drain than are ready counts as reclaimed.

--- a/mustardwood/scaling/capacity_plan.py
+++ b/mustardwood/scaling/capacity_plan.py
@@ -46,7 +46,7 @@
         wanted: Number of endpoints that is planned for, in total.
         needed: Number of endpoints below which requests are late or refused.
         counts: Planned endpoints by availability zone and whether they are
-            preemptible. A place where none can be had has 0.
+            preemptible.
     """
 
     wanted: int
@@ -63,7 +63,8 @@
                       parameters: scaling_parameters.ScalingParameters,
                       zones: collections.abc.Sequence[str],
                       forecast: demand_forecast.DemandForecast,
-                      unavailable: collections.abc.Set[_Place] = frozenset(),
+                      unavailable: collections.abc.Mapping[_Place, int] |
+                      None = None,
                       pinned_count: int | None = None) -> "CapacityPlan":
         """Returns the plan for a forecast.
 
@@ -71,7 +72,8 @@
             parameters: Limits and prices.
             zones: The availability zones, the cheapest first.
             forecast: The demand.
-            unavailable: Places where no endpoint can be had at present.
+            unavailable: Places where no further endpoint can be had at
+                present, with the number that is there; none if omitted.
             pinned_count: Total number that the operator has set; None if it
                 follows from the forecast.
         """
@@ -91,7 +93,7 @@
                               (1.0 - 1.0 / len(zones))))
             else:
                 base = math.ceil(urgent)
-        counts = _Spread(parameters, zones, unavailable)
+        counts = _Spread(parameters, zones, unavailable or {})
         counts.fill(False, lambda: counts.count_kind(False) < base)
         if counts.allows_preemptible:
             counts.fill(True, lambda: counts.total < wanted)
@@ -107,17 +109,17 @@
 
     def __init__(self, parameters: scaling_parameters.ScalingParameters,
                  zones: collections.abc.Sequence[str],
-                 unavailable: collections.abc.Set[_Place]) -> None:
+                 unavailable: collections.abc.Mapping[_Place, int]) -> None:
         self._parameters = parameters
         self._zones = zones
         self._unavailable = unavailable
         self.allows_preemptible = find_reserve(parameters) > 0.0
         # Callers are in all zones, and an endpoint that is not preemptible
         # remains when the others are reclaimed.
-        self.counts: dict[_Place, int] = {
-            (zone, is_preemptible): int(not is_preemptible) for zone in zones
-            for is_preemptible in (False, True)
-        }
+        self.counts: dict[_Place, int] = {}
+        for zone in zones:
+            self.counts[zone, False] = max(1, unavailable.get((zone, False), 0))
+            self.counts[zone, True] = unavailable.get((zone, True), 0)
 
     @property
     def total(self) -> int:
--- a/mustardwood/scaling/group_record.py
+++ b/mustardwood/scaling/group_record.py
@@ -71,7 +71,9 @@
             Whether the availability zone has just reclaimed endpoints.
         """
         self.ready_count, self.draining_count = ready_count, draining_count
-        is_reclaimed = (self._is_preemptible and draining_count > 0 and
+        # In a rollout, few endpoints drain at a time.
+        is_reclaimed = (self._is_preemptible and
+                        draining_count > ready_count and
                         (self._expected_count is None or
                          ready_count < self._expected_count))
         if is_reclaimed:
--- a/mustardwood/scaling/service_planner.py
+++ b/mustardwood/scaling/service_planner.py
@@ -142,10 +142,11 @@
         reclaimed = self._update_records(now, state, zones)
         forecast = self._history.make_forecast(now, self._count_ready())
         plan = capacity_plan.CapacityPlan.from_forecast(
-            state.parameters, zones, forecast,
-            {(group.zone, group.is_preemptible)
-             for group, each in self._records.items()
-             if each.is_unavailable(now)}, state.pinned_count)
+            state.parameters, zones, forecast, {
+                (group.zone, group.is_preemptible): each.ready_count
+                for group, each in self._records.items()
+                if each.is_unavailable(now)
+            }, state.pinned_count)
         self._past_plans.append((now, plan))
         while now - self._past_plans[0][0] > _HOLD_TIME:
             self._past_plans.popleft()
--- a/mustardwood/scaling/tests/test_capacity_plan.py
+++ b/mustardwood/scaling/tests/test_capacity_plan.py
@@ -24,12 +24,12 @@
 
 def _plan(forecast=_FORECAST,
           zones=_ZONES,
-          unavailable=(),
+          unavailable=None,
           pinned=None,
           **changes):
     return capacity_plan.CapacityPlan.from_forecast(
         dataclasses.replace(_PARAMETERS, **changes), zones, forecast,
-        frozenset(unavailable), pinned)
+        unavailable or {}, pinned)
 
 
 def _count(plan, is_preemptible):
@@ -88,13 +88,20 @@
 
 
 def test_zone_without_preemptible_endpoints_is_replaced_by_the_others():
-    plan = _plan(unavailable=[("b", True)])
+    plan = _plan(unavailable={("b", True): 0})
     assert plan.counts["b", True] == 0
     assert plan.total >= plan.wanted
 
 
+def test_endpoints_that_are_there_count_where_no_more_are_to_be_had():
+    # They must not be ordered in the other zones once more.
+    plan = _plan(unavailable={("b", True): 17})
+    assert plan.counts["b", True] == 17
+    assert plan.total == plan.wanted
+
+
 def test_other_kind_is_planned_where_no_preemptible_endpoint_is_to_be_had():
-    plan = _plan(unavailable=[(each, True) for each in _ZONES])
+    plan = _plan(unavailable={(each, True): 0 for each in _ZONES})
     assert _count(plan, True) == 0
     # The reserve for bursts is too dear then.
     assert plan.total == plan.needed
--- a/mustardwood/scaling/tests/test_group_record.py
+++ b/mustardwood/scaling/tests/test_group_record.py
@@ -57,6 +57,14 @@
     assert record.effective_count == 0
 
 
+def test_endpoints_that_drain_one_by_one_were_not_reclaimed():
+    # A rollout of the software must not move the fleet to other zones.
+    record = group_record.GroupRecord(True)
+    _update(record, 0, 9)
+    assert not _update(record, 1, 8, draining=1)
+    assert not record.is_unavailable(_s(1))
+
+
 def test_endpoints_that_drain_after_an_order_were_not_reclaimed():
     record = group_record.GroupRecord(True)
     _update(record, 0, 9)
