Plan carefully after gaps, and ask full zones less often

A VM that was suspended, or whose knowledge was incomplete, took one sample for the whole demand and could remove endpoints at once; its history now starts anew. Where a zone's limit keeps preemptible endpoints out, the smaller bound for regular ones also allowed to remove preemptible ones; it no longer does. A zone that refuses an order again is asked after 8 and then 16 s instead of 4 s.

--- a/mustardwood/scaling/demand_history.py
+++ b/mustardwood/scaling/demand_history.py
@@ -16,6 +16,11 @@
 A tier's bursts of 5 to 9 s take less than 0.3 of the window. With them, the
 quantile is at the crest of waves, and above the mean without.
 """
+_MAX_GAP = datetime.timedelta(seconds=2)
+"""Time between two samples after which the demand counts as unknown again.
+
+A VM was suspended, or its knowledge was incomplete.
+"""
 _BUSY_TIME = datetime.timedelta(seconds=3)
 """Time over which the number of busy endpoints is averaged."""
 _MAX_OVERESTIMATE = 2.5
@@ -82,7 +87,7 @@
             busy_count: Number of endpoints that the requests in flight would
                 fill.
         """
-        if self._started_at is None:
+        if (not self._samples or time - self._samples[-1].time > _MAX_GAP):
             self._started_at = time
         recent = [busy_count] + [
             each.busy_count
@@ -102,7 +107,7 @@
             self._samples.popleft()
 
     def find_span(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns the time since the first sample."""
+        """Returns the time since the first sample after the last gap."""
         if self._started_at is None:
             return datetime.timedelta()
         return now - self._started_at
--- a/mustardwood/scaling/group_record.py
+++ b/mustardwood/scaling/group_record.py
@@ -13,6 +13,8 @@
 """Time after a notice in which a zone has no preemptible endpoints to give."""
 _UNAVAILABLE_TIME = datetime.timedelta(seconds=4)
 """Time for which nothing is ordered where no endpoint was available."""
+_MAX_DOUBLINGS = 2
+"""Number of refusals in a row with each of which that time doubles."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,7 @@
         self._differs_since: datetime.timedelta | None = None
         self._expected_count: int | None = None
         self._unavailable_until = datetime.timedelta()
+        self._refusals = 0
         self._reclaimed_until = datetime.timedelta()
         self.ready_count = 0
         self.draining_count = 0
@@ -83,6 +86,8 @@
             ready_count, self._order.count))
         if self._order is None or self._order.count == ready_count:
             self._differs_since = None
+            if self._order is not None:
+                self._refusals = 0
         elif self._differs_since is None:
             self._differs_since = now
         elif (not self.is_in_flight and
@@ -107,7 +112,9 @@
     def record_unavailable(self, now: datetime.timedelta) -> None:
         """Records that the zone had no endpoint to give."""
         self.forget_order()
-        self._unavailable_until = now + _UNAVAILABLE_TIME
+        self._unavailable_until = (
+            now + _UNAVAILABLE_TIME * 2**min(self._refusals, _MAX_DOUBLINGS))
+        self._refusals += 1
 
     def is_reclaimed(self, now: datetime.timedelta) -> bool:
         """Returns whether the zone has reclaimed endpoints a short time ago."""
--- a/mustardwood/scaling/service_planner.py
+++ b/mustardwood/scaling/service_planner.py
@@ -269,7 +269,7 @@
             group: min(record.ready_count, record.effective_count)
             for group, record in self._list_records(view)
         }
-        kept = self._find_kept(view)
+        wanted = kept = self._find_kept(view)
         total = sum(counts.values())
         if self._lacks_room(view):
             # The endpoints that are too dear take the room of others.
@@ -281,9 +281,9 @@
         self._remove(view, left, False, budget)
         if view.is_pinned:
             self._remove(view, left, True, budget - total + sum(left.values()))
-        elif left == counts and total > _SPARE_BAND * kept + 1:
+        elif left == counts and total > _SPARE_BAND * wanted + 1:
             self._remove(view, left, True,
-                         min(budget, total - math.ceil(_SPARE_TARGET * kept)))
+                         min(budget, total - math.ceil(_SPARE_TARGET * wanted)))
         reason = (planned_order.OrderReason.PINNED
                   if view.is_pinned else planned_order.OrderReason.SURPLUS)
         return [
--- a/mustardwood/scaling/tests/test_endpoint_planner.py
+++ b/mustardwood/scaling/tests/test_endpoint_planner.py
@@ -216,3 +216,31 @@
     order = run.advance(0.5)[0]
     assert order.inputs["ready_in_all"] == 56
     assert order.inputs["wanted_in_all"] > 0
+
+
+def test_nothing_is_removed_soon_after_a_gap_in_knowledge():
+    # One sample after the gap does not show how much is needed.
+    run = _start_run()
+    run.advance(60)
+    count = run.count()
+    run.change(is_complete=False)
+    run.advance(40)
+    run.change(is_complete=True, demands={}, busy_count=0.0)
+    run.advance(7.5)
+    assert run.count() >= count
+    run.advance(60)
+    assert run.count() < count
+
+
+def test_services_are_planned_apart():
+    planner = scaling.EndpointPlanner(lambda *_: False)
+    other = dataclasses.replace(_START, service="other", pinned_count=80)
+    planner.start_term(datetime.timedelta())
+    planner.observe(datetime.timedelta(seconds=1), [_START, other])
+    reasons = {
+        each.group.service: each.reason for each in planner.plan_orders()
+    }
+    assert reasons == {
+        "engine": scaling.OrderReason.RESERVE,
+        "other": scaling.OrderReason.PINNED
+    }
--- a/mustardwood/scaling/tests/test_group_record.py
+++ b/mustardwood/scaling/tests/test_group_record.py
@@ -98,3 +98,24 @@
     assert record.effective_count == 5
     assert record.is_unavailable(_s(4))
     assert not record.is_unavailable(_s(6))
+
+
+def test_zone_that_refuses_again_is_left_out_for_longer():
+    # Refused calls cost as much as others.
+    record = group_record.GroupRecord(True)
+    _update(record, 0, 5)
+    waits = []
+    time = 0
+    for _ in range(4):
+        record.record_sent(_s(time), 9)
+        record.record_unavailable(_s(time))
+        start = time
+        while record.is_unavailable(_s(time)):
+            time += 1
+        waits.append(time - start)
+    assert waits == [4, 8, 16, 16]
+    record.record_sent(_s(time), 6)
+    _update(record, time + 5, 6)
+    record.record_sent(_s(time + 5), 9)
+    record.record_unavailable(_s(time + 5))
+    assert not record.is_unavailable(_s(time + 9))
