--- a/mustardwood/scaling/tests/test_replay.py
+++ b/mustardwood/scaling/tests/test_replay.py
@@ -24,6 +24,7 @@
     world.run(100, _assert_limits)
     static = comparison.run_static(demand, 100)
     assert world.unmet_share == 0.0
+    assert not world.model.above_limit
     assert world.model.priced_seconds < 0.75 * static.priced_seconds
     # Waves must not be followed with orders.
     assert len(world.calls.sent) <= 40
@@ -35,6 +36,7 @@
     world.error = error
     world.run(100, _assert_limits)
     assert world.unmet_share <= 0.005
+    assert not world.model.above_limit
     static = comparison.run_static(world.model.demand, 100)
     assert world.model.priced_seconds < 0.9 * static.priced_seconds
 
@@ -48,6 +50,7 @@
     assert world.model.unmet[0] == 0.0
     assert world.model.unmet[1] == 0.0
     assert world.unmet_share <= 0.005
+    assert not world.model.above_limit
 
 
 def test_urgent_tiers_are_served_when_all_zones_reclaim_theirs():
