--- a/mustardwood/scaling/tests/test_random_days.py
+++ b/mustardwood/scaling/tests/test_random_days.py
@@ -32,9 +32,8 @@
         world.at[time] = lambda zone=zone: world.model.reclaim(zone)
         time += rng.uniform(20.0, 40.0)
     for _ in range(rng.randrange(3)):
-        holder = rng.randrange(3)
-        world.at[rng.uniform(
-            1.0, _LENGTH)] = (lambda holder=holder: world.hold(holder))
+        time, holder = rng.uniform(1.0, _LENGTH), rng.randrange(3)
+        world.at[time] = lambda holder=holder: world.hold(holder)
     fault_share = rng.choice((0.0, 0.1, 0.3))
     world.calls.find_fault = lambda number: (rng.choice(_FAULTS) if rng.random(
     ) < fault_share else None)
