--- a/mustardwood/platform/metrics.py
+++ b/mustardwood/platform/metrics.py
@@ -54,6 +54,15 @@
                                         registry=self._registry)
         gauge.set_function(get_value)
 
+    def add_collector(self,
+                      collector: prometheus_client.registry.Collector) -> None:
+        """Adds metrics that are read when the page is requested.
+
+        Args:
+            collector: Returns the metrics.
+        """
+        self._registry.register(collector)
+
     def add_counter(
         self, name: str, help_text: str, label: str,
         get_values: collections.abc.Callable[[], collections.abc.Mapping[str,
--- a/mustardwood/platform/tests/test_duties.py
+++ b/mustardwood/platform/tests/test_duties.py
@@ -3,6 +3,8 @@
 import random
 
 from mustardwood import dispatch
+import pytest
+
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -55,6 +57,8 @@
     found = duties.Duties.from_settings(settings.read_settings(path), client,
                                         watcher, clock, scheduler, journal,
                                         pool, lambda: (), random.Random(2))
+                                        watcher, pool, clock, scheduler,
+                                        journal)
     return found, watcher, journal
 
 
@@ -103,3 +107,33 @@
     found.leadership.ended_terms["expired"] += 2
     assert 'mustardwood_terms_ended_total{reason="expired"} 2.0' in (
         _build_metrics(found))
+
+
+class _Scaling:
+
+    def __init__(self):
+        self.is_started = False
+
+    def start(self):
+        """See `endpoint_scaling.EndpointScaling`."""
+        self.is_started = True
+
+
+@pytest.mark.parametrize("names, expected", [(None, False),
+                                             (["usage_report"], False),
+                                             (["autoscale"], True)])
+def test_endpoints_are_ordered_where_the_settings_name_that_duty(
+        tmp_path, names, expected):
+    """Deployments without that duty must not call the API."""
+    found, _, _ = _create(tmp_path, names)
+    scaling = _Scaling()
+    made = []
+
+    def make(leaders, calls):
+        made.append((leaders, calls))
+        return scaling
+
+    found.add_endpoint_scaling(make)
+    found.start()
+    assert scaling.is_started == expected
+    assert made == ([(found.leadership, found.calls)] if expected else [])
