--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -186,16 +186,12 @@
                 peer.send_times.popitem(last=False)
             fields = (self._vm, self._sequence, peer.last_sequence,
                       _compute_proof_lead(peer, requested_at), configuration,
-                      report, streams, questions)
+                      report, streams, questions, self.store_position)
             counted = (None if self._usage is None else
                        self._usage.build_report(name))
             updates.append(
                 (name,
                  msgspec.msgpack.encode(
-                     peer_update.PeerUpdate(
-                         self._vm, self._sequence, peer.last_sequence,
-                         _compute_proof_lead(peer, requested_at), configuration,
-                         report, streams, questions, self.store_position))))
                      peer_update.PeerUpdate(*fields) if counted is None else
                      peer_update.PeerUpdateWithUsage(*fields, usage=counted))))
         return updates
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -144,10 +144,6 @@
             self._settings.listen.peers, lambda: self._peers.peer_count,
             self._rng)
         client.add_era_listener(self._registration.handle_era_change)
-        self._duties = duties.Duties.from_settings(self._settings, client,
-                                                   self._watcher, pool,
-                                                   self._clock, self._scheduler,
-                                                   self._journal)
         self._authorizer = authorizer.Authorizer(
             self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
         self._metrics = metrics.ProcessMetrics()
@@ -179,7 +175,6 @@
             self._reactor.listenUDP(port, self._peers.port, interface=host)
             self._registration.start()
             self._peers.start()
-        self._duties.start()
         signal.signal(
             signal.SIGTERM,
             lambda *_: self._reactor.callFromThread(self._start_shutdown))
--- a/mustardwood/platform/duties.py
+++ b/mustardwood/platform/duties.py
@@ -38,21 +38,18 @@
         leadership: Elects the VM that carries them out; None without duties.
         calls: Sends the calls of the duties; None without duties.
         usage: Reports the usage; None without that duty.
-        calls: Sends duty calls; None without duties.
     """
 
     def __init__(self,
                  settings: duty_settings.DutySettings | None,
                  elected: duty_leadership.DutyLeadership | None = None,
                  calls: duty_client.DutyClient | None = None) -> None:
-                 calls: leadership.DutyCalls | None = None) -> None:
         """Creates the duties; `from_settings` creates all that they need.
 
         Args:
             settings: The settings of the duties; None if there are no duties.
             elected: The leadership; None if there are no duties.
             calls: Sends the calls; None if there are no duties.
-            calls: Sends duty calls; None if there are no duties.
         """
         self.settings = settings
         self.leadership = elected
@@ -69,10 +66,6 @@
                       list_peers: collections.abc.Callable[
                           [], collections.abc.Iterable[str]],
                       rng: random.Random) -> "Duties":
-                      watcher: store_watcher.StoreWatcher,
-                      pool: http1.ConnectionPool, clock: timing.Clock,
-                      scheduler: dispatch.Scheduler,
-                      journal: dispatch.Journal) -> "Duties":
         """Creates what the settings require, and nothing without duties.
 
         Duties that this version does not know are logged once, and the others
@@ -82,7 +75,6 @@
             found: The settings of the process.
             client: Calls the store.
             watcher: Watches the store; it is not started yet.
-            pool: Sends the duty calls.
             clock: Its monotonic time must include the time of suspensions.
             scheduler: Schedules calls.
             journal: Logs what the duties do.
@@ -120,20 +112,6 @@
             return dispatch.NoRequestCounter()
         return self.usage.counter
 
-    def start(self) -> None:
-        """Starts the duties of which this VM has a part even without a term."""
-        if self.usage is not None:
-            self.usage.start()
-
-        def is_proven(term: leadership.Term) -> bool:
-            current = elected.find_term()
-            return current is not None and current.token == term.token
-
-        return cls(
-            settings, elected,
-            duty_client.DutyClient(settings.address, pool, scheduler, journal,
-                                   is_proven))
-
     def add_endpoint_scaling(self, make: _MakeScaling) -> None:
         """Adds the ordering of endpoints if the settings name that duty.
 
@@ -146,7 +124,9 @@
             self._scaling = make(self.leadership, self.calls)
 
     def start(self) -> None:
-        """Starts the duties."""
+        """Starts the duties of which this VM has a part even without a term."""
+        if self.usage is not None:
+            self.usage.start()
         if self._scaling is not None:
             self._scaling.start()
 
--- a/mustardwood/platform/tests/test_duties.py
+++ b/mustardwood/platform/tests/test_duties.py
@@ -2,9 +2,9 @@
 
 import random
 
-from mustardwood import dispatch
 import pytest
 
+from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -57,8 +57,6 @@
     found = duties.Duties.from_settings(settings.read_settings(path), client,
                                         watcher, clock, scheduler, journal,
                                         pool, lambda: (), random.Random(2))
-                                        watcher, pool, clock, scheduler,
-                                        journal)
     return found, watcher, journal
 
 
