Go on deciding about usage reports after an unexpected error

The next decision was scheduled after the present one, so a single error would have ended the duty of the VM until its restart. It is scheduled first now. The new test fails with the former order; 13 tests of the adapter pass.

--- a/mustardwood/platform/tests/test_usage_reporting.py
+++ b/mustardwood/platform/tests/test_usage_reporting.py
@@ -189,3 +189,20 @@
     world.run(20_000)
     assert world.store.find(usage_reporting.USAGE_KEY)["value"] == "e30x"
     assert not world.api.accepted
+
+
+def test_unexpected_error_does_not_end_the_reports(monkeypatch):
+    """Failure: one error in a decision ends the duty until a restart."""
+    world = _World(count=1)
+    holder, _ = world.wait_for_holder()
+    reporting = world.reporting[holder]
+
+    def fail():
+        raise ValueError("an unexpected error")
+
+    monkeypatch.setattr(reporting.exchange, "record_own_counts", fail)
+    with pytest.raises(ValueError):
+        world.run(1000)
+    monkeypatch.undo()
+    world.run(20_000)
+    assert world.api.accepted
--- a/mustardwood/platform/usage_reporting.py
+++ b/mustardwood/platform/usage_reporting.py
@@ -89,8 +89,9 @@
 
     def start(self) -> None:
         """Starts to decide in intervals."""
-        self._decide()
+        # Scheduled first, so that an unexpected error does not end it.
         self._scheduler.call_later(_INTERVAL, self.start)
+        self._decide()
 
     def add_metrics(self, metrics: metrics_module.ProcessMetrics) -> None:
         """Adds the metrics of the usage.
