--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -22,6 +22,8 @@
 
 _STREAM = b"a stream"
 """Key of a stream."""
+_FIELDS_WITHOUT_USAGE = 9
+"""Fields of an update without the optional one for usage."""
 
 
 class _Vm:
@@ -37,8 +39,6 @@
         self.part_crashes = dispatch.PromptPartCrashes(self.clock,
                                                        random.Random(name))
         self.streams = dispatch.StreamVersionTable(self.clock)
-_FIELDS_WITHOUT_USAGE = 9
-"""Fields of an update without the optional one for usage."""
         self.rate_limits = dispatch.EndpointRateLimits(name, self.clock, lambda:
                                                        ())
         self.notices = dispatch.EndpointNotices(name, self.clock)
