Add hedged requests, off by default

Cause: an endpoint that is slow or stalls keeps its requests until the stall timeout, 600 ms and more, while other endpoints of the service are free.

Change: the package `mustardwood/hedging` decides without I/O whether a request goes to a second endpoint: after a high quantile of its route's recent times to the first byte (hdrhistogram, two alternating windows), within the configured share of each VM's own requests, and out of the retry budget, half of which stays for failures. `forwarding/hedge_watch.py` gathers what is known and carries the decision out; `Attempts` keeps the two attempts, as in the takeover of a silent one: the first sound response wins and the other connection is closed at once. `MUSTARDWOOD_HEDGE_SHARE`, `_QUANTILE` and `_MIN_DELAY_MS` configure it; wrong values end the process with the reason. The `request` line has a `hedge` field, `hedge_budget` lines show a used-up budget, and there are four metrics.

--- a/mustardwood/dispatch/crash_attribution.py
+++ b/mustardwood/dispatch/crash_attribution.py
@@ -35,6 +35,12 @@
         """Digest that stays the same when a caller retries the request."""
         return self._fingerprint
 
+    @property
+    def is_suspected(self) -> bool:
+        """Whether an endpoint crashed under the request or a part of it."""
+        return (self._context.crashes.is_suspected(self._fingerprint) or
+                self._context.part_crashes.is_suspected(self._parts))
+
     def find_refusal(self) -> refusal.Refusal | None:
         """Returns the refusal of a request that crashes endpoints, else None.
         """
--- a/mustardwood/dispatch/crash_record.py
+++ b/mustardwood/dispatch/crash_record.py
@@ -174,6 +174,12 @@
         succeeded_at = self._successes.get(fingerprint)
         return succeeded_at is None or succeeded_at < now - _CRASH_LIFETIME
 
+    def is_suspected(self, fingerprint: str) -> bool:
+        """Returns whether an endpoint has crashed under a request recently."""
+        suspect = self._suspects.get(fingerprint)
+        return (suspect is not None and
+                not _is_expired(suspect, self._clock.monotonic()))
+
     def list_recent_crashes(self) -> list[_Crash]:
         """Returns the recent crashes at this VM, to report them to peers."""
         oldest = self._clock.monotonic() - _REPORT_TIME
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -16,6 +16,7 @@
 from mustardwood.dispatch import stream_end
 from mustardwood.forwarding import attempts as attempts_module
 from mustardwood.forwarding import forwarded_response
+from mustardwood.forwarding import hedge_watch
 from mustardwood.forwarding import room_wait
 from mustardwood.forwarding import stream_version
 
@@ -64,6 +65,11 @@
                                                   self._record, self._response,
                                                   self._version, self._wait,
                                                   self, self._is_allowed)
+        self._hedge_watch = hedge_watch.HedgeWatch(request, context,
+                                                   self._attempts,
+                                                   self._attribution,
+                                                   self._record,
+                                                   self._is_allowed)
 
     @property
     def is_done(self) -> bool:
@@ -74,6 +80,7 @@
         """Starts the first attempt and the deadline."""
         context = self._context
         context.retry_budgets.add_request(self._request.service)
+        self._hedge_watch.record_arrival()
         context.admission.record_arrival(
             self._request, context.directory.list_usable(self._request.service))
         time_left = self._request.expires_at - context.clock.monotonic()
@@ -150,6 +157,7 @@
             if attempt.error_bytes > _MAX_ERROR_BODY_BYTES:
                 self._break_off(attempt, "the error body is too long")
             return
+        self._hedge_watch.record_data(attempt)
         self._attempts.keep_only(attempt)
         self._attribution.record_data(attempt)
         self._attempts.release_prefill(attempt)
@@ -177,6 +185,7 @@
             if reason:
                 self.receive_failure(attempt, True, reason)
                 return
+        self._hedge_watch.record_data(attempt)
         self._attempts.keep_only(attempt)
         self._attempts.end(attempt, request_record.COMPLETE)
         self._context.health.record_success(attempt.endpoint)
@@ -251,6 +260,7 @@
         choice = context.placement.choose(request, usable, excluded)
         if not isinstance(choice, placement_limit.PlacementLimit):
             self._attempts.send(choice, now, time_left)
+            self._hedge_watch.start()
             return
         self._record.record_wait(choice)
         has_run = self._attempts.runs > 0
@@ -405,6 +415,7 @@
         self._is_done = True
         self._wait.leave_queue()
         self._version.cancel_lookup()
+        self._hedge_watch.finish()
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
             self._deadline_timer = None
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -5,6 +5,7 @@
 import datetime
 import typing
 
+from mustardwood import hedging as hedging_module
 from mustardwood import timing
 from mustardwood.dispatch import crash_record
 from mustardwood.dispatch import endpoint as endpoint_module
@@ -196,7 +197,7 @@
 
         Args:
             service: Name of the service.
-            end: ``complete``, ``status`` or ``broken``.
+            end: ``complete``, ``cancelled``, ``status`` or ``broken``.
         """
 
 
@@ -274,3 +275,4 @@
     metrics: Metrics
     streams: stream_version_table.StreamVersionTable
     version_record: VersionRecord
+    hedging: hedging_module.Hedging | None = None
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import datetime
 import math
 import random
 
@@ -127,6 +128,11 @@
             return self._choose_plain_endpoint(candidates)
         return self._choose_engine(request, usable, candidates)
 
+    def estimate_prefill_time(self, choice: Choice) -> datetime.timedelta:
+        """Returns how long the prompt and those before it take to prefill."""
+        tokens = choice.known_load.prefill_tokens + choice.load.prefill_tokens
+        return datetime.timedelta(seconds=tokens / self._settings.prefill_rate)
+
     def find_long_prompt_engines(self, service: str,
                                  usable: _Endpoints) -> frozenset[str]:
         """Returns the names of the engines that take long prompts.
--- a/mustardwood/dispatch/prompt_part_crashes.py
+++ b/mustardwood/dispatch/prompt_part_crashes.py
@@ -251,6 +251,13 @@
                 return part
         return ""
 
+    def is_suspected(self, parts: collections.abc.Iterable[str]) -> bool:
+        """Returns whether an engine has crashed under one of several parts."""
+        now = self._clock.monotonic()
+        suspects = [self._suspects.get(each) for each in parts]
+        return any(each is not None and not _is_expired(each, now)
+                   for each in suspects)
+
     def list_news(self) -> tuple[list[PartCrash], list[PartSuccess]]:
         """Returns crashes and successes to report to peers."""
         now = self._clock.monotonic()
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -18,6 +18,8 @@
 """Outcome of a request whose caller disconnected before the end."""
 COMPLETE = "complete"
 """End of an attempt that returned a complete response."""
+CANCELLED = "other endpoint answered first"
+"""End of one of two attempts of a hedged request, the other of which won."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses that guarantee that a request has not run."""
 _MAX_LOGGED_PARTS = 8
@@ -46,6 +48,7 @@
         self._waited = datetime.timedelta()
         self._limit: placement_limit.PlacementLimit | None = None
         self._attempts: list[dict[str, typing.Any]] = []
+        self._hedge: dict[str, typing.Any] = {}
 
     def record_first_byte(self) -> None:
         """Records the arrival of the first byte of a response."""
@@ -60,6 +63,10 @@
                                       now - self._last_events_at)
         self._last_events_at = now
 
+    def record_hedge(self, **fields: typing.Any) -> None:
+        """Records fields of a hedged request for the log."""
+        self._hedge.update(fields)
+
     def record_wait(self, limit: placement_limit.PlacementLimit) -> None:
         """Records that no endpoint had room, and which limit was reached."""
         self._limit = limit
@@ -81,8 +88,8 @@
             attempt: The attempt.
             end: How it ended, for the log.
         """
-        kind = (COMPLETE if end == COMPLETE else
-                "status" if attempt.status >= 400 else "broken")
+        kind = (COMPLETE if end == COMPLETE else "cancelled" if end == CANCELLED
+                else "status" if attempt.status >= 400 else "broken")
         self._context.metrics.count_attempt(self._request.service, kind)
         now = self._context.clock.monotonic()
         endpoint = attempt.choice.endpoint
@@ -152,6 +159,9 @@
             engines=(self._list_engines() if outcome in (NO_ROOM,
                                                          NO_CAPACITY) else []),
             demands=self._list_demands() if outcome == NO_CAPACITY else {},
+            **({
+                "hedge": self._hedge
+            } if self._hedge else {}),
             **self._context.authorizer.describe())
 
     def _list_demands(self) -> dict[str, float]:
--- a/mustardwood/dispatch/service_retry_budgets.py
+++ b/mustardwood/dispatch/service_retry_budgets.py
@@ -14,6 +14,8 @@
 """Share of the allowed burst that is used; the rest is for unknown VMs."""
 _RESERVED_RETRIES = 1.0
 """Retries that requests of the least urgent tier leave for more urgent ones."""
+_RESERVED_SHARE = 0.5
+"""Share of the burst that hedged requests leave for retries after failures."""
 _MIN_BURST = 2.0
 """Minimum burst of one VM; deployments allow two or more for each VM."""
 
@@ -60,6 +62,17 @@
         budget.set_capacity(self._find_capacity())
         return budget.take_retry((1 - urgency) * _RESERVED_RETRIES)
 
+    def take_hedge(self, service: str) -> bool:
+        """Takes a retry for a hedged request; returns False if none is left.
+
+        Failure: an endpoint stalls. Hedged requests must not use up the
+        retries of requests that fail.
+        """
+        budget = self._find_budget(service)
+        capacity = self._find_capacity()
+        budget.set_capacity(capacity)
+        return budget.take_retry(capacity * _RESERVED_SHARE)
+
     def _find_budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/mustardwood/dispatch/tier_admission.py
+++ b/mustardwood/dispatch/tier_admission.py
@@ -162,6 +162,15 @@
                 self._refused_until[service, tier] = now + _MIN_REFUSAL_TIME
         return self._refused_until.get((service, tier), now) <= now
 
+    def is_refusing(self, request: service_request.ServiceRequest) -> bool:
+        """Returns whether requests of a request's tier are being refused.
+
+        In contrast to `is_admitted`, it does not prolong the refusal.
+        """
+        now = self._clock.monotonic()
+        return self._refused_until.get((request.service, request.tier),
+                                       now) > now
+
     def find_demands(self, service: str) -> dict[int, float]:
         """Returns the demand of all VMs for a service's engines by tier."""
         return dict(self._list_totals().get(service, {}))
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -29,6 +29,9 @@
 _CONNECTION_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
 """Interval at which the takeover waits for the successor's connection."""
 
+Check = collections.abc.Callable[[], bool]
+"""Returns whether a request may still be sent."""
+
 
 class Attempts:
     """Sends a request to endpoints and keeps its open attempts.
@@ -36,6 +39,10 @@
     An endpoint that is only silent may go on. Its attempt therefore stays open
     until another endpoint has room for the request and has not refused it.
 
+    The attempt at a slow endpoint stays open beside the one that hedges it,
+    until one of them brings data. If none does within the stall timeout of the
+    first, the hedged request takes it over.
+
     Attributes:
         runs: Number of endpoints that may have run the request, without the
             current one.
@@ -48,7 +55,7 @@
                  version: stream_version.StreamVersion,
                  wait: room_wait.RoomWait,
                  handler: response_handler.ResponseHandler,
-                 is_allowed: collections.abc.Callable[[], bool]) -> None:
+                 is_allowed: Check) -> None:
         """Creates the attempts; none is open.
 
         Args:
@@ -71,6 +78,9 @@
         self._is_allowed = is_allowed
         self._current: attempt_record.AttemptRecord | None = None
         self._silent: attempt_record.AttemptRecord | None = None
+        self._hedged: attempt_record.AttemptRecord | None = None
+        self._hedge_sent_at = datetime.timedelta()
+        self._overlap = datetime.timedelta()
         self._tried: set[str] = set()
         self._sends = 0
         self.runs = 0
@@ -84,9 +94,14 @@
 
     @property
     def silent(self) -> attempt_record.AttemptRecord | None:
-        """The stalled attempt that is open beside its successor, if any."""
+        """The silent attempt that is open beside its successor, if any."""
         return self._silent
 
+    @property
+    def is_hedged(self) -> bool:
+        """Whether the silent attempt is open beside a hedged request."""
+        return self._silent is not None and self._silent is self._hedged
+
     @property
     def tried(self) -> collections.abc.Set[str]:
         """Names of the endpoints that the request was sent to."""
@@ -97,6 +112,11 @@
         """Whether the request was sent to an endpoint."""
         return self._sends > 0
 
+    @property
+    def has_begun_response(self) -> bool:
+        """Whether the caller got the head of a response."""
+        return self._response.is_head_sent
+
     @property
     def may_send(self) -> bool:
         """Whether the maximum number of sends is not reached."""
@@ -175,6 +195,31 @@
             _TAKEOVER_TIME, self._check_takeover)
         return True
 
+    def send_hedge(self, choice: placement_module.Choice) -> None:
+        """Sends the request of the current attempt to a second endpoint, too.
+
+        Args:
+            choice: The second endpoint.
+        """
+        context, first = self._context, self._current
+        if first is None:
+            return
+        now = context.clock.monotonic()
+        self.runs += 1
+        self._silent = self._hedged = first
+        self._hedge_sent_at = now
+        self.send(choice, now, self._request.expires_at - now)
+        stalls_in = (first.sent_at +
+                     stall_timeout.find_stall_timeout(self._request) - now)
+        self._takeover_timer = context.scheduler.call_later(
+            max(stalls_in, _TAKEOVER_TIME), self._check_takeover)
+
+    def find_overlap(self) -> datetime.timedelta:
+        """Returns for how long both attempts of a hedged request were open."""
+        if self.is_hedged:
+            return self._context.clock.monotonic() - self._hedge_sent_at
+        return self._overlap
+
     def keep_only(self, attempt: attempt_record.AttemptRecord) -> None:
         """Aborts the other one of two open attempts, if there are two.
 
@@ -182,14 +227,19 @@
             attempt: The attempt whose endpoint sends the response.
         """
         self._wait.leave_queue()
+        is_hedged = self.is_hedged
         if attempt is self._current:
-            self._end_takeover()
+            if self._silent is not None:
+                self.abort(self._silent,
+                           request_record.CANCELLED if is_hedged else "silent")
             return
         successor = self._current
         self._cancel_takeover_timer()
-        self._silent, self._current = None, attempt
+        self._silent, self._current, self._hedged = None, attempt, None
         if successor is not None:
-            self.abort(successor, "silent endpoint goes on")
+            self.abort(
+                successor, request_record.CANCELLED
+                if is_hedged else "silent endpoint goes on")
 
     def return_to_silent(self) -> bool:
         """Continues with the silent attempt if its successor has failed.
@@ -197,12 +247,16 @@
         Returns:
             Whether there is a silent attempt.
         """
-        if self._silent is None:
+        silent, is_hedged = self._silent, self.is_hedged
+        if silent is None:
             return False
         self._cancel_takeover_timer()
-        self._current, self._silent = self._silent, None
+        self._current, self._silent, self._hedged = silent, None, None
         self.runs -= 1
-        if not self.send_successor():
+        if is_hedged:
+            self.start_stall_timer(self._context.clock.monotonic() -
+                                   silent.sent_at)
+        elif not self.send_successor():
             self.start_stall_timer()
         return True
 
@@ -234,6 +288,8 @@
             attempt: The attempt.
             reason: How it ended, for the log.
         """
+        if self.is_hedged:
+            self._overlap = self.find_overlap()
         splitter = self._response.splitter
         if self._request.is_stream and attempt.has_received_data:
             attempt.partial_event_bytes = splitter.rest_size
@@ -256,12 +312,17 @@
             self._context.loads.subtract(attempt.endpoint, done)
             attempt.load = attempt.load - done
 
-    def start_stall_timer(self) -> None:
-        """Starts the time after which the current attempt counts as stalled."""
+    def start_stall_timer(
+        self, elapsed: datetime.timedelta = datetime.timedelta()) -> None:
+        """Starts the time after which the current attempt counts as stalled.
+
+        Args:
+            elapsed: Part of that time that has passed.
+        """
         self.cancel_stall_timer()
+        timeout = stall_timeout.find_stall_timeout(self._request)
         self._stall_timer = self._context.scheduler.call_later(
-            stall_timeout.find_stall_timeout(self._request),
-            self._confirm_stall)
+            max(timeout - elapsed, datetime.timedelta()), self._confirm_stall)
 
     def cancel_stall_timer(self) -> None:
         """Cancels the stall timeout, if it is running."""
@@ -283,6 +344,8 @@
         attempt = self._current
         if attempt is None:
             return
+        if self.is_hedged:
+            self._end_takeover()
         self._mark_stalled(attempt)
         if (self._request.retry_policy.allows_rerun and
                 not self.send_successor()):
@@ -338,8 +401,13 @@
 
     def _end_takeover(self) -> None:
         """Aborts the silent attempt, if there is one."""
-        if self._silent is not None:
-            self.abort(self._silent, "silent")
+        silent = self._silent
+        if silent is None:
+            return
+        if self.is_hedged:
+            self._mark_stalled(silent)
+            self._context.health.record_unreachable(silent.endpoint)
+        self.abort(silent, "silent")
 
     def _cancel_takeover_timer(self) -> None:
         if self._takeover_timer is not None:
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -165,3 +165,21 @@
     assert not transport.pop_written()
     assert transport.closed == "reset"
     assert not harness.listener.ends
+
+
+def test_late_response_to_an_aborted_request_does_not_reach_the_next_one():
+    """Failure: a hedged request lost, and its connection is kept; the response
+    that is still sent on it would be taken for that of the next caller."""
+    harness = _Harness()
+    connection, transport = harness.complete_request()
+    loser = harness.send()
+    assert transport.pop_written().startswith(b"GET / ")
+    loser.abort()
+    assert transport.closed == "reset"
+    harness.send()
+    assert len(harness.reactor.factories) == 2
+    next_connection, _ = harness.reactor.complete_connect()
+    connection.dataReceived(_RESPONSE)
+    assert harness.listener.ends == ["complete"]
+    next_connection.dataReceived(_RESPONSE)
+    assert harness.listener.ends == ["complete", "complete"]
--- a/mustardwood/platform/__main__.py
+++ b/mustardwood/platform/__main__.py
@@ -41,7 +41,11 @@
         paths[0] if paths else os.environ.get(settings.PATH_VARIABLE, ""))
     try:
         if flags:
-            settings.read_settings(path)
+            # Not needed to run the process, which reads them again.
+            from mustardwood.platform import hedge_variables
+            found = settings.read_settings(path)
+            hedge_variables.read_hedge_settings(os.environ,
+                                                found.bounds.retry_share)
             print(f"{path} can be used.")
             return
         _run(path)
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -15,6 +15,7 @@
 
 from mustardwood import dispatch
 from mustardwood import errors
+from mustardwood import hedging
 from mustardwood import http1
 from mustardwood import peers
 from mustardwood import timing
@@ -24,6 +25,7 @@
 from mustardwood.platform import freshness_gate
 from mustardwood.platform import freshness_reader
 from mustardwood.platform import graceful_shutdown
+from mustardwood.platform import hedge_variables
 from mustardwood.platform import journal_store
 from mustardwood.platform import metrics
 from mustardwood.platform import peer_synchronizer
@@ -57,11 +59,14 @@
             path: Path of the settings file.
 
         Raises:
-            errors.SettingsError: If the settings are invalid.
+            errors.SettingsError: If the settings, or the environment variables
+                of hedged requests, are invalid.
         """
         self._reactor = reactor
         self._path = path
         self._settings = settings_module.read_settings(path)
+        hedge_settings = hedge_variables.read_hedge_settings(
+            os.environ, self._settings.bounds.retry_share)
         self._clock = timing.SuspendAwareClock()
         self._rng = random.Random()
         self._scheduler = http1.ReactorScheduler(reactor)
@@ -136,6 +141,13 @@
         client.add_era_listener(self._registration.handle_era_change)
         self._authorizer = authorizer.Authorizer(
             self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
+        self._retry_budgets = dispatch.ServiceRetryBudgets(
+            self._rng, self._settings.bounds.retry_share,
+            self._settings.bounds.spare_retries,
+            lambda: self._peers.peer_count + 1)
+        self._hedging = hedging.Hedging(hedge_settings, self._clock,
+                                        self._retry_budgets.take_hedge,
+                                        self._log_hedge_budget)
         self._metrics = metrics.ProcessMetrics()
         self._server = request_server.RequestServer(self._make_context(pool),
                                                     self._watcher)
@@ -203,7 +215,6 @@
 
     def _make_context(self,
                       pool: http1.ConnectionPool) -> dispatch.ForwardingContext:
-        bounds = self._settings.bounds
         return dispatch.ForwardingContext(
             clock=self._clock,
             scheduler=self._scheduler,
@@ -224,15 +235,14 @@
                                          self._prefix_caches, self._rate_limits,
                                          self._pauses, self._placement_settings,
                                          self._find_service, self._rng),
-            retry_budgets=dispatch.ServiceRetryBudgets(
-                self._rng, bounds.retry_share, bounds.spare_retries,
-                lambda: self._peers.peer_count + 1),
+            retry_budgets=self._retry_budgets,
             retry_after=dispatch.RetryAfterPolicy(self._rng),
             queue=dispatch.PlacementQueue(self._clock, self._scheduler),
             journal=self._journal,
             metrics=self._metrics,
             streams=self._streams,
-            version_record=self._stream_journal)
+            version_record=self._stream_journal,
+            hedging=self._hedging)
 
     def _find_service(self, name: str) -> dispatch.ServiceParameters:
         configuration = self._watcher.configuration
@@ -247,6 +257,11 @@
                             source=notice.vm,
                             age_s=notice.age.total_seconds())
 
+    def _log_hedge_budget(self, service: str, is_used_up: bool) -> None:
+        self._journal.write("hedge_budget",
+                            service=service,
+                            state="used up" if is_used_up else "available")
+
     def _log_rate_limit(self, change: dispatch.RateLimitChange) -> None:
         self._journal.write("rate_limit",
                             endpoint=change.endpoint,
@@ -326,6 +341,17 @@
             ("mustardwood_paused_endpoints",
              "Endpoints that have asked this VM for a pause.",
              lambda: float(self._pauses.paused_count)),
+            ("mustardwood_hedges", "Requests sent to a second endpoint, too.",
+             lambda: float(self._hedging.sent)),
+            ("mustardwood_hedge_wins",
+             "Hedged requests that the second endpoint answered first.",
+             lambda: float(self._hedging.wins)),
+            ("mustardwood_hedge_wasted_seconds",
+             "Time for which two endpoints ran the same request.",
+             lambda: float(self._hedging.wasted.total_seconds())),
+            ("mustardwood_hedge_budget",
+             "Hedged requests that may be sent, over all services.",
+             lambda: self._hedging.remaining_budget),
             ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
              lambda: float(self._journal.dropped)),
         ):
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -16,6 +16,16 @@
 The page is not served if the variable is unset.
 """
 
+HEDGE_SHARE_VARIABLE = "MUSTARDWOOD_HEDGE_SHARE"
+"""Environment variable that holds the hedged requests per request."""
+
+HEDGE_QUANTILE_VARIABLE = "MUSTARDWOOD_HEDGE_QUANTILE"
+"""Environment variable that holds the quantile of the times to the first byte
+after which a request is hedged."""
+
+HEDGE_MIN_DELAY_VARIABLE = "MUSTARDWOOD_HEDGE_MIN_DELAY_MS"
+"""Environment variable that holds the minimum delay of hedged requests."""
+
 _CONNECTION_LOSS_MARGIN = datetime.timedelta(seconds=1)
 """Time for the timeout of a watch and for opening another connection."""
 _MIN_WATCH_WAIT = datetime.timedelta(seconds=1)
--- a/mustardwood/tests/test_imports.py
+++ b/mustardwood/tests/test_imports.py
@@ -10,7 +10,8 @@
 _ROOT = pathlib.Path(mustardwood.__file__).parent
 _CORE_PACKAGES = frozenset({
     "cells", "claims", "configuration", "dispatch", "errors", "forwarding",
-    "membership", "messages", "replication", "reports", "routing", "scheduling"
+    "hedging", "membership", "messages", "replication", "reports", "routing",
+    "scheduling"
 })
 _CORE_LIBRARIES = frozenset({
     "automat", "hdrh", "msgspec", "pyjson5", "sortedcontainers", "tree_sitter",
