Count lost hedges against slow endpoints; add a replay

Cause: in the first replay with an endpoint that stalls, attempts at it were cancelled before the stall timeout.

Change: an attempt that lost to its hedge counts as a failure of its endpoint, so that the endpoint is ranked last and gets no hedged requests for some seconds.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -5,14 +5,14 @@
 import datetime
 
 from mustardwood import dispatch
+from mustardwood.benchmarks.streams import modelled_endpoint
 from mustardwood.benchmarks.streams import run as run_module
 from mustardwood.benchmarks.streams import scheduler as scheduler_module
-from mustardwood.benchmarks.streams import stream_engine
 
 
 @dataclasses.dataclass(frozen=True)
 class _Attempt:
-    engine: stream_engine.StreamEngine
+    engine: modelled_endpoint.ModelledEndpoint
     run: run_module.Run
 
     @property
@@ -47,7 +47,8 @@
     def __init__(
         self, scheduler: scheduler_module.Scheduler,
         engines: collections.abc.Mapping[str,
-                                         stream_engine.StreamEngine]) -> None:
+                                         modelled_endpoint.ModelledEndpoint]
+    ) -> None:
         self._scheduler = scheduler
         self._engines = engines
 
--- a/mustardwood/benchmarks/streams/stream_engine.py
+++ b/mustardwood/benchmarks/streams/stream_engine.py
@@ -1,5 +1,7 @@
 """Model of an inference engine with chunked prefill."""
 
+import dataclasses
+
 from mustardwood.benchmarks import timeline as timeline_module
 from mustardwood.benchmarks.streams import engine_parameters
 from mustardwood.benchmarks.streams import prompt_cache
@@ -25,6 +27,7 @@
         preemptions: Number of requests preempted.
         inverted_preemptions: Number of requests preempted while a request ran
             on whose organisation and route are less urgent.
+        busy_seconds: Time of all its steps, in seconds.
 
     References:
         .. [1] A. Agrawal et al., "Taming throughput-latency tradeoff in LLM
@@ -39,6 +42,8 @@
         self.prefilled_tokens = 0
         self.preemptions = 0
         self.inverted_preemptions = 0
+        self.busy_seconds = 0.0
+        self._stalled_until = 0.0
         self._parameters = parameters
         self._timeline = timeline
         self._cache = prompt_cache.PromptCache()
@@ -63,6 +68,15 @@
             if run in group:
                 group.remove(run)
 
+    def slow_down(self, factor: float) -> None:
+        """Multiplies the duration of all further steps by a factor."""
+        self._parameters = dataclasses.replace(
+            self._parameters, slowdown=self._parameters.slowdown * factor)
+
+    def stall(self, seconds: float) -> None:
+        """Prolongs the next step until a time in seconds from now."""
+        self._stalled_until = self._timeline.seconds + seconds
+
     def crash(self) -> None:
         """Fails all requests and clears the prompt cache."""
         interrupted = self._waiting + self._prefilling + self._decoding
@@ -86,6 +100,8 @@
         count = len(self._prefilling) + len(self._decoding)
         seconds = (parameters.step_time + parameters.stream_step_time * count +
                    chunk / parameters.prefill_rate) * parameters.slowdown
+        self.busy_seconds += seconds
+        seconds += max(0.0, self._stalled_until - self._timeline.seconds)
         prefilling_run = self._prefilling[0] if self._prefilling else None
         self._timeline.call_later(seconds,
                                   lambda: self._end_step(prefilling_run, chunk))
--- a/mustardwood/forwarding/hedge_watch.py
+++ b/mustardwood/forwarding/hedge_watch.py
@@ -96,6 +96,9 @@
             return
         if attempt is hedge and self._attempts.is_open(first):
             hedging.record_first_byte(route, now - first.sent_at)
+            # Failure: an endpoint stalls, and its attempts are cancelled before
+            # the stall timeout, so that it seems to be idle and sound.
+            self._context.health.record_failure(first.endpoint)
         self._record_result(attempt is hedge)
 
     def finish(self) -> None:
