--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -20,6 +20,8 @@
 """End of an attempt that returned a complete response."""
 _RUN_STATUSES = frozenset({500, 504})
 """HTTP statuses of failures that mean that a plain request began to run."""
+CANCELLED = "other endpoint answered first"
+"""End of one of two attempts of a hedged request, the other of which won."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """HTTP statuses that guarantee that a request has not run."""
 _MAX_LOGGED_PARTS = 8
@@ -50,6 +52,7 @@
         self._attempts: list[dict[str, typing.Any]] = []
         # A resumption continues a request that was counted at its first event.
         self._is_counted = not request.organisation or request.is_resumption
+        self._hedge: dict[str, typing.Any] = {}
 
     def record_first_byte(self) -> None:
         """Records the arrival of the first byte of a response."""
@@ -65,6 +68,10 @@
         self._last_events_at = now
         self._count_begin(now)
 
+    def record_hedge(self, **fields: typing.Any) -> None:
+        """Records fields of a hedged request for the log."""
+        self._hedge.update(fields)
+
     def record_wait(self, limit: placement_limit.PlacementLimit) -> None:
         """Records that no endpoint had room, and which limit was reached."""
         self._limit = limit
@@ -86,8 +93,8 @@
             attempt: The attempt.
             end: How it ended, for the log.
         """
-        kind = (COMPLETE if end == COMPLETE else
-                "status" if attempt.status >= 400 else "broken")
+        kind = (COMPLETE if end == COMPLETE else "cancelled" if end == CANCELLED
+                else "status" if attempt.status >= 400 else "broken")
         self._context.metrics.count_attempt(self._request.service, kind)
         now = self._context.clock.monotonic()
         if not self._request.is_stream and _began_to_run(attempt):
@@ -159,6 +166,9 @@
             engines=(self._list_engines() if outcome in (NO_ROOM,
                                                          NO_CAPACITY) else []),
             demands=self._list_demands() if outcome == NO_CAPACITY else {},
+            **({
+                "hedge": self._hedge
+            } if self._hedge else {}),
             **self._context.authorizer.describe())
 
     def _count_begin(self, began_at: datetime.timedelta) -> None:
