--- a/mustardwood/dispatch/tier_admission.py
+++ b/mustardwood/dispatch/tier_admission.py
@@ -165,8 +165,9 @@
         In contrast to `is_admitted`, it does not prolong the refusal.
         """
         now = self._clock.monotonic()
-        return self._refused_until.get((request.service, request.tier),
-                                       now) > now
+        return any(
+            tier <= request.tier and until > now
+            for tier, until in self._refusals.get(request.service, {}).items())
 
     def find_demands(self, service: str) -> dict[int, float]:
         """Returns the demand of all VMs for a service's engines by tier."""
