Model engines of other speeds in the simulation of streams

The modelled engines differ by a factor of 1.15 at most and match the router's constants, so that the simulation can't show what wrong constants cost. Engines can now be faster or slower, change their speed, and have a cost of context, of pairs of prompt tokens, a fixed time before the first token, and responses that are shorter than announced.

--- a/mustardwood/benchmarks/streams/__main__.py
+++ b/mustardwood/benchmarks/streams/__main__.py
@@ -39,8 +39,9 @@
     """Prints the credit of each load, with single features switched off."""
     print("| load | setting | credit | late pauses | failed | read, Mtokens |")
     print("| --- | --- | --- | --- | --- | --- |")
-    for name, profile in load_profiles.ALL.items():
-        for setting, settings in _SETTINGS.items():
+    for name, profile in (*load_profiles.ALL.items(),
+                          *load_profiles.SPEEDS.items()):
+        for setting, settings in _list_settings(name):
             outcomes = [
                 simulation.simulate_load(profile, settings, seed)
                 for seed in range(1, seeds + 1)
@@ -55,5 +56,11 @@
                   f"| {failed:.0f} | {prefilled_mtokens:.2f} |")
 
 
+def _list_settings(load: str) -> list[tuple[str, dispatch.PlacementSettings]]:
+    """Returns the settings of a load; engines of other speeds have one."""
+    settings = list(_SETTINGS.items())
+    return settings[:1] if load in load_profiles.SPEEDS else settings
+
+
 if __name__ == "__main__":
     typer.run(measure_streams)
--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -60,7 +60,7 @@
         engine = self._engines[endpoint.name]
         last = request.last_event_id if resume_after is None else resume_after
         run = run_module.Run(request,
-                             request.prompt.output_tokens,
+                             engine.count_output_tokens(request),
                              listener,
                              last_event_id=last or 0)
         if not engine.submit(run):
--- a/mustardwood/benchmarks/streams/engine_parameters.py
+++ b/mustardwood/benchmarks/streams/engine_parameters.py
@@ -18,6 +18,14 @@
             requests and cached prompt parts share.
         event_tokens: Tokens in one event of a stream.
         slowdown: Factor on all times.
+        context_step_time: Time that each 1,000 tokens of running requests in the
+            KV cache add to a step, in seconds.
+        pair_time: Time that a million pairs of a prompt's tokens add to its
+            prefill, in seconds.
+        base_time: Time that passes before the first token of a response, while
+            the engine runs other requests, in seconds.
+        output_share: Share of the announced maximum number of output tokens
+            that a response has.
     """
 
     step_time: float = 0.00289
@@ -28,3 +36,7 @@
     memory_tokens: int = 550_690
     event_tokens: int = 6
     slowdown: float = 1.0
+    context_step_time: float = 0.0
+    pair_time: float = 0.0
+    base_time: float = 0.0
+    output_share: float = 1.0
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -52,6 +52,23 @@
     factor: float
 
 
+@dataclasses.dataclass(frozen=True)
+class SpeedChange:
+    """A period in which an engine runs at another speed.
+
+    Attributes:
+        engine: Number of the engine.
+        start: Start of the period, in seconds.
+        end: End of the period, in seconds.
+        speed: Speed relative to that before and after.
+    """
+
+    engine: int
+    start: float
+    end: float
+    speed: float
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
     """Traffic, faults and size of a simulated fleet.
@@ -76,6 +93,9 @@
         parameters: Speed and capacity of the engines.
         max_slowdown: Slowdown factor of the slowest engine; those of the other
             engines are spread evenly from 1.
+        speeds: Speeds relative to the parameters, which the engines have in
+            turn.
+        speed_changes: Periods in which engines run at another speed.
     """
 
     kinds: tuple[stream_kind.StreamKind, ...] = stream_kind.ACCOUNTING_TRAFFIC
@@ -92,6 +112,8 @@
     parameters: engine_parameters.EngineParameters = (
         engine_parameters.EngineParameters())
     max_slowdown: float = 1.15
+    speeds: tuple[float, ...] = (1.0,)
+    speed_changes: tuple[SpeedChange, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -164,6 +186,8 @@
                     profile.versions[number % len(profile.versions)])
             for number in range(profile.engines)
         }
+        for number in range(profile.engines):
+            self._set_speed(number, 1.0)
         self._settings = settings
         self._seed = seed
         self._vms = [self._make_vm(number) for number in range(profile.vms)]
@@ -199,6 +223,11 @@
             self._timeline.call_at(
                 departure_time,
                 functools.partial(self._remove_engine, f"engine-{number}"))
+        for change in profile.speed_changes:
+            for at, speed in ((change.start, change.speed), (change.end, 1.0)):
+                self._timeline.call_at(
+                    at, functools.partial(self._set_speed, change.engine,
+                                          speed))
         for number, loss_time in enumerate(profile.vm_losses):
             self._timeline.call_at(
                 loss_time, functools.partial(self._lose_vm,
@@ -210,6 +239,11 @@
         self._timeline.run_until(profile.seconds + _DRAIN_SECONDS)
         return self._compute_outcome()
 
+    def _set_speed(self, number: int, speed: float) -> None:
+        speeds = self._profile.speeds
+        self._engines[f"engine-{number}"].set_speed(
+            speeds[number % len(speeds)] * speed)
+
     def _remove_engine(self, name: str) -> None:
         for vm in self._vms:
             vm.context.directory.remove_endpoint(name)
--- a/mustardwood/benchmarks/streams/stream_engine.py
+++ b/mustardwood/benchmarks/streams/stream_engine.py
@@ -42,35 +42,64 @@
         self._parameters = parameters
         self._timeline = timeline
         self._cache = prompt_cache.PromptCache()
+        self._arriving: list[run_module.Run] = []
         self._waiting: list[run_module.Run] = []
         self._prefilling: list[run_module.Run] = []
         self._decoding: list[run_module.Run] = []
         self._is_stepping = False
+        self._speed = 1.0
+
+    def set_speed(self, speed: float) -> None:
+        """Sets the speed of the following steps, relative to the parameters."""
+        self._speed = speed
+
+    def count_output_tokens(self,
+                            request: service_request.ServiceRequest) -> int:
+        """Returns the length of the complete response in tokens."""
+        return max(
+            1,
+            round(request.prompt.output_tokens * self._parameters.output_share))
 
     def submit(self, run: run_module.Run) -> bool:
         """Queues a request; returns False if the queue is full."""
         if len(self._waiting) >= _MAX_WAITING:
             return False
         run.submitted_at = self._timeline.seconds
-        self._waiting.append(run)
-        self._waiting.sort(key=_rank)
-        self._start_step()
+        if self._parameters.base_time:
+            self._arriving.append(run)
+            self._timeline.call_later(self._parameters.base_time / self._speed,
+                                      lambda: self._enqueue_arrived(run))
+        else:
+            self._enqueue(run)
         return True
 
     def cancel(self, run: run_module.Run) -> None:
         """Removes a request whose connection was closed by the router."""
-        for group in (self._waiting, self._prefilling, self._decoding):
+        for group in (self._arriving, self._waiting, self._prefilling,
+                      self._decoding):
             if run in group:
                 group.remove(run)
 
     def crash(self) -> None:
         """Fails all requests and clears the prompt cache."""
-        interrupted = self._waiting + self._prefilling + self._decoding
-        self._waiting, self._prefilling, self._decoding = [], [], []
+        interrupted = (self._arriving + self._waiting + self._prefilling +
+                       self._decoding)
+        self._arriving, self._waiting = [], []
+        self._prefilling, self._decoding = [], []
         self._cache.clear()
         for run in interrupted:
             run.listener.receive_failure(True, "connection lost")
 
+    def _enqueue_arrived(self, run: run_module.Run) -> None:
+        if run in self._arriving:
+            self._arriving.remove(run)
+            self._enqueue(run)
+
+    def _enqueue(self, run: run_module.Run) -> None:
+        self._waiting.append(run)
+        self._waiting.sort(key=_rank)
+        self._start_step()
+
     def _start_step(self) -> None:
         if self._is_stepping:
             return
@@ -83,13 +112,34 @@
         if self._prefilling:
             chunk = min(self._prefilling[0].remaining_prefill_tokens,
                         parameters.chunk_tokens)
-        count = len(self._prefilling) + len(self._decoding)
-        seconds = (parameters.step_time + parameters.stream_step_time * count +
-                   chunk / parameters.prefill_rate) * parameters.slowdown
         prefilling_run = self._prefilling[0] if self._prefilling else None
+        seconds = (self._compute_step_time() + chunk / parameters.prefill_rate +
+                   self._compute_pair_time(prefilling_run, chunk)
+                  ) * parameters.slowdown / self._speed
         self._timeline.call_later(seconds,
                                   lambda: self._end_step(prefilling_run, chunk))
 
+    def _compute_step_time(self) -> float:
+        """Returns the seconds of a step without the prefill in it."""
+        parameters = self._parameters
+        running = self._prefilling + self._decoding
+        seconds = (parameters.step_time +
+                   parameters.stream_step_time * len(running))
+        if parameters.context_step_time:
+            held = sum(each.held_tokens for each in running)
+            seconds += parameters.context_step_time * held / 1_000
+        return seconds
+
+    def _compute_pair_time(self, run: run_module.Run | None,
+                           chunk: int) -> float:
+        """Returns the seconds for the pairs of a chunk with all tokens before.
+        """
+        if run is None or not self._parameters.pair_time:
+            return 0.0
+        before = max(0, _count_tokens(run) - run.remaining_prefill_tokens)
+        return (self._parameters.pair_time * chunk * (before + chunk / 2) /
+                1_000_000)
+
     def _end_step(self, prefilling_run: run_module.Run | None,
                   chunk: int) -> None:
         self._is_stepping = False
--- a/mustardwood/benchmarks/streams/tests/test_stream_engine.py
+++ b/mustardwood/benchmarks/streams/tests/test_stream_engine.py
@@ -172,3 +172,39 @@
 def _find_longest_pause(listener):
     return max(after - before
                for before, after in zip(listener.events, listener.events[1:]))
+
+
+def test_context_prolongs_each_step():
+    case = _Case(context_step_time=0.01)
+    listener, _ = case.submit(own=100, output=20)
+    case.clock.run_until(1.0)
+    # 100 to 120 tokens add 1.0 to 1.2 ms to each of the two steps of an event.
+    gaps = [b - a for a, b in zip(listener.events[1:], listener.events[2:])]
+    assert gaps[0] == pytest.approx(0.022, abs=0.0002)
+
+
+def test_engine_at_half_speed_takes_twice_as_long():
+    case = _Case()
+    case.engine.set_speed(0.5)
+    listener, _ = case.submit(own=200, output=5)
+    case.clock.run_until(1.0)
+    assert listener.events == pytest.approx([0.08, 0.10, 0.14, 0.16])
+
+
+def test_pairs_of_tokens_prolong_the_prefill_of_long_prompts():
+    case = _Case(pair_time=1.0)
+    listener, _ = case.submit(own=200, output=1)
+    case.clock.run_until(1.0)
+    # 100 tokens after none, then 100 after 100: 0.005 and 0.015 million pairs.
+    assert listener.events == pytest.approx([0.06])
+
+
+def test_request_waits_for_the_base_time_and_can_be_cancelled_meanwhile():
+    case = _Case(base_time=0.05)
+    listener, _ = case.submit(own=200, output=5)
+    _, cancelled = case.submit(own=300, output=5)
+    case.clock.run_until(0.02)
+    case.engine.cancel(cancelled)
+    case.clock.run_until(1.0)
+    assert listener.events[0] == pytest.approx(0.09)
+    assert case.engine.prefilled_tokens == 200
