Estimate demand and prefill times from the engine profiles

`TierAdmission` and the cost of a prompt on each engine used the constants for all engines. They now read the profile that was learned from the responses. The forwarding passes the events of a stream and the end of a response on to a `ResponseObserver`, by one changed line. A gap counts only if the engine is known to have prefilled all the time or not at all.

--- a/mustardwood/benchmarks/streams/engine_parameters.py
+++ b/mustardwood/benchmarks/streams/engine_parameters.py
@@ -18,8 +18,8 @@
             requests and cached prompt parts share.
         event_tokens: Tokens in one event of a stream.
         slowdown: Factor on all times.
-        context_step_time: Time that each 1,000 tokens of running requests in the
-            KV cache add to a step, in seconds.
+        context_step_time: Time that each 1,000 tokens of running requests in
+            the KV cache add to a step, in seconds.
         pair_time: Time that a million pairs of a prompt's tokens add to its
             prefill, in seconds.
         base_time: Time that passes before the first token of a response, while
--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -4,11 +4,13 @@
 import random
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood.benchmarks.streams import engine_client
 from mustardwood.benchmarks.streams import engine_parameters
 from mustardwood.benchmarks.streams import null_objects
 from mustardwood.benchmarks.streams import scheduler as scheduler_module
 from mustardwood.benchmarks.streams import stream_engine
+from mustardwood.profiles import response_observer
 
 SERVICE = "engines"
 """Name of the only service."""
@@ -24,6 +26,7 @@
     Attributes:
         name: Name of the VM.
         context: Objects of `dispatch` that the requests of the VM share.
+        learned: What it has learned of the engines.
     """
 
     def __init__(self, name: str, scheduler: scheduler_module.Scheduler,
@@ -31,14 +34,20 @@
                                                   stream_engine.StreamEngine],
                  parameters: engine_parameters.EngineParameters,
                  settings: dispatch.PlacementSettings, vms: int,
-                 rng: random.Random) -> None:
+                 rng: random.Random,
+                 fixed_profile: profiles.EngineProfile | None) -> None:
         self.name = name
+        self.learned = profiles.EngineProfiles(scheduler)
+        self._table: profiles.ProfileTable = (
+            self.learned
+            if fixed_profile is None else profiles.FixedProfiles(fixed_profile))
         notices = dispatch.EndpointNotices(name, scheduler)
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
-        service = dispatch.ServiceParameters(SERVICE, parameters.memory_tokens,
-                                             parameters.event_tokens)
+        self._service = dispatch.ServiceParameters(SERVICE,
+                                                   parameters.memory_tokens,
+                                                   parameters.event_tokens)
         rate_limits = dispatch.EndpointRateLimits(name, scheduler, lambda: ())
         pauses = dispatch.EndpointPauses(scheduler, rng, notices)
         self.context = dispatch.ForwardingContext(
@@ -56,10 +65,11 @@
             rate_limits=rate_limits,
             pauses=pauses,
             admission=dispatch.TierAdmission(scheduler, loads, rate_limits,
-                                             settings),
+                                             settings, self._table),
             placement=dispatch.Placement("zone", scheduler, loads, health,
                                          prefix_index, rate_limits, pauses,
-                                         settings, lambda _: service, rng),
+                                         settings, lambda _: self._service, rng,
+                                         self._table),
             retry_budgets=dispatch.ServiceRetryBudgets(rng, _RETRY_RATIO,
                                                        _RETRY_BURST,
                                                        lambda: vms),
@@ -68,7 +78,10 @@
             journal=null_objects.NullJournal(),
             metrics=null_objects.NullMetrics(),
             streams=dispatch.StreamVersionTable(scheduler),
-            version_record=null_objects.SingleVersionRecord())
+            version_record=null_objects.SingleVersionRecord(),
+            observer=response_observer.ResponseObserver(
+                self._table, scheduler, loads, health, rate_limits,
+                lambda _: self._service))
 
     def send_peer_update(self, other: "ModelledVm", streams: dict[str, bytes],
                          questions: bytes) -> None:
@@ -86,6 +99,7 @@
                                            self.context.loads.list_own_loads())
         other.context.admission.set_peer_demands(
             self.name, self.context.admission.list_demands())
+        other.learned.set_peer_reports(self.name, self.learned.list_reports())
         for engine, prefix_key in self.context.prefix_caches.list_moves():
             other.context.prefix_caches.record_prefix(engine, prefix_key)
 
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -9,6 +9,7 @@
 import random
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood.benchmarks import timeline as timeline_module
 from mustardwood.benchmarks.streams import engine_parameters
 from mustardwood.benchmarks.streams import modelled_caller
@@ -157,18 +158,29 @@
     starved: tuple[tuple[str, float], ...]
 
 
-def simulate_load(profile: LoadProfile,
-                  settings: dispatch.PlacementSettings = (
-                      dispatch.PlacementSettings()),
-                  seed: int = 1) -> Outcome:
-    """Simulates a load with the real code of `dispatch`."""
-    return _Simulation(profile, settings, seed).run()
+def simulate_load(
+        profile: LoadProfile,
+        settings: dispatch.PlacementSettings = (dispatch.PlacementSettings()),
+        seed: int = 1,
+        fixed_profile: profiles.EngineProfile | None = None) -> Outcome:
+    """Simulates a load with the real code of `dispatch`.
+
+    Args:
+        profile: The load.
+        settings: Settings of the placement.
+        seed: Seed of the random numbers.
+        fixed_profile: Speed that the VMs assume of all engines; None if they
+            learn it from the responses.
+    """
+    return _Simulation(profile, settings, seed, fixed_profile).run()
 
 
 class _Simulation:
 
     def __init__(self, profile: LoadProfile,
-                 settings: dispatch.PlacementSettings, seed: int) -> None:
+                 settings: dispatch.PlacementSettings, seed: int,
+                 fixed_profile: profiles.EngineProfile | None) -> None:
+        self._fixed_profile = fixed_profile
         self._profile = profile
         self._rng = random.Random(seed)
         self._organisation_rng = random.Random(seed)
@@ -208,7 +220,8 @@
         return modelled_vm.ModelledVm(f"vm-{number}", self._scheduler,
                                       self._engines, profile.parameters,
                                       self._settings, profile.vms,
-                                      random.Random(self._seed + number))
+                                      random.Random(self._seed + number),
+                                      self._fixed_profile)
 
     def run(self) -> Outcome:
         """Runs the simulation until all requests have ended."""
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -31,6 +31,7 @@
 from mustardwood.dispatch.forwarding_context import Headers
 from mustardwood.dispatch.forwarding_context import Journal
 from mustardwood.dispatch.forwarding_context import Metrics
+from mustardwood.dispatch.forwarding_context import ResponseObserver
 from mustardwood.dispatch.forwarding_context import Scheduler
 from mustardwood.dispatch.forwarding_context import Timer
 from mustardwood.dispatch.freshness_proof import FreshnessProof
@@ -38,6 +39,7 @@
 from mustardwood.dispatch.load_table import PEER_REPORT_LIFETIME
 from mustardwood.dispatch.organisation import Organisation
 from mustardwood.dispatch.pause_statement import PauseStatement
+from mustardwood.dispatch.placement import Choice
 from mustardwood.dispatch.placement import Placement
 from mustardwood.dispatch.placement_limit import PlacementLimit
 from mustardwood.dispatch.placement_queue import PlacementQueue
@@ -72,6 +74,7 @@
     "Attempt",
     "AttemptListener",
     "Caller",
+    "Choice",
     "CrashBlock",
     "CrashRecord",
     "TierDemand",
@@ -112,6 +115,7 @@
     "RateReport",
     "RateStatement",
     "Refusal",
+    "ResponseObserver",
     "RetryAfterPolicy",
     "RetryBudget",
     "RetryPolicy",
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from mustardwood import profiles
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import forwarding_context
 from mustardwood.dispatch import placement as placement_module
@@ -34,6 +35,7 @@
         is_truncated: Whether the body exceeded the buffer and is incomplete.
         error_bytes: Number of bytes received of the body of a response that is
             no success.
+        timing: Measures its events.
         handle: Aborts the attempt; None before it was sent.
     """
 
@@ -56,6 +58,11 @@
         self.partial_event_bytes = 0
         self.is_truncated = False
         self.error_bytes = 0
+        self.timing = profiles.ResponseTiming(
+            profiles.ProfiledEngine(choice.endpoint.service,
+                                    choice.endpoint.incarnation,
+                                    choice.endpoint.version), sent_at,
+            choice.known_load.build_state(choice.endpoint.slots))
         self.handle: forwarding_context.Attempt | None = None
 
     @property
--- a/mustardwood/dispatch/endpoint_load.py
+++ b/mustardwood/dispatch/endpoint_load.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from mustardwood import profiles
+
 
 @dataclasses.dataclass(frozen=True)
 class EndpointLoad:
@@ -22,6 +24,15 @@
     interactive_streams: int = 0
     held_tokens: int = 0
 
+    def build_state(self, slots: int) -> profiles.EngineState:
+        """Returns the load for a measurement of an engine.
+
+        Args:
+            slots: Number of slots of the engine.
+        """
+        return profiles.EngineState(self.requests, self.held_tokens,
+                                    self.prefill_tokens, slots)
+
     def __add__(self, other: "EndpointLoad") -> "EndpointLoad":
         return EndpointLoad(
             self.prefill_tokens + other.prefill_tokens,
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -430,7 +430,7 @@
                 self._record_software(attempt)
                 self._send_head(attempt, None)
             attempt.has_sent_events = True
-            self._record.record_events()
+            self._record.record_events(attempt, events)
             self._caller.write(events)
         if self._splitter.rest_size > _MAX_EVENT_BYTES:
             self._break_off(attempt, "an event is too long")
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -5,6 +5,7 @@
 import datetime
 import typing
 
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch import crash_record
 from mustardwood.dispatch import endpoint as endpoint_module
@@ -222,6 +223,28 @@
         """Saves a stream that has just begun at this VM, if that is needed."""
 
 
+class ResponseObserver(typing.Protocol):
+    """Measures the responses of engines."""
+
+    def record_events(self, request: service_request.ServiceRequest,
+                      choice: placement_module.Choice,
+                      response: profiles.ResponseTiming, events: bytes,
+                      is_whole: bool) -> None:
+        """Records that events of a stream have arrived.
+
+        Args:
+            request: The request.
+            choice: The endpoint that sent them.
+            response: Measures the attempt.
+            events: The events.
+            is_whole: Whether the attempt brings the stream from its beginning.
+        """
+
+    def record_end(self, request: service_request.ServiceRequest,
+                   response: profiles.ResponseTiming) -> None:
+        """Records the end of a complete response of one attempt."""
+
+
 class Queue(typing.Protocol):
     """Holds requests until an endpoint has free capacity."""
 
@@ -274,3 +297,4 @@
     metrics: Metrics
     streams: stream_version_table.StreamVersionTable
     version_record: VersionRecord
+    observer: ResponseObserver
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -6,6 +6,7 @@
 import math
 import random
 
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
@@ -66,16 +67,22 @@
            increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
     """
 
-    def __init__(self, zone: str, clock: timing.Clock,
-                 loads: load_table.LoadTable,
-                 health: endpoint_health.EndpointHealth,
-                 prefix_caches: prefix_cache_index.PrefixCacheIndex,
-                 rate_limits: endpoint_rate_limits.EndpointRateLimits,
-                 pauses: endpoint_pauses.EndpointPauses,
-                 settings: placement_settings.PlacementSettings,
-                 find_service: collections.abc.Callable[
-                     [str], service_parameters.ServiceParameters],
-                 rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        clock: timing.Clock,
+        loads: load_table.LoadTable,
+        health: endpoint_health.EndpointHealth,
+        prefix_caches: prefix_cache_index.PrefixCacheIndex,
+        rate_limits: endpoint_rate_limits.EndpointRateLimits,
+        pauses: endpoint_pauses.EndpointPauses,
+        settings: placement_settings.PlacementSettings,
+        find_service: collections.abc.Callable[
+            [str], service_parameters.ServiceParameters],
+        rng: random.Random,
+        table: profiles.ProfileTable = profiles.FixedProfiles()
+    ) -> None:
+        self._table = table
         self._zone = zone
         self._clock = clock
         self._loads = loads
@@ -185,7 +192,7 @@
             request.prompt.prefix_key or request.request_id, is_long)
         holders = self._prefix_caches.list_holders(request) | {preferred}
         costs = prompt_cost.PromptCost(
-            request, self._settings,
+            request, self._settings, self._table,
             self._loads, holders, pool.long_prompt_engines,
             self._find_cache_weight(request), parameters.memory_tokens,
             self._find_partition(request.service).find_max_prefill_duration(
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 
+from mustardwood import profiles
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import engine_limits
@@ -24,6 +25,7 @@
 
     def __init__(self, request: service_request.ServiceRequest,
                  settings: placement_settings.PlacementSettings,
+                 profile_table: profiles.ProfileTable,
                  table: load_table.LoadTable, holders: collections.abc.Set[str],
                  long_prompt_engines: collections.abc.Set[str],
                  cache_weight: float, memory_tokens: int,
@@ -33,7 +35,8 @@
 
         Args:
             request: The request.
-            settings: Parameters of the engines and weights of the costs.
+            settings: Weights of the costs.
+            profile_table: Speed of the engines.
             table: Load of the engines.
             holders: Names of the engines that probably have the shared prefix
                 in their cache.
@@ -58,8 +61,8 @@
         self._shared_tokens = prompt.shared_tokens
         self._own_tokens = prompt.input_tokens - self._shared_tokens
         self._first_byte_target = request.first_byte_target.total_seconds()
-        self._cache_miss_cost = (settings.cache_miss_streams /
-                                 settings.prefill_rate) * cache_weight
+        self._profile_table = profile_table
+        self._cache_miss_streams = settings.cache_miss_streams * cache_weight
         self._stream_cost = (settings.long_prompt_stream_cost
                              if self._is_long else settings.stream_cost)
         self._limits = engine_limits.EngineLimits.from_settings(
@@ -90,8 +93,9 @@
                 load.held_tokens + tokens + self._request.prompt.output_tokens
                 > self._memory_limit):
             return placement_limit.PlacementLimit.MEMORY
-        cost = ((load.prefill_tokens + tokens) / settings.prefill_rate +
-                self._cache_miss_cost * missing +
+        prefill_rate = self._find_prefill_rate(endpoint)
+        cost = ((load.prefill_tokens + tokens +
+                 self._cache_miss_streams * missing) / prefill_rate +
                 load.requests * self._stream_cost)
         if load.requests >= endpoint.slots:
             cost += (settings.queue_cost * (load.requests + 1) /
@@ -99,7 +103,7 @@
         takes_long_prompts = endpoint.name in self._long_prompt_engines
         if self._is_long and not takes_long_prompts:
             cost += (settings.mixing_cost * load.interactive_streams * tokens /
-                     settings.prefill_rate)
+                     prefill_rate)
             cost += settings.reserved_engine_targets * self._first_byte_target
         elif takes_long_prompts and self._is_interactive:
             cost += settings.mixing_cost
@@ -133,6 +137,10 @@
                 load.prefill_tokens + added_tokens
                 > self._limits.prefill_tokens)
 
+    def _find_prefill_rate(self, endpoint: endpoint_module.Endpoint) -> float:
+        return self._profile_table.find_profile(
+            self._request.service, endpoint.incarnation).prefill_rate
+
     def _disturbs_reserved_engine(self, endpoint: endpoint_module.Endpoint,
                                   load: endpoint_load.EndpointLoad) -> bool:
         """Returns whether a long prompt would disturb a reserved engine.
@@ -159,7 +167,8 @@
                 not load.interactive_streams or
                 load.prefill_tokens < settings.chunk_tokens):
             return False
-        remaining = (load.prefill_tokens + added_tokens) / settings.prefill_rate
+        remaining = ((load.prefill_tokens + added_tokens) /
+                     self._find_prefill_rate(endpoint))
         duration = self._table.find_prefill_duration(
             endpoint.name).total_seconds() + remaining
         return duration > (self._max_prefill_duration.total_seconds() *
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -52,8 +52,18 @@
         if self._first_byte_at is None:
             self._first_byte_at = self._context.clock.monotonic()
 
-    def record_events(self) -> None:
-        """Records that events of a stream were sent to the caller."""
+    def record_events(self, attempt: attempt_record.AttemptRecord,
+                      events: bytes) -> None:
+        """Records that events of a stream were sent to the caller.
+
+        Args:
+            attempt: The attempt that brought them.
+            events: The events.
+        """
+        attempt.timing.is_ignored |= attempt.is_stalled
+        self._context.observer.record_events(self._request, attempt.choice,
+                                             attempt.timing, events,
+                                             self._is_whole)
         now = self._context.clock.monotonic()
         if self._last_events_at is not None:
             self._longest_pause = max(self._longest_pause,
@@ -84,6 +94,8 @@
         kind = (COMPLETE if end == COMPLETE else
                 "status" if attempt.status >= 400 else "broken")
         self._context.metrics.count_attempt(self._request.service, kind)
+        if end == COMPLETE and self._is_whole:
+            self._context.observer.record_end(self._request, attempt.timing)
         now = self._context.clock.monotonic()
         endpoint = attempt.choice.endpoint
         rate_limit = self._context.rate_limits.find_limit(endpoint)
@@ -107,6 +119,11 @@
             "end": end,
         })
 
+    @property
+    def _is_whole(self) -> bool:
+        """Whether the open attempt brings the response from its beginning."""
+        return not self._attempts and not self._request.is_resumption
+
     def finish(self, outcome: str, status: int) -> None:
         """Writes the log line of the request and counts it in the metrics.
 
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -8,7 +8,9 @@
 import typing
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood import timing
+from mustardwood.profiles import response_observer
 
 
 def ms(count):
@@ -263,9 +265,11 @@
             lambda: self.vms, self.saved, self.journal, False)
         self.rate_limits = dispatch.EndpointRateLimits("vm-1", self.clock,
                                                        lambda: self.vms)
+        self.profiles = profiles.EngineProfiles(self.clock)
         self.admission = dispatch.TierAdmission(self.clock, self.loads,
                                                 self.rate_limits,
-                                                dispatch.PlacementSettings())
+                                                dispatch.PlacementSettings(),
+                                                self.profiles)
         self.pauses = dispatch.EndpointPauses(self.clock, random.Random(5),
                                               self.notices)
         self.settings = dispatch.PlacementSettings()
@@ -275,7 +279,7 @@
                                             self.rate_limits, self.pauses,
                                             self.settings,
                                             lambda name: self.parameters,
-                                            random.Random(3))
+                                            random.Random(3), self.profiles)
         self.context = dispatch.ForwardingContext(
             clock=self.clock,
             scheduler=self.scheduler,
@@ -299,7 +303,10 @@
             journal=self.journal,
             metrics=self.metrics,
             streams=self.streams,
-            version_record=self.journal_of_streams)
+            version_record=self.journal_of_streams,
+            observer=response_observer.ResponseObserver(
+                self.profiles, self.clock, self.loads, self.health,
+                self.rate_limits, lambda name: self.parameters))
         for index in range(endpoints):
             self.directory.set_endpoint(make_endpoint(index, slots))
 
--- a/mustardwood/dispatch/tier_admission.py
+++ b/mustardwood/dispatch/tier_admission.py
@@ -6,6 +6,7 @@
 import datetime
 import math
 
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_rate_limits
@@ -94,21 +95,28 @@
            microservices", SoCC 2018.
     """
 
-    def __init__(self, clock: timing.Clock, loads: load_table.LoadTable,
-                 rate_limits: endpoint_rate_limits.EndpointRateLimits,
-                 settings: placement_settings.PlacementSettings) -> None:
+    def __init__(
+        self,
+        clock: timing.Clock,
+        loads: load_table.LoadTable,
+        rate_limits: endpoint_rate_limits.EndpointRateLimits,
+        settings: placement_settings.PlacementSettings,
+        table: profiles.ProfileTable = profiles.FixedProfiles()
+    ) -> None:
         """Creates a table without demand.
 
         Args:
             clock: Source of the monotonic time.
             loads: Load of the engines.
             rate_limits: Rate limits that the engines state.
-            settings: Speed of the engines.
+            settings: Share of the engines' time that requests may need.
+            table: Speed of the engines.
         """
         self._clock = clock
         self._loads = loads
         self._rate_limits = rate_limits
         self._settings = settings
+        self._table = table
         self._own: dict[tuple[str, int], float] = {}
         self._own_rate = 0.0
         self._decayed_at = clock.monotonic()
@@ -275,9 +283,9 @@
         It takes the time of its prefill and its share of the steps in which a
         full batch generates output.
         """
-        settings, prompt = self._settings, request.prompt
+        prompt = request.prompt
+        profile = self._table.find_profile(request.service)
         own_tokens = prompt.input_tokens - prompt.shared_tokens
         slots = max(1, sum(each.slots for each in usable) // len(usable))
-        token_time = settings.step_time / slots + settings.stream_step_time
-        return (own_tokens / settings.prefill_rate +
-                prompt.output_tokens * token_time)
+        return (own_tokens / profile.prefill_rate + profile.find_output_time(
+            prompt.input_tokens, prompt.output_tokens, slots))
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -17,6 +17,7 @@
 from mustardwood import errors
 from mustardwood import http1
 from mustardwood import peers
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.platform import authorizer
 from mustardwood.platform import endpoint_client
@@ -32,6 +33,7 @@
 from mustardwood.platform import store_client
 from mustardwood.platform import store_watcher
 from mustardwood.platform import vm_registration
+from mustardwood.profiles import response_observer
 
 _FORWARDING_MARGIN = datetime.timedelta(milliseconds=500)
 """Part of the key removal time that is reserved for sending a request."""
@@ -107,9 +109,13 @@
         stream_store.attach(self._stream_journal)
         self._loads = dispatch.LoadTable(self._clock)
         self._placement_settings = dispatch.PlacementSettings()
+        self._profiles = profiles.EngineProfiles(
+            self._clock, self._log_profile, lambda peer, problem: self._journal.
+            write("profile_rejected", source=peer, error=problem))
         self._admission = dispatch.TierAdmission(self._clock, self._loads,
                                                  self._rate_limits,
-                                                 self._placement_settings)
+                                                 self._placement_settings,
+                                                 self._profiles)
         self._watcher = store_watcher.StoreWatcher(
             client, self._clock, self._scheduler, self._directory, self._proof,
             freshness_gate.FreshnessGate(self._clock,
@@ -223,7 +229,8 @@
                                          self._loads, self._health,
                                          self._prefix_caches, self._rate_limits,
                                          self._pauses, self._placement_settings,
-                                         self._find_service, self._rng),
+                                         self._find_service, self._rng,
+                                         self._profiles),
             retry_budgets=dispatch.ServiceRetryBudgets(
                 self._rng, bounds.retry_share, bounds.spare_retries,
                 lambda: self._peers.peer_count + 1),
@@ -232,7 +239,10 @@
             journal=self._journal,
             metrics=self._metrics,
             streams=self._streams,
-            version_record=self._stream_journal)
+            version_record=self._stream_journal,
+            observer=response_observer.ResponseObserver(
+                self._profiles, self._clock, self._loads, self._health,
+                self._rate_limits, self._find_service))
 
     def _find_service(self, name: str) -> dispatch.ServiceParameters:
         configuration = self._watcher.configuration
@@ -254,6 +264,13 @@
                             source=change.source,
                             refusals_before=change.refusals)
 
+    def _log_profile(self, change: profiles.ProfileChange) -> None:
+        self._journal.write("engine_profile",
+                            change=change.kind,
+                            service=change.service,
+                            endpoint=change.endpoint,
+                            **change.profile.describe())
+
     def _handle_vm_change(self, name: str, value: bytes | None) -> None:
         self._peers.set_vm(name, value)
 
