Limit the prompts in flight on an engine by time

The limit of 15,000 prompt tokens stood for 0.3 s of prefill at the rate of the first users' engines. On engines that are three times as fast, long prompts waited at the router while the engine had a tenth of a second of work. The limit is now the time, by the engine's own profile.

--- a/mustardwood/dispatch/engine_limits.py
+++ b/mustardwood/dispatch/engine_limits.py
@@ -26,8 +26,8 @@
         queued_requests: Number of requests in excess of that share. Those in
             excess of the slots preempt less urgent ones or wait in the engine's
             own queue.
-        prefill_tokens: Maximum number of prompt tokens that wait on an engine
-            when a long prompt is sent there.
+        prefill_time: Seconds in which an engine prefills the prompts that wait
+            there at most when a long prompt is sent to it.
         memory_share: Share of the KV cache that requests may fill.
         prefill_duration_factor: Factor on the longest continuous prefill of an
             engine with interactive streams.
@@ -35,7 +35,7 @@
 
     slot_share: float
     queued_requests: float
-    prefill_tokens: float
+    prefill_time: float
     memory_share: float
     prefill_duration_factor: float
 
@@ -52,7 +52,7 @@
         return cls(
             _interpolate(settings.min_slot_share, 1.0, urgency),
             _interpolate(0.0, settings.max_queued_requests, urgency),
-            settings.max_prefill_tokens *
+            settings.max_prefill_time *
             _interpolate(1.0, settings.urgent_prefill_factor, urgency),
             _interpolate(settings.min_memory_share, 1.0, urgency),
             _interpolate(settings.min_duration_factor, 1.0, urgency))
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -62,12 +62,11 @@
         max_queued_requests: Number of requests in excess of its slots that an
             engine may have before it is given one of the most urgent tier; the
             users' engines queue 24 or more.
-        max_prefill_tokens: Maximum number of prompt tokens that wait on an
-            engine when a long prompt of the least urgent tier is sent there.
-            They take 0.3 seconds, so that the other prompts can still be
-            reordered by the router and a new interactive stream on the engine
-            starts soon.
-        urgent_prefill_factor: Factor on `max_prefill_tokens` for the most
+        max_prefill_time: Seconds in which an engine prefills the prompts that
+            wait there at most when a long prompt of the least urgent tier is
+            sent to it, so that the other prompts can still be reordered by the
+            router and a new interactive stream on the engine starts soon.
+        urgent_prefill_factor: Factor on `max_prefill_time` for the most
             urgent tier, whose prompts the engine prefills before those that
             wait there.
         min_duration_factor: Factor on the longest continuous prefill for the
@@ -112,7 +111,7 @@
     failure_cost: float = 2.0
     min_slot_share: float = 0.9
     max_queued_requests: int = 16
-    max_prefill_tokens: int = 15_000
+    max_prefill_time: float = 0.3
     urgent_prefill_factor: float = 3.0
     min_duration_factor: float = 0.75
     max_gap_wait_targets: float = 1.0
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -135,7 +135,7 @@
             return True
         return (self._is_long and load.prefill_tokens > 0 and
                 load.prefill_tokens + added_tokens
-                > self._limits.prefill_tokens)
+                > self._limits.prefill_time * self._find_prefill_rate(endpoint))
 
     def _find_prefill_rate(self, endpoint: endpoint_module.Endpoint) -> float:
         return self._profile_table.find_profile(
