Share the profiles of services among VMs

A VM that starts knew only the prior and estimated demand wrongly until it had seen responses. Each VM now reports what it has learned itself, up to 16 services, in a last field of the peers' report. The field is decoded by itself, so that impossible values leave the loads in the same report valid; they are logged once for each peer.

--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.peers import peer_update
+from mustardwood.peers import profile_codec
 
 _MAX_SEND_TIMES = 256
 """Number of send times that are kept per peer; they cover about ten seconds."""
@@ -63,7 +65,8 @@
                  streams: dispatch.StreamVersionTable,
                  rate_limits: dispatch.EndpointRateLimits,
                  notices: dispatch.EndpointNotices,
-                 admission: dispatch.TierAdmission) -> None:
+                 admission: dispatch.TierAdmission,
+                 engine_profiles: profiles.EngineProfiles) -> None:
         """Creates a protocol without peers.
 
         Args:
@@ -81,6 +84,7 @@
             rate_limits: Records the rate limits that endpoints state.
             notices: Records what VMs learn of endpoints from responses.
             admission: Receives the peers' demand for engines.
+            engine_profiles: Receives what peers have learned of engines.
         """
         self._vm = vm
         self._clock = clock
@@ -93,6 +97,7 @@
         self._rate_limits = rate_limits
         self._notices = notices
         self._admission = admission
+        self._profiles = engine_profiles
         self._peers: dict[str, _Peer] = {}
         self._sequence = rng.getrandbits(_SEQUENCE_BITS)
 
@@ -199,7 +204,8 @@
             [(each.endpoint, each.kind, each.age // _MILLISECOND,
               each.duration // _MILLISECOND)
              for each in self._notices.list_reports()],
-            _encode_demands(self._admission.list_demands()))
+            _encode_demands(self._admission.list_demands()),
+            profile_codec.encode_profiles(self._profiles.list_reports()))
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
@@ -259,6 +265,7 @@
             for service, demands in report.demands.items()
             for tier, share in demands
         ])
+        self._apply_profiles(sender, report)
         for endpoint, prefix_key in report.moves:
             self._prefix_caches.record_prefix(endpoint, prefix_key)
         for fingerprint, endpoint in report.losses:
@@ -280,6 +287,13 @@
             self._part_crashes.record_peer_success(
                 dispatch.PartSuccess(part, age_ms * _MILLISECOND))
 
+    def _apply_profiles(self, sender: str, report: peer_update.Report) -> None:
+        try:
+            self._profiles.set_peer_reports(
+                sender, profile_codec.decode_profiles(report.profiles))
+        except ValueError as error:
+            self._profiles.reject_peer_report(sender, str(error))
+
     def _apply_notices(self, sender: str, report: peer_update.Report) -> None:
         for endpoint, kind, age_ms, duration_ms in report.notices:
             if kind in _NOTICE_KINDS:
@@ -292,6 +306,7 @@
     def forget_peer(self, name: str) -> None:
         """Discards the state of a peer that has left."""
         self._peers.pop(name, None)
+        self._profiles.forget_peer(name)
 
 
 def _encode_demands(
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -22,6 +22,9 @@
 _EngineShare = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 """A number of engines in ten thousandths."""
 
+_NO_PROFILES = b"\x90"
+"""An encoded empty list."""
+
 
 class ConfigurationPosition(typing.NamedTuple):
     """Position of a configuration; the greater one is the newer.
@@ -40,6 +43,38 @@
     revision: int = 0
 
 
+class ServiceProfile(typing.NamedTuple):
+    """What the sender has learned of the speed of a service's engines.
+
+    Attributes:
+        service: Name of the service.
+        prefill_rate: Prompt tokens prefilled in a second.
+        base_us: Fixed microseconds to the first token.
+        step_ns: Nanoseconds of a step with an empty batch.
+        stream_step_ns: Nanoseconds that each request adds to a step.
+        context_step_ns: Nanoseconds that 1,000 tokens in the KV cache add to a
+            step.
+        chunk_us: Microseconds that the prefill of a chunk adds to a step.
+        output_share: Share of the announced output tokens that responses use,
+            in ten thousandths.
+        step_samples: Number of samples of the time of a token.
+        prefill_samples: Number of samples of the time to the first token.
+        output_samples: Number of complete responses.
+    """
+
+    service: str
+    prefill_rate: int
+    base_us: int
+    step_ns: int
+    stream_step_ns: int
+    context_step_ns: int
+    chunk_us: int
+    output_share: int
+    step_samples: int
+    prefill_samples: int
+    output_samples: int
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """The part of an update that is the same for all peers.
 
@@ -67,6 +102,8 @@
             ignore kinds that they do not know.
         demands: For each service: pairs of a tier and the number of engines,
             in ten thousandths, that the sender's requests keep busy.
+        profiles: An encoded list of `ServiceProfile`. It is decoded by itself,
+            so that impossible values in it leave the rest of the report valid.
     """
 
     loads: dict[str, LoadFigures]
@@ -78,6 +115,7 @@
     rate_limits: list[tuple[str, _RateLimit | None, _Milliseconds]] = []
     notices: list[tuple[str, str, _Milliseconds, _Milliseconds]] = []
     demands: dict[str, list[tuple[_Tier, _EngineShare]]] = {}
+    profiles: msgspec.Raw = msgspec.Raw(_NO_PROFILES)
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -8,6 +8,7 @@
 
 from mustardwood import dispatch
 from mustardwood import peers
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 
@@ -42,12 +43,17 @@
         self.admission = dispatch.TierAdmission(self.clock, self.loads,
                                                 self.rate_limits,
                                                 dispatch.PlacementSettings())
+        self.profile_problems = []
+        self.profiles = profiles.EngineProfiles(
+            self.clock,
+            handle_rejection=lambda *problem: self.profile_problems.append(
+                problem))
         self.protocol = peers.PeerProtocol(name, self.clock, self.loads,
                                            self.prefix_caches, self.crashes,
                                            self.part_crashes, self.proof,
                                            random.Random(seed), self.streams,
                                            self.rate_limits, self.notices,
-                                           self.admission)
+                                           self.admission, self.profiles)
         self.configuration = peers.ConfigurationPosition(7, 0, 10)
 
     def build_update(self, other):
@@ -426,3 +432,100 @@
         assert receiver.admission.find_demands("engine") == {0: 0.5, 5: 2.25}
     _advance(_ms(4000), sender, receiver)
     assert not receiver.admission.find_demands("engine")
+
+
+def _learn(vm):
+    """Feeds a VM with engines that are three times as fast as the prior."""
+    engine = profiles.ProfiledEngine("engines", "engine-0/5", "v1")
+    state = profiles.EngineState(1, 0, 0, 8)
+    for _ in range(100):
+        vm.clock.advance(_ms(50))
+        vm.profiles.record_events(engine, 9, state, False, _ms(9))
+        vm.profiles.record_first_event(engine, 6_000, 0, state, _ms(40))
+        vm.profiles.record_end(engine, 50, 200)
+
+
+def test_vm_that_starts_learns_the_speed_of_engines_from_its_peers():
+    sender, receiver = _Vm("sender"), _Vm("receiver", 2)
+    _learn(sender)
+    receiver.receive(sender.build_update(receiver))
+    found = receiver.profiles.find_profile("engines", "engine-0/5")
+    expected = sender.profiles.find_profile("engines")
+    assert found.prefill_rate == pytest.approx(expected.prefill_rate, rel=0.01)
+    assert found.find_step_time(1, 0) == pytest.approx(0.001, rel=0.05)
+    assert found.output_share == pytest.approx(expected.output_share, abs=0.01)
+
+
+class _OldReport(msgspec.Struct, frozen=True, array_like=True):
+    """The report of a VM with software from before profiles were shared."""
+
+    loads: dict[str, tuple[int, int, int, int]]
+    moves: list[tuple[str, str]] = []
+    losses: list[tuple[str, str]] = []
+    part_crashes: list[tuple[str, str, bool, int, str]] = []
+    part_successes: list[tuple[str, int]] = []
+    request_blocks: list[tuple[str, int, int]] = []
+    rate_limits: list[tuple[str, float | None, int]] = []
+    notices: list[tuple[str, str, int, int]] = []
+    demands: dict[str, list[tuple[int, int]]] = {}
+
+
+def test_old_vms_decode_reports_with_profiles():
+    sender, receiver = _Vm("sender"), _Vm("receiver", 2)
+    _learn(sender)
+    sender.loads.add("engine-0", dispatch.EndpointLoad(5, 1, 0, 7))
+    update = msgspec.msgpack.decode(sender.build_update(receiver),
+                                    type=peers.peer_update.PeerUpdate)
+    report = msgspec.msgpack.decode(bytes(update.report), type=_OldReport)
+    assert report.loads == {"engine-0": (5, 1, 0, 7)}
+
+
+def test_report_of_an_old_vm_says_nothing_of_profiles():
+    receiver = _Vm("receiver")
+    _receive_report(receiver, _OldReport({"engine-0": (5, 1, 0, 7)}))
+    assert receiver.loads.find_load("engine-0").requests == 1
+    assert receiver.profiles.find_profile("engines") == profiles.PRIOR
+    assert not receiver.profile_problems
+
+
+_GARBAGE_PROFILES = (
+    msgspec.msgpack.encode("none"),
+    msgspec.msgpack.encode([["engines", 1]]),
+    msgspec.msgpack.encode([["engines", *["x"] * 10]]),
+    msgspec.msgpack.encode([["engines", 0, *[1] * 9]]),
+    msgspec.msgpack.encode([["engines", *[2**63] * 10]]),
+    msgspec.msgpack.encode([["engines", *[-5] * 10]]),
+    msgspec.msgpack.encode(["engines" * 4_000]),
+)
+
+
+@pytest.mark.parametrize("garbage", _GARBAGE_PROFILES)
+def test_garbage_profiles_are_ignored_and_logged_once(garbage):
+    # The rest of the report must count, or the peer's load would be unknown.
+    receiver = _Vm("receiver")
+    for sequence in (1, 2, 3):
+        _receive_report(
+            receiver,
+            peers.peer_update.Report({"engine-0": (sequence, 1, 0, 7)},
+                                     profiles=msgspec.Raw(garbage)), sequence)
+    assert receiver.loads.find_load("engine-0").prefill_tokens == 3
+    assert receiver.profiles.find_profile("engines") == profiles.PRIOR
+    assert len(receiver.profile_problems) == 1
+
+
+def _receive_report(receiver, report, sequence=1):
+    update = peers.peer_update.PeerUpdate(
+        "peer", sequence, 0, -1, peers.ConfigurationPosition(),
+        msgspec.Raw(msgspec.msgpack.encode(report)))
+    assert receiver.receive(msgspec.msgpack.encode(update)) is not None
+
+
+def test_profiles_of_many_services_take_less_than_two_kilobytes():
+    sender, receiver = _Vm("sender"), _Vm("receiver", 2)
+    state = profiles.EngineState(1, 0, 0, 8)
+    for number in range(40):
+        engine = profiles.ProfiledEngine(f"service-{number}", "engine/1")
+        for _ in range(30):
+            sender.clock.advance(_ms(20))
+            sender.profiles.record_events(engine, 9, state, False, _ms(9))
+    assert len(sender.build_update(receiver)) < 2_048
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -132,8 +132,8 @@
                                self._prefix_caches, self._crashes,
                                self._part_crashes, self._proof, self._rng,
                                self._streams, self._rate_limits, self._notices,
-                               self._admission), self._loads, self._clock,
-            self._scheduler, pool, self._watcher, self._journal,
+                               self._admission, self._profiles), self._loads,
+            self._clock, self._scheduler, pool, self._watcher, self._journal,
             self._settings.vm)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -8,6 +8,7 @@
 from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import peers
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.platform import peer_synchronizer
@@ -74,7 +75,8 @@
                 dispatch.TierAdmission(
                     self.clock, self.loads,
                     dispatch.EndpointRateLimits(name, self.clock, lambda: ()),
-                    dispatch.PlacementSettings())), self.loads, self.clock,
+                    dispatch.PlacementSettings()),
+                profiles.EngineProfiles(self.clock)), self.loads, self.clock,
             self.scheduler, self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: self.sent.append(
             (data, address))
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -13,6 +13,7 @@
 
 from mustardwood import dispatch
 from mustardwood import peers
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.platform import authorizer
@@ -98,7 +99,8 @@
                 dispatch.TierAdmission(
                     clock, loads,
                     dispatch.EndpointRateLimits(name, clock, lambda: ()),
-                    dispatch.PlacementSettings())), loads, clock, scheduler,
+                    dispatch.PlacementSettings()),
+                profiles.EngineProfiles(clock)), loads, clock, scheduler,
             self.pool, self.watcher, self.journal, name)
         self.synchronizer.port.send = lambda data, address: world.deliver(
             self, data, address)
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -8,6 +8,7 @@
 from mustardwood import errors
 from mustardwood import http1
 from mustardwood import peers
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.http1.tests import fake_transport
@@ -96,7 +97,8 @@
         dispatch.TierAdmission(
             harness.clock, loads,
             dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()),
-            dispatch.PlacementSettings()))
+            dispatch.PlacementSettings()),
+        profiles.EngineProfiles(harness.clock))
     local = peers.PeerProtocol(
         "vm-1", harness.clock, loads, dispatch.PrefixCacheIndex(harness.clock),
         dispatch.CrashRecord(harness.clock),
@@ -108,7 +110,8 @@
         dispatch.TierAdmission(
             harness.clock, loads,
             dispatch.EndpointRateLimits("vm", harness.clock, lambda: ()),
-            dispatch.PlacementSettings()))
+            dispatch.PlacementSettings()),
+        profiles.EngineProfiles(harness.clock))
     journal = harness_module.FakeJournal()
     synchronizer = peer_synchronizer.PeerSynchronizer(local, loads,
                                                       harness.clock,
