Size the engine partition and the gaps between prefills by profiles

The number of interactive streams per reserved engine and the longest continuous prefill came from the constants of the first users' engines. They now follow from the service's profile, and the constants are removed from `PlacementSettings`.

--- a/mustardwood/dispatch/engine_partition.py
+++ b/mustardwood/dispatch/engine_partition.py
@@ -5,6 +5,7 @@
 import hashlib
 import math
 
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import load_table
@@ -19,6 +20,8 @@
 """
 _MIN_STREAMS = 0.5
 """Average of interactive streams from which `min_reserved_share` applies."""
+_MIN_STREAM_TIME = 0.000001
+"""Minimum time that a stream adds to a step, in seconds."""
 _DIGEST_BYTES = 8
 
 _Endpoints = collections.abc.Sequence[endpoint_module.Endpoint]
@@ -35,7 +38,19 @@
     """
 
     def __init__(self, clock: timing.Clock, loads: load_table.LoadTable,
-                 settings: placement_settings.PlacementSettings) -> None:
+                 settings: placement_settings.PlacementSettings,
+                 table: profiles.ProfileTable, service: str) -> None:
+        """Creates a partition without engines.
+
+        Args:
+            clock: Source of the monotonic time.
+            loads: Load of the engines.
+            settings: Limits of the partition.
+            table: Speed of the engines.
+            service: Name of the engines' service.
+        """
+        self._table = table
+        self._service = service
         self._clock = clock
         self._loads = loads
         self._settings = settings
@@ -96,10 +111,10 @@
         settings = self._settings
         if self._shortest_target is None:
             return None
-        chunk_time = settings.chunk_tokens / settings.prefill_rate
-        time_per_step = (
-            settings.step_time +
-            settings.stream_step_time * settings.max_interactive_streams)
+        profile = self._table.find_profile(self._service)
+        chunk_time = profile.find_chunk_time()
+        time_per_step = profile.find_step_time(settings.max_interactive_streams,
+                                               0)
         max_interval = self._shortest_target.total_seconds(
         ) / settings.slowest_engine_factor
         chunk_count = math.floor(
@@ -138,9 +153,10 @@
         if self._shortest_target is None:
             return settings.max_interactive_streams
         time_per_step = self._shortest_target.total_seconds() / event_tokens
-        chunk_time = settings.chunk_tokens / settings.prefill_rate
-        spare = (time_per_step - chunk_time -
-                 settings.step_time) / settings.stream_step_time
+        profile = self._table.find_profile(self._service)
+        spare = (
+            (time_per_step - profile.find_chunk_time() - profile.step_time) /
+            max(profile.stream_step_time, _MIN_STREAM_TIME))
         return min(max(spare, settings.min_interactive_streams),
                    settings.max_interactive_streams)
 
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -160,7 +160,7 @@
         partition = self._partitions.get(service)
         if partition is None:
             partition = engine_partition.EnginePartition(
-                self._clock, self._loads, self._settings)
+                self._clock, self._loads, self._settings, self._table, service)
             self._partitions[service] = partition
         return partition
 
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -8,25 +8,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlacementSettings:
-    """Parameters of the engines and weights of the placement costs.
+    """Limits and weights of the placement costs.
 
-    Costs are in seconds. The targets are those of the request being placed. An
-    interactive stream has a short prompt and an inter-event target of at most
+    The speed of the engines comes from their profiles. Costs are in seconds.
+    The targets are those of the request being placed. An interactive stream has
+    a short prompt and an inter-event target of at most
     `max_interactive_interval`.
 
     Attributes:
-        prefill_rate: Prompt tokens that an engine prefills per second; the
-            users' data sheets state 48,200 and 55,000.
         long_prompt_tokens: Length from which a prompt is long: its prefill
             delays other streams' tokens by more than the inter-event target of
             an interactive stream; two chunks of 2,048 tokens.
         max_interactive_interval: Maximum inter-event target of an interactive
             stream; the prefill of a long prompt takes longer.
         chunk_tokens: Prompt tokens that an engine prefills in one step.
-        step_time: Seconds of a step without prefill, from the data sheets.
-        stream_step_time: Seconds that each stream adds to a step.
         slowest_engine_factor: Step time of the slowest engines relative to the
-            data sheets: steps of 50 to 60 ms were seen where they state 45.
+            mean: steps of 50 to 60 ms were seen where the mean was 45.
         min_interactive_streams: Minimum number of interactive streams for which
             one engine is reserved, however short their targets are.
         max_interactive_streams: Maximum number of interactive streams for which
@@ -87,13 +84,10 @@
             tier may fill all.
     """
 
-    prefill_rate: float = 50_000.0
     long_prompt_tokens: int = 4096
     max_interactive_interval: datetime.timedelta = datetime.timedelta(
         milliseconds=500)
     chunk_tokens: int = 2048
-    step_time: float = 0.0029
-    stream_step_time: float = 0.0001
     slowest_engine_factor: float = 1.15
     min_interactive_streams: int = 10
     max_interactive_streams: int = 20
--- a/mustardwood/profiles/engine_profile.py
+++ b/mustardwood/profiles/engine_profile.py
@@ -76,6 +76,15 @@
         return (self.step_time + self.stream_step_time * requests +
                 self.context_step_time * held_tokens / _TOKENS_PER_CONTEXT_UNIT)
 
+    def find_chunk_time(self) -> float:
+        """Returns how many seconds a chunk takes at least, of the usual size.
+
+        An engine may prefill larger chunks, which is measured. The measured
+        time may be too short, because the VM learns late that an engine has
+        ended a prefill.
+        """
+        return max(self.chunk_time, CHUNK_TOKENS / self.prefill_rate)
+
     def find_batch_time(self, prefill_tokens: int, requests: int) -> float:
         """Returns by how many seconds a batch prolongs the prefill of a prompt.
 
