--- a/mustardwood/benchmarks/hedging/plain_endpoint.py
+++ b/mustardwood/benchmarks/hedging/plain_endpoint.py
@@ -6,6 +6,7 @@
 
 from mustardwood.benchmarks import timeline as timeline_module
 from mustardwood.benchmarks.streams import run as run_module
+from mustardwood.dispatch import service_request
 
 _MIN_SECONDS = 0.015
 _MAX_SECONDS = 0.030
@@ -44,6 +45,11 @@
         self._factor = 1.0
         self._stalled_until = 0.0
 
+    def count_output_tokens(self,
+                            request: service_request.ServiceRequest) -> int:
+        """See `modelled_endpoint.ModelledEndpoint`."""
+        return request.prompt.output_tokens
+
     def submit(self, run: run_module.Run) -> bool:
         """Queues a request; returns False if the queue is full."""
         if len(self._waiting) >= _MAX_WAITING:
--- a/mustardwood/benchmarks/hedging/replay.py
+++ b/mustardwood/benchmarks/hedging/replay.py
@@ -98,7 +98,7 @@
             modelled_vm.ModelledVm(f"vm-{number}", self._scheduler,
                                    self._endpoints, profile.parameters,
                                    dispatch.PlacementSettings(), profile.vms,
-                                   random.Random(seed + number), settings)
+                                   random.Random(seed + number), None, settings)
             for number in range(profile.vms)
         ]
         self._callers: list[_Caller] = []
--- a/mustardwood/benchmarks/streams/modelled_endpoint.py
+++ b/mustardwood/benchmarks/streams/modelled_endpoint.py
@@ -3,6 +3,7 @@
 import typing
 
 from mustardwood.benchmarks.streams import run as run_module
+from mustardwood.dispatch import service_request
 
 
 class ModelledEndpoint(typing.Protocol):
@@ -16,6 +17,10 @@
     version: str
     busy_seconds: float
 
+    def count_output_tokens(self,
+                            request: service_request.ServiceRequest) -> int:
+        """Returns the length of the complete response in tokens."""
+
     def submit(self, run: run_module.Run) -> bool:
         """Queues a request; returns False if the queue is full."""
 
--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -5,11 +5,13 @@
 
 from mustardwood import dispatch
 from mustardwood import hedging
+from mustardwood import profiles
 from mustardwood.benchmarks.streams import engine_client
 from mustardwood.benchmarks.streams import engine_parameters
 from mustardwood.benchmarks.streams import modelled_endpoint
 from mustardwood.benchmarks.streams import null_objects
 from mustardwood.benchmarks.streams import scheduler as scheduler_module
+from mustardwood.profiles import response_observer
 
 SERVICE = "engines"
 """Name of the only service."""
@@ -26,6 +28,7 @@
         name: Name of the VM.
         context: Objects of `dispatch` that the requests of the VM share.
         hedging: Limits and counts of its hedged requests.
+        learned: What it has learned of the engines.
     """
 
     def __init__(
@@ -38,9 +41,14 @@
         settings: dispatch.PlacementSettings,
         vms: int,
         rng: random.Random,
+        fixed_profile: profiles.EngineProfile | None,
         hedge_settings: hedging.HedgeSettings = (hedging.HedgeSettings())
     ) -> None:
         self.name = name
+        self.learned = profiles.EngineProfiles(scheduler)
+        self._table: profiles.ProfileTable = (
+            self.learned
+            if fixed_profile is None else profiles.FixedProfiles(fixed_profile))
         notices = dispatch.EndpointNotices(name, scheduler)
         self._service = dispatch.ServiceParameters(SERVICE,
                                                    parameters.memory_tokens,
@@ -67,11 +75,11 @@
             rate_limits=rate_limits,
             pauses=pauses,
             admission=dispatch.TierAdmission(scheduler, loads, rate_limits,
-                                             settings),
+                                             settings, self._table),
             placement=dispatch.Placement("zone", scheduler, loads, health,
                                          prefix_index, rate_limits, pauses,
-                                         settings, lambda _: self._service,
-                                         rng),
+                                         settings, lambda _: self._service, rng,
+                                         self._table),
             retry_budgets=dispatch.ServiceRetryBudgets(rng, _RETRY_RATIO,
                                                        _RETRY_BURST,
                                                        lambda: vms),
@@ -81,6 +89,9 @@
             metrics=null_objects.NullMetrics(),
             streams=dispatch.StreamVersionTable(scheduler),
             version_record=null_objects.SingleVersionRecord(),
+            observer=response_observer.ResponseObserver(
+                self._table, scheduler, loads, health, rate_limits,
+                lambda _: self._service),
             hedging=self.hedging)
 
     def _take_hedge(self, service: str) -> bool:
@@ -102,6 +113,7 @@
                                            self.context.loads.list_own_loads())
         other.context.admission.set_peer_demands(
             self.name, self.context.admission.list_demands())
+        other.learned.set_peer_reports(self.name, self.learned.list_reports())
         for engine, prefix_key in self.context.prefix_caches.list_moves():
             other.context.prefix_caches.record_prefix(engine, prefix_key)
 
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -9,6 +9,7 @@
 import random
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood.benchmarks import timeline as timeline_module
 from mustardwood.benchmarks.streams import engine_parameters
 from mustardwood.benchmarks.streams import modelled_caller
@@ -52,6 +53,23 @@
     factor: float
 
 
+@dataclasses.dataclass(frozen=True)
+class SpeedChange:
+    """A period in which an engine runs at another speed.
+
+    Attributes:
+        engine: Number of the engine.
+        start: Start of the period, in seconds.
+        end: End of the period, in seconds.
+        speed: Speed relative to that before and after.
+    """
+
+    engine: int
+    start: float
+    end: float
+    speed: float
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadProfile:
     """Traffic, faults and size of a simulated fleet.
@@ -76,6 +94,9 @@
         parameters: Speed and capacity of the engines.
         max_slowdown: Slowdown factor of the slowest engine; those of the other
             engines are spread evenly from 1.
+        speeds: Speeds relative to the parameters, which the engines have in
+            turn.
+        speed_changes: Periods in which engines run at another speed.
     """
 
     kinds: tuple[stream_kind.StreamKind, ...] = stream_kind.ACCOUNTING_TRAFFIC
@@ -92,6 +113,8 @@
     parameters: engine_parameters.EngineParameters = (
         engine_parameters.EngineParameters())
     max_slowdown: float = 1.15
+    speeds: tuple[float, ...] = (1.0,)
+    speed_changes: tuple[SpeedChange, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,18 +158,29 @@
     starved: tuple[tuple[str, float], ...]
 
 
-def simulate_load(profile: LoadProfile,
-                  settings: dispatch.PlacementSettings = (
-                      dispatch.PlacementSettings()),
-                  seed: int = 1) -> Outcome:
-    """Simulates a load with the real code of `dispatch`."""
-    return _Simulation(profile, settings, seed).run()
+def simulate_load(
+        profile: LoadProfile,
+        settings: dispatch.PlacementSettings = (dispatch.PlacementSettings()),
+        seed: int = 1,
+        fixed_profile: profiles.EngineProfile | None = None) -> Outcome:
+    """Simulates a load with the real code of `dispatch`.
+
+    Args:
+        profile: The load.
+        settings: Settings of the placement.
+        seed: Seed of the random numbers.
+        fixed_profile: Speed that the VMs assume of all engines; None if they
+            learn it from the responses.
+    """
+    return _Simulation(profile, settings, seed, fixed_profile).run()
 
 
 class _Simulation:
 
     def __init__(self, profile: LoadProfile,
-                 settings: dispatch.PlacementSettings, seed: int) -> None:
+                 settings: dispatch.PlacementSettings, seed: int,
+                 fixed_profile: profiles.EngineProfile | None) -> None:
+        self._fixed_profile = fixed_profile
         self._profile = profile
         self._rng = random.Random(seed)
         self._organisation_rng = random.Random(seed)
@@ -164,6 +198,8 @@
                     profile.versions[number % len(profile.versions)])
             for number in range(profile.engines)
         }
+        for number in range(profile.engines):
+            self._set_speed(number, 1.0)
         self._settings = settings
         self._seed = seed
         self._vms = [self._make_vm(number) for number in range(profile.vms)]
@@ -184,7 +220,8 @@
         return modelled_vm.ModelledVm(f"vm-{number}", self._scheduler,
                                       self._engines, profile.parameters,
                                       self._settings, profile.vms,
-                                      random.Random(self._seed + number))
+                                      random.Random(self._seed + number),
+                                      self._fixed_profile)
 
     def run(self) -> Outcome:
         """Runs the simulation until all requests have ended."""
@@ -199,6 +236,11 @@
             self._timeline.call_at(
                 departure_time,
                 functools.partial(self._remove_engine, f"engine-{number}"))
+        for change in profile.speed_changes:
+            for at, speed in ((change.start, change.speed), (change.end, 1.0)):
+                self._timeline.call_at(
+                    at, functools.partial(self._set_speed, change.engine,
+                                          speed))
         for number, loss_time in enumerate(profile.vm_losses):
             self._timeline.call_at(
                 loss_time, functools.partial(self._lose_vm,
@@ -210,6 +252,11 @@
         self._timeline.run_until(profile.seconds + _DRAIN_SECONDS)
         return self._compute_outcome()
 
+    def _set_speed(self, number: int, speed: float) -> None:
+        speeds = self._profile.speeds
+        self._engines[f"engine-{number}"].set_speed(
+            speeds[number % len(speeds)] * speed)
+
     def _remove_engine(self, name: str) -> None:
         for vm in self._vms:
             vm.context.directory.remove_endpoint(name)
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -33,6 +33,7 @@
 from mustardwood.dispatch.forwarding_context import Metrics
 from mustardwood.dispatch.forwarding_context import NoRequestCounter
 from mustardwood.dispatch.forwarding_context import RequestCounter
+from mustardwood.dispatch.forwarding_context import ResponseObserver
 from mustardwood.dispatch.forwarding_context import Scheduler
 from mustardwood.dispatch.forwarding_context import Timer
 from mustardwood.dispatch.freshness_proof import FreshnessProof
@@ -40,6 +41,7 @@
 from mustardwood.dispatch.load_table import PEER_REPORT_LIFETIME
 from mustardwood.dispatch.organisation import Organisation
 from mustardwood.dispatch.pause_statement import PauseStatement
+from mustardwood.dispatch.placement import Choice
 from mustardwood.dispatch.placement import Placement
 from mustardwood.dispatch.placement_limit import PlacementLimit
 from mustardwood.dispatch.placement_queue import PlacementQueue
@@ -74,6 +76,7 @@
     "Attempt",
     "AttemptListener",
     "Caller",
+    "Choice",
     "CrashBlock",
     "CrashRecord",
     "TierDemand",
@@ -116,6 +119,7 @@
     "RequestCounter",
     "RateStatement",
     "Refusal",
+    "ResponseObserver",
     "RetryAfterPolicy",
     "RetryBudget",
     "RetryPolicy",
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -7,6 +7,7 @@
 import math
 import random
 
+from mustardwood import profiles
 from mustardwood import timing
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
@@ -67,16 +68,22 @@
            increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
     """
 
-    def __init__(self, zone: str, clock: timing.Clock,
-                 loads: load_table.LoadTable,
-                 health: endpoint_health.EndpointHealth,
-                 prefix_caches: prefix_cache_index.PrefixCacheIndex,
-                 rate_limits: endpoint_rate_limits.EndpointRateLimits,
-                 pauses: endpoint_pauses.EndpointPauses,
-                 settings: placement_settings.PlacementSettings,
-                 find_service: collections.abc.Callable[
-                     [str], service_parameters.ServiceParameters],
-                 rng: random.Random) -> None:
+    def __init__(
+        self,
+        zone: str,
+        clock: timing.Clock,
+        loads: load_table.LoadTable,
+        health: endpoint_health.EndpointHealth,
+        prefix_caches: prefix_cache_index.PrefixCacheIndex,
+        rate_limits: endpoint_rate_limits.EndpointRateLimits,
+        pauses: endpoint_pauses.EndpointPauses,
+        settings: placement_settings.PlacementSettings,
+        find_service: collections.abc.Callable[
+            [str], service_parameters.ServiceParameters],
+        rng: random.Random,
+        table: profiles.ProfileTable = profiles.FixedProfiles()
+    ) -> None:
+        self._table = table
         self._zone = zone
         self._clock = clock
         self._loads = loads
@@ -131,7 +138,9 @@
     def estimate_prefill_time(self, choice: Choice) -> datetime.timedelta:
         """Returns how long the prompt and those before it take to prefill."""
         tokens = choice.known_load.prefill_tokens + choice.load.prefill_tokens
-        return datetime.timedelta(seconds=tokens / self._settings.prefill_rate)
+        profile = self._table.find_profile(choice.endpoint.service,
+                                           choice.endpoint.incarnation)
+        return datetime.timedelta(seconds=tokens / profile.prefill_rate)
 
     def find_long_prompt_engines(self, service: str,
                                  usable: _Endpoints) -> frozenset[str]:
@@ -159,7 +168,7 @@
         partition = self._partitions.get(service)
         if partition is None:
             partition = engine_partition.EnginePartition(
-                self._clock, self._loads, self._settings)
+                self._clock, self._loads, self._settings, self._table, service)
             self._partitions[service] = partition
         return partition
 
@@ -191,7 +200,7 @@
             request.prompt.prefix_key or request.request_id, is_long)
         holders = self._prefix_caches.list_holders(request) | {preferred}
         costs = prompt_cost.PromptCost(
-            request, self._settings,
+            request, self._settings, self._table,
             self._loads, holders, pool.long_prompt_engines,
             self._find_cache_weight(request), parameters.memory_tokens,
             self._find_partition(request.service).find_max_prefill_duration(
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -8,25 +8,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlacementSettings:
-    """Parameters of the engines and weights of the placement costs.
+    """Limits and weights of the placement costs.
 
-    Costs are in seconds. The targets are those of the request being placed. An
-    interactive stream has a short prompt and an inter-event target of at most
+    The speed of the engines comes from their profiles. Costs are in seconds.
+    The targets are those of the request being placed. An interactive stream has
+    a short prompt and an inter-event target of at most
     `max_interactive_interval`.
 
     Attributes:
-        prefill_rate: Prompt tokens that an engine prefills per second; the
-            users' data sheets state 48,200 and 55,000.
         long_prompt_tokens: Length from which a prompt is long: its prefill
             delays other streams' tokens by more than the inter-event target of
             an interactive stream; two chunks of 2,048 tokens.
         max_interactive_interval: Maximum inter-event target of an interactive
             stream; the prefill of a long prompt takes longer.
         chunk_tokens: Prompt tokens that an engine prefills in one step.
-        step_time: Seconds of a step without prefill, from the data sheets.
-        stream_step_time: Seconds that each stream adds to a step.
         slowest_engine_factor: Step time of the slowest engines relative to the
-            data sheets: steps of 50 to 60 ms were seen where they state 45.
+            mean: steps of 50 to 60 ms were seen where the mean was 45.
         min_interactive_streams: Minimum number of interactive streams for which
             one engine is reserved, however short their targets are.
         max_interactive_streams: Maximum number of interactive streams for which
@@ -62,12 +59,11 @@
         max_queued_requests: Number of requests in excess of its slots that an
             engine may have before it is given one of the most urgent tier; the
             users' engines queue 24 or more.
-        max_prefill_tokens: Maximum number of prompt tokens that wait on an
-            engine when a long prompt of the least urgent tier is sent there.
-            They take 0.3 seconds, so that the other prompts can still be
-            reordered by the router and a new interactive stream on the engine
-            starts soon.
-        urgent_prefill_factor: Factor on `max_prefill_tokens` for the most
+        max_prefill_time: Seconds in which an engine prefills the prompts that
+            wait there at most when a long prompt of the least urgent tier is
+            sent to it, so that the other prompts can still be reordered by the
+            router and a new interactive stream on the engine starts soon.
+        urgent_prefill_factor: Factor on `max_prefill_time` for the most
             urgent tier, whose prompts the engine prefills before those that
             wait there.
         min_duration_factor: Factor on the longest continuous prefill for the
@@ -88,13 +84,10 @@
             tier may fill all.
     """
 
-    prefill_rate: float = 50_000.0
     long_prompt_tokens: int = 4096
     max_interactive_interval: datetime.timedelta = datetime.timedelta(
         milliseconds=500)
     chunk_tokens: int = 2048
-    step_time: float = 0.0029
-    stream_step_time: float = 0.0001
     slowest_engine_factor: float = 1.15
     min_interactive_streams: int = 10
     max_interactive_streams: int = 20
@@ -112,7 +105,7 @@
     failure_cost: float = 2.0
     min_slot_share: float = 0.9
     max_queued_requests: int = 16
-    max_prefill_tokens: int = 15_000
+    max_prefill_time: float = 0.3
     urgent_prefill_factor: float = 3.0
     min_duration_factor: float = 0.75
     max_gap_wait_targets: float = 1.0
