--- a/mustardwood/hedging/first_byte_times.py
+++ b/mustardwood/hedging/first_byte_times.py
@@ -3,11 +3,13 @@
 import collections
 import dataclasses
 import datetime
-
-from hdrh import histogram as hdr
+import typing
 
 from mustardwood import timing
 
+if typing.TYPE_CHECKING:
+    from hdrh import histogram as hdr
+
 _UNIT = datetime.timedelta(microseconds=100)
 """Unit of the values in the histograms."""
 _HIGHEST_UNITS = 600_000
@@ -41,8 +43,8 @@
     place, so that it always covers at least the last `_WINDOW`.
     """
 
-    older: hdr.HdrHistogram
-    newer: hdr.HdrHistogram
+    older: "hdr.HdrHistogram"
+    newer: "hdr.HdrHistogram"
     newer_started_at: datetime.timedelta
     quantile: datetime.timedelta | None = None
     median: datetime.timedelta | None = None
@@ -117,11 +119,13 @@
         return found
 
 
-def _make_histogram() -> hdr.HdrHistogram:
-    return hdr.HdrHistogram(1, _HIGHEST_UNITS, _SIGNIFICANT_DIGITS)
+def _make_histogram() -> "hdr.HdrHistogram":
+    # Processes without hedged requests start sooner without the import.
+    from hdrh import histogram
+    return histogram.HdrHistogram(1, _HIGHEST_UNITS, _SIGNIFICANT_DIGITS)
 
 
-def _find_value(histogram: hdr.HdrHistogram,
+def _find_value(histogram: "hdr.HdrHistogram",
                 quantile: float) -> datetime.timedelta:
     return histogram.get_value_at_percentile(quantile * 100) * _UNIT
 
