Count much slower engines in part, and admit no tier before a more urgent one

An engine that is five times slower for some seconds still counted as one in the capacity.

While a tier was refused for its minimum time, the next one was admitted because the engines had free slots. Only the most urgent tier that is refused is admitted now.

--- a/mustardwood/dispatch/tests/test_tier_admission.py
+++ b/mustardwood/dispatch/tests/test_tier_admission.py
@@ -7,6 +7,7 @@
 import pytest
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood.dispatch.tests import harness as harness_module
 
 ms = harness_module.ms
@@ -242,3 +243,52 @@
     harness.start(
         harness_module.make_stream_request(harness, inter_event_target=ms(400)))
     assert not harness.client.sent
+
+
+def _learn_speed(harness, factor, endpoint=None):
+    """Feeds responses of engines that are slower than the prior by a factor."""
+    endpoints = [endpoint] if endpoint else harness.list_usable()
+    truth = profiles.PRIOR.slow_down(factor)
+    state = profiles.EngineState(8, 0, 0, 64)
+    for _ in range(100):
+        harness.scheduler.advance(ms(50))
+        for each in endpoints:
+            engine = profiles.ProfiledEngine(each.service, each.incarnation,
+                                             each.version)
+            harness.profiles.record_events(engine, 6, state, False,
+                                           6 * truth.estimate_step(8, 0))
+            harness.profiles.record_first_event(
+                engine, 5_000, 0, state, truth.estimate_first_token(5_000, 8))
+
+
+def test_tiers_are_not_refused_while_half_of_the_slots_of_fast_engines_are_free(
+):
+    # Engines three times as fast as the prior: by the constants, the demand is
+    # overestimated by a factor of three.
+    admitted = []
+    for factor in (1.0, 1 / 3):
+        harness = harness_module.Harness(endpoints=1)
+        _learn_speed(harness, factor)
+        # The slots are half full now and then, so that the engines do not count
+        # as lightly loaded.
+        _fill(harness)
+        _send(harness, 0, 100, ms(75))
+        admitted.append(_send(harness, 2, 10, ms(75)))
+    assert admitted == [0, 10]
+
+
+def test_engine_that_is_five_times_slower_counts_as_a_fifth_until_it_is_fast():
+    harness = harness_module.Harness(endpoints=2)
+    _learn_speed(harness, 1.0)
+    _fill(harness)
+    slow = harness.list_usable()[0]
+    _learn_speed(harness, 5.0, slow)
+    _send(harness, 0, 100, ms(100))
+    assert _send(harness, 2, 5, ms(100)) == 0
+    harness = harness_module.Harness(endpoints=2)
+    _learn_speed(harness, 1.0)
+    _fill(harness)
+    _learn_speed(harness, 5.0, slow)
+    _learn_speed(harness, 1.0, slow)
+    _send(harness, 0, 100, ms(100))
+    assert _send(harness, 2, 5, ms(100)) == 5
--- a/mustardwood/dispatch/tier_admission.py
+++ b/mustardwood/dispatch/tier_admission.py
@@ -5,6 +5,7 @@
 import dataclasses
 import datetime
 import math
+import statistics
 
 from mustardwood import profiles
 from mustardwood import timing
@@ -41,6 +42,11 @@
 """Share of the slots up to which engines are lightly loaded."""
 _LIGHT_LOAD_TIME = datetime.timedelta(seconds=1)
 """Time for which they are until one more tier is admitted."""
+_SLOW = 1.5
+"""Factor from which an engine is much slower than the others.
+
+The demand is in engines of the mean speed, so that small differences count.
+"""
 _MIN_WEIGHT = 0.5
 """Minimum weight of the time since the start in the demand."""
 
@@ -164,7 +170,11 @@
             self._light_loads.pop(service, None)
         else:
             is_light = self._are_lightly_loaded(service, usable)
-            if tier == first_refused and is_light:
+            most_urgent = min(
+                (first_refused,
+                 *(each for (name, each), until in self._refused_until.items()
+                   if name == service and until > now)))
+            if tier == most_urgent and is_light:
                 return True
             if tier >= first_refused:
                 self._refused_until[service, tier] = now + _MIN_REFUSAL_TIME
@@ -219,15 +229,28 @@
         return tier + 1 if left <= 0.0 else None
 
     def _find_capacity(self, usable: _Endpoints) -> float:
-        """Returns the number of engines; a rate limit leaves a part of one."""
+        """Returns the number of engines of the usual speed.
+
+        An engine that is much slower than the others counts as a part of one,
+        as does one with a rate limit. Under overload, all engines seem to be
+        slower than the service's profile, which must not refuse more tiers.
+        """
+        slowdowns = [
+            self._table.find_profile(each.service, each.incarnation).slowdown
+            for each in usable
+        ]
+        usual = statistics.median_low(slowdowns)
+        speeds = [
+            usual / each if each > _SLOW * usual else 1.0 for each in slowdowns
+        ]
         if not self._rate_limits.limited_count or self._own_rate <= 0.0:
-            return len(usable)
+            return sum(speeds)
         mean_time = sum(self._own.values()) / self._own_rate
         limits = [self._rate_limits.find_limit(each) for each in usable]
         return sum(
-            1.0 if limit is None else min(1.0,
-                                          max(limit, _MIN_RATE) * mean_time)
-            for limit in limits)
+            speed if limit is None else min(speed,
+                                            max(limit, _MIN_RATE) * mean_time)
+            for speed, limit in zip(speeds, limits))
 
     def _are_lightly_loaded(self, service: str, usable: _Endpoints) -> bool:
         """Returns whether the engines have had free slots for some time.
