Limit the time of prompts in flight on fast engines only, and log profiles

0.3 s of prefill are less than one long prompt on engines at half speed, and these idled between two prompts.

--- a/mustardwood/benchmarks/streams/__main__.py
+++ b/mustardwood/benchmarks/streams/__main__.py
@@ -25,7 +25,7 @@
                             min_reserved_share=0.5,
                             max_reserved_share=0.5),
     "no bound on prompts in flight":
-        dataclasses.replace(_DEFAULTS, max_prefill_time=10**6),
+        dataclasses.replace(_DEFAULTS, min_prefill_tokens=10**9),
     "reading again costs nothing":
         dataclasses.replace(_DEFAULTS, cache_miss_streams=0.0),
 }
--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -129,6 +129,7 @@
             events exceeded the target.
         failed: Number of requests without a complete response.
         prefilled_tokens: Number of prompt tokens that engines prefilled.
+        prefilled_by_engine: The same of each engine.
         preemptions: Number of requests that engines preempted.
         inverted_preemptions: Number of them while a less urgent request ran.
         served_share_by_kind: Share of the requests of a kind with a complete
@@ -148,6 +149,7 @@
     late_pauses: int
     failed: int
     prefilled_tokens: int
+    prefilled_by_engine: tuple[int, ...]
     preemptions: int
     inverted_preemptions: int
     served_share_by_kind: dict[str, float]
@@ -373,6 +375,8 @@
             failed=sum(not each.caller.is_complete for each in self._callers),
             prefilled_tokens=sum(
                 each.prefilled_tokens for each in self._engines.values()),
+            prefilled_by_engine=tuple(
+                each.prefilled_tokens for each in self._engines.values()),
             preemptions=sum(
                 each.preemptions for each in self._engines.values()),
             inverted_preemptions=sum(
--- a/mustardwood/benchmarks/streams/tests/test_simulation.py
+++ b/mustardwood/benchmarks/streams/tests/test_simulation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from mustardwood import dispatch
+from mustardwood import profiles
 from mustardwood.benchmarks.streams import engine_parameters
 from mustardwood.benchmarks.streams import simulation
 from mustardwood.benchmarks.streams import stream_kind
@@ -146,3 +147,31 @@
                                   engines=engines,
                                   peer_update_interval=peer_update_interval)
     assert not simulation.simulate_load(profile).starved
+
+
+def test_third_of_the_engines_that_is_slower_gets_less():
+    profile = dataclasses.replace(simulation.LoadProfile(),
+                                  seconds=12.0,
+                                  max_slowdown=1.0,
+                                  speeds=(1.0, 1.0, 1.0 / 1.3))
+    learned = simulation.simulate_load(profile)
+    fixed = simulation.simulate_load(profile, fixed_profile=profiles.PRIOR)
+    shares = [
+        sum(tokens[2::3]) / sum(tokens)
+        for tokens in (learned.prefilled_by_engine, fixed.prefilled_by_engine)
+    ]
+    assert shares[0] < shares[1]
+
+
+@pytest.mark.parametrize("speed", (0.5, 3.0))
+def test_wrong_prior_costs_little_against_the_right_constants(speed):
+    # Engines of another speed than the constants', with the same capacity.
+    profile = dataclasses.replace(simulation.LoadProfile(),
+                                  seconds=8.0,
+                                  engines=round(6 / speed),
+                                  speeds=(speed,))
+    learned = simulation.simulate_load(profile)
+    right = simulation.simulate_load(profile,
+                                     fixed_profile=profiles.PRIOR.slow_down(
+                                         1 / speed))
+    assert learned.credit_share >= right.credit_share - 0.02
--- a/mustardwood/dispatch/engine_limits.py
+++ b/mustardwood/dispatch/engine_limits.py
@@ -28,6 +28,7 @@
             own queue.
         prefill_time: Seconds in which an engine prefills the prompts that wait
             there at most when a long prompt is sent to it.
+        prefill_tokens: Number of prompt tokens up to which that does not apply.
         memory_share: Share of the KV cache that requests may fill.
         prefill_duration_factor: Factor on the longest continuous prefill of an
             engine with interactive streams.
@@ -36,6 +37,7 @@
     slot_share: float
     queued_requests: float
     prefill_time: float
+    prefill_tokens: float
     memory_share: float
     prefill_duration_factor: float
 
@@ -49,13 +51,22 @@
             urgency: Urgency of the request, from 0 for the least urgent tier to
                 1 for the most urgent one.
         """
-        return cls(
-            _interpolate(settings.min_slot_share, 1.0, urgency),
-            _interpolate(0.0, settings.max_queued_requests, urgency),
-            settings.max_prefill_time *
-            _interpolate(1.0, settings.urgent_prefill_factor, urgency),
-            _interpolate(settings.min_memory_share, 1.0, urgency),
-            _interpolate(settings.min_duration_factor, 1.0, urgency))
+        prefill_factor = _interpolate(1.0, settings.urgent_prefill_factor,
+                                      urgency)
+        return cls(_interpolate(settings.min_slot_share, 1.0, urgency),
+                   _interpolate(0.0, settings.max_queued_requests, urgency),
+                   settings.max_prefill_time * prefill_factor,
+                   settings.min_prefill_tokens * prefill_factor,
+                   _interpolate(settings.min_memory_share, 1.0, urgency),
+                   _interpolate(settings.min_duration_factor, 1.0, urgency))
+
+    def find_max_prefill(self, prefill_rate: float) -> float:
+        """Returns the maximum number of prompt tokens that wait on an engine.
+
+        Args:
+            prefill_rate: Prompt tokens that it prefills per second.
+        """
+        return max(self.prefill_time * prefill_rate, self.prefill_tokens)
 
     def find_max_requests(self, slots: int) -> int:
         """Returns the maximum number of requests of an engine.
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import datetime
 import math
 import random
 
@@ -41,6 +42,9 @@
         is_cached: Whether it probably has the shared prefix in its cache.
         load: The load that the request adds there.
         known_load: The load that was known to be there before.
+        expected_first_token: Time in which the first token is expected, by the
+            engine's profile; 0 for a plain service.
+        slowdown: Factor of the engine's times on those of its service.
     """
 
     endpoint: endpoint_module.Endpoint
@@ -49,6 +53,8 @@
     is_cached: bool
     load: endpoint_load.EndpointLoad
     known_load: endpoint_load.EndpointLoad = _IDLE
+    expected_first_token: datetime.timedelta = datetime.timedelta()
+    slowdown: float = 1.0
 
 
 class Placement:
@@ -213,9 +219,15 @@
                     if limits else placement_limit.PlacementLimit.NO_ENDPOINT)
         if costs.should_wait(best):
             return placement_limit.PlacementLimit.PREFILL
-        return Choice(best, least_cost, best.name == preferred, best.name
-                      in holders, costs.find_added_load(best),
-                      self._loads.find_load(best.name))
+        added, known = costs.find_added_load(best), self._loads.find_load(
+            best.name)
+        profile = self._table.find_profile(best.service, best.incarnation)
+        return Choice(
+            best, least_cost, best.name == preferred, best.name in holders,
+            added, known,
+            profile.estimate_first_token(
+                known.prefill_tokens + added.prefill_tokens,
+                known.requests), profile.slowdown)
 
     def _record_targets(self, request: service_request.ServiceRequest) -> None:
         """Tells the partition which targets interactive streams have.
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -63,7 +63,10 @@
             wait there at most when a long prompt of the least urgent tier is
             sent to it, so that the other prompts can still be reordered by the
             router and a new interactive stream on the engine starts soon.
-        urgent_prefill_factor: Factor on `max_prefill_time` for the most
+        min_prefill_tokens: Number of tokens up to which this limit does not
+            apply. On an engine at half speed, 0.3 seconds are less than one
+            long prompt, and the engine idled between two of them.
+        urgent_prefill_factor: Factor on these two limits for the most
             urgent tier, whose prompts the engine prefills before those that
             wait there.
         min_duration_factor: Factor on the longest continuous prefill for the
@@ -106,6 +109,7 @@
     min_slot_share: float = 0.9
     max_queued_requests: int = 16
     max_prefill_time: float = 0.3
+    min_prefill_tokens: int = 15_000
     urgent_prefill_factor: float = 3.0
     min_duration_factor: float = 0.75
     max_gap_wait_targets: float = 1.0
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -93,10 +93,11 @@
                 load.held_tokens + tokens + self._request.prompt.output_tokens
                 > self._memory_limit):
             return placement_limit.PlacementLimit.MEMORY
-        prefill_rate = self._find_prefill_rate(endpoint)
+        profile = self._find_profile(endpoint)
+        prefill_rate = profile.prefill_rate
         cost = ((load.prefill_tokens + tokens +
                  self._cache_miss_streams * missing) / prefill_rate +
-                load.requests * self._stream_cost)
+                load.requests * self._stream_cost * profile.slowdown)
         if load.requests >= endpoint.slots:
             cost += (settings.queue_cost * (load.requests + 1) /
                      max(1, endpoint.slots))
@@ -135,11 +136,13 @@
             return True
         return (self._is_long and load.prefill_tokens > 0 and
                 load.prefill_tokens + added_tokens
-                > self._limits.prefill_time * self._find_prefill_rate(endpoint))
+                > self._limits.find_max_prefill(
+                    self._find_profile(endpoint).prefill_rate))
 
-    def _find_prefill_rate(self, endpoint: endpoint_module.Endpoint) -> float:
-        return self._profile_table.find_profile(
-            self._request.service, endpoint.incarnation).prefill_rate
+    def _find_profile(
+            self, endpoint: endpoint_module.Endpoint) -> profiles.EngineProfile:
+        return self._profile_table.find_profile(endpoint.service,
+                                                endpoint.incarnation)
 
     def _disturbs_reserved_engine(self, endpoint: endpoint_module.Endpoint,
                                   load: endpoint_load.EndpointLoad) -> bool:
@@ -168,7 +171,7 @@
                 load.prefill_tokens < settings.chunk_tokens):
             return False
         remaining = ((load.prefill_tokens + added_tokens) /
-                     self._find_prefill_rate(endpoint))
+                     self._find_profile(endpoint).prefill_rate)
         duration = self._table.find_prefill_duration(
             endpoint.name).total_seconds() + remaining
         return duration > (self._max_prefill_duration.total_seconds() *
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -110,6 +110,8 @@
             "engine_prefill_tokens": attempt.choice.known_load.prefill_tokens,
             "engine_slots": endpoint.slots,
             "rate_limit": rate_limit,
+            "expected_first_ms": _to_ms(attempt.choice.expected_first_token),
+            "engine_slowdown": round(attempt.choice.slowdown, 2),
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
--- a/mustardwood/profiles/engine_profiles.py
+++ b/mustardwood/profiles/engine_profiles.py
@@ -32,6 +32,8 @@
 """Longest gap that counts; the stream was preempted or stalled otherwise."""
 _LOGGED_CHANGE = 1.25
 """Factor from which a change of a service's profile is logged."""
+_SLOW = 1.5
+"""Factor from which an engine counts as slow in the metrics."""
 _LOGGED_BATCH = 8
 """Number of requests in the batch whose steps are compared."""
 _MAX_REJECTED_PEERS = 1024
@@ -108,6 +110,12 @@
         self._drop_old_speeds()
         return len(self._speeds)
 
+    @property
+    def slow_count(self) -> int:
+        """Number of engines that are much slower than their service."""
+        self._drop_old_speeds()
+        return sum(each.slowdown >= _SLOW for each in self._speeds.values())
+
     def record_first_event(self, engine: profiled_engine.ProfiledEngine,
                            own_tokens: int, missing_tokens: int,
                            state: engine_state.EngineState,
