Stop repeating an acquiring write that was refused

Cause: the 412 for the repeat of a lost write did nothing, and check_time in the same event wrote again, as fast as the store answered.

Change: after such a refusal nothing more is written in the attempt, and its lease is renewed for one further lease only, while the watch may still show the key.

--- a/mustardwood/leadership/leader_election.py
+++ b/mustardwood/leadership/leader_election.py
@@ -89,6 +89,7 @@
         self._failures = 0
         self._is_write_pending = False
         self._was_write_lost = False
+        self._refused_at: datetime.timedelta | None = None
         self._acquired_at = datetime.timedelta()
         self._term_token = 0
 
@@ -119,7 +120,7 @@
             return self._find_acquire_time()
         if self.phase in (Phase.ACQUIRING, Phase.HOLDING):
             times = [self._expires_at]
-            if self._pending_renewals < _MAX_PENDING_RENEWALS:
+            if self._may_renew(self._renewal_at):
                 times.append(self._renewal_at)
             if self._may_write_again():
                 times.append(self._retry_at)
@@ -230,7 +231,11 @@
             era = self._position[0]
             key = leader_key.LeaderKey(self._vm, self._lease_id, era, revision)
             commands += self._show(key, (era, revision))
-        elif not self._was_write_lost:
+        elif self._was_write_lost:
+            # The key has changed, perhaps by the write without an answer. The
+            # watch shows it soon; a repeat would be refused, too.
+            self._refused_at = self._clock.monotonic()
+        else:
             # The watch shows soon who was first.
             self._leave_attempt()
             now = self._clock.monotonic()
@@ -295,8 +300,7 @@
         commands = self._expire()
         now = self._clock.monotonic()
         if self.phase in (Phase.ACQUIRING, Phase.HOLDING):
-            if (now >= self._renewal_at and
-                    self._pending_renewals < _MAX_PENDING_RENEWALS):
+            if now >= self._renewal_at and self._may_renew(now):
                 self._renewal_at = now + self._times.renewal_interval
                 self._pending_renewals += 1
                 commands += (election_command.RenewLease(
@@ -307,6 +311,7 @@
             self._attempt += 1
             self.phase = Phase.GRANTING
             self._was_write_lost = False
+            self._refused_at = None
             commands += (election_command.GrantLease(self._attempt, now,
                                                      self._times.lease),)
         return commands
@@ -356,7 +361,17 @@
 
     def _may_write_again(self) -> bool:
         return (self.phase is Phase.ACQUIRING and self._was_write_lost and
-                not self._is_write_pending)
+                not self._is_write_pending and self._refused_at is None)
+
+    def _may_renew(self, time: datetime.timedelta) -> bool:
+        """Returns whether the lease may be renewed at a time.
+
+        If a refused write is not explained by the watch within a lease, the
+        attempt ends with its lease.
+        """
+        return (self._pending_renewals < _MAX_PENDING_RENEWALS and
+                (self._refused_at is None or
+                 time < self._refused_at + self._times.lease))
 
     def _start_era(self, era: int, now: datetime.timedelta) -> None:
         """Takes into account what a restored store does not know any more.
@@ -445,6 +460,7 @@
         self.phase = Phase.HOLDING
         self._was_holder = True
         self._failures = 0
+        self._refused_at = None
         self._reacquire_until = datetime.timedelta()
         self._acquired_at = now
         assert self._key is not None
--- a/mustardwood/leadership/tests/test_leader_election.py
+++ b/mustardwood/leadership/tests/test_leader_election.py
@@ -351,6 +351,60 @@
     assert election.machine.holder == "a"
 
 
+def _answer_without_watch(election, span):
+    """Refuses all writes 1 ms later and answers the other commands.
+
+    Returns:
+        The commands that the election sent.
+    """
+    until = election.now + span
+    sent = []
+    pending = election.run(ms(0))
+    while election.now < until:
+        sent += pending
+        election.clock.advance(ms(1))
+        answers = []
+        for command in pending:
+            if isinstance(command, leadership.WriteKey):
+                answers += election.do("receive_write", command, None)
+            elif isinstance(command, leadership.RenewLease):
+                answers += election.do("receive_renewal", command)
+            elif isinstance(command, leadership.GrantLease):
+                answers += election.do("receive_lease", command, 8, _ERA)
+        pending = (*answers, *election.run(ms(0)))
+    return sent
+
+
+def test_refused_repeat_of_a_lost_write_is_not_repeated():
+    """A repeat after each refusal made 9,500 calls in 10 s at 1 ms each.
+
+    The refusal shows that the key has changed, and the watch is late.
+    """
+    election = _Election()
+    election.do("show_listing", None, _ERA, 10)
+    grant, = election.run(_TIMES.lease)
+    write, = election.do("receive_lease", grant, 7, _ERA)
+    election.do("lose_call", write)
+    election.clock.advance(ms(500))
+    sent = _list_kinds(_answer_without_watch(election, ms(2500)))
+    assert 1 <= sent.count(leadership.WriteKey) <= 4
+    assert leadership.RenewLease in sent
+
+
+def test_attempt_with_a_refused_write_ends_if_the_watch_shows_nothing():
+    """A key under the own lease would be kept without a term for good."""
+    election = _Election()
+    election.do("show_listing", None, _ERA, 10)
+    grant, = election.run(_TIMES.lease)
+    write, = election.do("receive_lease", grant, 7, _ERA)
+    election.do("lose_call", write)
+    election.clock.advance(ms(500))
+    sent = _answer_without_watch(election, ms(20_000))
+    kinds = _list_kinds(sent)
+    assert leadership.EndLease(grant.attempt, 7) in sent
+    assert kinds.count(leadership.WriteKey) <= 8
+
+
 def test_late_write_of_an_abandoned_attempt_does_not_begin_a_term():
     """Its lease is not renewed, so another VM soon gets the key."""
     election = _Election()
