Trust no window of an earlier era's record in a listing

Change: a change, a listing and a read go by the same rule: of a record of an earlier era only the windows that were accepted when it was written are taken over; the others are left out unless this VM has seen them before.

--- a/mustardwood/usage/tests/test_usage_reporter.py
+++ b/mustardwood/usage/tests/test_usage_reporter.py
@@ -216,6 +216,27 @@
     assert write.expected_revision == 12
 
 
+@pytest.mark.parametrize("event", ["handle_listing", "handle_read"])
+def test_late_write_of_an_earlier_era_is_not_trusted_in_a_listing(event):
+    """Failure: a VM that starts sends a window with a second count."""
+    vm = _start(era=2)
+    late = usage.UsageRecord(1, 2**40 + 5, vm.first, vm.first - 1, {
+        vm.first - 1: {
+            "tatra": 8
+        },
+        vm.first: {
+            "tatra": 99
+        }
+    })
+    getattr(vm.reporter, event)(2, late, 30)
+    assert not vm.reporter.unsent_windows
+    assert vm.reporter.finalized_through == vm.first - 1
+    write = vm.decide_write(token=2 * 2**40 + 31, after=ms(13_000))
+    assert vm.first not in write.record.windows
+    assert vm.first + 1 in write.record.windows
+    assert write.expected_revision == 30
+
+
 @pytest.mark.parametrize("has_written, is_in_term",
                          [(True, True), (False, True), (True, False)])
 def test_only_a_vm_that_knows_all_writes_again(has_written, is_in_term):
--- a/mustardwood/usage/usage_reporter.py
+++ b/mustardwood/usage/usage_reporter.py
@@ -133,6 +133,10 @@
                        revision: int) -> None:
         """Handles the state of the key in a listing of the store.
 
+        Failure: a write of an earlier era has taken effect in a restored store.
+        It looks like a record of the snapshot, but other counts may have been
+        finalized for its windows.
+
         Args:
             era: The store's era.
             record: The record; None if there is none.
@@ -146,7 +150,7 @@
             self._is_initialized = True
             self._era = era
         if era == self._era:
-            self._adopt(record, revision)
+            self._adopt(self._drop_uncertain_windows(record, era), revision)
 
     def handle_restore(self) -> None:
         """Handles a restore of the store, before it is read again.
@@ -187,12 +191,7 @@
         """
         if era != self._era or 0 < revision <= self._revision:
             return
-        if record is not None and record.era < era:
-            # A write of an earlier era has taken effect in the restored store.
-            # Its windows may have been finalized with other counts.
-            self._uncertain_window = max(self._uncertain_window, record.through)
-            record = None
-        self._adopt(record, revision)
+        self._adopt(self._drop_uncertain_windows(record, era), revision)
 
     def handle_written(self, write: record_write.RecordWrite,
                        revision: int | None) -> list[Action]:
@@ -286,6 +285,31 @@
                 str(window): count for window, count in sorted(requests.items())
             })
 
+    def _drop_uncertain_windows(self, record: usage_record.UsageRecord | None,
+                                era: int) -> usage_record.UsageRecord | None:
+        """Returns what can be trusted of a record that the store shows.
+
+        Of a record of an earlier era, these are the windows that had been
+        accepted when it was written. The further ones are left out, unless
+        this VM knows them from an earlier record.
+
+        Args:
+            record: The record; None if there is none.
+            era: The store's era.
+        """
+        if record is None or record.era >= era:
+            return record
+        self._uncertain_window = max(self._uncertain_window, record.through)
+        if record.accepted < 0:
+            return None
+        return usage_record.UsageRecord(
+            record.era, record.token, min(record.through, record.accepted),
+            record.accepted, {
+                window: counts
+                for window, counts in record.windows.items()
+                if window <= record.accepted
+            })
+
     def _adopt(self, record: usage_record.UsageRecord | None,
                revision: int) -> None:
         """Adopts the record that the store holds at a revision."""
