Let a former holder wait if the watch skipped another one

Cause: a watch may show only the newest event of a key. A former holder that saw only the removal of the key took it for the end of its own term, although another VM may have held the term since, and acquired the next term at once: the order A, B, A. An attempt that was under way went on in the same way.

Change: the wait also applies if the own term ended a call's time or longer before, since a successor does not act earlier; an attempt of such a VM is given up.

Result: the two new tests about skipped holders fail without the change and pass with it; a third shows that the end of the own lease still costs no wait.

--- a/mustardwood/leadership/leader_election.py
+++ b/mustardwood/leadership/leader_election.py
@@ -91,6 +91,7 @@
         self._was_write_lost = False
         self._refused_at: datetime.timedelta | None = None
         self._acquired_at = datetime.timedelta()
+        self._ended_at = datetime.timedelta()
         self._term_token = 0
 
     @property
@@ -418,16 +419,26 @@
 
     def _show_vacancy(self, previous: leader_key.LeaderKey | None,
                       now: datetime.timedelta) -> Commands:
+        """Handles the removal of the key.
+
+        A watch that was slow may show only the newest event of the key. Another
+        VM may have held the term since the own one ended. It would not have
+        acted within the time of a call.
+        """
+        commands: Commands = ()
         if self.phase is Phase.HOLDING:
             self._end("key_removed")
+        may_have_missed = now >= self._ended_at + self._times.call
         if previous is not None:
             self._last_holder = previous.holder
-        if self._was_holder and (previous is None or
+        if self._was_holder and (previous is None or may_have_missed or
                                  previous.holder != self._vm):
             self._exclude(now)
+            if self.phase in (Phase.GRANTING, Phase.ACQUIRING):
+                commands = self._abandon()
         self._vacant_since = min(self._vacant_since, now)
         self._set_holder(None)
-        return ()
+        return commands
 
     def _exclude(self, since: datetime.timedelta) -> None:
         self._excluded_until = max(self._excluded_until,
@@ -497,7 +508,9 @@
 
     def _end(self, reason: str) -> None:
         self.ended_terms[reason] += 1
-        held = self._clock.monotonic() - self._acquired_at
+        now = self._clock.monotonic()
+        self._ended_at = min(now, self._expires_at)
+        held = now - self._acquired_at
         self._journal.write("term_ended",
                             token=self._term_token,
                             reason=reason,
--- a/mustardwood/leadership/tests/test_leader_election.py
+++ b/mustardwood/leadership/tests/test_leader_election.py
@@ -249,6 +249,44 @@
     assert _list_kinds(election.run(ms(1))) == [leadership.GrantLease]
 
 
+def test_former_holder_waits_if_the_watch_skipped_another_holder():
+    """VMs act in the order A, B, A if the watch shows only the last event.
+
+    B has acquired the term after A had ended its own, and has ended it.
+    """
+    election = _make_holder()
+    election.run(_TIMES.lease - _TIMES.margin + _TIMES.call)
+    assert election.ended == ["expired"]
+    assert not election.do("show_change", None, _ERA, 23)
+    assert not election.run(_TIMES.exclusion - ms(1))
+    assert _list_kinds(election.run(ms(1))) == [leadership.GrantLease]
+
+
+def test_former_holder_does_not_wait_after_the_end_of_its_own_lease():
+    """A deployment with one VM would lose seconds with each lost term."""
+    election = _make_holder()
+    commands = election.run(_TIMES.lease)
+    assert _list_kinds(commands)[-1] is leadership.EndLease
+    commands = election.do("show_change", None, _ERA, 21)
+    assert _list_kinds(commands) == [leadership.GrantLease]
+
+
+def test_attempt_of_a_former_holder_ends_if_another_term_was_skipped():
+    """VMs act in the order A, B, A if a lost write is repeated after B's end.
+
+    The key did not exist when the attempt began, so its removal shows that
+    another VM has written it.
+    """
+    election = _make_holder()
+    election.run(_TIMES.lease)
+    grant, = election.do("show_change", None, _ERA, 21)
+    write, = election.do("receive_lease", grant, 8, _ERA)
+    election.do("lose_call", write)
+    commands = election.do("show_change", None, _ERA, 23)
+    assert commands == (leadership.EndLease(grant.attempt, 8),)
+    assert not election.run(_TIMES.exclusion - ms(1))
+
+
 def test_former_holder_waits_after_a_time_without_knowledge():
     """Another VM may have held the term while this one was cut off."""
     election = _make_holder()
