End only the term whose call was refused

Cause: a 409 for a report that an earlier term of the same VM had sent ended the present term, and took away what the reporter knew about being alone in it, so windows were left out after a restore.

Change: the reporter returns the end of a term only if the report's token is that of its present term. TermEnd names the token, and the adapter compares it with the token that the election holds, which may be newer than the one that the reporter knows.

Result: without the check in the reporter or without that in the adapter, one of the two new tests fails; with both they pass, as do the tests of usage.

--- a/mustardwood/platform/tests/test_usage_reporting.py
+++ b/mustardwood/platform/tests/test_usage_reporting.py
@@ -206,3 +206,28 @@
     monkeypatch.undo()
     world.run(20_000)
     assert world.api.accepted
+
+
+def test_refusal_of_an_earlier_term_does_not_end_a_later_one():
+    """Failure: a term ends that was acquired between a call and its refusal.
+
+    After a restore, the same VM acquires the term again at once.
+    """
+    world = _World(count=1)
+    calls = []
+    world.api.report_usage = (lambda term, window, counts, done: calls.append(
+        (term, done)))
+    holder, _ = world.wait_for_holder()
+    elected = world.vms[holder].leadership
+    while not calls:
+        world.run(20)
+    term, finish = calls[0]
+    world.store.restore(world.store.copy())
+    while elected.token <= term.token:
+        world.run(20)
+    # The reporter learns of the term when this VM may act.
+    assert elected.find_term() is None
+    finish(leadership.CallResult(leadership.CallOutcome.TOKEN_REFUSED))
+    assert not elected.ended_terms["token_refused"]
+    world.run(2000)
+    assert elected.find_term().token > term.token
--- a/mustardwood/platform/usage_reporting.py
+++ b/mustardwood/platform/usage_reporting.py
@@ -189,7 +189,8 @@
                 self._start_call(self._read())
             elif isinstance(each, usage.WindowSend):
                 self._send(each)
-            else:
+            elif each.token == self._leadership.token:
+                # This VM may have acquired a later term in the meantime.
                 self._leadership.end_term(each.reason)
 
     def _send(self, send: usage.WindowSend) -> None:
--- a/mustardwood/usage/term_end.py
+++ b/mustardwood/usage/term_end.py
@@ -8,7 +8,9 @@
     """Ends this VM's term, since a call was refused for a higher token.
 
     Attributes:
+        token: Token of the term; a later one must not be ended.
         reason: Reason for the log, in snake case.
     """
 
+    token: int
     reason: str
--- a/mustardwood/usage/tests/test_usage_reporter.py
+++ b/mustardwood/usage/tests/test_usage_reporter.py
@@ -167,7 +167,28 @@
     send = vm.decide_send()
     refused = leadership.CallResult(leadership.CallOutcome.TOKEN_REFUSED)
     assert vm.reporter.handle_call_result(
-        send, refused) == [usage.TermEnd("token_refused")]
+        send, refused) == [usage.TermEnd(7, "token_refused")]
+
+
+def test_refusal_of_an_earlier_term_does_not_end_the_present_one():
+    """Failure: each new term ends at the late refusal of a call before it.
+
+    The VM also forgets that it knows all windows if the store is restored.
+    """
+    vm = _start()
+    vm.reporter.handle_written(vm.decide_write(after=ms(13_000)), 12)
+    send = vm.decide_send()
+    vm.count(vm.first + 2, 5)
+    write = vm.decide_write(token=9, after=ms(8000))
+    vm.reporter.handle_written(write, 14)
+    refused = leadership.CallResult(leadership.CallOutcome.TOKEN_REFUSED)
+    assert not vm.reporter.handle_call_result(send, refused)
+    vm.reporter.handle_restore()
+    restored = [
+        fields for event, fields in vm.journal.lines
+        if event == "usage_store_restored"
+    ]
+    assert restored[0]["knows_all"]
 
 
 def test_accepted_windows_are_told_to_successors():
--- a/mustardwood/usage/usage_reporter.py
+++ b/mustardwood/usage/usage_reporter.py
@@ -263,8 +263,11 @@
                 late=now > self._windows.find_due_time(send.window))
             return []
         if outcome is leadership.CallOutcome.TOKEN_REFUSED:
+            if send.term.token != self._term_token:
+                # A later term of this VM has the higher token.
+                return []
             self._exclusive_until = datetime.timedelta.min
-            return [term_end.TermEnd("token_refused")]
+            return [term_end.TermEnd(send.term.token, "token_refused")]
         self._call_retry.record_failure(self._clock.monotonic(),
                                         result.retry_after)
         return []
