Decode the usage in peer updates separately

Cause: an update with a malformed field for the usage was dropped as a whole, with the peer's loads and its proof of freshness, also by VMs that do not count requests.

Change: the field is taken as it is (msgspec.Raw) and decoded only if this VM counts requests; a malformed one is ignored like other malformed updates. The bytes that are sent are the same.

--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -11,6 +11,7 @@
 
 from mustardwood import dispatch
 from mustardwood import timing
+from mustardwood import usage as usage_module
 from mustardwood.peers import peer_update
 from mustardwood.peers import usage_exchange
 
@@ -192,8 +193,10 @@
             updates.append(
                 (name,
                  msgspec.msgpack.encode(
-                     peer_update.PeerUpdate(*fields) if counted is None else
-                     peer_update.PeerUpdateWithUsage(*fields, usage=counted))))
+                     peer_update.PeerUpdate(*fields) if counted is
+                     None else peer_update.PeerUpdateWithUsage(
+                         *fields,
+                         usage=msgspec.Raw(msgspec.msgpack.encode(counted))))))
         return updates
 
     def _build_report(self) -> peer_update.Report:
@@ -248,8 +251,10 @@
             return None
         peer.last_sequence = update.sequence
         peer.received_at = self._clock.monotonic()
-        if self._usage is not None and update.usage is not None:
-            self._usage.receive_report(update.sender, update.usage)
+        if self._usage is not None:
+            counted = _decode_usage(update.usage)
+            if counted is not None:
+                self._usage.receive_report(update.sender, counted)
         if new_report is not None:
             peer.report = report
             self._apply_report(update.sender, new_report)
@@ -316,6 +321,17 @@
             self._usage.forget_peer(name)
 
 
+def _decode_usage(field: msgspec.Raw) -> usage_module.UsageReport | None:
+    """Returns the report in an update; None if it is missing or malformed."""
+    if not bytes(field):
+        return None
+    try:
+        return msgspec.msgpack.decode(field,
+                                      type=usage_module.UsageReport | None)
+    except msgspec.MsgspecError:
+        return None
+
+
 def _encode_demands(
     demands: collections.abc.Iterable[dispatch.TierDemand]
 ) -> dict[str, list[tuple[int, int]]]:
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -4,8 +4,6 @@
 
 import msgspec
 
-from mustardwood import usage as usage_module
-
 LoadFigures = tuple[int, int, int, int]
 """Load of an endpoint: prefill tokens, requests, interactive streams and held
 tokens."""
@@ -121,8 +119,10 @@
     """An update with an optional last field, which older VMs ignore.
 
     Attributes:
-        usage: The sender's clock and counts of requests; None if it does not
-            count requests, or has sent them to the receiver recently.
+        usage: An encoded `usage.UsageReport`, the sender's clock and counts of
+            requests. Empty or an encoded None if the sender does not count
+            requests, or has sent them to the receiver recently. It is decoded
+            separately, so that a malformed one costs nothing else.
     """
 
-    usage: usage_module.UsageReport | None = None
+    usage: msgspec.Raw = msgspec.Raw()
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -491,6 +491,26 @@
     assert len(msgspec.msgpack.decode(data)) == _FIELDS_WITHOUT_USAGE
 
 
+@pytest.mark.parametrize("field", [
+    7, "x", [], [-1], [1_700_000_000_000, 7, 100, True, {
+        101: {
+            "hule930": -3
+        }
+    }], None
+])
+@pytest.mark.parametrize("counts", [True, False])
+def test_malformed_usage_does_not_cost_the_update(field, counts):
+    """Failure: loads and proofs of a peer of another release are dropped."""
+    holder = _UsageExchange()
+    sender = _Vm("vm-1", usage=_UsageExchange(_USAGE))
+    receiver = _Vm("vm-2", usage=holder if counts else None)
+    values = msgspec.msgpack.decode(sender.build_update(receiver))
+    values[-1] = field
+    update = receiver.receive(msgspec.msgpack.encode(values))
+    assert update is not None and update.sender == "vm-1"
+    assert not holder.received
+
+
 def test_usage_of_a_late_duplicate_is_ignored():
     """Failure: the clock in a datagram that arrives late counts as new."""
     holder = _UsageExchange()
