--- a/mustardwood/leadership/tests/test_leader_election.py
+++ b/mustardwood/leadership/tests/test_leader_election.py
@@ -249,6 +249,44 @@
     assert _list_kinds(election.run(ms(1))) == [leadership.GrantLease]
 
 
+def test_former_holder_waits_if_the_watch_skipped_another_holder():
+    """VMs act in the order A, B, A if the watch shows only the last event.
+
+    B has acquired the term after A had ended its own, and has ended it.
+    """
+    election = _make_holder()
+    election.run(_TIMES.lease - _TIMES.margin + _TIMES.call)
+    assert election.ended == ["expired"]
+    assert not election.do("show_change", None, _ERA, 23)
+    assert not election.run(_TIMES.exclusion - ms(1))
+    assert _list_kinds(election.run(ms(1))) == [leadership.GrantLease]
+
+
+def test_former_holder_does_not_wait_after_the_end_of_its_own_lease():
+    """A deployment with one VM would lose seconds with each lost term."""
+    election = _make_holder()
+    commands = election.run(_TIMES.lease)
+    assert _list_kinds(commands)[-1] is leadership.EndLease
+    commands = election.do("show_change", None, _ERA, 21)
+    assert _list_kinds(commands) == [leadership.GrantLease]
+
+
+def test_attempt_of_a_former_holder_ends_if_another_term_was_skipped():
+    """VMs act in the order A, B, A if a lost write is repeated after B's end.
+
+    The key did not exist when the attempt began, so its removal shows that
+    another VM has written it.
+    """
+    election = _make_holder()
+    election.run(_TIMES.lease)
+    grant, = election.do("show_change", None, _ERA, 21)
+    write, = election.do("receive_lease", grant, 8, _ERA)
+    election.do("lose_call", write)
+    commands = election.do("show_change", None, _ERA, 23)
+    assert commands == (leadership.EndLease(grant.attempt, 8),)
+    assert not election.run(_TIMES.exclusion - ms(1))
+
+
 def test_former_holder_waits_after_a_time_without_knowledge():
     """Another VM may have held the term while this one was cut off."""
     election = _make_holder()
@@ -351,6 +389,60 @@
     assert election.machine.holder == "a"
 
 
+def _answer_without_watch(election, span):
+    """Refuses all writes 1 ms later and answers the other commands.
+
+    Returns:
+        The commands that the election sent.
+    """
+    until = election.now + span
+    sent = []
+    pending = election.run(ms(0))
+    while election.now < until:
+        sent += pending
+        election.clock.advance(ms(1))
+        answers = []
+        for command in pending:
+            if isinstance(command, leadership.WriteKey):
+                answers += election.do("receive_write", command, None)
+            elif isinstance(command, leadership.RenewLease):
+                answers += election.do("receive_renewal", command)
+            elif isinstance(command, leadership.GrantLease):
+                answers += election.do("receive_lease", command, 8, _ERA)
+        pending = (*answers, *election.run(ms(0)))
+    return sent
+
+
+def test_refused_repeat_of_a_lost_write_is_not_repeated():
+    """A repeat after each refusal made 9,500 calls in 10 s at 1 ms each.
+
+    The refusal shows that the key has changed, and the watch is late.
+    """
+    election = _Election()
+    election.do("show_listing", None, _ERA, 10)
+    grant, = election.run(_TIMES.lease)
+    write, = election.do("receive_lease", grant, 7, _ERA)
+    election.do("lose_call", write)
+    election.clock.advance(ms(500))
+    sent = _list_kinds(_answer_without_watch(election, ms(2500)))
+    assert 1 <= sent.count(leadership.WriteKey) <= 4
+    assert leadership.RenewLease in sent
+
+
+def test_attempt_with_a_refused_write_ends_if_the_watch_shows_nothing():
+    """A key under the own lease would be kept without a term for good."""
+    election = _Election()
+    election.do("show_listing", None, _ERA, 10)
+    grant, = election.run(_TIMES.lease)
+    write, = election.do("receive_lease", grant, 7, _ERA)
+    election.do("lose_call", write)
+    election.clock.advance(ms(500))
+    sent = _answer_without_watch(election, ms(20_000))
+    kinds = _list_kinds(sent)
+    assert leadership.EndLease(grant.attempt, 7) in sent
+    assert kinds.count(leadership.WriteKey) <= 8
+
+
 def test_late_write_of_an_abandoned_attempt_does_not_begin_a_term():
     """Its lease is not renewed, so another VM soon gets the key."""
     election = _Election()
--- a/mustardwood/usage/tests/test_usage_reporter.py
+++ b/mustardwood/usage/tests/test_usage_reporter.py
@@ -167,7 +167,28 @@
     send = vm.decide_send()
     refused = leadership.CallResult(leadership.CallOutcome.TOKEN_REFUSED)
     assert vm.reporter.handle_call_result(
-        send, refused) == [usage.TermEnd("token_refused")]
+        send, refused) == [usage.TermEnd(7, "token_refused")]
+
+
+def test_refusal_of_an_earlier_term_does_not_end_the_present_one():
+    """Failure: each new term ends at the late refusal of a call before it.
+
+    The VM also forgets that it knows all windows if the store is restored.
+    """
+    vm = _start()
+    vm.reporter.handle_written(vm.decide_write(after=ms(13_000)), 12)
+    send = vm.decide_send()
+    vm.count(vm.first + 2, 5)
+    write = vm.decide_write(token=9, after=ms(8000))
+    vm.reporter.handle_written(write, 14)
+    refused = leadership.CallResult(leadership.CallOutcome.TOKEN_REFUSED)
+    assert not vm.reporter.handle_call_result(send, refused)
+    vm.reporter.handle_restore()
+    restored = [
+        fields for event, fields in vm.journal.lines
+        if event == "usage_store_restored"
+    ]
+    assert restored[0]["knows_all"]
 
 
 def test_accepted_windows_are_told_to_successors():
@@ -216,6 +237,27 @@
     assert write.expected_revision == 12
 
 
+@pytest.mark.parametrize("event", ["handle_listing", "handle_read"])
+def test_late_write_of_an_earlier_era_is_not_trusted_in_a_listing(event):
+    """Failure: a VM that starts sends a window with a second count."""
+    vm = _start(era=2)
+    late = usage.UsageRecord(1, 2**40 + 5, vm.first, vm.first - 1, {
+        vm.first - 1: {
+            "tatra": 8
+        },
+        vm.first: {
+            "tatra": 99
+        }
+    })
+    getattr(vm.reporter, event)(2, late, 30)
+    assert not vm.reporter.unsent_windows
+    assert vm.reporter.finalized_through == vm.first - 1
+    write = vm.decide_write(token=2 * 2**40 + 31, after=ms(13_000))
+    assert vm.first not in write.record.windows
+    assert vm.first + 1 in write.record.windows
+    assert write.expected_revision == 30
+
+
 @pytest.mark.parametrize("has_written, is_in_term",
                          [(True, True), (False, True), (True, False)])
 def test_only_a_vm_that_knows_all_writes_again(has_written, is_in_term):
