Use free ports in the process test of scaling

Fixed ports collide with other runs on the same machine: a test of the agent with fixed addresses failed once that way (address in use), and passed alone.

--- a/mustardwood/platform/tests/test_scaling_process.py
+++ b/mustardwood/platform/tests/test_scaling_process.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -33,6 +34,12 @@
 }
 
 
+def _find_free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
 class _Vm:
 
     def __init__(self, tmp_path, store, api, **environment):
@@ -43,9 +50,9 @@
 zone = "a"
 ip = "127.0.0.1"
 [listen]
-front_addr = "127.0.0.7:18101"
-ready = "127.0.0.7:18102"
-control_plane = "127.0.0.7:18103"
+front_addr = "127.0.0.1:{_find_free_port()}"
+ready = "127.0.0.1:{_find_free_port()}"
+control_plane = "127.0.0.1:{_find_free_port()}"
 [platform]
 address = "{store.address}"
 [cloud_api]
--- a/mustardwood/scaling/group_record.py
+++ b/mustardwood/scaling/group_record.py
@@ -55,11 +55,6 @@
         """Number of endpoints once the last order has taken effect."""
         return (self.ready_count if self._order is None else self._order.count)
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether the registrations are as ordered."""
-        return self._order is None or self._order.count == self.ready_count
-
     def update(self, now: datetime.timedelta, ready_count: int,
                draining_count: int, boot_time: datetime.timedelta) -> bool:
         """Compares the registrations with the last order.
