Remove regular endpoints once preemptible ones are ready

Regular endpoints were kept while the total was below the highest plan of 10 s, although preemptible endpoints within the dead band are never ordered. Removals were spread over the zones and then dropped as too small for each of them. After a reclaim, regular endpoints were ordered for the demand of all tiers.

While a zone still gives preemptible endpoints, regular ones are added for the urgent tiers only. The model of the tests hands its limit to the planner.

--- a/mustardwood/scaling/capacity_plan.py
+++ b/mustardwood/scaling/capacity_plan.py
@@ -94,10 +94,17 @@
             else:
                 base = math.ceil(urgent)
         counts = _Spread(parameters, zones, unavailable or {})
+        # The less urgent tiers wait for the preemptible endpoints that some
+        # zone still has, or will have again within seconds. The urgent ones
+        # are covered at the crest of a wave, too.
+        required = needed
+        if pinned_count is None and counts.has_preemptible_places:
+            required = min(needed,
+                           math.ceil(forecast.urgent / _BURST_UTILIZATION))
         counts.fill(False, lambda: counts.count_kind(False) < base)
         if counts.allows_preemptible:
             counts.fill(True, lambda: counts.total < wanted)
-            counts.fill(False, lambda: counts.total < needed)
+            counts.fill(False, lambda: counts.total < required)
         else:
             counts.fill(False, lambda: counts.total < wanted)
         counts.fill_minimum()
@@ -121,6 +128,12 @@
             self.counts[zone, False] = max(1, unavailable.get((zone, False), 0))
             self.counts[zone, True] = unavailable.get((zone, True), 0)
 
+    @property
+    def has_preemptible_places(self) -> bool:
+        """Whether a zone has preemptible endpoints to give."""
+        return any(
+            (each, True) not in self._unavailable for each in self._zones)
+
     @property
     def total(self) -> int:
         """Number of endpoints."""
--- a/mustardwood/scaling/service_planner.py
+++ b/mustardwood/scaling/service_planner.py
@@ -22,7 +22,10 @@
 The forecast, from which it follows, covers two waves itself.
 """
 _EXCHANGE_HOLD_TIME = datetime.timedelta(seconds=5)
-"""The same where preemptible endpoints are to take the place of others."""
+"""The same for endpoints that preemptible ones have taken the place of.
+
+One of them costs as much as several preemptible ones.
+"""
 _MIN_HISTORY = datetime.timedelta(seconds=8)
 """Time for which the demand must be known before endpoints are removed."""
 _TAKEOVER_MARGIN = datetime.timedelta(seconds=4)
@@ -45,6 +48,13 @@
 """Minimum number of endpoints of a larger surplus that are removed at once."""
 _MAX_STEP = 0.15
 """Maximum share of a service's endpoints that are removed at once."""
+_MAX_EXCHANGE_STEP = 0.18
+"""The same for endpoints that preemptible ones have taken the place of."""
+_MIN_EXCHANGE_STEP = 9
+"""Number of these that may be removed at once from a service of any size.
+
+With few endpoints, the share alone would leave too few for each zone.
+"""
 _STEP_INTERVAL = datetime.timedelta(seconds=4)
 """Minimum interval of removals; requests move to the other endpoints."""
 _MIN_ORDER_INTERVAL = datetime.timedelta(seconds=2)
@@ -269,21 +279,16 @@
             group: min(record.ready_count, record.effective_count)
             for group, record in self._list_records(view)
         }
-        wanted = kept = self._find_kept(view)
         total = sum(counts.values())
-        if self._lacks_room(view):
-            # The endpoints that are too dear take the room of others.
-            kept = max(each.needed
-                       for time, each in self._past_plans
-                       if view.now - time <= _EXCHANGE_HOLD_TIME)
-        budget = max(0, min(total - kept, math.ceil(_MAX_STEP * total)))
+        kept = self._find_kept(view)
         left = dict(counts)
-        self._remove(view, left, False, budget)
+        self._remove(view, left, False, self._find_exchange_budget(view, total))
+        budget = max(0, min(total - kept, math.ceil(_MAX_STEP * total)))
         if view.is_pinned:
             self._remove(view, left, True, budget - total + sum(left.values()))
-        elif left == counts and total > _SPARE_BAND * wanted + 1:
+        elif left == counts and total > _SPARE_BAND * kept + 1:
             self._remove(view, left, True,
-                         min(budget, total - math.ceil(_SPARE_TARGET * wanted)))
+                         min(budget, total - math.ceil(_SPARE_TARGET * kept)))
         reason = (planned_order.OrderReason.PINNED
                   if view.is_pinned else planned_order.OrderReason.SURPLUS)
         return [
@@ -292,6 +297,33 @@
             if self._is_worth_removing(view, group, counts[group], left[group])
         ]
 
+    def _find_exchange_budget(self, view: _View, total: int) -> int:
+        """Returns how many endpoints that are not preemptible may be removed.
+
+        Args:
+            view: What the decision is made from.
+            total: Number of endpoints that accept requests.
+        """
+        if view.is_pinned:
+            return max(
+                0, min(total - view.plan.total, math.ceil(_MAX_STEP * total)))
+        recent = self._list_plans(view, _EXCHANGE_HOLD_TIME)
+        kept = max(each.needed for each in self._list_plans(view, _HOLD_TIME))
+        if self._lacks_room(view):
+            # The endpoints that are too dear take the room of others.
+            kept = max(each.needed for each in recent)
+        else:
+            # Preemptible endpoints within the dead band are never ordered, so
+            # others must not be kept in their place.
+            kept = max(
+                kept,
+                math.ceil(
+                    (1.0 - _DEAD_BAND) * max(each.total for each in recent)))
+        return max(
+            0,
+            min(total - kept,
+                max(_MIN_EXCHANGE_STEP, math.ceil(_MAX_EXCHANGE_STEP * total))))
+
     def _remove(self, view: _View, left: dict[endpoint_group.EndpointGroup,
                                               int], is_preemptible: bool,
                 budget: int) -> None:
@@ -308,7 +340,13 @@
             for group in left
             if group.is_preemptible == is_preemptible
         }
-        blocked: set[endpoint_group.EndpointGroup] = set()
+        # Small removals in all zones would not be worth their calls.
+        chosen = sorted(
+            wanted,
+            key=lambda each:
+            (left[each] - wanted[each], view.parameters.find_price(each.zone)),
+            reverse=True)[:math.ceil(budget / _MIN_REMOVED)]
+        blocked = wanted.keys() - set(chosen)
         for _ in range(budget):
             candidates = [
                 group for group, kept in wanted.items()
@@ -338,7 +376,7 @@
         """Returns the number of endpoints that were wanted for some time."""
         if view.is_pinned:
             return view.plan.total
-        return max(each.total for _, each in self._past_plans)
+        return max(each.total for each in self._list_plans(view, _HOLD_TIME))
 
     def _find_kept_group(self, view: _View,
                          group: endpoint_group.EndpointGroup) -> int:
@@ -346,7 +384,23 @@
         if view.is_pinned or group.is_preemptible:
             # Preemptible endpoints may move between the zones.
             return view.plan.counts[place]
-        return max(each.counts.get(place, 0) for _, each in self._past_plans)
+        hold_time = (_EXCHANGE_HOLD_TIME
+                     if self._has_preemptible(view) else _HOLD_TIME)
+        return max(
+            each.counts.get(place, 0)
+            for each in self._list_plans(view, hold_time))
+
+    def _has_preemptible(self, view: _View) -> bool:
+        return any(
+            kind and count for (_, kind), count in view.plan.counts.items())
+
+    def _list_plans(
+            self, view: _View,
+            age: datetime.timedelta) -> list[capacity_plan.CapacityPlan]:
+        """Returns the plans up to an age."""
+        return [
+            each for time, each in self._past_plans if view.now - time <= age
+        ]
 
     def _is_worth_removing(self, view: _View,
                            group: endpoint_group.EndpointGroup, count: int,
--- a/mustardwood/scaling/tests/fleet_model.py
+++ b/mustardwood/scaling/tests/fleet_model.py
@@ -149,7 +149,8 @@
             is_complete (bool): Whether all is known.
         """
         return scaling.ServiceState(
-            "engine", PARAMETERS, {
+            "engine", dataclasses.replace(PARAMETERS, max_count=self.max_count),
+            {
                 tier: each / max(self._weight, 0.5) * error
                 for tier, each in self._smoothed.items()
             }, self.busy,
--- a/mustardwood/scaling/tests/test_capacity_plan.py
+++ b/mustardwood/scaling/tests/test_capacity_plan.py
@@ -107,6 +107,14 @@
     assert plan.total == plan.needed
 
 
+def test_other_kind_is_limited_to_urgent_demand_while_a_zone_has_preemptibles():
+    # It costs 4.5 times as much, and the other zones give again within seconds.
+    plan = _plan(unavailable={("b", True): 0, ("c", True): 0}, max_count=10)
+    assert plan.counts["a", True] + plan.counts["a", False] == 10
+    assert plan.total == 27
+    assert plan.needed == 36
+
+
 @pytest.mark.parametrize("price", [None, 1.0, 1.5])
 def test_dear_preemptible_endpoints_are_not_planned(price):
     plan = _plan(preemptible_price=price)
