Order in larger steps and keep orders before a refused call

Cause: in the first 5 s, the demand that is observed rises, and each group was ordered in three single steps. After 429 or 5xx, the previous order of the group was forgotten, too, though its endpoints were starting. Removals were sent while another call for the group was in flight, and the older of the two may be executed last.

Change: until the demand is known for 8 s, 1.25 times the planned preemptible endpoints are ordered; the dead band is 0.2 instead of 0.15. A call that was not executed leaves the previous order in force. Groups with a call in flight are left out of removals.

--- a/mustardwood/scaling/endpoint_planner.py
+++ b/mustardwood/scaling/endpoint_planner.py
@@ -95,7 +95,7 @@
         if record is not None:
             record.is_in_flight = False
             if not may_be_executed:
-                record.forget_order()
+                record.restore_order()
 
     def record_unavailable(self, now: datetime.timedelta,
                            group: endpoint_group.EndpointGroup) -> None:
--- a/mustardwood/scaling/group_record.py
+++ b/mustardwood/scaling/group_record.py
@@ -41,6 +41,7 @@
     def __init__(self, is_preemptible: bool) -> None:
         self._is_preemptible = is_preemptible
         self._order: _Order | None = None
+        self._previous_order: _Order | None = None
         self._differs_since: datetime.timedelta | None = None
         self._expected_count: int | None = None
         self._unavailable_until = datetime.timedelta()
@@ -93,6 +94,7 @@
 
     def record_sent(self, now: datetime.timedelta, count: int) -> None:
         """Records that an order was sent."""
+        self._previous_order = self._order
         self._order = _Order(count, now)
         self._differs_since = None
         self.is_in_flight = True
@@ -101,7 +103,16 @@
 
     def forget_order(self) -> None:
         """Forgets the last order, which was not executed or is out of date."""
-        self._order = None
+        self._order = self._previous_order = None
+        self._differs_since = None
+
+    def restore_order(self) -> None:
+        """Forgets the last order, which was not executed; the previous stands.
+
+        Its endpoints may be starting. Without it they would not count, and
+        others would be ordered in their place.
+        """
+        self._order, self._previous_order = self._previous_order, None
         self._differs_since = None
 
     def record_unavailable(self, now: datetime.timedelta) -> None:
--- a/mustardwood/scaling/service_planner.py
+++ b/mustardwood/scaling/service_planner.py
@@ -33,7 +33,7 @@
 
 Endpoints that its predecessor ordered are then registered.
 """
-_DEAD_BAND = 0.15
+_DEAD_BAND = 0.2
 """Smallest change of a group that is ordered, as a share of its endpoints.
 
 Each order is a priced call, and each registration ends the watches of all VMs.
@@ -59,6 +59,12 @@
 """Minimum interval of removals; requests move to the other endpoints."""
 _MIN_ORDER_INTERVAL = datetime.timedelta(seconds=2)
 """Minimum interval of additions to a group."""
+_RISE_MARGIN = 1.25
+"""Multiple of a group's planned preemptible endpoints that is ordered at first.
+
+The observed demand rises in the first seconds, and single steps would cost a
+call and a registration each.
+"""
 
 _Orders = list[planned_order.PlannedOrder]
 _Record = group_record.GroupRecord
@@ -240,6 +246,9 @@
             last = self._sent_at.get(group)
             if last is not None and view.now - last < _MIN_ORDER_INTERVAL:
                 continue
+            if (group.is_preemptible and not view.is_pinned and
+                    self._history.find_span(view.now) < _MIN_HISTORY):
+                count = min(room, math.ceil(planned * _RISE_MARGIN))
             orders.append(
                 self._make_order(
                     view, group, count,
@@ -295,6 +304,7 @@
             self._make_order(view, group, left[group], reason)
             for group in sorted(left)
             if self._is_worth_removing(view, group, counts[group], left[group])
+            and not self._records[group].is_in_flight
         ]
 
     def _find_exchange_budget(self, view: _View, total: int) -> int:
--- a/mustardwood/scaling/tests/test_endpoint_planner.py
+++ b/mustardwood/scaling/tests/test_endpoint_planner.py
@@ -232,6 +232,23 @@
     assert run.count() < count
 
 
+def test_nothing_is_removed_from_a_group_with_a_call_in_flight():
+    # Of two calls for a group, the older one may be executed last.
+    run = _start_run()
+    run.advance(60)
+    records = run.planner.list_records()
+    for group, record in records.items():
+        record.is_in_flight = not group.is_preemptible
+    surplus = tuple(scaling.PresentEndpoint("a") for _ in range(12))
+    run.change(endpoints=run.state.endpoints + surplus)
+    count = run.count("a", False)
+    run.advance(20)
+    assert run.count("a", False) == count
+    records[scaling.EndpointGroup("engine", "a", False)].is_in_flight = False
+    run.advance(20)
+    assert run.count("a", False) < count
+
+
 def test_services_are_planned_apart():
     planner = scaling.EndpointPlanner(lambda *_: False)
     other = dataclasses.replace(_START, service="other", pinned_count=80)
--- a/mustardwood/scaling/tests/test_group_record.py
+++ b/mustardwood/scaling/tests/test_group_record.py
@@ -36,6 +36,32 @@
     assert record.effective_count == 5
 
 
+def test_refused_call_leaves_the_previous_order_in_force():
+    # Its endpoints are starting; without it they were ordered elsewhere again.
+    record = group_record.GroupRecord(True)
+    _update(record, 0, 5)
+    record.record_sent(_s(0), 9)
+    record.is_in_flight = False
+    _update(record, 1, 5)
+    record.record_sent(_s(2), 12)
+    record.restore_order()
+    record.is_in_flight = False
+    assert record.effective_count == 9
+    _update(record, 3, 5)
+    _update(record, 12, 5)
+    assert record.effective_count == 5
+
+
+def test_order_from_before_a_reclaim_is_not_restored():
+    record = group_record.GroupRecord(True)
+    _update(record, 0, 9)
+    record.record_sent(_s(0), 12)
+    _update(record, 1, 0, draining=9)
+    record.record_sent(_s(11), 8)
+    record.restore_order()
+    assert record.effective_count == 0
+
+
 def test_late_execution_of_an_older_order_is_noticed():
     record = group_record.GroupRecord(True)
     _update(record, 0, 5)
--- a/mustardwood/scaling/tests/test_small_deployment.py
+++ b/mustardwood/scaling/tests/test_small_deployment.py
@@ -113,3 +113,11 @@
     assert world.model.unmet[0] == 0.0
     # At this limit, the second tier waits at a crest until endpoints start.
     assert world.model.unmet[1] <= 0.006 * world.model.arrived[1]
+
+
+@pytest.mark.parametrize("error", [0.4, 1.0, 3.0])
+def test_start_takes_few_orders(error):
+    # Each order is a priced call, and each registration ends all watches.
+    world = _make_world(error=error)
+    world.run(8.0, _check_zones)
+    assert len(world.calls.sent) <= 6
