Make the test of calls in flight fail without the check

Cause: the order of the group stood in the test, so that nothing was removed without the check of calls in flight, either.

Change: the test starts a new term, after which registrations alone count.

Measured: the test passes, and fails with the check removed.

--- a/mustardwood/scaling/tests/test_endpoint_planner.py
+++ b/mustardwood/scaling/tests/test_endpoint_planner.py
@@ -236,11 +236,13 @@
     # Of two calls for a group, the older one may be executed last.
     run = _start_run()
     run.advance(60)
+    surplus = tuple(scaling.PresentEndpoint("a") for _ in range(12))
+    run.change(endpoints=run.state.endpoints + surplus)
+    # Without an earlier order, all that is registered counts.
+    run.planner.start_term(run.time)
     records = run.planner.list_records()
     for group, record in records.items():
         record.is_in_flight = not group.is_preemptible
-    surplus = tuple(scaling.PresentEndpoint("a") for _ in range(12))
-    run.change(endpoints=run.state.endpoints + surplus)
     count = run.count("a", False)
     run.advance(20)
     assert run.count("a", False) == count
