--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -190,6 +190,7 @@
         self._watcher.start()
         self._reader.start()
         self._stream_journal.start()
+        self._duties.start()
         if listen.peers:
             self._serve_page(listen.peers, peer_synchronizer.CONFIGURATION_PATH,
                              self._build_configuration)
