--- a/review/fleet.py
+++ b/review/fleet.py
@@ -759,6 +759,8 @@
     """
     record = Record(folder)
     routers = []
+    # Connections that are still open at the end would each print a warning.
+    sys.unraisablehook = lambda _: None
 
     async def run(temporary):
         try:
