Refuse requests that can't end before a planned stop

Cause: the head of a response that began before SIGTERM does not announce the close of its connection, so the next request comes on it, and requests were sent to endpoints until the exit. The same path is taken by requests that wait for room and by those that an endpoint did not run.

ProcessExit is now asked before the first send of every request. After the listener has closed, only requests whose own time limit ends before the exit are sent; the others get a true 503 at once, so their callers lose nothing but a round trip. At the end of the grace open requests are answered. A pipelined request is no longer dropped behind "Connection: close".

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -93,6 +93,7 @@
             observer=response_observer.ResponseObserver(
                 self._table, scheduler, loads, health, rate_limits,
                 lambda _: self._service),
+            process_exit=dispatch.ProcessExit(),
             hedging=self.hedging)
 
     def _take_hedge(self, service: str) -> bool:
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -48,6 +48,7 @@
 from mustardwood.dispatch.placement_queue import PlacementQueue
 from mustardwood.dispatch.placement_settings import PlacementSettings
 from mustardwood.dispatch.prefix_cache_index import PrefixCacheIndex
+from mustardwood.dispatch.process_exit import ProcessExit
 from mustardwood.dispatch.prompt import Prompt
 from mustardwood.dispatch.prompt import PromptPart
 from mustardwood.dispatch.prompt_part_crashes import PartCrash
@@ -113,6 +114,7 @@
     "PlacementQueue",
     "PlacementSettings",
     "PrefixCacheIndex",
+    "ProcessExit",
     "Prompt",
     "PromptPart",
     "PromptPartCrashes",
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -107,6 +107,16 @@
         self._attempts.abort_all("error")
         self._give_up("error", None)
 
+    def handle_exit(self) -> None:
+        """Ends the request because the process is about to exit."""
+        if self._is_done:
+            return
+        if self._attempts.current is not None:
+            self._attempts.runs += 1
+        self._attempts.abort_all(request_record.PROCESS_EXITS)
+        self._give_up(request_record.PROCESS_EXITS,
+                      router_refusals.build_exit_refusal())
+
     def pause(self) -> None:
         """Stops reading the response, because its caller reads too slowly.
 
@@ -248,6 +258,13 @@
         if time_left <= datetime.timedelta():
             self._handle_deadline()
             return
+        has_run = self._attempts.runs > 0
+        is_head_sent = self._response.is_head_sent
+        if not (has_run or is_head_sent or
+                context.process_exit.allows(request)):
+            self._give_up(request_record.PROCESS_EXITS,
+                          router_refusals.build_exit_refusal())
+            return
         usable = context.directory.list_usable(request.service)
         is_new = not self._attempts.has_sent and not request.is_resumption
         if is_new and not context.admission.is_admitted(request, usable):
@@ -263,8 +280,6 @@
             self._hedge_watch.start()
             return
         self._record.record_wait(choice)
-        has_run = self._attempts.runs > 0
-        is_head_sent = self._response.is_head_sent
         refused = self._wait.find_refusal(choice, usable, excluded, has_run,
                                           is_head_sent)
         if refused is not None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -19,6 +19,7 @@
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement as placement_module
 from mustardwood.dispatch import prefix_cache_index
+from mustardwood.dispatch import process_exit as process_exit_module
 from mustardwood.dispatch import prompt_part_crashes
 from mustardwood.dispatch import refusal
 from mustardwood.dispatch import retry_after_policy
@@ -334,5 +335,6 @@
     streams: stream_version_table.StreamVersionTable
     version_record: VersionRecord
     observer: ResponseObserver
+    process_exit: process_exit_module.ProcessExit
     usage: RequestCounter = NoRequestCounter()
     hedging: hedging_module.Hedging | None = None
--- a/mustardwood/dispatch/router_refusals.py
+++ b/mustardwood/dispatch/router_refusals.py
@@ -14,6 +14,17 @@
         "the given time.", retry_after)
 
 
+def build_exit_refusal() -> refusal.Refusal:
+    """Returns the response to a request that no endpoint has run before a stop.
+
+    Other VMs take the request at once.
+    """
+    return refusal.Refusal(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        "This VM is about to stop; the request has not run. Send it again on a "
+        "new connection.", datetime.timedelta())
+
+
 def build_lost_response_refusal() -> refusal.Refusal:
     """Returns the response to a request that may have run."""
     return refusal.Refusal(
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -280,6 +280,7 @@
                                             self.settings,
                                             lambda name: self.parameters,
                                             random.Random(3), self.profiles)
+        self.process_exit = dispatch.ProcessExit()
         self.context = dispatch.ForwardingContext(
             clock=self.clock,
             scheduler=self.scheduler,
@@ -306,7 +307,8 @@
             version_record=self.journal_of_streams,
             observer=response_observer.ResponseObserver(
                 self.profiles, self.clock, self.loads, self.health,
-                self.rate_limits, lambda name: self.parameters))
+                self.rate_limits, lambda name: self.parameters),
+            process_exit=self.process_exit)
         for index in range(endpoints):
             self.directory.set_endpoint(make_endpoint(index, slots))
 
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -151,7 +151,8 @@
     def send_head(self, status: int, headers: http_request.Headers) -> None:
         """See `response_writer.ResponseConnection`."""
         sent = list(headers)
-        if self._handler.is_stopping():
+        # A pipelined request has been received and is answered, too.
+        if (self._handler.is_stopping() and not self._http.trailing_data[0]):
             sent.append((b"Connection", b"close"))
         self._send(
             h11.Response(status_code=status,
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -81,6 +81,17 @@
     assert not harness.transport.closed
 
 
+def test_pipelined_request_is_answered_although_the_process_stops():
+    """A response that closes the connection would leave it unanswered."""
+    harness = _Harness()
+    harness.receive(_REQUEST + _REQUEST)
+    harness.handler.stopping = True
+    assert b"connection: close" not in harness.respond().lower()
+    assert len(harness.handler.requests) == 2
+    assert b"connection: close" in harness.respond().lower()
+    assert harness.transport.closed
+
+
 def test_chunked_body_is_decoded():
     harness = _Harness()
     harness.receive(b"POST /a HTTP/1.1\r\nHost: h\r\n"
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -104,6 +104,7 @@
             lambda endpoint, problem: self._journal.write(
                 "pause_rejected", endpoint=endpoint, error=problem))
         self._streams = dispatch.StreamVersionTable(self._clock)
+        self._process_exit = dispatch.ProcessExit()
         pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
         client = store_client.StoreClient(
             settings_module.parse_address(self._settings.store.address), pool,
@@ -176,7 +177,8 @@
         self._port: typing.Any = None
         self._settings_version = _read_file_version(path)
         self._shutdown = graceful_shutdown.GracefulShutdown(
-            self._server, self._scheduler, self._journal, self._stop_reactor)
+            self._server, self._process_exit, self._clock, self._scheduler,
+            self._journal, self._stop_reactor)
 
     def start(self) -> None:
         """Starts the servers, the store watch and the signal handlers."""
@@ -267,6 +269,7 @@
             streams=self._streams,
             version_record=self._stream_journal,
             observer=self._make_observer(),
+            process_exit=self._process_exit,
             usage=self._duties.request_counter,
             hedging=self._hedging)
 
--- a/mustardwood/platform/graceful_shutdown.py
+++ b/mustardwood/platform/graceful_shutdown.py
@@ -5,6 +5,7 @@
 import typing
 
 from mustardwood import dispatch
+from mustardwood import timing
 from mustardwood.platform import request_server
 
 _ACCEPT_TIME = datetime.timedelta(milliseconds=2300)
@@ -21,7 +22,9 @@
 It is higher than the listener's backlog.
 """
 _KILL_MARGIN = datetime.timedelta(milliseconds=400)
-"""Time before SIGKILL at which the process exits with requests still open."""
+"""Time before SIGKILL at which the requests that are still open are ended."""
+_FLUSH_TIME = datetime.timedelta(milliseconds=200)
+"""Time between that and the exit, in which the last responses are sent."""
 _POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 """Interval at which the open connections are checked."""
 
@@ -29,25 +32,36 @@
 class GracefulShutdown:
     """Stops the process after its last response was sent.
 
+    Callers learn of the stop only from a response or from the load balancer, so
+    requests still arrive: on new connections until the listener closes, and on
+    kept ones until they are idle. After the listener has closed, only those are
+    sent to an endpoint that end before the process exits.
+
     Attributes:
         has_begun: Whether the shutdown has begun.
     """
 
     def __init__(self, server: request_server.RequestServer,
+                 process_exit: dispatch.ProcessExit, clock: timing.Clock,
                  scheduler: dispatch.Scheduler, journal: dispatch.Journal,
                  exit_process: collections.abc.Callable[[], None]) -> None:
         """Creates a shutdown that has not begun.
 
         Args:
             server: Accepts connections and handles requests.
+            process_exit: Limits the requests that are sent.
+            clock: The clock by which requests expire.
             scheduler: Schedules the steps of the shutdown.
             journal: Logs the begin of the shutdown.
             exit_process: Exits the process; may be called more than once.
         """
         self._server = server
+        self._process_exit = process_exit
+        self._clock = clock
         self._scheduler = scheduler
         self._journal = journal
         self._exit_process = exit_process
+        self._exits_at = datetime.timedelta()
         self.has_begun = False
 
     def start(self, port: typing.Any, grace: datetime.timedelta) -> None:
@@ -61,9 +75,10 @@
         self._journal.write("stop_begins",
                             open_requests=self._server.open_requests)
         self._server.stop()
+        self._exits_at = self._clock.monotonic() + grace - _KILL_MARGIN
         self._scheduler.call_later(_ACCEPT_TIME,
                                    lambda: self._stop_listening(port))
-        self._scheduler.call_later(grace - _KILL_MARGIN, self._exit_process)
+        self._scheduler.call_later(grace - _KILL_MARGIN, self._end_requests)
 
     def _stop_listening(self, port: typing.Any) -> None:
         # Closing the listener would reset the connections in its backlog, so
@@ -72,7 +87,19 @@
         port.numberAccepts = _MAX_ACCEPTED
         port.doRead()
         port.stopListening()
-        self._scheduler.call_later(_DRAIN_DELAY, self._wait_for_connections)
+        self._scheduler.call_later(_DRAIN_DELAY, self._limit_requests)
+
+    def _limit_requests(self) -> None:
+        self._process_exit.limit_requests(self._exits_at)
+        self._wait_for_connections()
+
+    def _end_requests(self) -> None:
+        self._journal.write("stop_ends_requests",
+                            open_requests=self._server.open_requests)
+        # The listener may still be open if the grace is short.
+        self._process_exit.limit_requests(self._exits_at)
+        self._server.end_requests()
+        self._scheduler.call_later(_FLUSH_TIME, self._exit_process)
 
     def _wait_for_connections(self) -> None:
         self._server.close_idle_connections()
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -14,11 +14,7 @@
 
 
 class RequestServer(protocol.ServerFactory):
-    """Forwards each request; implements `http1.RequestHandler`.
-
-    Attributes:
-        open_requests: Number of requests without a complete response.
-    """
+    """Forwards each request; implements `http1.RequestHandler`."""
 
     noisy = False
 
@@ -27,8 +23,13 @@
         self._context = context
         self._watcher = watcher
         self._connections: set[http1.CallerConnection] = set()
+        self._open: set[dispatch.Forwarding] = set()
         self._is_stopping = False
-        self.open_requests = 0
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests without a complete response."""
+        return len(self._open)
 
     @property
     def has_connections(self) -> bool:
@@ -62,6 +63,11 @@
             if each.is_idle:
                 each.close()
 
+    def end_requests(self) -> None:
+        """Ends all open requests, because the process is about to exit."""
+        for each in list(self._open):
+            each.handle_exit()
+
     def handle_request(self, http_request: http1.HttpRequest,
                        writer: http1.ResponseWriter) -> None:
         """See `http1.RequestHandler`."""
@@ -80,9 +86,9 @@
                 dispatch.Refusal(http.HTTPStatus.BAD_REQUEST,
                                  "The request has no id; send one."))
             return
-        caller = _TrackedCaller(writer, self._count_finished_request)
-        self.open_requests += 1
+        caller = _TrackedCaller(writer, lambda: self._open.discard(forwarding))
         forwarding = dispatch.Forwarding(request, caller, context)
+        self._open.add(forwarding)
         writer.set_disconnect_callback(
             lambda: self._handle_disconnect(forwarding))
         writer.set_flow_callbacks(forwarding.pause, forwarding.resume)
@@ -114,10 +120,7 @@
     def _handle_disconnect(self, forwarding: dispatch.Forwarding) -> None:
         if not forwarding.is_done:
             forwarding.handle_caller_disconnect()
-            self._count_finished_request()
-
-    def _count_finished_request(self) -> None:
-        self.open_requests -= 1
+            self._open.discard(forwarding)
 
     def _refuse(self, http_request: http1.HttpRequest,
                 writer: http1.ResponseWriter,
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -103,6 +103,41 @@
     assert not fleet.vm.find_events("request_unanswered")
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("path, status", [("/stream/60/100", 503),
+                                          ("/open/0", 200)])
+def test_late_request_of_a_stop_is_answered_or_refused_but_not_cut(
+        fleet, path, status):
+    """It comes on a kept connection, and the stream outlasts the grace."""
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    caller.send("/stream/40/100")
+    process_fleet.wait_until(lambda: fleet.endpoints[2].arrivals)
+    time.sleep(0.3)
+    fleet.vm.stop()
+    assert caller.read().is_complete and caller.may_reuse
+    outcome = caller.call(path)
+    assert not fleet.find_lost_requests([outcome])
+    assert outcome.status == status
+    assert not caller.may_reuse
+    is_sent = any(
+        outcome.attempt_id in each.arrivals for each in fleet.endpoints)
+    assert is_sent == (status == 200)
+    assert fleet.vm.wait() == 0
+
+
+@pytest.mark.processes
+def test_request_that_outlasts_the_grace_is_answered_before_the_exit(fleet):
+    """Without an answer, its caller can't tell a lost one from a refusal."""
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    caller.send("/post/15000")
+    process_fleet.wait_until(
+        lambda: any(each.arrivals for each in fleet.endpoints))
+    fleet.vm.stop()
+    outcome = caller.read()
+    assert (outcome.status, outcome.is_complete) == (502, True)
+    assert fleet.vm.wait() == 0
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("body_bytes, pause_seconds", [(4_000_000, 0.08),
                                                        (12_000_000, 0.02)])
