Ignore entries of the store that can't be an endpoint's

An operator of a similar system saw machines end or stop following the list of replicas after another writer had left one odd entry in it. Here no process ended, but a deeply nested entry ended the watch and all keys were read again, each time it was written, and entries with impossible ports, hosts, slots or start times were used as endpoints.

Cause: the decoder raises RecursionError and int() ValueError, which no caller expected; ranges were not checked; missing fields had defaults.

An unexpected error with one key is logged and concerns only that key.

test_registration_without_optional_fields_is_accepted asserted that an entry without zone, slots and version is an endpoint.

--- a/mustardwood/dispatch/stream_journal.py
+++ b/mustardwood/dispatch/stream_journal.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from mustardwood import decoding
 from mustardwood import timing
 from mustardwood.dispatch import endpoint_directory
 from mustardwood.dispatch import forwarding_context
@@ -112,9 +113,9 @@
     def record_history(self, value: bytes) -> None:
         """Records the history that the store shows."""
         try:
-            history = msgspec.msgpack.decode(
-                value, type=version_history.VersionHistory)
-        except msgspec.MsgspecError as error:
+            history = decoding.decode_msgpack(value,
+                                              version_history.VersionHistory)
+        except decoding.DecodingError as error:
             self._log.write("stream_journal_rejected", error=str(error))
             return
         if history != self._history:
@@ -133,8 +134,8 @@
             is_own: Whether this VM has begun them, perhaps before a restart.
         """
         try:
-            streams = msgspec.msgpack.decode(value, type=dict[str, bytes])
-        except msgspec.MsgspecError as error:
+            streams = decoding.decode_msgpack(value, dict[str, bytes])
+        except decoding.DecodingError as error:
             self._log.write("stream_journal_rejected", error=str(error))
             return
         self._streams.record_saved_streams(streams, is_own)
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from mustardwood import decoding
 from mustardwood import dispatch
 from mustardwood import profiles
 from mustardwood import timing
@@ -24,6 +25,8 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _ENGINE_SHARES = 10_000
 """Parts into which an engine is divided in reports of demand."""
+_NIL = b"\xc0"
+"""An empty field in MessagePack."""
 _NOTICE_KINDS = frozenset(dispatch.NoticeKind)
 _PROFILE_RENEWAL = datetime.timedelta(minutes=1)
 """Interval at which unchanged profiles of a peer are recorded again.
@@ -253,14 +256,14 @@
             received from the same peer.
         """
         try:
-            update = msgspec.msgpack.decode(
-                data, type=peer_update.PeerUpdateWithUsage)
+            update = decoding.decode_msgpack(data,
+                                             peer_update.PeerUpdateWithUsage)
             report = bytes(update.report)
             known_peer = self._peers.get(update.sender)
-            new_report = (
-                None if known_peer is not None and known_peer.report == report
-                else msgspec.msgpack.decode(report, type=peer_update.Report))
-        except msgspec.MsgspecError:
+            new_report = (None if known_peer is not None and
+                          known_peer.report == report else
+                          decoding.decode_msgpack(report, peer_update.Report))
+        except decoding.DecodingError:
             return None
         self._streams.record_peer_streams(update.streams)
         peer = self._peers.setdefault(update.sender, _Peer())
@@ -283,7 +286,7 @@
             # The peer's loads had expired; its unchanged report is valid again.
             self._apply_report(
                 update.sender,
-                msgspec.msgpack.decode(report, type=peer_update.Report))
+                decoding.decode_msgpack(report, peer_update.Report))
         echoed_send_time = peer.send_times.get(update.echo)
         if (echoed_send_time is not None and update.proof_lead_ms >= 0 and
                 _proves_freshness(update.configuration, configuration)):
@@ -363,12 +366,11 @@
 
 def _decode_usage(field: msgspec.Raw) -> usage_module.UsageReport | None:
     """Returns the report in an update; None if it is missing or malformed."""
-    if not bytes(field):
+    if bytes(field) in (b"", _NIL):
         return None
     try:
-        return msgspec.msgpack.decode(field,
-                                      type=usage_module.UsageReport | None)
-    except msgspec.MsgspecError:
+        return decoding.decode_msgpack(field, usage_module.UsageReport)
+    except decoding.DecodingError:
         return None
 
 
--- a/mustardwood/peers/profile_codec.py
+++ b/mustardwood/peers/profile_codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mustardwood import decoding
 from mustardwood import profiles
 from mustardwood.peers import peer_update
 
@@ -36,10 +37,10 @@
     if len(encoded) > _MAX_BYTES:
         raise ValueError(f"the profiles have {len(encoded)} bytes")
     try:
-        decoded = msgspec.msgpack.decode(encoded,
-                                         type=list[peer_update.ServiceProfile])
+        decoded = decoding.decode_msgpack(encoded,
+                                          list[peer_update.ServiceProfile])
         return [_decode(each) for each in decoded]
-    except (msgspec.MsgspecError, OverflowError) as error:
+    except OverflowError as error:
         raise ValueError(str(error)) from error
 
 
--- a/mustardwood/platform/configuration_decoder.py
+++ b/mustardwood/platform/configuration_decoder.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mustardwood import decoding
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import http1
@@ -109,11 +110,20 @@
             types.
     """
     try:
-        document = msgspec.json.decode(value, type=_Document, strict=False)
-    except msgspec.MsgspecError as error:
+        return _build_configuration(
+            decoding.decode_json(value, _Document, strict=False))
+    except (decoding.DecodingError, OverflowError) as error:
         raise errors.ConfigurationError(
             f"The stored configuration is malformed: {error}.",
             "Write a valid one; the previous version stays in use.")
+
+
+def _build_configuration(document: _Document) -> Configuration:
+    """Builds a configuration.
+
+    Raises:
+        OverflowError: If a time is longer than can be represented.
+    """
     has_keys = document.tenants is not None
     problems: list[str] = []
     table = dispatch.RouteTable(
--- a/mustardwood/platform/duty_leadership.py
+++ b/mustardwood/platform/duty_leadership.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.python import failure
 
+from mustardwood import decoding
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import leadership
@@ -234,8 +235,8 @@
     if item.value is None:
         return None
     try:
-        found = msgspec.json.decode(item.decode_value(), type=_Leader)
-    except msgspec.MsgspecError:
+        found = decoding.decode_json(item.decode_value(), _Leader)
+    except decoding.DecodingError:
         found = _Leader("unknown")
     return leadership.LeaderKey(found.holder, found.lease_id, item.era,
                                 item.revision)
--- a/mustardwood/platform/endpoint_decoder.py
+++ b/mustardwood/platform/endpoint_decoder.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mustardwood import decoding
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood.platform import settings
@@ -15,22 +16,35 @@
 _MAX_VERSION_LENGTH = 100
 """Maximum length of a version, which VMs report to each other."""
 
+_MAX_SLOTS = 1_000_000
+"""Maximum number of requests that an endpoint runs concurrently."""
+_MAX_START_MS = 253_402_300_799_999
+"""Latest start of an endpoint in Unix milliseconds: the end of the year 9999.
+
+VMs report starts to each other in 64 bits.
+"""
+
 
 class _Registration(msgspec.Struct, frozen=True):
     """A registration as the store holds it.
 
+    All endpoints write the fields without a default. An entry that lacks one
+    was written by something else and names no endpoint.
+
     `born` is the time of the endpoint's start, in milliseconds since the epoch;
-    `leaves_ms` is the time that remains in the state `draining`.
+    `leaves_ms` is the time that remains in the state `draining`;
+    `cold_remaining_ms` and `sequence` are not used.
     """
 
     service: str
     address: str
     state: str
-    zone: str = ""
-    slots: int = 1
-    born: int = 0
-    version: typing.Annotated[str,
-                              msgspec.Meta(max_length=_MAX_VERSION_LENGTH)] = ""
+    zone: str
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+    version: typing.Annotated[str, msgspec.Meta(max_length=_MAX_VERSION_LENGTH)]
+    cold_remaining_ms: float
+    sequence: int
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_START_MS)] = 0
     preemptible: bool = False
     leaves_ms: float | None = None
 
@@ -42,11 +56,11 @@
         errors.ConfigurationError: If the registration is malformed.
     """
     try:
-        registration = msgspec.json.decode(value, type=_Registration)
+        registration = decoding.decode_json(value, _Registration)
         host, port = settings.parse_address(registration.address)
         is_leaving = _IS_LEAVING_BY_STATE[registration.state]
         leaves_after = _decode_leaving_time(registration)
-    except (msgspec.MsgspecError, errors.SettingsError, KeyError,
+    except (decoding.DecodingError, errors.SettingsError, KeyError,
             OverflowError) as error:
         raise errors.ConfigurationError(
             f"The registration {key!r} is invalid: {error}.",
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -4,8 +4,7 @@
 import datetime
 import heapq
 
-import msgspec
-
+from mustardwood import decoding
 from mustardwood import dispatch
 from mustardwood import errors
 from mustardwood import http1
@@ -243,9 +242,8 @@
     def receive_end(self) -> None:
         """Decodes and delivers the configuration."""
         try:
-            item = msgspec.json.decode(bytes(self._body),
-                                       type=store_client.Item)
-        except msgspec.MsgspecError as error:
+            item = decoding.decode_json(bytes(self._body), store_client.Item)
+        except decoding.DecodingError as error:
             self._deliver(None, f"status {self._status}: {error}")
             return
         self._deliver(item, "")
--- a/mustardwood/platform/scaling_decoder.py
+++ b/mustardwood/platform/scaling_decoder.py
@@ -4,11 +4,14 @@
 
 import msgspec
 
+from mustardwood import decoding
 from mustardwood import errors
 from mustardwood import scaling
 
 _MAX_BOOT_SECONDS = 86_400.0
 """Maximum time to start an endpoint, in seconds; a longer one is an error."""
+_NULL = b"null"
+"""The value of a service whose endpoints are not ordered."""
 
 
 class _Scaling(msgspec.Struct, frozen=True):
@@ -38,12 +41,12 @@
         errors.ConfigurationError: If the value is malformed, the minimum
             exceeds the maximum, or a time or price is negative.
     """
+    if bytes(value) == _NULL:
+        return None
     try:
-        found = msgspec.json.decode(value, type=_Scaling | None, strict=False)
-    except msgspec.MsgspecError as error:
+        found = decoding.decode_json(value, _Scaling, strict=False)
+    except decoding.DecodingError as error:
         raise _make_error(f"is malformed: {error}") from error
-    if found is None:
-        return None
     problem = _find_problem(found)
     if problem:
         raise _make_error(problem)
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -1,6 +1,7 @@
 """The settings file of a process on the platform."""
 
 import datetime
+import ipaddress
 import pathlib
 
 import msgspec
@@ -47,6 +48,10 @@
 """Bounds of the delay between a change and the next watch."""
 _MAX_DUTY_NUMBER = 1e9
 """Largest number of a setting of duties; a time fits into a `timedelta`."""
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+_MAX_QUOTED_LENGTH = 60
+"""Length to which an invalid address is cut in an error."""
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -252,19 +257,33 @@
         key: Path of the setting that holds it, for the error.
 
     Returns:
-        The IP address and the port.
+        The IPv4 address and the port, from 1 to 65535.
 
     Raises:
         errors.SettingsError: If the text does not have that form.
     """
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdecimal():
-        raise errors.SettingsError(f"{key} is {text!r}, which is not IP:PORT.",
+    host, _, port = text.rpartition(":")
+    if not _is_ipv4_address(host) or not _is_port(port):
+        quoted = repr(text[:_MAX_QUOTED_LENGTH])
+        raise errors.SettingsError(f"{key} is {quoted}, which is not IP:PORT.",
                                    "Write it as in 192.0.2.1:8080.",
                                    key=key)
     return host, int(port)
 
 
+def _is_ipv4_address(text: str) -> bool:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(text: str) -> bool:
+    return (text.isascii() and text.isdecimal() and
+            len(text) <= _MAX_PORT_DIGITS and 1 <= int(text) <= _MAX_PORT)
+
+
 def _check_duties(api: CloudApi, bounds: Bounds) -> None:
     """Checks what only duties use, so that other deployments can't fail."""
     parse_address(api.address, "$.cloud_api.address")
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -3,7 +3,9 @@
 import collections.abc
 import dataclasses
 import datetime
+import functools
 import random
+import traceback
 
 import msgspec
 from twisted.internet import defer
@@ -56,6 +58,9 @@
 
 It is the longest interval at which peers send updates.
 """
+_MAX_LOGGED_ERROR_LENGTH = 200
+_MAX_FRAMES = 20
+"""Maximum length of an error and of its traceback in a log line."""
 
 Configuration = configuration_decoder.Configuration
 _ListingListener = collections.abc.Callable[
@@ -268,17 +273,19 @@
         self._record_success()
         self._start_era(position)
         if item is not None:
-            self.apply_configuration(item)
+            self._guard_item(self.apply_configuration, item)
         # Reading the ranges takes longer. Requests with API keys are already
         # allowed before that.
         self.record_proof(requested_at, position.era)
-        self._stream_store.apply_listing(await self._client.read_range(
-            journal_store.PREFIX, position.era))
+        streams = await self._client.read_range(journal_store.PREFIX,
+                                                position.era)
+        self._guard(journal_store.PREFIX,
+                    lambda: self._stream_store.apply_listing(streams))
         items = await self._client.read_range(endpoint_decoder.PREFIX,
                                               position.era)
         registered_since = self._list_registered_since(items, position)
         for each in items:
-            self._apply_endpoint(each)
+            self._guard_item(self._apply_endpoint, each)
         vms = await self._client.read_range(VM_PREFIX, position.era)
         self._apply_vms(vms)
         missing = self._directory.keep_only(
@@ -294,7 +301,8 @@
             if prefix != VM_PREFIX:
                 listed = await self._client.read_range(prefix, position.era)
             for on_listing, _ in listeners:
-                on_listing(listed, position)
+                self._guard(prefix,
+                            functools.partial(on_listing, listed, position))
         return position
 
     def _list_registered_since(self, items: list[store_client.Item],
@@ -348,20 +356,49 @@
         self._had_changes = bool(items)
         self._record_success()
         for each in items:
-            if each.key == CONFIGURATION_KEY:
-                self.apply_configuration(each)
-            elif each.key.startswith(endpoint_decoder.PREFIX):
-                self._apply_endpoint(each)
-            elif each.key.startswith(VM_PREFIX):
-                self._apply_vm(each)
-            elif each.key.startswith(journal_store.PREFIX):
-                self._stream_store.apply_item(each)
+            self._guard_item(self._apply_item, each)
             for prefix, listeners in self._listeners.items():
                 if each.key.startswith(prefix):
                     for _, on_item in listeners:
-                        on_item(each)
+                        self._guard_item(on_item, each)
         return max(position, next_position)
 
+    def _apply_item(self, item: store_client.Item) -> None:
+        """Applies a change of a key that the watcher itself uses."""
+        if item.key == CONFIGURATION_KEY:
+            self.apply_configuration(item)
+        elif item.key.startswith(endpoint_decoder.PREFIX):
+            self._apply_endpoint(item)
+        elif item.key.startswith(VM_PREFIX):
+            self._apply_vm(item)
+        elif item.key.startswith(journal_store.PREFIX):
+            self._stream_store.apply_item(item)
+
+    def _guard_item(self, apply: _ItemListener,
+                    item: store_client.Item) -> None:
+        self._guard(item.key, lambda: apply(item))
+
+    def _guard(self, key: str, apply: collections.abc.Callable[[],
+                                                               None]) -> None:
+        """Applies what a key holds; an unexpected error concerns only this key.
+
+        Failure: other writers share the store. An entry that can't be handled
+        must not keep the watch from applying what follows, now and each time
+        that all keys are read again.
+
+        Args:
+            key: The key, or the prefix of several, for the log.
+            apply: Applies it.
+        """
+        try:
+            apply()
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._journal.write("error",
+                                part="store_item",
+                                key=key,
+                                error=str(error)[:_MAX_LOGGED_ERROR_LENGTH],
+                                traceback=traceback.format_exc(_MAX_FRAMES))
+
     def _draw_watch_wait(self) -> datetime.timedelta:
         if self._failures:
             return _RECOVERY_WATCH_WAIT
@@ -373,7 +410,7 @@
     def _apply_vms(self, items: list[store_client.Item]) -> None:
         """Applies a complete listing of the VMs."""
         for each in items:
-            self._apply_vm(each)
+            self._guard_item(self._apply_vm, each)
         for key in self._vms - {each.key for each in items}:
             self._vms.discard(key)
             self._on_vm_change(key.removeprefix(VM_PREFIX), None)
--- a/mustardwood/platform/tests/test_decoders.py
+++ b/mustardwood/platform/tests/test_decoders.py
@@ -60,7 +60,9 @@
 
 @pytest.mark.parametrize("value", [
     b"", b"{", b"[]", b"null", b"\xff\xfe", b'{"version": "x"}',
-    b'{"version": 3, "routes": [{}]}', b'{"version": 3, "routes": 4}'
+    b'{"version": 3, "routes": [{}]}', b'{"version": 3, "routes": 4}',
+    b'{"version": 3, "x": ' + b"[" * 5000 + b"]" * 5000 + b"}",
+    b'{"version": 3, "limits": {"idle_timeout_ms": 1e300}}'
 ])
 def test_malformed_configuration_raises_an_error_with_a_remedy(value):
     with pytest.raises(errors.ConfigurationError) as caught:
@@ -86,6 +88,22 @@
     "version": 2
 }, {
     "version": "v" * 101
+}, {
+    "cold_remaining_ms": "none"
+}, {
+    "sequence": 1.5
+}, {
+    "slots": 0
+}, {
+    "slots": -5
+}, {
+    "slots": 2**64
+}, {
+    "born": -2**63
+}, {
+    "born": 2**64 - 1
+}, {
+    "born": 2**80
 }])
 def test_registration_with_an_invalid_field_is_rejected(changes):
     value = json.dumps(documents.make_registration(**changes)).encode()
@@ -93,12 +111,50 @@
         endpoint_decoder.decode_endpoint("servers/i-1", value)
 
 
+@pytest.mark.parametrize("address", [
+    "192.0.2.5", "192.0.2.5:", ":80", "192.0.2.5:0", "192.0.2.5:70000",
+    "192.0.2.5:" + "9" * 400, "192.0.2.5:" + "9" * 5000,
+    "192.0.2.5:\u0668\u0660", "192.0.2.5:+80", "192.0.2.5: 80", "\0:80",
+    "..:80", "h" * 300 + ":80", "host:80", "192.0.2:80", "192.0.2.256:80"
+])
+def test_registration_with_an_impossible_address_is_rejected(address):
+    """A connection to it raises other errors than an unreachable one."""
+    value = json.dumps(documents.make_registration(address=address)).encode()
+    with pytest.raises(errors.ConfigurationError) as caught:
+        endpoint_decoder.decode_endpoint("servers/i-1", value)
+    assert len(str(caught.value)) < 500
+
+
+@pytest.mark.parametrize("name", ["models", "zone", "unknown"])
+@pytest.mark.parametrize("levels", [1000, 100_000])
+def test_deeply_nested_registration_is_rejected(name, levels):
+    """The decoder raises `RecursionError` for it, even in an unused field."""
+    entry = documents.make_registration(**{name: "nested"})
+    value = json.dumps(entry).replace('"nested"', "[" * levels + "]" * levels)
+    with pytest.raises(errors.ConfigurationError):
+        endpoint_decoder.decode_endpoint("servers/i-1", value.encode())
+
+
+@pytest.mark.parametrize("name", [
+    "service", "address", "zone", "version", "slots", "state",
+    "cold_remaining_ms", "sequence"
+])
+def test_registration_that_lacks_a_field_is_rejected(name):
+    """It is not an endpoint's, and nobody may answer at its address."""
+    entry = documents.make_registration()
+    del entry[name]
+    with pytest.raises(errors.ConfigurationError):
+        endpoint_decoder.decode_endpoint("servers/i-1",
+                                         json.dumps(entry).encode())
+
+
 def test_registration_without_optional_fields_is_accepted():
-    entry = {"service": "api", "address": "192.0.2.5:80", "state": "draining"}
+    entry = documents.make_registration(state="draining")
+    del entry["born"]
     found = endpoint_decoder.decode_endpoint("servers/i-1",
                                              json.dumps(entry).encode())
     assert (found.name, found.is_leaving) == ("i-1", True)
-    assert not found.version
+    assert not found.started
 
 
 def test_version_of_the_software_is_read_from_the_registration():
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -227,6 +227,33 @@
     assert vm.call("/post/0")[0] == 200
 
 
+def test_registrations_of_another_writer_do_not_disturb_the_watch(
+        vm, store, endpoint):
+    """They made the VM read all keys again, each time they were written."""
+    nested = json.dumps(documents.make_registration(models="nested")).replace(
+        '"nested"', "[" * 5000 + "]" * 5000)
+    for _ in range(2):
+        store.put("servers/odd-1", nested.encode())
+        store.put(
+            "servers/odd-2",
+            documents.make_registration(address="192.0.2.5:" + "9" * 5000))
+        store.put("servers/odd-3",
+                  documents.make_registration(address="192.0.2.5:70000"))
+        store.put("servers/odd-4",
+                  documents.make_registration(address="..:80", service="api"))
+        store.put(
+            "servers/sound",
+            documents.make_registration(service="api",
+                                        address=endpoint.address))
+        time.sleep(1.5)
+    assert vm.count_endpoints("sound") == 1
+    assert not vm.count_endpoints("odd")
+    assert [vm.call("/post/0")[0] for _ in range(20)] == [200] * 20
+    events = [line["event"] for line in vm.read_log()]
+    assert "error" not in events
+    assert events.count("store_read") == 1
+
+
 def _read_peak_memory(pid):
     """Returns the peak of a process's resident memory in bytes."""
     with open(f"/proc/{pid}/status", encoding="utf-8") as status:
--- a/mustardwood/platform/tests/test_scaling_decoder.py
+++ b/mustardwood/platform/tests/test_scaling_decoder.py
@@ -29,14 +29,7 @@
 
 
 def _decode_endpoint(**changes):
-    registration = {
-        "service": "engine",
-        "address": "192.0.2.1:80",
-        "state": "ready",
-        "zone": "a",
-        "slots": 4
-    }
-    registration.update(changes)
+    registration = documents.make_registration(**changes)
     return endpoint_decoder.decode_endpoint("servers/e1",
                                             json.dumps(registration).encode())
 
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -1,8 +1,10 @@
 """Tests of changes, outages and malformed entries of the store."""
 
 import datetime
+import json
 import random
 
+import pytest
 from twisted.internet import defer
 
 from mustardwood import dispatch
@@ -81,7 +83,7 @@
 
 class _Harness:
 
-    def __init__(self, seed=1, client=None):
+    def __init__(self, seed=1, client=None, start=True):
         self.clock = timing.ManualClock()
         self.scheduler = harness_module.FakeScheduler(self.clock)
         self.client = client or _Client()
@@ -101,6 +103,11 @@
             journal_store.JournalStore(self.client,
                                        self.clock, self.journal, "vm-1"),
             random.Random(seed), _TIMES, _MIN_LAPSE_TIME, lambda: self.peers)
+        if start:
+            self.start()
+
+    def start(self):
+        """Starts the watcher and waits for its first watch."""
         self.watcher.start()
         self.scheduler.advance(_BATCH_DELAY)
 
@@ -159,6 +166,54 @@
         event == "configuration_rejected" for event, _ in harness.journal.lines)
 
 
+def _make_nested_registration():
+    """Returns a registration that another writer has nested deeply."""
+    entry = json.dumps(documents.make_registration(models="nested"))
+    return entry.replace('"nested"', "[" * 5000 + "]" * 5000).encode()
+
+
+def test_deeply_nested_registration_does_not_end_the_watch():
+    """It ended the watch, after which all keys were read again."""
+    harness = _Harness()
+    reads = harness.client.reads
+    harness.deliver([
+        documents.make_item("servers/i-0", _make_nested_registration(), 11),
+        documents.make_item("servers/i-2", documents.make_registration(), 12)
+    ], 12)
+    assert harness.usable() == ["i-1", "i-2"]
+    assert len(harness.client.watches) == 2
+    assert harness.client.reads == reads
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_error_with_one_item_concerns_no_other(is_listed):
+    """Otherwise an item that can't be handled stops or restarts the watch."""
+    client = _Client()
+    items = [
+        documents.make_item(f"servers/i-{index}", documents.make_registration(),
+                            11 + index) for index in (0, 2)
+    ]
+    if is_listed:
+        client.ranges["servers/"] += items
+    harness = _Harness(client=client, start=False)
+    set_endpoint = harness.directory.set_endpoint
+
+    def fail_once(endpoint, is_confirmed=True):
+        if endpoint.name == "i-0":
+            raise RuntimeError("unforeseen")
+        return set_endpoint(endpoint, is_confirmed)
+
+    harness.directory.set_endpoint = fail_once
+    harness.start()
+    if not is_listed:
+        harness.deliver(items, 13)
+    assert harness.usable() == ["i-1", "i-2"]
+    assert len(client.watches) == (1 if is_listed else 2)
+    error, = (
+        fields for event, fields in harness.journal.lines if event == "error")
+    assert error["key"] == "servers/i-0"
+
+
 def test_malformed_registration_removes_only_its_endpoint():
     harness = _Harness()
     harness.deliver([
--- a/mustardwood/tests/test_imports.py
+++ b/mustardwood/tests/test_imports.py
@@ -9,8 +9,8 @@
 
 _ROOT = pathlib.Path(mustardwood.__file__).parent
 _CORE_PACKAGES = frozenset({
-    "cells", "claims", "configuration", "dispatch", "errors", "forwarding",
-    "hedging", "leadership", "membership", "messages", "profiles",
+    "cells", "claims", "configuration", "decoding", "dispatch", "errors",
+    "forwarding", "hedging", "leadership", "membership", "messages", "profiles",
     "replication", "reports", "routing", "scaling", "scheduling", "usage"
 })
 _CORE_LIBRARIES = frozenset({
--- a/mustardwood/usage/usage_record.py
+++ b/mustardwood/usage/usage_record.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from mustardwood import decoding
+
 _KEPT_WINDOWS = 4
 """Number of windows that are kept although they were accepted.
 
@@ -94,8 +96,8 @@
 def decode_record(value: bytes) -> UsageRecord | None:
     """Returns the record in a stored value; None if it is malformed."""
     try:
-        return msgspec.json.decode(value, type=UsageRecord)
-    except msgspec.MsgspecError:
+        return decoding.decode_json(value, UsageRecord)
+    except decoding.DecodingError:
         return None
 
 
