Resume unknown streams only by registrations read since their request

Operators of a similar system saw streams joined from two software versions: a VM that was cut off or suspended for some seconds during a release resumed streams that had begun at the new version through other VMs.

Cause: silence of the peers that were asked counted as evidence that nobody knew the stream, and a list of endpoints counted as current for 8 s. In virtual time a VM with a list of 4 s ago sent such a stream to the old version.

The stream began before its resumption was sent. The only version of a service is therefore used only if the registrations were read by a call that began after the request arrived. Such a read is made beside the pending watch if no VM has told the version within 100 ms. Without it the resumption is refused with 503. A watch that lost the store's history starts the list anew.

Four cases of test_software_versions.py failed without the change of version_lookup.py; the test of the lost history failed without that of store_watcher.py. Not reproduced with real processes.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -90,6 +90,7 @@
             metrics=null_objects.NullMetrics(),
             streams=dispatch.StreamVersionTable(scheduler),
             version_record=null_objects.SingleVersionRecord(),
+            registrations=null_objects.NullRegistrationReader(),
             observer=response_observer.ResponseObserver(
                 self._table, scheduler, loads, health, rate_limits,
                 lambda _: self._service),
--- a/mustardwood/benchmarks/streams/null_objects.py
+++ b/mustardwood/benchmarks/streams/null_objects.py
@@ -43,6 +43,13 @@
         """See `forwarding_context.VersionRecord`."""
 
 
+class NullRegistrationReader:
+    """Reads nothing; no stream is resumed with an unknown version."""
+
+    def request_read(self) -> None:
+        """See `dispatch.RegistrationReader`."""
+
+
 class NullJournal:
     """Journal that discards all events."""
 
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -33,6 +33,7 @@
 from mustardwood.dispatch.forwarding_context import Metrics
 from mustardwood.dispatch.forwarding_context import NoRequestCounter
 from mustardwood.dispatch.forwarding_context import NoResponseObserver
+from mustardwood.dispatch.forwarding_context import RegistrationReader
 from mustardwood.dispatch.forwarding_context import RequestCounter
 from mustardwood.dispatch.forwarding_context import ResponseObserver
 from mustardwood.dispatch.forwarding_context import Scheduler
@@ -123,6 +124,7 @@
     "RequestCounter",
     "RateStatement",
     "Refusal",
+    "RegistrationReader",
     "ResponseObserver",
     "RetryAfterPolicy",
     "RetryBudget",
--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -225,7 +225,19 @@
         if (self._listed_at is None or
                 time - self._listed_at > _MAX_LISTING_AGE):
             self._complete_since = time
-        self._listed_at = time
+        self._listed_at = max(time, self._listed_at or time)
+
+    def record_listing_gap(self) -> None:
+        """Records that endpoints may have come and left unseen until now."""
+        self._listed_at = None
+
+    def is_listed_since(self, time: datetime.timedelta) -> bool:
+        """Returns whether all registrations were listed at a time or later.
+
+        Args:
+            time: Monotonic time.
+        """
+        return self._listed_at is not None and self._listed_at >= time
 
     @property
     def is_complete(self) -> bool:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -225,6 +225,16 @@
         """Saves a stream that has just begun at this VM, if that is needed."""
 
 
+class RegistrationReader(typing.Protocol):
+    """Reads the changes of the registrations from the store."""
+
+    def request_read(self) -> None:
+        """Has the changes read soon, unless a read has just begun.
+
+        The directory receives them and records the time of the read.
+        """
+
+
 class RequestCounter(typing.Protocol):
     """Counts the requests that endpoints began to run."""
 
@@ -334,6 +344,7 @@
     metrics: Metrics
     streams: stream_version_table.StreamVersionTable
     version_record: VersionRecord
+    registrations: RegistrationReader
     observer: ResponseObserver
     process_exit: process_exit_module.ProcessExit
     usage: RequestCounter = NoRequestCounter()
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -234,6 +234,30 @@
         self.streams.append((value, on_end))
 
 
+class FakeRegistrationReader:
+    """Shows the registrations as the directory has them.
+
+    Attributes:
+        is_available: Whether the store answers.
+        on_read: Called before the answer, to change the registrations.
+        reads: Number of reads.
+    """
+
+    def __init__(self, directory, clock):
+        self._directory = directory
+        self._clock = clock
+        self.is_available = True
+        self.on_read = lambda: None
+        self.reads = 0
+
+    def request_read(self):
+        """Records a listing at once."""
+        self.reads += 1
+        if self.is_available:
+            self.on_read()
+            self._directory.record_listing(self._clock.monotonic())
+
+
 class Harness:
     """A `ForwardingContext` with fakes, whose parts tests can access."""
 
@@ -281,6 +305,7 @@
                                             lambda name: self.parameters,
                                             random.Random(3), self.profiles)
         self.process_exit = dispatch.ProcessExit()
+        self.registrations = FakeRegistrationReader(self.directory, self.clock)
         self.context = dispatch.ForwardingContext(
             clock=self.clock,
             scheduler=self.scheduler,
@@ -305,6 +330,7 @@
             metrics=self.metrics,
             streams=self.streams,
             version_record=self.journal_of_streams,
+            registrations=self.registrations,
             observer=response_observer.ResponseObserver(
                 self.profiles, self.clock, self.loads, self.health,
                 self.rate_limits, lambda name: self.parameters),
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -3,6 +3,7 @@
 import pytest
 
 from mustardwood import dispatch
+from mustardwood.dispatch import stream_version_table
 from mustardwood.dispatch.tests import harness as harness_module
 
 ms = harness_module.ms
@@ -313,6 +314,51 @@
     assert caller.status == 503
 
 
+@pytest.mark.parametrize("request_id", ["", "unknown"])
+def test_version_that_joined_unseen_is_found_before_a_stream_goes_on(
+        request_id):
+    """The VM was out of step, and its list of endpoints is seconds old.
+
+    The stream began at the new version, and replies of peers do not arrive.
+    """
+    harness = _make_harness("v1", "v1")
+    _observe_list(harness, ms(61_000))
+    harness.scheduler.advance(ms(4000))
+    harness.loads.set_peer_loads("peer", {})
+    harness.registrations.on_read = lambda: _add_version(harness)
+    _, caller = _resume(harness, request_id)
+    harness.scheduler.advance(ms(1100))
+    assert not harness.client.sent
+    assert caller.status == 503
+
+
+@pytest.mark.parametrize("request_id", ["", "unknown"])
+def test_unknown_stream_is_refused_without_a_list_read_since_its_request(
+        request_id):
+    """Neither the store nor a peer shows which versions have joined."""
+    harness = _make_harness("v1", "v1")
+    _observe_list(harness, ms(61_000))
+    harness.registrations.is_available = False
+    _, caller = _resume(harness, request_id)
+    for _ in range(11):
+        harness.loads.set_peer_loads("peer", {})
+        harness.scheduler.advance(ms(100))
+    assert not harness.client.sent
+    assert caller.status == 503
+
+
+def test_registrations_are_not_read_for_a_stream_that_a_peer_knows():
+    """Reads are billed, and all VMs may be asked to resume streams at once."""
+    harness = _make_harness("v1", "v1.1")
+    _resume(harness, "known")
+    harness.scheduler.advance(ms(50))
+    harness.streams.record_peer_streams(
+        {"v1.1": stream_version_table.find_key("engine", "known")})
+    harness.scheduler.advance(ms(50))
+    assert harness.client.sent[0].endpoint.version == "v1.1"
+    assert not harness.registrations.reads
+
+
 def test_unknown_stream_is_refused_at_a_vm_that_has_just_started():
     harness = _make_harness("v1", "v1")
     _observe_list(harness, ms(20_000))
--- a/mustardwood/dispatch/version_lookup.py
+++ b/mustardwood/dispatch/version_lookup.py
@@ -14,12 +14,23 @@
 
 A question waits for up to 20 ms before it is sent, and peers reply at once.
 """
+_READ_DELAY = datetime.timedelta(milliseconds=100)
+"""Time for peers to reply before the registrations are read, which is billed.
+"""
+_MAX_READ_TIME = datetime.timedelta(seconds=1)
+"""Time within which the store shows the registrations."""
 
 
 class VersionLookup:
     """Finds out which software version began a stream that a caller resumes.
 
     It is known to this VM or a peer, or the service has had no other version.
+
+    Failure: this VM was suspended or cut off while endpoints of another version
+    joined. Other VMs have begun streams there, and their replies do not arrive
+    either. Silence is therefore no evidence: that the service has had no other
+    version must be shown by registrations that were read after the request
+    arrived, and so after its stream began.
     """
 
     def __init__(self, request: service_request.ServiceRequest,
@@ -37,15 +48,15 @@
         self._on_end = on_end
         self._key = stream_version_table.find_key(request.service,
                                                   request.stream_id)
-        self._ends_at = context.clock.monotonic()
+        self._started_at = context.clock.monotonic()
         self._timer: forwarding_context.Timer | None = None
 
     def start(self) -> None:
         """Looks the stream up, and asks peers if this VM does not know it."""
-        if self._request.stream_id:
-            if self._context.streams.find(self._key) is None:
-                self._context.streams.ask_peers(self._key)
-            self._ends_at += _MAX_LOOKUP_TIME
+        self._started_at = self._context.clock.monotonic()
+        if (self._request.stream_id and
+                self._context.streams.find(self._key) is None):
+            self._context.streams.ask_peers(self._key)
         self._look_up()
 
     def cancel(self) -> None:
@@ -55,16 +66,29 @@
             self._timer = None
 
     def _look_up(self) -> None:
-        context = self._context
+        context, has_id = self._context, bool(self._request.stream_id)
         self._timer = None
-        version = None
-        if self._request.stream_id:
-            version = context.streams.find(self._key)
-        if version is None and context.clock.monotonic() < self._ends_at:
+        version = context.streams.find(self._key) if has_id else None
+        if version is not None:
+            self._on_end(version)
+            return
+        waited = context.clock.monotonic() - self._started_at
+        if not has_id or waited >= _READ_DELAY:
+            self._request_read()
+        if has_id and waited < _MAX_LOOKUP_TIME or (
+                not self._is_list_current() and waited < _MAX_READ_TIME):
             self._timer = context.scheduler.call_later(_LOOKUP_INTERVAL,
                                                        self._look_up)
         else:
-            self._on_end(version or self._find_only_version())
+            self._on_end(self._find_only_version())
+
+    def _request_read(self) -> None:
+        if not self._is_list_current():
+            self._context.registrations.request_read()
+
+    def _is_list_current(self) -> bool:
+        """Returns whether the registrations were read since the start."""
+        return self._context.directory.is_listed_since(self._started_at)
 
     def _find_only_version(self) -> str | None:
         """Returns the only version that may have begun the stream, if known.
@@ -74,7 +98,7 @@
         peer may be cut off from the store, too.
         """
         context = self._context
-        if not context.loads.count_peers():
+        if not self._is_list_current() or not context.loads.count_peers():
             return None
         service, period = self._request.service, self._request.time_limit
         return (context.directory.find_only_version(service, period) or
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -268,6 +268,7 @@
             metrics=self._metrics,
             streams=self._streams,
             version_record=self._stream_journal,
+            registrations=self._watcher,
             observer=self._make_observer(),
             process_exit=self._process_exit,
             usage=self._duties.request_counter,
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -39,6 +39,9 @@
 """
 _ERA_CHECK_INTERVAL = datetime.timedelta(seconds=1)
 """Minimum interval of the checks of the store's era; each costs one read."""
+_CHANGES_READ_INTERVAL = datetime.timedelta(milliseconds=50)
+"""Minimum time between two reads of changes; one serves all that wait for it.
+"""
 _BACKOFF_BASE = datetime.timedelta(milliseconds=60)
 """Base of the exponential backoff after failed calls."""
 _MAX_BACKOFF = datetime.timedelta(milliseconds=500)
@@ -185,6 +188,8 @@
         self._failures = 0
         self._had_changes = True
         self._is_checking_era = False
+        self._is_reading_changes = False
+        self._next_changes_read_at = clock.monotonic()
         self._era_start: store_client.Position | None = None
         self._copied_revision = 0
         self._position = store_client.Position()
@@ -269,6 +274,7 @@
 
     async def _read_all(self) -> store_client.Position:
         requested_at = self._clock.monotonic()
+        self._directory.record_listing_gap()
         item, position = await self._client.read_key(CONFIGURATION_KEY)
         self._record_success()
         self._start_era(position)
@@ -371,7 +377,8 @@
             self._apply_endpoint(item)
         elif item.key.startswith(VM_PREFIX):
             self._apply_vm(item)
-        elif item.key.startswith(journal_store.PREFIX):
+        elif (item.key.startswith(journal_store.PREFIX) and
+              not self._is_stale(item)):
             self._stream_store.apply_item(item)
 
     def _guard_item(self, apply: _ItemListener,
@@ -399,6 +406,46 @@
                                 error=str(error)[:_MAX_LOGGED_ERROR_LENGTH],
                                 traceback=traceback.format_exc(_MAX_FRAMES))
 
+    def request_read(self) -> None:
+        """See `dispatch.RegistrationReader`.
+
+        A pending watch shows that there are no changes only by its end, so the
+        changes are read by a call of its own.
+        """
+        if (self._is_reading_changes or not self._position.revision or
+                self._clock.monotonic() < self._next_changes_read_at):
+            return
+        self._is_reading_changes = True
+        defer.Deferred.fromCoroutine(self._read_changes()).addErrback(
+            self._log_read_error)
+
+    async def _read_changes(self) -> None:
+        """Applies changes before the pending watch, which shows them again.
+
+        The listeners wait for the watch, so that they get changes in order.
+        """
+        requested_at = self._clock.monotonic()
+        try:
+            items, _ = await self._client.watch("", self._position,
+                                                _RECOVERY_WATCH_WAIT)
+            for each in items:
+                self._guard_item(self._apply_item, each)
+            self._directory.record_listing(requested_at)
+        except (errors.KeyValueError, msgspec.MsgspecError) as error:
+            # The watch determines whether the store is unavailable.
+            self._journal.write("changes_read_failed", error=str(error))
+        finally:
+            self._is_reading_changes = False
+            self._next_changes_read_at = (self._clock.monotonic() +
+                                          _CHANGES_READ_INTERVAL)
+
+    def _log_read_error(self, reason: failure.Failure) -> None:
+        """Logs an unexpected error; the next request reads again."""
+        self._journal.write("error",
+                            part="store_changes",
+                            error=reason.getErrorMessage(),
+                            traceback=reason.getTraceback())
+
     def _draw_watch_wait(self) -> datetime.timedelta:
         if self._failures:
             return _RECOVERY_WATCH_WAIT
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -387,6 +387,72 @@
     assert harness.directory.find_only_version("api", _MINUTE) == "v1"
 
 
+def test_changes_are_read_beside_a_watch_that_shows_nothing():
+    """The watch's connection may have fallen silent."""
+    harness = _Harness()
+    harness.scheduler.advance(ms(1500))
+    requested_at = harness.clock.monotonic()
+    assert not harness.directory.is_listed_since(requested_at)
+    harness.watcher.request_read()
+    item = documents.make_item("servers/i-2",
+                               documents.make_registration(version="v2"), 11)
+    harness.client.deliver([item], 11)
+    assert harness.directory.is_listed_since(requested_at)
+    assert harness.usable() == ["i-1", "i-2"]
+    assert harness.directory.find_only_version("api", _MINUTE) is None
+
+
+def test_one_read_of_changes_is_made_at_a_time_and_each_50_ms():
+    """Many streams may be resumed at once, and calls are billed."""
+    harness = _Harness()
+    watches = len(harness.client.watches)
+    for _ in range(3):
+        harness.watcher.request_read()
+    assert len(harness.client.watches) == watches + 1
+    harness.client.deliver([], 10)
+    harness.watcher.request_read()
+    assert len(harness.client.watches) == watches + 1
+    harness.scheduler.advance(ms(50))
+    harness.watcher.request_read()
+    assert len(harness.client.watches) == watches + 2
+
+
+def test_watch_that_ends_after_a_read_of_changes_undoes_none_of_them():
+    """It was sent before, so its changes are older."""
+    harness = _Harness()
+    pending = harness.client.watches[-1][3]
+    harness.watcher.request_read()
+    harness.client.deliver([store_client.Item("servers/i-1", None, 12)], 12)
+    assert not harness.usable()
+    older = documents.make_item("servers/i-1",
+                                documents.make_registration(slots=7), 11)
+    pending.callback(([older], store_client.Position(0, 11)))
+    harness.scheduler.advance(_BATCH_DELAY)
+    assert not harness.usable()
+
+
+def test_failed_read_of_changes_is_no_evidence_and_leaves_the_watch_alone():
+    """A list counts as read only if the store has answered."""
+    harness = _Harness()
+    watches = len(harness.client.watches)
+    harness.scheduler.advance(ms(100))
+    requested_at = harness.clock.monotonic()
+    harness.watcher.request_read()
+    harness.client.fail(_unavailable())
+    assert not harness.directory.is_listed_since(requested_at)
+    assert len(harness.client.watches) == watches + 1
+    assert harness.watcher.is_connected
+
+
+def test_version_may_have_come_and_left_where_the_history_was_lost():
+    """A listing does not show what has changed since the one before it."""
+    harness = _Harness()
+    _watch_for(harness, ms(65_000))
+    harness.client.fail(store_client.HistoryLostError("Lost.", "Read again."))
+    harness.scheduler.advance(_BATCH_DELAY)
+    assert harness.directory.find_only_version("api", _MINUTE) is None
+
+
 def _make_endpoint(revision, name="i-1", era=1, **changes):
     return documents.make_item(f"servers/{name}",
                                documents.make_registration(**changes), revision,
