Keep requests from hanging after many failed connections

Cause: the avoid time of an unreachable endpoint was doubled without bound and overflowed at the 48th failure in a row. The OverflowError ended the handling of the failure after its attempt had ended and before the retry. Blocks of crashing requests and prompt parts had the same expression.

timing.double_delay limits the exponent, and an unexpected error in the handling of a response or failure ends the request with an answer: 503 only if it was never sent, else 502.

--- a/mustardwood/dispatch/crash_record.py
+++ b/mustardwood/dispatch/crash_record.py
@@ -218,8 +218,8 @@
             time >= now - _CRASH_LIFETIME for time in suspect.crashes.values())
         if not suspect.block_count and recent < CRASHES_TO_BLOCK:
             return
-        duration = min(_INITIAL_BLOCK_TIME * 2**suspect.block_count,
-                       _MAX_BLOCK_TIME)
+        duration = timing.double_delay(_INITIAL_BLOCK_TIME, suspect.block_count,
+                                       _MAX_BLOCK_TIME)
         suspect.blocked_until = now + duration
         suspect.block_count += 1
         self._blocked.add(fingerprint)
--- a/mustardwood/dispatch/endpoint_health.py
+++ b/mustardwood/dispatch/endpoint_health.py
@@ -57,8 +57,8 @@
         """Records a failed connection or a stalled endpoint."""
         record = self._records.get(endpoint)
         connect_failures = 1 if record is None else record.connect_failures + 1
-        avoid_time = min(_INITIAL_AVOID_TIME * 2**(connect_failures - 1),
-                         _MAX_AVOID_TIME)
+        avoid_time = timing.double_delay(_INITIAL_AVOID_TIME,
+                                         connect_failures - 1, _MAX_AVOID_TIME)
         self._update(endpoint,
                      1.0,
                      avoid_time,
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -98,12 +98,17 @@
         self._attempts.abort_all(request_record.CALLER_GONE)
         self._finish(request_record.CALLER_GONE, 0)
 
-    def handle_error(self) -> None:
-        """Ends the request after an unexpected error in its handling."""
+    def handle_error(self, error: Exception) -> None:
+        """See `response_handler.ResponseHandler`."""
+        self._context.journal.write("error",
+                                    part="forwarding",
+                                    error=str(error),
+                                    traceback=_describe_traceback(error))
         if self._is_done:
             return
-        if self._attempts.current is not None:
-            self._attempts.runs += 1
+        if self._attempts.has_sent:
+            # The error may have kept a run from being counted.
+            self._attempts.runs = max(1, self._attempts.runs)
         self._attempts.abort_all("error")
         self._give_up("error", None)
 
@@ -435,3 +440,14 @@
             self._deadline_timer.cancel()
             self._deadline_timer = None
         self._record.finish(outcome, status)
+
+
+def _describe_traceback(error: Exception) -> list[str]:
+    """Returns the functions that an error has passed through, with their lines.
+    """
+    found = []
+    frame = error.__traceback__
+    while frame is not None:
+        found.append(f"{frame.tb_frame.f_code.co_qualname}:{frame.tb_lineno}")
+        frame = frame.tb_next
+    return found
--- a/mustardwood/dispatch/prompt_part_crashes.py
+++ b/mustardwood/dispatch/prompt_part_crashes.py
@@ -332,8 +332,8 @@
                 return
         elif _compute_score(suspect, now) < _CRASHES_TO_BLOCK:
             return
-        duration = min(_INITIAL_BLOCK_TIME * 2**suspect.block_count,
-                       _MAX_BLOCK_TIME)
+        duration = timing.double_delay(_INITIAL_BLOCK_TIME, suspect.block_count,
+                                       _MAX_BLOCK_TIME)
         suspect.blocked_at = now
         suspect.blocked_until = now + duration * self._block_factor
         suspect.block_count += 1
--- a/mustardwood/forwarding/attempt_listener.py
+++ b/mustardwood/forwarding/attempt_listener.py
@@ -7,7 +7,11 @@
 
 
 class AttemptListener:
-    """Passes on the response to one attempt while the attempt is open."""
+    """Passes on the response to one attempt while the attempt is open.
+
+    An unexpected error ends the request. The code that reads the endpoint's
+    connection can't answer the caller.
+    """
 
     def __init__(self, handler: response_handler.ResponseHandler,
                  attempt: attempt_record.AttemptRecord) -> None:
@@ -29,19 +33,34 @@
         attempt.headers = headers
         attempt.is_verified = is_verified
         attempt.was_not_run = was_not_run
-        self._handler.record_statements(attempt, statements)
+        try:
+            self._handler.record_statements(attempt, statements)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._handler.handle_error(error)
 
     def receive_data(self, data: bytes) -> None:
         """See `forwarding_context.AttemptListener`."""
-        if self._handler.is_open(self._attempt):
+        if not self._handler.is_open(self._attempt):
+            return
+        try:
             self._handler.receive_data(self._attempt, data)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._handler.handle_error(error)
 
     def receive_end(self) -> None:
         """See `forwarding_context.AttemptListener`."""
-        if self._handler.is_open(self._attempt):
+        if not self._handler.is_open(self._attempt):
+            return
+        try:
             self._handler.receive_end(self._attempt)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._handler.handle_error(error)
 
     def receive_failure(self, was_sent: bool, reason: str) -> None:
         """See `forwarding_context.AttemptListener`."""
-        if self._handler.is_open(self._attempt):
+        if not self._handler.is_open(self._attempt):
+            return
+        try:
             self._handler.receive_failure(self._attempt, was_sent, reason)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._handler.handle_error(error)
--- a/mustardwood/forwarding/response_handler.py
+++ b/mustardwood/forwarding/response_handler.py
@@ -32,5 +32,14 @@
             reason: Cause of the failure, for the log.
         """
 
+    def handle_error(self, error: Exception) -> None:
+        """Logs and ends the request after an unexpected error in its handling.
+
+        Otherwise its caller would wait until the deadline.
+
+        Args:
+            error: The error.
+        """
+
     def is_open(self, attempt: attempt_record.AttemptRecord) -> bool:
         """Returns whether the response of an attempt is still expected."""
--- a/mustardwood/forwarding/tests/test_hedged_requests.py
+++ b/mustardwood/forwarding/tests/test_hedged_requests.py
@@ -233,7 +233,7 @@
     """Failure: an error of the router leaves a request running."""
     harness = hedge_harness.HedgeHarness()
     forwarding, caller, first, second = harness.start_hedged()
-    forwarding.handle_error()
+    forwarding.handle_error(RuntimeError("unforeseen"))
     assert first.is_aborted and second.is_aborted
     assert caller.status == 502
 
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import http
-import traceback
 
 from twisted.internet import protocol
 
@@ -96,11 +95,7 @@
             forwarding.start()
         except Exception as error:  # pylint: disable=broad-exception-caught
             # Otherwise the caller would get no answer.
-            context.journal.write("error",
-                                  part="forwarding",
-                                  error=str(error),
-                                  traceback=traceback.format_exc())
-            forwarding.handle_error()
+            forwarding.handle_error(error)
 
     def add_connection(self, connection: http1.CallerConnection) -> None:
         """See `http1.RequestHandler`."""
