Make the test of repeated blocks reach the overflow

The test now repeats the crash right after the end of each block. The blocks of prompt parts use the same function and have no such test.

--- a/mustardwood/dispatch/tests/test_endpoint_health.py
+++ b/mustardwood/dispatch/tests/test_endpoint_health.py
@@ -82,6 +82,10 @@
     for number in range(200):
         for endpoint in range(4):
             crashes.record_crash("fingerprint", f"endpoint-{number}-{endpoint}")
-        assert crashes.is_blocked("fingerprint")
-        clock.advance(ms(601_000))
+        clock.advance(_find_block_time(crashes) + ms(1))
         assert not crashes.is_blocked("fingerprint")
+
+
+def _find_block_time(crashes):
+    block, = crashes.list_blocks()
+    return block.time_left
