Do not reset callers and endpoints that read slowly

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' connections. It is meant for peers that can't be reached and also counts while a receive window stays too small. The connections to endpoints had the same fault for long bodies.

Callers' connections and those that send a body of more than 32 KB now have 30 s. Short requests to endpoints keep 2.5 s, because silent endpoints are found by it.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -79,7 +79,8 @@
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
-        socket_options.configure_socket(self.transport)
+        socket_options.configure_socket(self.transport,
+                                        socket_options.SLOW_READER_TIMEOUT)
         self.transport.registerProducer(self, True)
         self._is_producer = True
         self._handler.add_connection(self)
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -26,6 +26,8 @@
 
 Small chunks take up to a millisecond of processor time per kilobyte.
 """
+_MAX_SHORT_BODY_BYTES = 32 * 1024
+"""Size up to which an endpoint's receive buffer holds a request's body."""
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 """Headers of which a response without either ends with its connection."""
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
@@ -66,6 +68,7 @@
         self._data = bytearray()
         self._is_discarding = False
         self._is_closed = False
+        self._send_timeout = socket_options.UNREACHABLE_TIMEOUT
         self.idle_since = clock.monotonic()
         self.max_idle_time = _DEFAULT_MAX_IDLE_TIME
 
@@ -76,7 +79,7 @@
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
-        socket_options.configure_socket(self.transport)
+        socket_options.configure_socket(self.transport, self._send_timeout)
         self.transport.bufferSize = _READ_BYTES
         if self._first_exchange.is_finished:
             self.abort()
@@ -86,6 +89,7 @@
     def start(self, exchange: exchange_module.Exchange) -> None:
         """Sends the request of an exchange."""
         request = exchange.request
+        self._set_send_timeout(len(request.body))
         headers = list(request.headers)
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"Content-Length", str(len(request.body)).encode()))
@@ -104,6 +108,15 @@
         self.transport.write(b"".join(
             self._http.send(event) or b"" for event in self._sent_events))
 
+    def _set_send_timeout(self, body_bytes: int) -> None:
+        """Lets an endpoint read a long body slowly."""
+        timeout = (socket_options.SLOW_READER_TIMEOUT
+                   if body_bytes > _MAX_SHORT_BODY_BYTES else
+                   socket_options.UNREACHABLE_TIMEOUT)
+        if timeout != self._send_timeout:
+            self._send_timeout = timeout
+            socket_options.set_send_timeout(self.transport, timeout)
+
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         if self._exchange is None:
--- a/mustardwood/http1/socket_options.py
+++ b/mustardwood/http1/socket_options.py
@@ -1,5 +1,6 @@
 """Socket options that detect unreachable peers of a TCP connection."""
 
+import datetime
 import socket
 import typing
 
@@ -7,15 +8,28 @@
 """Idle time before the first TCP keep-alive probe, and between probes."""
 _MAX_KEEPALIVE_PROBES = 2
 """Number of unanswered probes after which the connection is closed."""
-_USER_TIMEOUT_MS = 2500
-"""Time after which unacknowledged data closes the connection.
+UNREACHABLE_TIMEOUT = datetime.timedelta(milliseconds=2500)
+"""Time after which unacknowledged data closes a connection.
 
 It is shorter than the time after which the platform considers a VM unreachable.
 """
+SLOW_READER_TIMEOUT = datetime.timedelta(seconds=30)
+"""The same for a peer that may read more slowly than data arrives.
+
+The system resets a connection whose receive window stays too small like one
+whose peer is lost.
+"""
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-def configure_socket(transport: typing.Any) -> None:
-    """Sets TCP_NODELAY, the keep-alive probes and the TCP user timeout."""
+def configure_socket(transport: typing.Any,
+                     send_timeout: datetime.timedelta) -> None:
+    """Sets TCP_NODELAY, the keep-alive probes and the TCP user timeout.
+
+    Args:
+        transport: Twisted's transport.
+        send_timeout: See `set_send_timeout`.
+    """
     handle = transport.getHandle()
     transport.setTcpNoDelay(True)
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -25,5 +39,21 @@
                       _KEEPALIVE_INTERVAL_SECONDS)
     handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT,
                       _MAX_KEEPALIVE_PROBES)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT,
-                      _USER_TIMEOUT_MS)
+    set_send_timeout(transport, send_timeout)
+
+
+def set_send_timeout(transport: typing.Any,
+                     send_timeout: datetime.timedelta) -> None:
+    """Sets the TCP user timeout [1]_.
+
+    Args:
+        transport: Twisted's transport.
+        send_timeout: Time for which data may be queued or unacknowledged before
+            the connection is reset.
+
+    References:
+        .. [1] L. Eggert and F. Gont, "TCP User Timeout Option", RFC 5482, 2009.
+    """
+    transport.getHandle().setsockopt(socket.IPPROTO_TCP,
+                                     socket.TCP_USER_TIMEOUT,
+                                     send_timeout // _MILLISECOND)
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -117,7 +117,7 @@
         self.send(path, key)
         return self.read()
 
-    def send(self, path, key="key-1"):
+    def send(self, path, key="key-1", body=b"body"):
         """Sends a request."""
         self._count += 1
         self._attempt_id = f"{self._name}-{self._count}"
@@ -126,7 +126,7 @@
                 (f"POST {path} HTTP/1.1\r\nHost: {documents.HOST}\r\n"
                  f"Mustardwood-Attempt-Id: {self._attempt_id}\r\n"
                  f"Authorization: Bearer {key}\r\n"
-                 "Content-Length: 4\r\n\r\nbody").encode())
+                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
         except OSError:
             # The VM has closed the connection, which `read` reports.
             pass
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -1,5 +1,7 @@
 """Tests of leaving endpoints and kept connections with real processes."""
 
+import socket
+import threading
 import time
 
 import pytest
@@ -156,6 +158,75 @@
     assert fleet.vm.wait() == 0
 
 
+@pytest.mark.processes
+def test_caller_that_pauses_reading_gets_its_whole_response(fleet):
+    """Its receive window stays closed for longer than a lost peer's timeout."""
+    for endpoint in fleet.endpoints:
+        endpoint.padding = bytes(400_000)
+    caller = process_fleet.Caller(fleet.vm, "caller", 4096)
+    caller.send("/post/0")
+    time.sleep(6.0)
+    outcome = caller.read()
+    assert outcome.seconds > 6.0
+    assert not fleet.find_lost_requests([outcome])
+    assert outcome.is_complete
+
+
+@pytest.mark.processes
+def test_endpoint_that_pauses_reading_gets_the_whole_body(fleet):
+    """A reset would leave it open whether the request has run."""
+    slow = _PausingEndpoint(pause_seconds=4.0)
+    fleet.store.put(
+        "servers/slow",
+        documents.make_registration(service="slow",
+                                    slots=64,
+                                    address=slow.address))
+    fleet.document["routes"][1]["backends"] = [{"service": "slow", "weight": 1}]
+    fleet.store.put("op/config", {**fleet.document, "version": 8})
+    process_fleet.wait_until(lambda: any(
+        each["version"] == 8 for each in fleet.vm.find_events("configuration")))
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    caller.send("/post/0", body=bytes(900_000))
+    assert caller.read().status == 200
+    assert slow.received_bytes > 900_000
+
+
+class _PausingEndpoint:
+    """Accepts one connection and pauses before it reads the request.
+
+    Attributes:
+        address: IP address and port.
+        received_bytes: Number of bytes received.
+    """
+
+    def __init__(self, pause_seconds):
+        self._pause_seconds = pause_seconds
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen()
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.received_bytes = 0
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        received = bytearray(connection.recv(1024))
+        time.sleep(self._pause_seconds)
+        while b"Attempt-Id: " not in received or len(received) < 900_000:
+            received += connection.recv(64 * 1024)
+        attempt_id = received.split(b"Attempt-Id: ")[1].split(b"\r\n")[0]
+        while not received.endswith(b"\0" * 1000) or len(received) <= 900_000:
+            received += connection.recv(64 * 1024)
+        self.received_bytes = len(received)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nMustardwood-Attempt-Id: " +
+                           attempt_id +
+                           b"\r\nMustardwood-Replica-Signature: signed\r\n"
+                           b"Content-Length: 0\r\n\r\n")
+        connection.close()
+        self._listener.close()
+
+
 @pytest.mark.processes
 def test_requests_in_the_backlog_are_answered_when_the_listener_closes(fleet):
     # Twisted accepts as many connections at once as in the last burst.
