Bound the memory of all request bodies together

Cause: nothing bounded the bodies of all requests together, and each was held up to three times: as received, in the request and in the send buffer.

A BodyBudget of half of the VM's memory is taken from when a head states a length or chunks arrive. Without room, a request is refused with 503 and has not run. A body is held once, and written in parts as its endpoint reads. A connection is closed if its endpoint answers before a long body was sent, because the rest of it would be taken for the next request.

--- a/mustardwood/http1/__init__.py
+++ b/mustardwood/http1/__init__.py
@@ -4,6 +4,7 @@
 to endpoints.
 """
 
+from mustardwood.http1.body_budget import BodyBudget
 from mustardwood.http1.caller_connection import CallerConnection
 from mustardwood.http1.connection_limits import ConnectionLimits
 from mustardwood.http1.connection_pool import ConnectionPool
@@ -18,6 +19,7 @@
 from mustardwood.http1.response_writer import ResponseWriter
 
 __all__ = [
+    "BodyBudget",
     "CallerConnection",
     "ConnectionLimits",
     "ConnectionPool",
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -27,6 +27,8 @@
 """Number of bytes received behind an open response at which reading pauses."""
 _MAX_BYTES_PER_BODY_BYTE = 8
 """Bytes received for each byte of a body; chunks of one byte take six."""
+_MEMORY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+"""Time in which responses end and their requests' bodies are dropped."""
 _MAX_HEADERS_PER_REQUEST = 3
 """Maximum size of the rest of a request, in sizes of the largest headers.
 
@@ -60,6 +62,8 @@
         self._http = h11.Connection(h11.SERVER, limits.max_header_bytes)
         self._request: h11.Request | None = None
         self._body = bytearray()
+        self._body_budget = handler.get_body_budget()
+        self._taken_bytes = 0
         self._writer: response_writer.ResponseWriter | None = None
         self._timer: dispatch.Timer | None = None
         self._is_receiving = False
@@ -106,6 +110,7 @@
         """See `protocol.Protocol`."""
         self._cancel_timer()
         self._handler.remove_connection(self, reason.getErrorMessage())
+        self._drop_body()
         writer, self._writer = self._writer, None
         if writer is not None:
             writer.handle_disconnect()
@@ -170,7 +175,7 @@
         self._send(h11.EndOfMessage())
         self._writer = None
         self._request = None
-        self._body.clear()
+        self._drop_body()
         if (self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
             self._linger()
@@ -191,6 +196,7 @@
         """See `response_writer.ResponseConnection`."""
         self._writer = None
         self._cancel_timer()
+        self._drop_body()
         self.transport.abortConnection()
 
     def _read_requests(self) -> None:
@@ -246,6 +252,14 @@
                 http.HTTPStatus.BAD_REQUEST,
                 "The request has a length and chunks; send one of them.")
             return
+        length = sum(
+            int(value)
+            for name, value in event.headers
+            if name == b"content-length")
+        if not self._take_body_bytes(
+                min(length,
+                    self._handler.get_limits().max_body_bytes)):
+            return
         self._start_timer(self._handler.get_limits().idle_timeout,
                           self._refuse_slow_request)
 
@@ -257,6 +271,8 @@
                 http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 f"The body is longer than {limits.max_body_bytes} bytes.")
             return
+        if not self._take_body_bytes(len(self._body) - self._taken_bytes):
+            return
         self._start_timer(limits.idle_timeout, self._refuse_slow_request)
 
     def _handle_end(self) -> None:
@@ -272,20 +288,49 @@
                                             request.target.decode("latin-1"),
                                             request.headers.raw_items(),
                                             bytes(self._body))
+        # The bytes stay taken until the response ends.
+        self._body.clear()
         self._handler.handle_request(received, writer)
 
     def _refuse_slow_request(self) -> None:
         self._refuse(http.HTTPStatus.REQUEST_TIMEOUT,
                      "The request did not arrive in time; it has not run.")
 
-    def _refuse(self, status: int, text: str) -> None:
-        """Responds to an invalid request and closes the connection."""
+    def _take_body_bytes(self, count: int) -> bool:
+        """Takes room for a part of the body, or refuses the request.
+
+        Args:
+            count: Number of bytes; there is room if it is not positive.
+        """
+        if count <= 0:
+            return True
+        if self._body_budget.take(count):
+            self._taken_bytes += count
+            return True
+        self._refuse(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            "This VM has no memory left for the body; the request has not run. "
+            "Send it again after the given time.", _MEMORY_RETRY_AFTER)
+        return False
+
+    def _drop_body(self) -> None:
+        self._body.clear()
+        self._body_budget.give_back(self._taken_bytes)
+        self._taken_bytes = 0
+
+    def _refuse(self,
+                status: int,
+                text: str,
+                retry_after: datetime.timedelta | None = None) -> None:
+        """Responds to a request that is not handled; closes the connection."""
+        self._drop_body()
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.transport.abortConnection()
             return
         self.unanswered_bytes = 0
         writer = response_writer.ResponseWriter(_LastResponseConnection(self))
-        writer.refuse(dispatch.Refusal(http.HTTPStatus(status), text))
+        writer.refuse(
+            dispatch.Refusal(http.HTTPStatus(status), text, retry_after))
 
     def send_last_head(self, status: int,
                        headers: http_request.Headers) -> None:
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -11,6 +11,7 @@
 from twisted.python import failure
 
 from mustardwood import timing
+from mustardwood.http1 import body_sender
 from mustardwood.http1 import exchange as exchange_module
 from mustardwood.http1 import http_request
 from mustardwood.http1 import received_bytes
@@ -63,6 +64,7 @@
         self._exchange: exchange_module.Exchange | None = None
         self._http = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._sent_events: list[h11.Event] = []
+        self._body_sender: body_sender.BodySender | None = None
         self._received = received_bytes.ReceivedBytes(
             first_exchange.max_body_bytes)
         self._data = bytearray()
@@ -105,8 +107,16 @@
         self._data.clear()
         self._exchange = exchange
         exchange.attach(self, is_connected=True)
-        self.transport.write(b"".join(
-            self._http.send(event) or b"" for event in self._sent_events))
+        head, *rest = [
+            self._http.send(each) or b"" for each in self._sent_events
+        ]
+        if len(request.body) > body_sender.SLICE_BYTES:
+            self.transport.write(head)
+            self._body_sender = body_sender.BodySender(self.transport,
+                                                       request.body)
+            self._body_sender.start()
+        else:
+            self.transport.write(b"".join([head, *rest]))
 
     def _set_send_timeout(self, body_bytes: int) -> None:
         """Lets an endpoint read a long body slowly."""
@@ -234,7 +244,11 @@
         if exchange is None:
             return
         trailing, _ = self._http.trailing_data
-        if (self._is_closed or trailing or
+        # An idle connection does not keep the last body.
+        self._sent_events = []
+        is_sent = self._body_sender is None or self._body_sender.is_done
+        self._body_sender = None
+        if (self._is_closed or trailing or not is_sent or
                 self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
             self._is_closed = True
--- a/mustardwood/http1/page_server.py
+++ b/mustardwood/http1/page_server.py
@@ -8,6 +8,7 @@
 from twisted.internet import protocol
 
 from mustardwood import dispatch
+from mustardwood.http1 import body_budget
 from mustardwood.http1 import caller_connection
 from mustardwood.http1 import connection_limits
 from mustardwood.http1 import http_request
@@ -29,6 +30,8 @@
     content_type: str = "text/plain; charset=utf-8"
 
 
+_MAX_BODY_BYTES = 64 * 1024
+"""Size of the bodies that are received at the same time; pages need none."""
 _Pages = collections.abc.Mapping[str, collections.abc.Callable[[], Page]]
 
 
@@ -46,6 +49,7 @@
         """
         self._scheduler = scheduler
         self._pages = pages
+        self._body_budget = body_budget.BodyBudget(_MAX_BODY_BYTES)
 
     def buildProtocol(  # pylint: disable=invalid-name
             self, addr: object) -> caller_connection.CallerConnection:
@@ -57,6 +61,10 @@
         """See `request_handler.RequestHandler`."""
         return connection_limits.ConnectionLimits()
 
+    def get_body_budget(self) -> body_budget.BodyBudget:
+        """See `request_handler.RequestHandler`."""
+        return self._body_budget
+
     def is_stopping(self) -> bool:
         """See `request_handler.RequestHandler`."""
         return False
--- a/mustardwood/http1/request_handler.py
+++ b/mustardwood/http1/request_handler.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from mustardwood.http1 import body_budget
 from mustardwood.http1 import connection_limits
 from mustardwood.http1 import http_request
 from mustardwood.http1 import response_writer
@@ -13,6 +14,9 @@
     def get_limits(self) -> connection_limits.ConnectionLimits:
         """Returns the limits that apply to connections now."""
 
+    def get_body_budget(self) -> body_budget.BodyBudget:
+        """Returns the bound on the bodies of all requests together."""
+
     def is_stopping(self) -> bool:
         """Returns whether to close each connection after its next response."""
 
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -23,6 +23,7 @@
             header_timeout=datetime.timedelta(seconds=3),
             idle_timeout=datetime.timedelta(seconds=15))
         self.stopping = False
+        self.body_budget = http1.BodyBudget(1000)
         self.requests = []
         self.connections = set()
         self.unanswered_bytes = []
@@ -31,6 +32,10 @@
         """Returns the limits."""
         return self.limits
 
+    def get_body_budget(self):
+        """Returns the room for bodies."""
+        return self.body_budget
+
     def is_stopping(self):
         """Returns whether connections close after their next response."""
         return self.stopping
@@ -81,6 +86,58 @@
     assert not harness.transport.closed
 
 
+def _make_post(length):
+    return (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+            b"%d\r\n\r\n" % length)
+
+
+@pytest.mark.parametrize("data", [
+    _make_post(80),
+    b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"50\r\n" + b"x" * 80 + b"\r\n"
+])
+def test_body_without_room_is_refused_as_not_run(data):
+    """All bodies together exceeded the memory, and the process was killed."""
+    harness = _Harness()
+    harness.handler.body_budget.take(950)
+    harness.receive(data)
+    response = harness.transport.pop_written()
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 0.50" in response.lower()
+    assert b"connection: close" in response.lower()
+    assert not harness.handler.requests
+    assert harness.handler.body_budget.taken_bytes == 950
+
+
+def test_body_takes_room_until_the_response_has_ended():
+    """A request may be sent again, so its body is kept as long."""
+    harness = _Harness()
+    harness.receive(_make_post(80))
+    assert harness.handler.body_budget.taken_bytes == 80
+    harness.receive(b"x" * 80)
+    assert harness.handler.body_budget.taken_bytes == 80
+    harness.respond()
+    assert harness.handler.body_budget.taken_bytes == 0
+
+
+@pytest.mark.parametrize("received", [0, 40, 80])
+def test_lost_connection_returns_the_room_of_its_body(received):
+    """Room that is never returned would let the VM refuse all bodies."""
+    harness = _Harness()
+    harness.receive(_make_post(80) + b"x" * received)
+    harness.connection.connectionLost()
+    assert harness.handler.body_budget.taken_bytes == 0
+
+
+def test_reset_of_a_response_returns_the_room_of_the_body():
+    """The connection is lost later, and must not return it again."""
+    harness = _Harness()
+    harness.receive(_make_post(80) + b"x" * 80)
+    harness.handler.requests[0][1].abort()
+    harness.connection.connectionLost()
+    assert harness.handler.body_budget.taken_bytes == 0
+
+
 def test_pipelined_request_is_answered_although_the_process_stops():
     """A response that closes the connection would leave it unanswered."""
     harness = _Harness()
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -48,9 +48,10 @@
 
 class _Harness:
 
-    def __init__(self):
+    def __init__(self, body=b"body"):
         self.idle = []
         self.lost = []
+        self._body = body
         self.listener = _Listener()
         self.exchange = self._make_exchange(self.listener)
         self.connection = endpoint_connection.EndpointConnection(
@@ -61,9 +62,13 @@
 
     def _make_exchange(self, listener):
         return http1.Exchange(
-            http1.HttpRequest("POST", "/a", [(b"Host", b"h")], b"body"),
+            http1.HttpRequest("POST", "/a", [(b"Host", b"h")], self._body),
             listener)
 
+    def set_body(self, body):
+        """Sets the body of the next requests."""
+        self._body = body
+
     def start_next(self, request_id=b"mine"):
         """Starts another exchange on the same connection."""
         self.listener = _Listener(request_id)
@@ -254,3 +259,49 @@
         harness.disconnect(internet_error.ConnectionDone())
         assert harness.listener.status is None
         assert harness.listener.end not in (None, "complete")
+
+
+_LONG_BODY = bytes(range(256)) * 4096
+"""A body that is longer than what a transport should buffer."""
+
+
+def _pause_after(harness, count):
+    """Lets the transport pause its producer after a number of bytes."""
+    transport, write = harness.transport, harness.transport.write
+
+    def write_and_pause(data):
+        write(data)
+        if len(transport.value()) >= count and transport.producer is not None:
+            transport.producer.pauseProducing()
+
+    transport.write = write_and_pause
+
+
+def test_long_body_is_written_as_the_endpoint_reads():
+    """Each request with a long body took its size once more in a buffer."""
+    harness = _Harness(_LONG_BODY)
+    harness.receive(_HEAD % b"mine" + b"body")
+    assert harness.transport.value().endswith(_LONG_BODY)
+    assert harness.transport.producer is None
+    assert harness.idle
+    harness.transport.clear()
+    _pause_after(harness, 300_000)
+    harness.start_next()
+    assert 300_000 <= len(harness.transport.value()) < 400_000
+    while harness.transport.producer is not None:
+        harness.transport.producer.resumeProducing()
+    assert harness.transport.value().endswith(_LONG_BODY)
+
+
+def test_connection_is_closed_if_the_answer_comes_before_the_body_was_sent():
+    """The next request would be read as the rest of the body."""
+    harness = _Harness()
+    harness.receive(_HEAD % b"mine" + b"body")
+    harness.idle.clear()
+    _pause_after(harness, 300_000)
+    harness.set_body(_LONG_BODY)
+    harness.start_next()
+    harness.receive(_HEAD % b"mine" + b"body")
+    assert harness.listener.end == "complete"
+    assert harness.transport.closed == "reset"
+    assert not harness.idle
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -172,8 +172,10 @@
                                         self._log_hedge_budget)
         self._metrics = metrics.ProcessMetrics()
         self._duties.add_endpoint_scaling(self._make_scaling)
+        self._body_budget = http1.BodyBudget(self._settings.max_body_memory)
         self._server = request_server.RequestServer(self._make_context(pool),
-                                                    self._watcher)
+                                                    self._watcher,
+                                                    self._body_budget)
         self._port: typing.Any = None
         self._settings_version = _read_file_version(path)
         self._shutdown = graceful_shutdown.GracefulShutdown(
@@ -377,6 +379,12 @@
         for name, help_text, get_value in (
             ("mustardwood_open_requests", "Requests without a final answer.",
              lambda: float(self._server.open_requests)),
+            ("mustardwood_request_body_bytes",
+             "Bytes of the request bodies that are held.",
+             lambda: float(self._body_budget.taken_bytes)),
+            ("mustardwood_request_body_refusals",
+             "Requests refused because too little memory was left for bodies.",
+             lambda: float(self._body_budget.refusals)),
             ("mustardwood_proof_age_seconds",
              "Age of the proof that the configuration is the newest.",
              self._get_proof_age),
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -18,10 +18,12 @@
     noisy = False
 
     def __init__(self, context: dispatch.ForwardingContext,
-                 watcher: store_watcher.StoreWatcher) -> None:
+                 watcher: store_watcher.StoreWatcher,
+                 body_budget: http1.BodyBudget) -> None:
         self._context = context
         self._watcher = watcher
         self._connections: set[http1.CallerConnection] = set()
+        self._body_budget = body_budget
         self._open: set[dispatch.Forwarding] = set()
         self._is_stopping = False
 
@@ -48,6 +50,10 @@
             return http1.ConnectionLimits()
         return configuration.limits
 
+    def get_body_budget(self) -> http1.BodyBudget:
+        """See `http1.RequestHandler`."""
+        return self._body_budget
+
     def is_stopping(self) -> bool:
         """See `http1.RequestHandler`."""
         return self._is_stopping
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -48,6 +48,8 @@
 """Bounds of the delay between a change and the next watch."""
 _MAX_DUTY_NUMBER = 1e9
 """Largest number of a setting of duties; a time fits into a `timedelta`."""
+_BODY_MEMORY_SHARE = 0.5
+"""Share of the memory for request bodies; the rest is for all other data."""
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 _MAX_QUOTED_LENGTH = 60
@@ -139,6 +141,16 @@
     duty_per_s: float = 50.0
 
 
+class VmLimits(msgspec.Struct, frozen=True):
+    """Limits of the VM.
+
+    Attributes:
+        memory_mb: Memory in MiB that the process may use; it is killed beyond.
+    """
+
+    memory_mb: float = 300.0
+
+
 class PlatformSettings(msgspec.Struct, frozen=True):
     """The settings that the platform gives a process.
 
@@ -151,6 +163,7 @@
         listen: Addresses to listen on.
         store: Address of the platform's store.
         bounds: Limits that the platform requires the system to keep.
+        limits: Limits of the VM.
         heartbeat_ms: Interval at which endpoints renew their registrations.
         peer_ports: First and last port for messages between VMs.
         is_first_start: Whether the whole system starts for the first time.
@@ -163,6 +176,7 @@
     listen: Listen
     store: Store = msgspec.field(name="platform")
     bounds: Bounds = Bounds()
+    limits: VmLimits = VmLimits()
     heartbeat_ms: float = 1200.0
     peer_ports: tuple[int, ...] = msgspec.field(name="port_range", default=())
     is_first_start: bool = msgspec.field(name="is_bootstrap", default=False)
@@ -173,6 +187,11 @@
         """Time after which a removed API key must be refused."""
         return datetime.timedelta(milliseconds=self.bounds.key_removal_ms)
 
+    @property
+    def max_body_memory(self) -> int:
+        """Maximum size in bytes of all request bodies that are held."""
+        return int(self.limits.memory_mb * _BODY_MEMORY_SHARE * 1024 * 1024)
+
     @property
     def max_watch_wait(self) -> datetime.timedelta:
         """Maximum wait of a watch, after which a dead connection is detected.
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -117,8 +117,12 @@
         self.send(path, key)
         return self.read()
 
-    def send(self, path, key="key-1", body=b"body"):
+    def send(self, path, key="key-1", body=b"body", is_chunked=False):
         """Sends a request."""
+        framing = f"Content-Length: {len(body)}"
+        if is_chunked:
+            framing = "Transfer-Encoding: chunked"
+            body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
         self._count += 1
         self._attempt_id = f"{self._name}-{self._count}"
         try:
@@ -126,7 +130,7 @@
                 (f"POST {path} HTTP/1.1\r\nHost: {documents.HOST}\r\n"
                  f"Mustardwood-Attempt-Id: {self._attempt_id}\r\n"
                  f"Authorization: Bearer {key}\r\n"
-                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+                 f"{framing}\r\n\r\n").encode() + body)
         except OSError:
             # The VM has closed the connection, which `read` reports.
             pass
@@ -245,6 +249,13 @@
         """Sends SIGHUP, by which the process reads its settings again."""
         self._process.send_signal(signal.SIGHUP)
 
+    def read_peak_memory(self):
+        """Returns the peak of the resident memory in bytes."""
+        with open(f"/proc/{self._process.pid}/status",
+                  encoding="utf-8") as status:
+            line, = (each for each in status if each.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024
+
     def suspend(self):
         """Suspends the process."""
         self._process.send_signal(signal.SIGSTOP)
--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -1,5 +1,6 @@
 """Tests of leaving endpoints and kept connections with real processes."""
 
+import concurrent.futures
 import socket
 import threading
 import time
@@ -11,6 +12,9 @@
 from mustardwood.platform.tests import process_fleet
 from mustardwood.platform.tests import process_workload
 
+_LONG_BODIES = 60
+"""Number of long bodies that are sent at the same time."""
+
 
 class _Fleet:
     """A store, endpoints of both services, and one VM."""
@@ -191,6 +195,47 @@
     assert slow.received_bytes > 900_000
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_bodies_of_the_allowed_size_do_not_exceed_the_memory(
+        fleet, tmp_path, is_chunked):
+    """The platform kills a process over its memory, with all its requests."""
+    memory_mb = 200
+    vm = process_fleet.Vm(tmp_path, "vm-2", fleet.store,
+                          f"[limits]\nmemory_mb = {memory_mb}\n")
+    limits = {**fleet.document["limits"], "max_body_bytes": 4_194_304}
+    fleet.store.put("op/config", {
+        **fleet.document, "version": 8,
+        "limits": limits
+    })
+    vm.start()
+    try:
+        with concurrent.futures.ThreadPoolExecutor(_LONG_BODIES) as pool:
+            outcomes = list(
+                pool.map(lambda number: _send_long_body(vm, number, is_chunked),
+                         range(_LONG_BODIES)))
+        peak_mb = vm.read_peak_memory() >> 20
+        statuses = [each.status for each in outcomes]
+        print(f"peak {peak_mb} MiB, {statuses.count(200)} answered, "
+              f"{statuses.count(503)} refused")
+        assert peak_mb < memory_mb
+        assert all(each.is_complete for each in outcomes)
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= 10
+        # The room is free again.
+        assert _send_long_body(vm, _LONG_BODIES, is_chunked).status == 200
+    finally:
+        vm.kill()
+
+
+def _send_long_body(vm, number, is_chunked):
+    caller = process_fleet.Caller(vm, f"long-{number}")
+    caller.send("/post/1500", body=bytes(4_000_000), is_chunked=is_chunked)
+    outcome = caller.read()
+    caller.close()
+    return outcome
+
+
 class _PausingEndpoint:
     """Accepts one connection and pauses before it reads the request.
 
--- a/mustardwood/platform/tests/test_request_server.py
+++ b/mustardwood/platform/tests/test_request_server.py
@@ -28,7 +28,8 @@
     def __init__(self):
         self.harness = harness_module.Harness()
         self.server = request_server.RequestServer(self.harness.context,
-                                                   _Watcher())
+                                                   _Watcher(),
+                                                   http1.BodyBudget(1000))
 
     def call(self, data):
         """Sends bytes on a new connection and returns the response's."""
