Go on with updates between VMs after an error

The review read, without showing it, that an error while a VM builds its updates ends them for good: peers then no longer know its load, and callers get worse places. Data of callers or other writers can bring it about, for example an integer that the messages can't hold.

Cause: the next update was scheduled only after the last one was sent.

An error is now logged, and the next update follows after a second. The new test failed before with OverflowError (out of the call that starts the updates).

--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 import heapq
+import traceback
 
 from mustardwood import decoding
 from mustardwood import dispatch
@@ -93,8 +94,8 @@
 
     def start(self) -> None:
         """Starts to send updates."""
-        self._send_updates()
-        self._send_questions()
+        self._repeat(self._send_updates)
+        self._repeat(self._send_questions)
 
     def set_vm(self, name: str, value: bytes | None) -> None:
         """Handles a change of a VM's registration.
@@ -118,7 +119,25 @@
             self._addresses[name] = address
             self._journal.write("peer", peer=name, address=address)
 
-    def _send_updates(self) -> None:
+    def _repeat(self,
+                send: collections.abc.Callable[[], datetime.timedelta]) -> None:
+        """Sends, now and again after the returned interval.
+
+        Failure: a value that messages can't hold. Without updates, peers would
+        no longer know this VM's load, also after the value has changed.
+        """
+        interval = _MAX_SEND_INTERVAL
+        try:
+            interval = send()
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            self._journal.write("error",
+                                part="peer_updates",
+                                error=str(error),
+                                traceback=traceback.format_exc())
+        self._scheduler.call_later(interval, lambda: self._repeat(send))
+
+    def _send_updates(self) -> datetime.timedelta:
+        """Sends an update if there is one; returns the time until the next."""
         now = self._clock.monotonic()
         if (self._loads.version != self._sent_load_version or
                 self._protocol.has_new_streams or
@@ -132,15 +151,19 @@
             self._remove_silent_peers()
         interval = self._find_send_interval()
         self._loads.set_report_interval(interval)
-        self._scheduler.call_later(interval, self._send_updates)
+        return interval
 
     def _find_send_interval(self) -> datetime.timedelta:
         extra_peers = max(0, len(self._addresses) - _PEERS_AT_MIN_INTERVAL)
         return min(_MIN_SEND_INTERVAL + _SEND_INTERVAL_PER_PEER * extra_peers,
                    _MAX_SEND_INTERVAL)
 
-    def _send_questions(self) -> None:
-        """Asks the peers that were heard of last about unknown streams."""
+    def _send_questions(self) -> datetime.timedelta:
+        """Asks the peers that were heard of last about unknown streams.
+
+        Returns:
+            The time until the next questions.
+        """
         if self._protocol.has_questions:
             asked = heapq.nlargest(_MAX_ASKED_PEERS,
                                    self._addresses,
@@ -149,7 +172,7 @@
             for name, update in self._protocol.build_questions(
                     asked, self._watcher.configuration_position):
                 self.port.send(update, self._addresses[name])
-        self._scheduler.call_later(_MIN_SEND_INTERVAL, self._send_questions)
+        return _MIN_SEND_INTERVAL
 
     def _remove_silent_peers(self) -> None:
         oldest = self._clock.monotonic() - _PEER_TIMEOUT
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -96,6 +96,22 @@
     vm.synchronizer.set_vm(name, address)
 
 
+def test_updates_go_on_after_a_value_that_messages_cannot_hold():
+    """Peers lost sight of the VM until its next start."""
+    vm = _Vm("vm-1")
+    _join(vm)
+    vm.synchronizer.start()
+    huge = dispatch.EndpointLoad(prefill_tokens=2**70)
+    vm.loads.add("engine-1", huge)
+    vm.scheduler.advance(ms(2500))
+    errors = [event for event, _ in vm.journal.lines if event == "error"]
+    assert 1 <= len(errors) <= 4
+    vm.loads.subtract("engine-1", huge)
+    vm.sent.clear()
+    vm.scheduler.advance(ms(2000))
+    assert vm.sent
+
+
 def test_changed_load_is_sent_soon_and_unchanged_load_rarely():
     vm = _Vm("vm-1")
     _join(vm)
