--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -32,6 +32,8 @@
 
 What exceeds the buffer is only read to learn that the response is complete.
 """
+_MAX_FRAMES = 20
+"""Maximum number of functions in the log line of an error."""
 
 
 class Forwarding:
@@ -443,11 +445,11 @@
 
 
 def _describe_traceback(error: Exception) -> list[str]:
-    """Returns the functions that an error has passed through, with their lines.
+    """Returns the last functions that an error has passed through, with lines.
     """
     found = []
     frame = error.__traceback__
     while frame is not None:
         found.append(f"{frame.tb_frame.f_code.co_qualname}:{frame.tb_lineno}")
         frame = frame.tb_next
-    return found
+    return found[-_MAX_FRAMES:]
