Let a test wait until each VM knows a holder of the duties

No line now counts as a condition that does not hold yet, as a line with another holder did; the condition and its time limit are the same.

--- a/mustardwood/platform/tests/test_duty_processes.py
+++ b/mustardwood/platform/tests/test_duty_processes.py
@@ -50,10 +50,15 @@
                                  (None, previous))
         holder = self.find_holder()
         process_fleet.wait_until(lambda: all(
-            vm.find_events("duty_holder")[-1]["holder"] == holder.name for vm in
-            self.vms.values() if vm is not previous))
+            self._find_known_holder(vm) == holder.name for vm in self.vms.
+            values() if vm is not previous))
         return holder
 
+    def _find_known_holder(self, vm):
+        """Returns the holder that a VM knows; None before it knows one."""
+        known = vm.find_events("duty_holder")
+        return known[-1]["holder"] if known else None
+
     def find_token(self, holder):
         """Returns the token of the present term, from the holder's log."""
         return holder.find_events("duty_holder")[-1]["token"]
