Reproduce the refusal of urgent tiers beside free engines

Callers got 503 within milliseconds although the engines had free slots and no prompts waited, while larger, less urgent requests began a moment later (TIER). Admission refuses tiers by an estimate of their demand, which assumes the speed of other engines, and lifts the refusal by a clock.

The test lets questions arrive four times as often for seven seconds at two engines that are 2.8 times as fast as assumed, so that they have capacity for all.

--- a/mustardwood/benchmarks/streams/tests/test_simulation.py
+++ b/mustardwood/benchmarks/streams/tests/test_simulation.py
@@ -46,6 +46,17 @@
                                       seconds=12.0)
 """Average arrival rates, in which most of the engines leave."""
 
+_BURST_ON_FAST_ENGINES = simulation.LoadProfile(
+    bursts=(simulation.Burst("question", 1.0, 8.0, 4.0),),
+    organisation_tiers=(0, 1, 1, 1, 1),
+    seconds=12.0,
+    engines=2,
+    speeds=(2.8,))
+"""A burst of urgent requests that the engines have the capacity for.
+
+By the speed that the VMs assume, they would have a third of it.
+"""
+
 _MIXED_VERSIONS = simulation.LoadProfile(seconds=6.0,
                                          versions=("v1", "v1.1"),
                                          crashes=(2.0, 3.0, 4.0),
@@ -149,6 +160,16 @@
     assert not simulation.simulate_load(profile).starved
 
 
+@pytest.mark.parametrize("seed", (1, 2))
+@pytest.mark.parametrize("vms, peer_update_interval", ((9, 0.02), (60, 0.275)))
+def test_urgent_requests_are_not_starved_on_engines_faster_than_estimated(
+        vms, peer_update_interval, seed):
+    profile = dataclasses.replace(_BURST_ON_FAST_ENGINES,
+                                  vms=vms,
+                                  peer_update_interval=peer_update_interval)
+    assert not simulation.simulate_load(profile, seed=seed).starved
+
+
 def test_third_of_the_engines_that_is_slower_gets_less():
     profile = dataclasses.replace(simulation.LoadProfile(),
                                   seconds=12.0,
