Let a waiting prompt's size count less and less in prefill limits

They waited for "prefill" until they were refused.

Cause: a wait without aging or reservation for the large. An engine takes a long prompt if the prompts before it and the prompt itself stay below a limit. A large one needs a nearly idle engine, and each gap is taken by smaller ones, also later ones and those of other VMs.

A prompt that waits now counts as less and less in these limits: after a first-byte target, as half of the least urgent tier's limit at most, for every tier and engine speed. The condition for a large prompt is then no harder than for a usual one, so it is bounded how often it is passed. The prompts before it are counted in full, so that an engine's backlog stays within the limit and one prompt.

--- a/mustardwood/dispatch/engine_limits.py
+++ b/mustardwood/dispatch/engine_limits.py
@@ -29,6 +29,9 @@
         prefill_time: Seconds in which an engine prefills the prompts that wait
             there at most when a long prompt is sent to it.
         prefill_tokens: Number of prompt tokens up to which that does not apply.
+        aged_prefill_time: Seconds of prefill as which a prompt that has waited
+            counts at most in these limits, whatever its tier.
+        aged_prefill_tokens: The same in prompt tokens; the larger one holds.
         memory_share: Share of the KV cache that requests may fill.
         prefill_duration_factor: Factor on the longest continuous prefill of an
             engine with interactive streams.
@@ -38,6 +41,8 @@
     queued_requests: float
     prefill_time: float
     prefill_tokens: float
+    aged_prefill_time: float
+    aged_prefill_tokens: float
     memory_share: float
     prefill_duration_factor: float
 
@@ -57,6 +62,8 @@
                    _interpolate(0.0, settings.max_queued_requests, urgency),
                    settings.max_prefill_time * prefill_factor,
                    settings.min_prefill_tokens * prefill_factor,
+                   settings.max_prefill_time * settings.max_aged_share,
+                   settings.min_prefill_tokens * settings.max_aged_share,
                    _interpolate(settings.min_memory_share, 1.0, urgency),
                    _interpolate(settings.min_duration_factor, 1.0, urgency))
 
@@ -68,6 +75,15 @@
         """
         return max(self.prefill_time * prefill_rate, self.prefill_tokens)
 
+    def find_max_aged_prefill(self, prefill_rate: float) -> float:
+        """Returns as how many tokens a prompt that has waited counts at most.
+
+        Args:
+            prefill_rate: Prompt tokens that the engine prefills per second.
+        """
+        return max(self.aged_prefill_time * prefill_rate,
+                   self.aged_prefill_tokens)
+
     def find_max_requests(self, slots: int) -> int:
         """Returns the maximum number of requests of an engine.
 
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -205,9 +205,9 @@
             request.prompt.prefix_key or request.request_id, is_long)
         holders = self._prefix_caches.list_holders(request) | {preferred}
         costs = prompt_cost.PromptCost(
-            request, self._settings, self._table,
-            self._loads, holders, pool.long_prompt_engines,
-            self._find_cache_weight(request), parameters.memory_tokens,
+            request, self._settings, self._table, self._loads, holders,
+            pool.long_prompt_engines, self._find_cache_weight(request),
+            self._find_size_weight(request), parameters.memory_tokens,
             self._find_partition(request.service).find_max_prefill_duration(
                 parameters.event_tokens), self._waits_for_gap(request, is_long))
         best, least_cost = None, math.inf
@@ -260,8 +260,32 @@
 
         It falls from 1 to 0 while the request waits.
         """
+        return self._find_weight(request, self._settings.affinity_targets)
+
+    def _find_size_weight(self,
+                          request: service_request.ServiceRequest) -> float:
+        """Returns the weight of a request's own tokens in an engine's limits.
+
+        It falls from 1 to 0 while the request waits. Without this aging, a
+        large prompt would need a nearly idle engine, and smaller ones that
+        came later would take each gap. Batch schedulers prevent the same
+        starvation by reservations [1]_.
+
+        References:
+            .. [1] D. A. Lifka, "The ANL/IBM SP scheduling system", JSSPP 1995.
+        """
+        return self._find_weight(request, self._settings.aging_targets)
+
+    def _find_weight(self, request: service_request.ServiceRequest,
+                     targets: float) -> float:
+        """Returns a weight that falls from 1 to 0 while a request waits.
+
+        Args:
+            request: The request.
+            targets: Time until it is 0, in multiples of the first-byte target.
+        """
         waited = self._clock.monotonic() - request.arrived_at
-        limit = request.first_byte_target * self._settings.affinity_targets
+        limit = request.first_byte_target * targets
         return max(0.0, 1.0 - waited / limit) if limit else 0.0
 
     def _waits_for_gap(self, request: service_request.ServiceRequest,
--- a/mustardwood/dispatch/placement_settings.py
+++ b/mustardwood/dispatch/placement_settings.py
@@ -79,6 +79,11 @@
         affinity_targets: Time, in multiples of the first-byte target, after
             which a waiting request ignores the delay that prefilling its shared
             prefix again causes for others.
+        aging_targets: Time, in multiples of the first-byte target, after which
+            a waiting request counts as `max_aged_share` at most in the limits
+            of an engine's prefill. Until then its size counts less and less.
+        max_aged_share: Share of the least urgent tier's `max_prefill_time` and
+            `min_prefill_tokens`.
         max_evaluated_engines: Number of engines up to which all are evaluated;
             of more engines, half this number of suitable ones and a quarter of
             it of the others are sampled.
@@ -115,6 +120,8 @@
     max_gap_wait_targets: float = 1.0
     max_utilization: float = 0.85
     affinity_targets: float = 1.0
+    aging_targets: float = 1.0
+    max_aged_share: float = 0.5
     max_evaluated_engines: int = 16
     min_memory_share: float = 0.9
 
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -28,7 +28,7 @@
                  profile_table: profiles.ProfileTable,
                  table: load_table.LoadTable, holders: collections.abc.Set[str],
                  long_prompt_engines: collections.abc.Set[str],
-                 cache_weight: float, memory_tokens: int,
+                 cache_weight: float, size_weight: float, memory_tokens: int,
                  max_prefill_duration: datetime.timedelta | None,
                  waits_for_gap: bool) -> None:
         """Computes the values that are the same for all engines.
@@ -43,6 +43,8 @@
             long_prompt_engines: Names of the engines that take long prompts.
             cache_weight: Weight, from 0 to 1, of the delay that prefilling the
                 shared prefix again causes for others.
+            size_weight: Weight, from 0 to 1, of the part of the request's size
+                that counts in the limits of an engine's prefill only at first.
             memory_tokens: Size of an engine's KV cache in tokens; 0 if unknown.
             max_prefill_duration: Maximum continuous prefill of an engine with
                 interactive streams; None for no limit.
@@ -65,6 +67,7 @@
         self._cache_miss_streams = settings.cache_miss_streams * cache_weight
         self._stream_cost = (settings.long_prompt_stream_cost
                              if self._is_long else settings.stream_cost)
+        self._size_weight = size_weight
         self._limits = engine_limits.EngineLimits.from_settings(
             settings, request.urgency)
         self._max_prefill_duration = max_prefill_duration
@@ -134,10 +137,21 @@
         if (self._waits_for_gap and
                 self._exceeds_prefill_limit(endpoint, load, added_tokens)):
             return True
-        return (self._is_long and load.prefill_tokens > 0 and
-                load.prefill_tokens + added_tokens
-                > self._limits.find_max_prefill(
-                    self._find_profile(endpoint).prefill_rate))
+        if not self._is_long or not load.prefill_tokens:
+            return False
+        rate = self._find_profile(endpoint).prefill_rate
+        return (load.prefill_tokens + self._find_aged_size(added_tokens, rate)
+                > self._limits.find_max_prefill(rate))
+
+    def _find_aged_size(self, tokens: int, prefill_rate: float) -> float:
+        """Returns as how many tokens the request counts in prefill limits.
+
+        Args:
+            tokens: Number of tokens that an engine prefills for it.
+            prefill_rate: Prompt tokens that the engine prefills per second.
+        """
+        aged = min(tokens, self._limits.find_max_aged_prefill(prefill_rate))
+        return aged + self._size_weight * (tokens - aged)
 
     def _find_profile(
             self, endpoint: endpoint_module.Endpoint) -> profiles.EngineProfile:
@@ -170,8 +184,9 @@
                 not load.interactive_streams or
                 load.prefill_tokens < settings.chunk_tokens):
             return False
-        remaining = ((load.prefill_tokens + added_tokens) /
-                     self._find_profile(endpoint).prefill_rate)
+        rate = self._find_profile(endpoint).prefill_rate
+        remaining = (load.prefill_tokens +
+                     self._find_aged_size(added_tokens, rate)) / rate
         duration = self._table.find_prefill_duration(
             endpoint.name).total_seconds() + remaining
         return duration > (self._max_prefill_duration.total_seconds() *
