Correct the estimated demand by the observed use of the engines

Callers got 503 within milliseconds while the engines had free slots, and larger, less urgent requests began in the same seconds (TIER).

Cause: an open-loop decision. Whole tiers were refused by an estimate of their demand, which assumes another engine's speed and lags four seconds behind the load. Two clocks, which ran at each VM for itself, held and lifted the refusals, so VMs refused different tiers, and a tier began soon after a more urgent one had been refused, or before.

Now: - DemandCorrection closes the loop. EngineUtilization measures for how long engines prefill and how many slots are taken. While requests are refused below the target, the factor on the demand falls; it rises to what explains the utilization. It is part of the peer updates, so that VMs do not drift apart, also those without requests. - TierShares admits the last tier in part, chosen by a hash of the request. It refuses a tier only after those after it were refused for five seconds, except when engines were lost that were in use, and admits a tier only five seconds after a more urgent one went short. - Engines that do not respond are no capacity. - A refusal's log line has correction, utilization and share.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -53,6 +53,8 @@
         self._service = dispatch.ServiceParameters(SERVICE,
                                                    parameters.memory_tokens,
                                                    parameters.event_tokens)
+        self._directory = _make_directory(scheduler, engines, parameters,
+                                          notices)
         loads = dispatch.LoadTable(scheduler)
         health = dispatch.EndpointHealth(scheduler)
         prefix_index = dispatch.PrefixCacheIndex(scheduler)
@@ -65,7 +67,7 @@
             scheduler=scheduler,
             client=engine_client.EngineClient(scheduler, engines),
             authorizer=null_objects.AllowAllAuthorizer(),
-            directory=_make_directory(scheduler, engines, parameters, notices),
+            directory=self._directory,
             notices=notices,
             loads=loads,
             health=health,
@@ -75,7 +77,9 @@
             rate_limits=rate_limits,
             pauses=self._pauses,
             admission=dispatch.TierAdmission(scheduler, loads, rate_limits,
-                                             settings, self._table),
+                                             settings, self._table,
+                                             health.list_avoided,
+                                             self._directory.list_usable),
             placement=dispatch.Placement("zone", scheduler, loads, health,
                                          prefix_index, rate_limits,
                                          self._pauses, settings,
@@ -115,7 +119,8 @@
         other.context.loads.set_peer_loads(self.name,
                                            self.context.loads.list_own_loads())
         other.context.admission.set_peer_demands(
-            self.name, self.context.admission.list_demands())
+            self.name, self.context.admission.list_demands(),
+            self.context.admission.list_corrections())
         other.learned.set_peer_reports(self.name, self.learned.list_reports())
         for engine, prefix_key in self.context.prefix_caches.list_moves():
             other.context.prefix_caches.record_prefix(engine, prefix_key)
--- a/mustardwood/dispatch/load_table.py
+++ b/mustardwood/dispatch/load_table.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import datetime
 
 from mustardwood import timing
@@ -22,6 +23,22 @@
 _IDLE = endpoint_load.EndpointLoad()
 
 
+@dataclasses.dataclass(frozen=True)
+class EndpointUse:
+    """Times for which an endpoint was used, since an arbitrary start.
+
+    Attributes:
+        measured_at: Monotonic time at which they were measured.
+        prefill_time: Time for which it has been prefilling continuously.
+        request_time: Time for which it ran requests and did not, summed over
+            the requests.
+    """
+
+    measured_at: datetime.timedelta
+    prefill_time: datetime.timedelta = datetime.timedelta()
+    request_time: datetime.timedelta = datetime.timedelta()
+
+
 class LoadTable:
     """The load of endpoints: this VM's requests and its peers' last reports.
 
@@ -47,6 +64,7 @@
         self._clock = clock
         self._chunk_tokens = chunk_tokens
         self._prefill_starts: dict[str, datetime.timedelta] = {}
+        self._uses: dict[str, EndpointUse] = {}
         self._report_lifetime = PEER_REPORT_LIFETIME
         self.version = 0
         self._own_loads: dict[str, endpoint_load.EndpointLoad] = {}
@@ -120,6 +138,10 @@
             return datetime.timedelta()
         return self._clock.monotonic() - started_at
 
+    def measure_use(self, endpoint: str) -> EndpointUse:
+        """Returns how long an endpoint has been used so far."""
+        return self._add_use(endpoint)
+
     def count_peers(self) -> int:
         """Returns the number of peers whose reports have not expired."""
         self._drop_expired()
@@ -140,12 +162,31 @@
 
     def _add_total(self, endpoint: str,
                    load: endpoint_load.EndpointLoad) -> None:
+        self._add_use(endpoint)
         total = _add_load(self._total_loads, endpoint, load)
         if total.prefill_tokens < self._chunk_tokens:
             self._prefill_starts.pop(endpoint, None)
         elif endpoint not in self._prefill_starts:
             self._prefill_starts[endpoint] = self._clock.monotonic()
 
+    def _add_use(self, endpoint: str) -> EndpointUse:
+        """Adds the use of an endpoint since its load has changed last."""
+        now = self._clock.monotonic()
+        use = self._uses.get(endpoint)
+        if use is None:
+            use = EndpointUse(now)
+        elapsed = now - use.measured_at
+        if elapsed:
+            if endpoint in self._prefill_starts:
+                use = EndpointUse(now, use.prefill_time + elapsed,
+                                  use.request_time)
+            else:
+                requests = self._total_loads.get(endpoint, _IDLE).requests
+                use = EndpointUse(now, use.prefill_time,
+                                  use.request_time + requests * elapsed)
+        self._uses[endpoint] = use
+        return use
+
 
 def _add_load(loads: dict[str, endpoint_load.EndpointLoad], endpoint: str,
               load: endpoint_load.EndpointLoad) -> endpoint_load.EndpointLoad:
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -186,7 +186,8 @@
             attempts=self._attempts,
             engines=(self._list_engines() if outcome in (NO_ROOM,
                                                          NO_CAPACITY) else []),
-            demands=self._list_demands() if outcome == NO_CAPACITY else {},
+            **(self._context.admission.describe(request)
+               if outcome == NO_CAPACITY else {}),
             **({
                 "hedge": self._hedge
             } if self._hedge else {}),
@@ -199,14 +200,6 @@
             self._context.usage.record_begin(self._request.organisation,
                                              began_at)
 
-    def _list_demands(self) -> dict[str, float]:
-        """Returns the known demand for engines by tier, for the log."""
-        demands = self._context.admission.find_demands(self._request.service)
-        return {
-            str(tier): round(demand, 2)
-            for tier, demand in sorted(demands.items())
-        }
-
     def _list_engines(self) -> list[dict[str, typing.Any]]:
         """Returns the known load of some of the engines, for the log."""
         context = self._context
--- a/mustardwood/dispatch/tier_admission.py
+++ b/mustardwood/dispatch/tier_admission.py
@@ -6,29 +6,29 @@
 import datetime
 import math
 import statistics
+import typing
+import zlib
 
 from mustardwood import profiles
 from mustardwood import timing
+from mustardwood.dispatch import demand_correction
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_rate_limits
+from mustardwood.dispatch import engine_utilization
 from mustardwood.dispatch import load_table
 from mustardwood.dispatch import placement_settings
 from mustardwood.dispatch import service_request
+from mustardwood.dispatch import tier_shares
 
 _TIME_CONSTANT = datetime.timedelta(seconds=4)
 """Time constant of the exponentially weighted demand."""
 _UPDATE_INTERVAL = datetime.timedelta(milliseconds=250)
-"""Interval at which this VM's demand is computed again."""
+"""Interval at which demand and the division of capacity are computed."""
 _DEMAND_LIFETIME = datetime.timedelta(seconds=3)
 """Time after which a peer's report of its demand is ignored.
 
 It is that of three lost reports at the longest interval.
 """
-_MIN_REFUSAL_TIME = datetime.timedelta(seconds=2)
-"""Time for which a tier and those after it are refused at least.
-
-Otherwise, random changes of the demand would admit them again and again.
-"""
 _MAX_REPORTED = 64
 """Maximum number of services and tiers in one report: half a kilobyte."""
 _MIN_DEMAND = 0.0005
@@ -38,10 +38,6 @@
 
 It is that of the requests that show whether the limit still holds.
 """
-_LIGHT_LOAD_SHARE = 0.5
-"""Share of the slots up to which engines are lightly loaded."""
-_LIGHT_LOAD_TIME = datetime.timedelta(seconds=1)
-"""Time for which they are for each further tier that is admitted."""
 _SLOW = 1.5
 """Factor from which an engine is much slower than the others.
 
@@ -49,6 +45,8 @@
 """
 _MIN_WEIGHT = 0.5
 """Minimum weight of the time since the start in the demand."""
+_HASH_VALUES = 2**32
+"""Number of values of the hash that chooses the admitted requests."""
 
 _Endpoints = collections.abc.Sequence[endpoint_module.Endpoint]
 
@@ -68,18 +66,54 @@
     engines: float
 
 
-@dataclasses.dataclass(frozen=True)
-class _LightLoad:
-    """Time since which a number of engines has had free slots."""
-
-    engines: int
-    since: datetime.timedelta
-
-
 @dataclasses.dataclass(frozen=True)
 class _PeerDemand:
     received_at: datetime.timedelta
     demands: tuple[TierDemand, ...]
+    corrections: collections.abc.Mapping[str, float]
+
+
+class _ServiceAdmission:
+    """State of the admission to one service.
+
+    Attributes:
+        utilization: Utilization of its engines.
+        correction: Correction of the demand for them.
+        shares: Division of their capacity.
+        updated_at: Monotonic time of the last division.
+        engines: Engines that it was made for.
+        limited_count: Number of engines with a rate limit at that time.
+        capacity: Capacity that was divided, in engines.
+        used_capacity: Part of it that was in use.
+    """
+
+    def __init__(self, clock: timing.Clock,
+                 loads: load_table.LoadTable) -> None:
+        self.utilization = engine_utilization.EngineUtilization(clock, loads)
+        self.correction = demand_correction.DemandCorrection()
+        self.shares = tier_shares.TierShares()
+        self.updated_at: datetime.timedelta | None = None
+        self.engines: _Endpoints = ()
+        self.limited_count = 0
+        self.capacity = 0.0
+        self.used_capacity = 0.0
+
+    def set_capacity(self, capacity: float, max_utilization: float) -> None:
+        """Sets the capacity, and records whether too much of it was lost.
+
+        Whether the rest suffices does not depend on an estimate of the demand:
+        it has to do the work of the engines that were lost.
+
+        Args:
+            capacity: Number of engines.
+            max_utilization: Share of it that requests may need.
+        """
+        if capacity >= self.capacity:
+            self.used_capacity = capacity * self.utilization.average
+        elif (self.updated_at is not None and
+              self.used_capacity > max_utilization * capacity):
+            self.shares.record_loss(self.updated_at)
+        self.capacity = capacity
 
 
 class TierAdmission:
@@ -93,8 +127,8 @@
     Each VM estimates for how long its requests keep an engine busy, and tells
     its peers the sum for each tier. All VMs thus know the same demand and admit
     the tiers in order of urgency until the capacity is used up, as in [1]_. The
-    last tier that is admitted may wait on the engines; the tiers after it are
-    refused at once, before they take up room.
+    last tier is admitted in part; the rest is refused at once, before it takes
+    up room. The estimate is corrected by the utilization that is observed.
 
     References:
         .. [1] H. Zhou et al., "Overload control for scaling WeChat
@@ -107,7 +141,11 @@
         loads: load_table.LoadTable,
         rate_limits: endpoint_rate_limits.EndpointRateLimits,
         settings: placement_settings.PlacementSettings,
-        table: profiles.ProfileTable = profiles.FixedProfiles()
+        table: profiles.ProfileTable = profiles.FixedProfiles(),
+        list_avoided: collections.abc.Callable[
+            [], collections.abc.Set[str]] = frozenset,
+        list_usable: collections.abc.Callable[[str],
+                                              _Endpoints] = lambda service: ()
     ) -> None:
         """Creates a table without demand.
 
@@ -117,9 +155,14 @@
             rate_limits: Rate limits that the engines state.
             settings: Share of the engines' time that requests may need.
             table: Speed of the engines.
+            list_avoided: Returns the names of engines that do not respond.
+            list_usable: Returns the endpoints of a service that accept new
+                requests, to observe them also while this VM has no requests.
         """
         self._clock = clock
         self._loads = loads
+        self._list_avoided = list_avoided
+        self._list_usable = list_usable
         self._rate_limits = rate_limits
         self._settings = settings
         self._table = table
@@ -131,8 +174,7 @@
         self._reported_at = clock.monotonic()
         self._peers: dict[str, _PeerDemand] = {}
         self._totals: dict[str, dict[int, float]] = {}
-        self._refusals: dict[str, dict[int, datetime.timedelta]] = {}
-        self._light_loads: dict[str, _LightLoad] = {}
+        self._services: dict[str, _ServiceAdmission] = {}
         self._is_changed = True
 
     def record_arrival(self, request: service_request.ServiceRequest,
@@ -162,26 +204,41 @@
         """
         if not request.prompt.input_tokens or not usable:
             return True
-        service, now = request.service, self._clock.monotonic()
-        spare_tiers = self._count_spare_tiers(service, usable)
-        first_refused = self._find_first_refused(service,
-                                                 self._find_capacity(usable))
-        refusals = self._refusals.setdefault(service, {})
-        if first_refused is not None:
-            refusals[first_refused] = now + _MIN_REFUSAL_TIME
-        for tier in [tier for tier, until in refusals.items() if until <= now]:
-            del refusals[tier]
-        return request.tier < min(refusals, default=math.inf) + spare_tiers
+        now = self._clock.monotonic()
+        share = self._update(request.service,
+                             usable).shares.find_share(request.tier, now)
+        return share >= 1.0 or (zlib.crc32(request.request_id.encode())
+                                < share * _HASH_VALUES)
 
     def is_refusing(self, request: service_request.ServiceRequest) -> bool:
-        """Returns whether requests of a request's tier are being refused.
-
-        In contrast to `is_admitted`, it does not prolong the refusal.
+        """Returns whether requests of a request's tier are being refused."""
+        service = self._services.get(request.service)
+        return service is not None and service.shares.find_share(
+            request.tier, self._clock.monotonic()) < 1.0
+
+    def describe(
+            self,
+            request: service_request.ServiceRequest) -> dict[str, typing.Any]:
+        """Returns what the decision on a request was based on, for the log.
+
+        Returns:
+            The demand of all VMs by tier, in engines by estimate; the
+            `correction`, a factor on it; the observed `utilization` of the
+            engines and the `share` of the request's tier that is admitted.
         """
-        now = self._clock.monotonic()
-        return any(
-            tier <= request.tier and until > now
-            for tier, until in self._refusals.get(request.service, {}).items())
+        service = self._services.get(request.service)
+        if service is None:
+            return {}
+        share = service.shares.find_share(request.tier, self._clock.monotonic())
+        return {
+            "demands": {
+                str(tier): round(demand, 2) for tier, demand in sorted(
+                    self.find_demands(request.service).items())
+            },
+            "correction": round(service.correction.factor, 2),
+            "utilization": round(service.utilization.average, 2),
+            "share": round(share, 2),
+        }
 
     def find_demands(self, service: str) -> dict[int, float]:
         """Returns the demand of all VMs for a service's engines by tier."""
@@ -202,10 +259,32 @@
             self._is_changed = True
         return self._reported
 
-    def set_peer_demands(self, peer: str,
-                         demands: collections.abc.Iterable[TierDemand]) -> None:
-        """Replaces a peer's report of its demand."""
-        self._peers[peer] = _PeerDemand(self._clock.monotonic(), tuple(demands))
+    def list_corrections(self) -> dict[str, float]:
+        """Returns this VM's factors on the demand by service, for peers."""
+        for name in self._list_totals():
+            usable = self._list_usable(name)
+            if usable:
+                self._update(name, usable)
+        return {
+            name: service.correction.factor
+            for name, service in self._services.items()
+        }
+
+    def set_peer_demands(
+            self,
+            peer: str,
+            demands: collections.abc.Iterable[TierDemand],
+            corrections: collections.abc.Mapping[str, float] | None = None
+    ) -> None:
+        """Replaces a peer's report of its demand.
+
+        Args:
+            peer: Name of the peer.
+            demands: Its demand, by estimate.
+            corrections: Its factors on the demand by service.
+        """
+        self._peers[peer] = _PeerDemand(self._clock.monotonic(), tuple(demands),
+                                        corrections or {})
         self._is_changed = True
 
     def confirm_peer_demands(self, peer: str) -> None:
@@ -213,23 +292,50 @@
         known = self._peers.get(peer)
         if known is not None:
             self._peers[peer] = _PeerDemand(self._clock.monotonic(),
-                                            known.demands)
+                                            known.demands, known.corrections)
 
-    def _find_first_refused(self, service: str, capacity: float) -> int | None:
-        """Returns the most urgent tier without capacity; None if all have.
-
-        Args:
-            service: Name of the service.
-            capacity: Number of engines, of which limited ones count in part.
-        """
-        left = capacity * self._settings.max_utilization
-        tier = -1
-        for tier, demand in sorted(self._list_totals().get(service,
-                                                           {}).items()):
-            if left <= 0.0:
-                return tier
-            left -= demand
-        return tier + 1 if left <= 0.0 else None
+    def _update(self, name: str, usable: _Endpoints) -> _ServiceAdmission:
+        """Divides a service's capacity among tiers if it is time for that."""
+        now = self._clock.monotonic()
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = _ServiceAdmission(
+                self._clock, self._loads)
+        limited_count = self._rate_limits.limited_count
+        if (service.updated_at is not None and usable == service.engines and
+                limited_count == service.limited_count and
+                now - service.updated_at < _UPDATE_INTERVAL):
+            return service
+        elapsed = (datetime.timedelta() if service.updated_at is None else now -
+                   service.updated_at)
+        service.updated_at, service.engines = now, usable
+        service.limited_count = limited_count
+        demands = dict.fromkeys(
+            (tier for service_name, tier in self._own if service_name == name),
+            0.0) | self.find_demands(name)
+        avoided = self._list_avoided()
+        working = [each for each in usable if each.name not in avoided]
+        service.utilization.update([
+            each for each in working
+            if self._rate_limits.find_limit(each) is None
+        ])
+        capacity = self._find_capacity(working) if working else 0.0
+        service.set_capacity(capacity, self._settings.max_utilization)
+        if capacity > 0.0 and not limited_count:
+            service.correction.update(
+                elapsed,
+                service.shares.compute_admitted(demands) / capacity,
+                service.utilization.average, self._settings.max_utilization,
+                service.shares.is_refusing)
+        service.correction.approach(elapsed, [
+            each.corrections[name]
+            for each in self._peers.values()
+            if name in each.corrections
+        ])
+        service.shares.update(
+            now, elapsed, demands, capacity * self._settings.max_utilization /
+            service.correction.factor)
+        return service
 
     def _find_capacity(self, usable: _Endpoints) -> float:
         """Returns the number of engines of the usual speed.
@@ -255,25 +361,6 @@
                                             max(limit, _MIN_RATE) * mean_time)
             for speed, limit in zip(speeds, limits))
 
-    def _count_spare_tiers(self, service: str, usable: _Endpoints) -> int:
-        """Returns how many refused tiers are admitted all the same.
-
-        It is one for each `_LIGHT_LOAD_TIME` for which the engines have had
-        free slots. The demand was then estimated too high, or it has just
-        fallen. The time is measured whether or not a tier is refused:
-        otherwise, demand that varies around the capacity would keep a tier
-        refused beside idle engines.
-        """
-        now = self._clock.monotonic()
-        known = self._loads.list_total_loads()
-        requests = sum(
-            known[each.name].requests for each in usable if each.name in known)
-        light = self._light_loads.get(service)
-        if (light is None or light.engines != len(usable) or requests
-                >= _LIGHT_LOAD_SHARE * sum(each.slots for each in usable)):
-            light = self._light_loads[service] = _LightLoad(len(usable), now)
-        return (now - light.since) // _LIGHT_LOAD_TIME
-
     def _list_totals(self) -> dict[str, dict[int, float]]:
         """Returns the demand of all VMs by service and tier."""
         self.list_demands()
--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -25,6 +25,8 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _ENGINE_SHARES = 10_000
 """Parts into which an engine is divided in reports of demand."""
+_CORRECTION_UNITS = 1_000
+"""Parts into which a factor on the demand is divided in reports."""
 _NIL = b"\xc0"
 """An empty field in MessagePack."""
 _NOTICE_KINDS = frozenset(dispatch.NoticeKind)
@@ -240,7 +242,14 @@
               each.duration // _MILLISECOND)
              for each in self._notices.list_reports()],
             _encode_demands(self._admission.list_demands()),
-            self._encode_profiles())
+            self._encode_profiles(), self._encode_corrections())
+
+    def _encode_corrections(self) -> dict[str, int]:
+        corrections = self._admission.list_corrections()
+        return {
+            service: round(factor * _CORRECTION_UNITS)
+            for service, factor in corrections.items()
+        }
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
@@ -300,11 +309,15 @@
                 name: dispatch.EndpointLoad(*load)
                 for name, load in report.loads.items()
             })
-        self._admission.set_peer_demands(sender, [
-            dispatch.TierDemand(service, tier, share / _ENGINE_SHARES)
-            for service, demands in report.demands.items()
-            for tier, share in demands
-        ])
+        self._admission.set_peer_demands(
+            sender, [
+                dispatch.TierDemand(service, tier, share / _ENGINE_SHARES)
+                for service, demands in report.demands.items()
+                for tier, share in demands
+            ], {
+                service: factor / _CORRECTION_UNITS
+                for service, factor in report.corrections.items()
+            })
         self._apply_profiles(sender, report)
         for endpoint, prefix_key in report.moves:
             self._prefix_caches.record_prefix(endpoint, prefix_key)
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -24,6 +24,9 @@
 _EngineShare = typing.Annotated[int, msgspec.Meta(ge=0, le=10**9)]
 """A number of engines in ten thousandths."""
 
+_Correction = typing.Annotated[int, msgspec.Meta(ge=1, le=10**6)]
+"""A factor on a demand, in thousandths."""
+
 _NO_PROFILES = b"\x90"
 """An encoded empty list."""
 
@@ -106,6 +109,8 @@
             in ten thousandths, that the sender's requests keep busy.
         profiles: An encoded list of `ServiceProfile`. It is decoded by itself,
             so that impossible values in it leave the rest of the report valid.
+        corrections: For each service, the factor by which the sender corrects
+            the demand of all VMs, in thousandths.
     """
 
     loads: dict[str, LoadFigures]
@@ -118,6 +123,7 @@
     notices: list[tuple[str, str, _Milliseconds, _Milliseconds]] = []
     demands: dict[str, list[tuple[_Tier, _EngineShare]]] = {}
     profiles: msgspec.Raw = msgspec.Raw(_NO_PROFILES)
+    corrections: dict[str, _Correction] = {}
 
 
 class PeerUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/mustardwood/peers/tests/test_peer_protocol.py
+++ b/mustardwood/peers/tests/test_peer_protocol.py
@@ -437,6 +437,16 @@
     assert not receiver.admission.find_demands("engine")
 
 
+def test_corrections_of_the_demand_reach_peers():
+    sender, receiver = _Vm("sender"), _Vm("receiver", 2)
+    received = []
+    sender.admission.list_corrections = lambda: {"engine": 0.357}
+    receiver.admission.set_peer_demands = lambda *report: received.append(report
+                                                                         )
+    receiver.receive(sender.build_update(receiver))
+    assert received == [("sender", [], {"engine": 0.357})]
+
+
 class _UsageExchange:
     """Sends fixed reports and records the received ones."""
 
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -131,7 +131,9 @@
         self._admission = dispatch.TierAdmission(self._clock, self._loads,
                                                  self._rate_limits,
                                                  self._placement_settings,
-                                                 self._profile_table)
+                                                 self._profile_table,
+                                                 self._health.list_avoided,
+                                                 self._directory.list_usable)
         self._watcher = store_watcher.StoreWatcher(
             client, self._clock, self._scheduler, self._directory, self._proof,
             freshness_gate.FreshnessGate(self._clock,
