Forget the times of use of endpoints that were removed

A VM kept the times of use of each endpoint that it ever knew, which is a few hundred bytes for each start of an endpoint. They are dropped with the endpoint, and one that is back under its name is measured anew. Found while reading; no caller saw it.

--- a/mustardwood/dispatch/engine_utilization.py
+++ b/mustardwood/dispatch/engine_utilization.py
@@ -69,7 +69,7 @@
         elapsed = use.measured_at - known.measured_at
         if not elapsed:
             return 0.0
-        slots = max(1, engine.slots)
-        return min(1.0,
-                   (use.prefill_time - known.prefill_time +
-                    (use.request_time - known.request_time) / slots) / elapsed)
+        used = (use.prefill_time - known.prefill_time +
+                (use.request_time - known.request_time) / max(1, engine.slots))
+        # The times of an engine that was removed and is back begin at 0 again.
+        return min(max(used / elapsed, 0.0), 1.0)
--- a/mustardwood/dispatch/load_table.py
+++ b/mustardwood/dispatch/load_table.py
@@ -142,6 +142,10 @@
         """Returns how long an endpoint has been used so far."""
         return self._add_use(endpoint)
 
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Discards the times of use of an endpoint that has been removed."""
+        self._uses.pop(endpoint, None)
+
     def count_peers(self) -> int:
         """Returns the number of peers whose reports have not expired."""
         self._drop_expired()
--- a/mustardwood/dispatch/tests/test_engine_utilization.py
+++ b/mustardwood/dispatch/tests/test_engine_utilization.py
@@ -44,3 +44,15 @@
         harness.clock.advance(ms(100))
         utilization.update(harness.list_usable())
     assert utilization.average == pytest.approx(0.9, abs=0.01)
+
+
+def test_engine_that_is_back_after_its_removal_is_measured_anew():
+    harness = harness_module.Harness(endpoints=1)
+    utilization = engine_utilization.EngineUtilization(harness.clock,
+                                                       harness.loads)
+    harness.loads.add("endpoint-0", dispatch.EndpointLoad(requests=32))
+    for _ in range(5):
+        harness.clock.advance(ms(1_000))
+        harness.loads.forget_endpoint("endpoint-0")
+        utilization.update(harness.list_usable())
+        assert 0.0 <= utilization.average <= 1.0
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -339,6 +339,7 @@
 
     def _forget_endpoint(self, name: str) -> None:
         self._health.forget_endpoint(name)
+        self._loads.forget_endpoint(name)
         self._prefix_caches.forget_endpoint(name)
 
     def _find_unready_reason(self) -> str:
