Log when the event loop runs its timers late

Two endpoints worked on one stream for over 0.4 s in a run of real processes. The request line shows that their attempts overlapped, but not whether the VM was late or the rule of the takeover too slow. A timer each 200 ms now writes event_loop_late with the delay, and a metric has the sum. The monitor's test fails without the comparison with the time at which the timer was due.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -26,6 +26,7 @@
 from mustardwood.platform import endpoint_client
 from mustardwood.platform import endpoint_scaling
 from mustardwood.platform import event_journal
+from mustardwood.platform import event_loop_monitor
 from mustardwood.platform import freshness_gate
 from mustardwood.platform import freshness_reader
 from mustardwood.platform import graceful_shutdown
@@ -174,6 +175,8 @@
                                         self._log_hedge_budget)
         self._metrics = metrics.ProcessMetrics()
         self._duties.add_endpoint_scaling(self._make_scaling)
+        self._loop_monitor = event_loop_monitor.EventLoopMonitor(
+            self._clock, self._scheduler, self._journal)
         self._body_budget = http1.BodyBudget(self._settings.max_body_memory)
         self._server = request_server.RequestServer(self._make_context(pool),
                                                     self._watcher,
@@ -196,6 +199,7 @@
         self._watcher.start()
         self._reader.start()
         self._stream_journal.start()
+        self._loop_monitor.start()
         self._duties.start()
         if listen.peers:
             self._serve_page(listen.peers, peer_synchronizer.CONFIGURATION_PATH,
@@ -435,6 +439,9 @@
             ("mustardwood_hedge_budget",
              "Hedged requests that may be sent, over all services.",
              lambda: self._hedging.remaining_budget),
+            ("mustardwood_event_loop_late_seconds",
+             "Time for which timers were late by 0.1 s or more.",
+             lambda: self._loop_monitor.total_delay.total_seconds()),
             ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
              lambda: float(self._journal.dropped)),
         ):
