Reproduce the run of a stream at two endpoints while its VM stands still

Randomized runs of real VMs (make soak) show it: a silent attempt is closed by a timer 250 ms after its successor was sent. In virtual time, the silent attempt is open when its successor is sent.

Each check of a run has a test with a fault that it must find.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := mustardwood spec
 
-.PHONY: demo test format lint types check-model measure measure-path measure-streams measure-capacity clean
+.PHONY: demo test format lint types check-model measure measure-path measure-streams measure-capacity clean soak
 
 $(VENV)/.ready: pyproject.toml requirements.txt
 	python3 -m venv $(VENV)
@@ -45,3 +45,10 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+# Randomized runs of real VMs; the first seed and the options may be given:
+#   make soak SEEDS=50 FIRST=1 OPTIONS="--signals"
+SEEDS ?= 5
+FIRST ?= 1
+soak: $(VENV)/.ready
+	$(BIN)/python -m mustardwood.platform.tests.soak --seeds $(SEEDS) --first $(FIRST) $(OPTIONS)
--- /dev/null
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -0,0 +1,60 @@
+"""Plays runs with successive seeds: `python -m <package> --seeds 50`."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+from mustardwood.platform.tests.soak import soak
+
+
+def main():
+    """Plays the runs; exits with 1 if a rule was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="number of seeds")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--vms", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=40)
+    parser.add_argument("--signals", action="store_true")
+    parser.add_argument("--stop",
+                        type=float,
+                        default=0.0,
+                        help="seconds for which VMs stop during takeovers")
+    parser.add_argument("--delay",
+                        type=float,
+                        default=0.0,
+                        help="seconds from the begin of a takeover to the stop")
+    parser.add_argument("--logs",
+                        type=pathlib.Path,
+                        help="folder that keeps the logs of the VMs")
+    options = parser.parse_args()
+    if min(options.seeds, options.vms, options.callers, options.seconds) <= 0:
+        parser.error("seeds, VMs, callers and seconds must be positive")
+    broken = 0
+    for seed in range(options.first, options.first + options.seeds):
+        plan = soak.Plan(seed,
+                         seconds=options.seconds,
+                         vms=options.vms,
+                         callers=options.callers,
+                         has_signals=options.signals,
+                         takeover_stop_seconds=options.stop,
+                         takeover_delay_seconds=options.delay)
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = pathlib.Path(temporary)
+            if options.logs:
+                folder = options.logs / f"seed-{seed}"
+                folder.mkdir(parents=True, exist_ok=True)
+            verdict = asyncio.run(soak.play(plan, folder))
+        broken += bool(verdict.breaches)
+        print(f"seed {seed}: {'BROKEN' if verdict.breaches else 'kept'}, "
+              f"{verdict.requests} requests, {verdict.runs} runs, "
+              f"{verdict.takeovers} taken over")
+        print(*(f"  {each}" for each in verdict.breaches), sep="\n", end="")
+        print(flush=True)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mustardwood/platform/tests/soak/caller.py
@@ -0,0 +1,155 @@
+"""Callers that keep their connections and resume their streams."""
+
+import asyncio
+import dataclasses
+import time
+
+from mustardwood.platform.tests import documents
+from mustardwood.platform.tests.soak import endpoint as endpoint_module
+
+_DEADLINE_MS = 8000
+_CONNECT_SECONDS = 1.0
+_LEAVING_PROBABILITY = 0.05
+_STREAM_PROBABILITY = 0.7
+_RETRY_SECONDS = 0.05
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a caller has seen of one request.
+
+    Attributes:
+        attempt_id: Id of the request.
+        stream_id: Id of the request whose stream it begins or resumes.
+        path: Path of the request.
+        vm: Name of the VM.
+        sent_at: Monotonic time in seconds.
+        last_id: Id of the last event that the caller had before.
+        status: Status of the response; 0 if none was received.
+        event_ids: Ids of the events that were received, in order.
+        is_complete: Whether the response was received whole.
+        has_left: Whether the caller closed the connection before the end.
+        ended_at: Monotonic time at which the response or connection ended.
+    """
+
+    attempt_id: str
+    stream_id: str
+    path: str
+    vm: str
+    sent_at: float
+    last_id: int = 0
+    status: int = 0
+    event_ids: list = dataclasses.field(default_factory=list)
+    is_complete: bool = False
+    has_left: bool = False
+    ended_at: float = 0.0
+
+
+class Caller:
+    """A caller that sends one request after the other.
+
+    Attributes:
+        outcomes: What it has seen of its requests.
+    """
+
+    def __init__(self, name, vms, random):
+        """Creates a caller; `call_until` starts it.
+
+        Args:
+            name: Prefix of its requests' ids.
+            vms: The VMs that it may call.
+            random: Source of random numbers.
+        """
+        self.outcomes = []
+        self._name = name
+        self._vms = vms
+        self._random = random
+        self._vm = None
+        self._reader = None
+        self._writer = None
+
+    async def call_until(self, ends_at):
+        """Sends requests until a monotonic time in seconds."""
+        while time.monotonic() < ends_at:
+            is_stream = self._random.random() < _STREAM_PROBABILITY
+            path = "/stream/" if is_stream else "/post/"
+            outcome = await self._call(path)
+            while (is_stream and not outcome.is_complete and
+                   not outcome.has_left and outcome.event_ids and
+                   time.monotonic() < ends_at):
+                outcome = await self._call(path, outcome)
+        self._close()
+
+    async def _call(self, path, resumed=None):
+        """Sends a request, which may resume the stream of another one."""
+        attempt_id = f"{self._name}-{len(self.outcomes) + 1}"
+        outcome = Outcome(attempt_id,
+                          resumed.stream_id if resumed else attempt_id, path,
+                          "", time.monotonic())
+        self.outcomes.append(outcome)
+        more = ""
+        if resumed is not None:
+            outcome.last_id = resumed.event_ids[-1]
+            outcome.event_ids.append(outcome.last_id)
+            more = (f"Last-Event-Id: {outcome.last_id}\r\n"
+                    f"Resumes: {outcome.stream_id}\r\n")
+        try:
+            await self._connect()
+            outcome.vm, outcome.sent_at = self._vm.name, time.monotonic()
+            self._writer.write(
+                (f"POST {path} HTTP/1.1\r\nHost: {documents.HOST}\r\n"
+                 f"Mustardwood-Attempt-Id: {attempt_id}\r\n"
+                 f"Mustardwood-Deadline-Ms: {_DEADLINE_MS}\r\n"
+                 "Authorization: Bearer key-1\r\n"
+                 f"{more}Content-Length: 4\r\n\r\nbody").encode())
+            await asyncio.wait_for(self._read(outcome), _DEADLINE_MS / 1000 + 1)
+        except (OSError, ValueError, asyncio.IncompleteReadError,
+                asyncio.TimeoutError):
+            self._close()
+            await asyncio.sleep(_RETRY_SECONDS)
+        outcome.ended_at = time.monotonic()
+        return outcome
+
+    async def _connect(self):
+        if self._writer is not None:
+            return
+        self._vm = self._random.choice(
+            [each for each in self._vms if each.is_in_service] or self._vms)
+        self._reader, self._writer = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", self._vm.callers),
+            _CONNECT_SECONDS)
+
+    async def _read(self, outcome):
+        head = await endpoint_module.read_head(self._reader)
+        if head is None:
+            raise ConnectionResetError
+        first_line, headers = head
+        outcome.status = int(first_line.split(" ")[1])
+        if headers.get("transfer-encoding") == "chunked":
+            await self._read_events(outcome)
+        else:
+            await self._reader.readexactly(int(headers["content-length"]))
+            outcome.is_complete = True
+        if headers.get("connection") == "close":
+            self._close()
+
+    async def _read_events(self, outcome):
+        leaves = self._random.random() < _LEAVING_PROBABILITY
+        text = b""
+        while size := int((await self._reader.readuntil(b"\r\n"))[:-2], 16):
+            text += (await self._reader.readexactly(size + 2))[:-2]
+            *events, text = text.split(b"\n\n")
+            outcome.event_ids += [
+                int(each.partition(b"\n")[0][4:]) for each in events
+            ]
+            if leaves:
+                outcome.has_left = True
+                self._close()
+                return
+        await self._reader.readexactly(2)
+        outcome.is_complete = True
+
+    def _close(self):
+        if self._writer is not None:
+            self._writer.close()
+            self._writer = None
--- /dev/null
+++ b/mustardwood/platform/tests/soak/checks.py
@@ -0,0 +1,103 @@
+"""Checks of what endpoints and callers have seen in a run."""
+
+import collections
+import collections.abc
+import itertools
+
+from mustardwood.platform.tests.soak import caller
+from mustardwood.platform.tests.soak import endpoint
+
+_Runs = collections.abc.Iterable[endpoint.Run]
+_Outcomes = collections.abc.Iterable[caller.Outcome]
+_Disturbances = collections.abc.Sequence[tuple[str, float, float]]
+
+MAX_OVERLAP_SECONDS = 0.4
+"""Time for which two endpoints may work on one stream."""
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run and never will."""
+_STREAM_PATH = "/stream/"
+
+
+def find_repeated_runs(runs: _Runs) -> list[str]:
+    """Returns the ids of requests that ran twice though they may run once.
+
+    Args:
+        runs: Work of all endpoints; see `endpoint.Run`.
+    """
+    counts = collections.Counter(
+        each.attempt_id for each in runs if each.path != _STREAM_PATH)
+    return [each for each, count in counts.items() if count > 1]
+
+
+def find_overlaps(
+    runs: _Runs, outcomes: _Outcomes, disturbances: _Disturbances = ()
+) -> list[tuple[str, float]]:
+    """Returns the streams at which two endpoints have worked for too long.
+
+    A caller may resume its stream at another VM while the first one is
+    stopped, so runs that different requests have started are compared only if
+    the first VM was not disturbed.
+
+    Args:
+        runs: Work of all endpoints.
+        outcomes: What callers have seen of all requests.
+        disturbances: See `_is_disturbed`.
+
+    Returns:
+        Pairs of a stream's id and the time in seconds.
+    """
+    vms = {each.attempt_id: each.vm for each in outcomes}
+    by_stream = collections.defaultdict(list)
+    for run in runs:
+        if run.path == _STREAM_PATH:
+            by_stream[run.stream_id].append(run)
+    found = []
+    for stream_id, group in by_stream.items():
+        group.sort(key=lambda run: run.began_at)
+        for first, second in itertools.pairwise(group):
+            overlap = min(first.ended_at, second.ended_at) - second.began_at
+            if (overlap > MAX_OVERLAP_SECONDS and
+                (first.attempt_id == second.attempt_id or not _is_disturbed(
+                    vms[first.attempt_id], second.began_at, disturbances))):
+                found.append((stream_id, overlap))
+    return found
+
+
+def find_broken_promises(runs: _Runs, outcomes: _Outcomes) -> list[str]:
+    """Returns the ids of requests that ran though the caller was told not.
+
+    Only requests that may run once are meant; others may be refused after a
+    run.
+    """
+    ran = {each.attempt_id for each in runs if each.path != _STREAM_PATH}
+    return [
+        each.attempt_id
+        for each in outcomes
+        if each.status in _NOT_RUN_STATUSES and each.attempt_id in ran
+    ]
+
+
+def find_disordered_streams(outcomes: _Outcomes) -> list[str]:
+    """Returns the ids of requests whose events have gaps or repetitions."""
+    return [
+        each.attempt_id for each in outcomes if each.event_ids and
+        each.event_ids != list(range(each.event_ids[0], each.event_ids[-1] + 1))
+        or each.event_ids and each.last_id == 0 and each.event_ids[0] != 1
+    ]
+
+
+def _is_disturbed(vm: str,
+                  at: float,
+                  disturbances: _Disturbances,
+                  contact_seconds: float = 3.0) -> bool:
+    """Returns whether a VM was disturbed shortly before a time.
+
+    Args:
+        vm: Name of the VM.
+        at: Monotonic time in seconds.
+        disturbances: Tuples of a VM's name and the monotonic times at which a
+            disturbance began and ended.
+        contact_seconds: Time after a disturbance in which its effects last.
+    """
+    return any(name == vm and began_at <= at <= ended_at + contact_seconds
+               for name, began_at, ended_at in disturbances)
--- /dev/null
+++ b/mustardwood/platform/tests/soak/endpoint.py
@@ -0,0 +1,216 @@
+"""Endpoints that record what they run, and that misbehave."""
+
+import asyncio
+import dataclasses
+import enum
+import itertools
+import socket
+import struct
+import time
+
+from mustardwood.platform.tests import documents
+
+_EVENT_SECONDS = 0.05
+"""Time before each event of a stream."""
+_EVENTS = 20
+_PLAIN_SECONDS = 0.03
+_SILENT_AFTER_EVENTS = 3
+_RESET = struct.pack("ii", 1, 0)
+"""Option SO_LINGER by which closing a socket resets its connection."""
+
+
+class Behavior(enum.Enum):
+    """What an endpoint does with a request."""
+
+    ANSWER = "answer"
+    REFUSE = "refuse"
+    """It states that it has not run the request."""
+    RESET = "reset"
+    """It begins the request and resets the connection."""
+    CLOSE = "close"
+    """It begins the request and closes the connection."""
+    BE_SILENT = "be silent"
+    """It works on the request and sends nothing."""
+    FALL_SILENT = "fall silent"
+    """It works on the request and sends nothing after some events."""
+    BREAK_EVENT = "break event"
+    """It resets the connection inside an event."""
+    REPEAT_REFUSAL = "repeat refusal"
+    """It sends a refusal of the request after the whole response."""
+
+
+@dataclasses.dataclass
+class Run:
+    """Work of an endpoint on one request.
+
+    Attributes:
+        attempt_id: Id of the request.
+        endpoint: Name of the endpoint.
+        path: Path of the request.
+        stream_id: Id of the request whose stream it begins or resumes.
+        began_at: Monotonic time in seconds at which the work began.
+        ended_at: Monotonic time at which it ended; infinite before that.
+    """
+
+    attempt_id: str
+    endpoint: str
+    path: str
+    stream_id: str
+    began_at: float
+    ended_at: float = float("inf")
+
+
+class Endpoint:
+    """An endpoint that stops its work when the connection closes.
+
+    Attributes:
+        name: Id in its registration.
+        service: Name of the service.
+        runs: Work on requests, in the order of its beginning.
+        refused: Ids of the requests that it has refused without running them.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, store, service, random, misbehavior, slots=64):
+        """Creates an endpoint; `start` starts it.
+
+        Args:
+            store: The store for its registration.
+            service: Name of the service.
+            random: Source of random numbers.
+            misbehavior: Probability that it does not answer a request.
+            slots: Number of slots that it states.
+        """
+        self.name = f"{service}-{next(self._numbers)}"
+        self.service = service
+        self.runs = []
+        self.refused = set()
+        self._store = store
+        self._random = random
+        self._misbehavior = misbehavior
+        self._slots = slots
+
+    async def start(self):
+        """Listens on a free port and registers."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        self._store.put(
+            f"servers/{self.name}",
+            documents.make_registration(service=self.service,
+                                        address=f"127.0.0.1:{port}",
+                                        slots=self._slots))
+        return server
+
+    async def _serve(self, reader, writer):
+        try:
+            while (request := await read_head(reader)) is not None:
+                first_line, headers = request
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                expected = headers.get("mustardwood-expect-replica")
+                if expected != self.name:
+                    writer.write(_make_head(headers, 421) + b"\r\n")
+                    continue
+                await self._handle(
+                    first_line.split(" ")[1], headers, reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _handle(self, path, headers, reader, writer):
+        behavior = Behavior.ANSWER
+        if self._random.random() < self._misbehavior:
+            behavior = self._random.choice(list(Behavior))
+        attempt_id = headers["mustardwood-attempt-id"]
+        if behavior is Behavior.REFUSE:
+            self.refused.add(attempt_id)
+            writer.write(_make_refusal(headers))
+            return
+        run = Run(attempt_id, self.name, path,
+                  headers.get("resumes") or attempt_id, time.monotonic())
+        self.runs.append(run)
+        work = asyncio.create_task(self._work(path, headers, behavior, writer))
+        closed = asyncio.create_task(reader.read(1))
+        try:
+            await asyncio.wait({work, closed},
+                               return_when=asyncio.FIRST_COMPLETED)
+            if not work.done() or closed.done():
+                raise ConnectionResetError
+            await work
+        finally:
+            run.ended_at = time.monotonic()
+            for each in (work, closed):
+                each.cancel()
+            await asyncio.gather(work, closed, return_exceptions=True)
+
+    async def _work(self, path, headers, behavior, writer):
+        await asyncio.sleep(_PLAIN_SECONDS)
+        if behavior is Behavior.RESET:
+            _reset(writer)
+        if behavior in (Behavior.RESET, Behavior.CLOSE):
+            raise ConnectionResetError
+        if behavior is Behavior.BE_SILENT:
+            await asyncio.Event().wait()
+        if path.startswith("/post/"):
+            writer.write(
+                _make_head(headers, 200, "Content-Length: 4\r\n") + b"\r\nbody")
+        else:
+            await self._send_events(headers, behavior, writer)
+        if behavior is Behavior.REPEAT_REFUSAL:
+            writer.write(_make_refusal(headers))
+        await writer.drain()
+
+    async def _send_events(self, headers, behavior, writer):
+        writer.write(
+            _make_head(headers, 200, "Transfer-Encoding: chunked\r\n") +
+            b"\r\n")
+        last = int(headers.get("last-event-id") or 0)
+        for number in range(last + 1, _EVENTS + 1):
+            await asyncio.sleep(_EVENT_SECONDS)
+            event = b"id: %d\ndata: event\n\n" % number
+            if number > last + _SILENT_AFTER_EVENTS:
+                if behavior is Behavior.FALL_SILENT:
+                    await asyncio.Event().wait()
+                if behavior is Behavior.BREAK_EVENT:
+                    writer.write(b"%x\r\n%b" % (len(event), event[:-2]))
+                    await writer.drain()
+                    _reset(writer)
+                    raise ConnectionResetError
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+async def read_head(reader):
+    """Returns the first line and the headers of a message; None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first_line, *lines = head.decode("latin-1").split("\r\n")[:-2]
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    return first_line, headers
+
+
+def _make_head(headers, status, more=""):
+    """Returns the head of a response without the blank line at its end."""
+    attempt_id = headers["mustardwood-attempt-id"]
+    return (f"HTTP/1.1 {status} Any\r\n"
+            f"Mustardwood-Attempt-Id: {attempt_id}\r\n"
+            f"Mustardwood-Replica-Signature: signed\r\n{more}").encode()
+
+
+def _make_refusal(headers):
+    return _make_head(headers, 503, "Mustardwood-Not-Executed: 1\r\n"
+                      "Content-Length: 0\r\n") + b"\r\n"
+
+
+def _reset(writer):
+    """Resets a connection at once."""
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET,
+                                               socket.SO_LINGER, _RESET)
+    writer.transport.abort()
--- /dev/null
+++ b/mustardwood/platform/tests/soak/test_checks.py
@@ -0,0 +1,60 @@
+"""Tests that each check of a run finds the fault that it is for."""
+
+import pytest
+
+from mustardwood.platform.tests.soak import caller
+from mustardwood.platform.tests.soak import checks
+from mustardwood.platform.tests.soak import endpoint
+
+
+def _make_run(attempt_id, began_at, ended_at, path="/stream/", stream_id=""):
+    return endpoint.Run(attempt_id, "engine-1", path, stream_id or attempt_id,
+                        began_at, ended_at)
+
+
+def _make_outcome(attempt_id, vm="vm-1", **fields):
+    return caller.Outcome(attempt_id, attempt_id, "/stream/", vm, 0.0, **fields)
+
+
+def test_request_that_may_run_once_and_ran_again_is_found():
+    runs = [
+        _make_run("a", 0.0, 0.1, "/post/"),
+        _make_run("b", 0.0, 0.1, "/post/"),
+        _make_run("a", 0.2, 0.3, "/post/")
+    ]
+    assert checks.find_repeated_runs(runs) == ["a"]
+
+
+@pytest.mark.parametrize("ended_at, found", [(1.39, 0), (1.41, 1)])
+def test_two_endpoints_at_work_on_one_stream_are_found(ended_at, found):
+    runs = [_make_run("a", 0.0, ended_at), _make_run("a", 1.0, 3.0)]
+    assert len(checks.find_overlaps(runs, [_make_outcome("a")])) == found
+
+
+@pytest.mark.parametrize("disturbances, found", [((), 1),
+                                                 ((("vm-1", 0.0, 0.5),), 0),
+                                                 ((("vm-2", 0.0, 0.5),), 1)])
+def test_run_for_a_caller_that_went_on_elsewhere_is_found(disturbances, found):
+    runs = [
+        _make_run("a", 0.0, 2.0),
+        _make_run("b", 1.0, 3.0, stream_id="a"),
+    ]
+    outcomes = [_make_outcome("a"), _make_outcome("b", "vm-2")]
+    assert len(checks.find_overlaps(runs, outcomes, disturbances)) == found
+
+
+def test_refusal_of_a_request_that_ran_is_found():
+    runs = [_make_run("a", 0.0, 0.1, "/post/")]
+    outcomes = [_make_outcome("a", status=503), _make_outcome("b", status=503)]
+    assert checks.find_broken_promises(runs, outcomes) == ["a"]
+
+
+@pytest.mark.parametrize("event_ids, last_id, found", [([1, 2, 3], 0, 0),
+                                                       ([2, 3], 0, 1),
+                                                       ([1, 3], 0, 1),
+                                                       ([1, 1, 2], 0, 1),
+                                                       ([4, 5], 4, 0),
+                                                       ([4, 6], 4, 1)])
+def test_gaps_and_repetitions_of_events_are_found(event_ids, last_id, found):
+    outcome = _make_outcome("a", event_ids=event_ids, last_id=last_id)
+    assert len(checks.find_disordered_streams([outcome])) == found
--- /dev/null
+++ b/mustardwood/platform/tests/soak/test_soak.py
@@ -0,0 +1,32 @@
+"""Short runs of real VMs under disruptions, with fixed seeds."""
+
+import asyncio
+
+import pytest
+
+from mustardwood.platform.tests.soak import soak
+
+pytestmark = pytest.mark.processes
+
+
+def _play(folder, **options):
+    verdict = asyncio.run(soak.play(soak.Plan(**options), folder))
+    print(f"{verdict.requests} requests, {verdict.runs} runs, "
+          f"{verdict.takeovers} taken over")
+    return verdict
+
+
+@pytest.mark.parametrize("seed", [21, 22])
+def test_stream_does_not_run_twice_while_its_vm_stands_still(tmp_path, seed):
+    verdict = _play(tmp_path,
+                    seed=seed,
+                    seconds=12.0,
+                    takeover_stop_seconds=0.5)
+    assert verdict.takeovers > 10
+    assert not verdict.breaches
+
+
+def test_signals_in_series_break_no_rule(tmp_path):
+    verdict = _play(tmp_path, seed=3, seconds=15.0, has_signals=True)
+    assert verdict.runs > 100
+    assert not verdict.breaches
