Close a silent attempt before its successor's request is written

A resumable stream went on at a second endpoint while the first one worked on it for over 0.4 s.

Cause: the silent attempt was closed by a timer, 250 ms after its successor was sent. A process that does not run when a timer is due can't meet an obligation by it; 150 ms were left for all that keeps a process from running.

Why this works: EndpointClient.send calls before_write when there is a connection to the successor, and only then is the silent attempt closed; the request is written after that. The socket is shut down within that call, since Twisted closes it in a later turn of the event loop. At whatever instruction the process stops, at most one endpoint has the request.

The price: an endpoint that refuses the request of a silent attempt no longer leaves it open; the request goes to a third endpoint. Hedged requests, off by default, overlap on purpose and are unchanged.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -52,12 +52,15 @@
         self._scheduler = scheduler
         self._engines = engines
 
-    def send(self, request: dispatch.ServiceRequest,
-             endpoint: dispatch.Endpoint, time_left: datetime.timedelta,
-             resume_after: int | None,
-             listener: dispatch.AttemptListener) -> dispatch.Attempt:
+    def send(
+            self, request: dispatch.ServiceRequest, endpoint: dispatch.Endpoint,
+            time_left: datetime.timedelta, resume_after: int | None,
+            listener: dispatch.AttemptListener,
+            before_write: collections.abc.Callable[[],
+                                                   None]) -> dispatch.Attempt:
         """See `forwarding_context.EndpointClient`."""
         del time_left
+        before_write()
         engine = self._engines[endpoint.name]
         last = request.last_event_id if resume_after is None else resume_after
         run = run_module.Run(request,
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -128,7 +128,8 @@
 
     def send(self, request: service_request.ServiceRequest,
              endpoint: endpoint_module.Endpoint, time_left: datetime.timedelta,
-             resume_after: int | None, listener: AttemptListener) -> Attempt:
+             resume_after: int | None, listener: AttemptListener,
+             before_write: collections.abc.Callable[[], None]) -> Attempt:
         """Sends a request.
 
         Args:
@@ -139,6 +140,9 @@
                 if none was sent.
             listener: Receives the response; it is never called before this
                 call returns.
+            before_write: Called when there is a connection, before a byte of
+                the request is written, possibly within this call. It is not
+                called without a connection.
         """
 
 
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -19,15 +19,10 @@
 
 _MAX_SENDS = 4
 """Maximum number of sends of one request, including those that did not run."""
-_TAKEOVER_TIME = datetime.timedelta(milliseconds=250)
-"""Time for which a silent attempt stays open beside its successor.
-
-An endpoint that refuses a request does so within a few round trips. Until then
-the silent attempt may still go on; after that, two endpoints would run the
-request.
-"""
+_MIN_HEDGE_TIME = datetime.timedelta(milliseconds=250)
+"""Minimum time for which a slow attempt stays open beside its hedge."""
 _CONNECTION_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
-"""Interval at which the takeover waits for the successor's connection."""
+"""Interval at which the takeover waits for the connection of the hedge."""
 
 Check = collections.abc.Callable[[], bool]
 """Returns whether a request may still be sent."""
@@ -37,7 +32,9 @@
     """Sends a request to endpoints and keeps its open attempts.
 
     An endpoint that is only silent may go on. Its attempt therefore stays open
-    until another endpoint has room for the request and has not refused it.
+    until there is a connection to another endpoint that has room. It is closed
+    before the request is written there, so that no two endpoints run it even if
+    the process stands still in between.
 
     The attempt at a slow endpoint stays open beside the one that hedges it,
     until one of them brings data. If none does within the stall timeout of the
@@ -141,14 +138,21 @@
         return self._context.retry_budgets.take_retry(self._request.service,
                                                       self._request.urgency)
 
-    def send(self, choice: placement_module.Choice, now: datetime.timedelta,
-             time_left: datetime.timedelta) -> None:
+    def send(
+        self,
+        choice: placement_module.Choice,
+        now: datetime.timedelta,
+        time_left: datetime.timedelta,
+        before_write: collections.abc.Callable[[],
+                                               None] = lambda: None) -> None:
         """Sends the request to an endpoint.
 
         Args:
             choice: The endpoint.
             now: Monotonic time.
             time_left: Time until the request's deadline.
+            before_write: Called when there is a connection to the endpoint,
+                before a byte of the request is written.
         """
         context, request = self._context, self._request
         attempt = attempt_record.AttemptRecord(choice, now)
@@ -163,7 +167,8 @@
         self.start_stall_timer()
         attempt.handle = context.client.send(
             request, choice.endpoint, time_left, self._response.resume_after,
-            attempt_listener.AttemptListener(self._handler, attempt))
+            attempt_listener.AttemptListener(self._handler, attempt),
+            before_write)
 
     def send_successor(self) -> bool:
         """Sends the request of the current, silent attempt to another endpoint.
@@ -190,9 +195,7 @@
         context.health.record_unreachable(silent.endpoint)
         self.runs += 1
         self._silent = silent
-        self.send(choice, now, request.expires_at - now)
-        self._takeover_timer = context.scheduler.call_later(
-            _TAKEOVER_TIME, self._check_takeover)
+        self.send(choice, now, request.expires_at - now, self._end_takeover)
         return True
 
     def send_hedge(self, choice: placement_module.Choice) -> None:
@@ -212,7 +215,7 @@
         stalls_in = (first.sent_at +
                      stall_timeout.find_stall_timeout(self._request) - now)
         self._takeover_timer = context.scheduler.call_later(
-            max(stalls_in, _TAKEOVER_TIME), self._check_takeover)
+            max(stalls_in, _MIN_HEDGE_TIME), self._check_takeover)
 
     def find_overlap(self) -> datetime.timedelta:
         """Returns for how long both attempts of a hedged request were open."""
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -1,5 +1,6 @@
 """A pool of persistent connections to endpoints."""
 
+import collections.abc
 import datetime
 import typing
 
@@ -47,7 +48,8 @@
         request: http_request.HttpRequest,
         listener: exchange_module.ExchangeListener,
         max_idle_time: datetime.timedelta = datetime.timedelta.max,
-        max_body_bytes: int = exchange_module.DEFAULT_MAX_BODY_BYTES
+        max_body_bytes: int = exchange_module.DEFAULT_MAX_BODY_BYTES,
+        before_write: collections.abc.Callable[[], None] = lambda: None
     ) -> exchange_module.Exchange:
         """Sends a request.
 
@@ -60,11 +62,15 @@
                 reused.
             max_body_bytes: Size in bytes beyond which the response's body is
                 cut off.
+            before_write: Called when there is a connection, before a byte of
+                the request is written; within this call if a connection is
+                reused.
 
         Returns:
             The exchange, by which the request can be aborted.
         """
-        exchange = exchange_module.Exchange(request, listener, max_body_bytes)
+        exchange = exchange_module.Exchange(request, listener, max_body_bytes,
+                                            before_write)
         connection = self._pop_idle(address, max_idle_time)
         if connection is not None:
             connection.start(exchange)
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -107,6 +107,7 @@
         self._data.clear()
         self._exchange = exchange
         exchange.attach(self, is_connected=True)
+        exchange.before_write()
         head, *rest = [
             self._http.send(each) or b"" for each in self._sent_events
         ]
@@ -158,7 +159,7 @@
         """Closes the connection immediately."""
         self._is_closed = True
         self._exchange = None
-        self.transport.abortConnection()
+        socket_options.close_at_once(self.transport)
 
     def pause(self) -> None:
         """Stops reading until `resume` is called or the exchange ends."""
@@ -279,7 +280,7 @@
     def _fail(self, reason: str) -> None:
         exchange, self._exchange = self._exchange, None
         was_closed, self._is_closed = self._is_closed, True
-        self.transport.abortConnection()
+        socket_options.close_at_once(self.transport)
         if exchange is not None:
             exchange.is_response_invalid = not was_closed
             exchange.fail(True, reason)
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -1,5 +1,6 @@
 """One request to an endpoint and the response to it."""
 
+import collections.abc
 import typing
 
 from mustardwood.http1 import http_request
@@ -60,6 +61,8 @@
         listener: Receives the events of the exchange.
         max_body_bytes: Size in bytes beyond which the response's body is cut
             off.
+        before_write: Called when there is a connection, before a byte of the
+            request is written.
         is_finished: Whether the exchange was completed, failed or aborted.
         is_connected: Whether it has a connection, on which the request was
             sent.
@@ -69,13 +72,17 @@
             and ends with its connection; False before the response's head.
     """
 
-    def __init__(self,
-                 request: http_request.HttpRequest,
-                 listener: ExchangeListener,
-                 max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
+    def __init__(
+        self,
+        request: http_request.HttpRequest,
+        listener: ExchangeListener,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        before_write: collections.abc.Callable[[],
+                                               None] = lambda: None) -> None:
         self.request = request
         self.listener = listener
         self.max_body_bytes = max_body_bytes
+        self.before_write = before_write
         self.is_finished = False
         self.is_connected = False
         self.is_response_invalid = False
--- a/mustardwood/http1/socket_options.py
+++ b/mustardwood/http1/socket_options.py
@@ -1,5 +1,6 @@
 """Socket options that detect unreachable peers of a TCP connection."""
 
+import contextlib
 import datetime
 import socket
 import typing
@@ -42,6 +43,21 @@
     set_send_timeout(transport, send_timeout)
 
 
+def close_at_once(transport: typing.Any) -> None:
+    """Closes a connection before this call returns, and resets it after that.
+
+    Twisted closes the socket in a later turn of the event loop. The process may
+    stand still before that, while the peer works on.
+
+    Args:
+        transport: Twisted's transport.
+    """
+    # The peer may have closed the connection, or the system has reset it.
+    with contextlib.suppress(OSError):
+        transport.getHandle().shutdown(socket.SHUT_RDWR)
+    transport.abortConnection()
+
+
 def set_send_timeout(transport: typing.Any,
                      send_timeout: datetime.timedelta) -> None:
     """Sets the TCP user timeout [1]_.
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -1,5 +1,6 @@
 """Sends requests to endpoints, with the headers that the platform uses."""
 
+import collections.abc
 import datetime
 
 from mustardwood import dispatch
@@ -28,10 +29,12 @@
     def __init__(self, pool: http1.ConnectionPool) -> None:
         self._pool = pool
 
-    def send(self, request: dispatch.ServiceRequest,
-             endpoint: dispatch.Endpoint, time_left: datetime.timedelta,
-             resume_after: int | None,
-             listener: dispatch.AttemptListener) -> dispatch.Attempt:
+    def send(
+            self, request: dispatch.ServiceRequest, endpoint: dispatch.Endpoint,
+            time_left: datetime.timedelta, resume_after: int | None,
+            listener: dispatch.AttemptListener,
+            before_write: collections.abc.Callable[[],
+                                                   None]) -> dispatch.Attempt:
         """See `dispatch.forwarding_context.EndpointClient`."""
         request_headers = list(request.headers)
         milliseconds = max(1, time_left // datetime.timedelta(milliseconds=1))
@@ -53,9 +56,11 @@
         max_idle_time = (datetime.timedelta.max
                          if request.retry_policy.allows_rerun else
                          _MAX_IDLE_TIME_FOR_SINGLE_RUN)
-        return self._pool.send((endpoint.host, endpoint.port), http_request,
+        return self._pool.send((endpoint.host, endpoint.port),
+                               http_request,
                                _ResponseDecoder(request, listener),
-                               max_idle_time)
+                               max_idle_time,
+                               before_write=before_write)
 
 
 def _find_engine_priority(request: dispatch.ServiceRequest) -> int:
