Bound the buffers of all responses together

Other operators report: replicas send bytes without end, the machine keeps them and runs out of memory, and all of its requests end. Here each response was bounded, but not their sum.

Cause: 256 KiB each for an event or a body, a head of 64 KiB each, and what callers do not read, times the number of requests.

Why this works: ResponseMemory counts the buffers of over 16 KiB of requests, of connections to endpoints and of connections to callers. Beyond 0.15 of memory_mb it drops the largest one, which ends its request or sends it elsewhere; sound responses buffer little. A caller's connection asks for a pause at 16 KiB now.

--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -57,6 +57,7 @@
 from mustardwood.dispatch.prompt_part_crashes import PromptPartCrashes
 from mustardwood.dispatch.rate_statement import RateStatement
 from mustardwood.dispatch.refusal import Refusal
+from mustardwood.dispatch.response_memory import ResponseMemory
 from mustardwood.dispatch.retry_after_policy import RetryAfterPolicy
 from mustardwood.dispatch.retry_budget import RetryBudget
 from mustardwood.dispatch.retry_policy import RetryPolicy
@@ -125,6 +126,7 @@
     "RateStatement",
     "Refusal",
     "RegistrationReader",
+    "ResponseMemory",
     "ResponseObserver",
     "RetryAfterPolicy",
     "RetryBudget",
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -124,6 +124,13 @@
         self._give_up(request_record.PROCESS_EXITS,
                       router_refusals.build_exit_refusal())
 
+    def release_memory(self) -> None:
+        """See `response_memory.Holder`; the request may be sent elsewhere."""
+        self._failed_attempt = None
+        for attempt in (self._attempts.silent, self._attempts.current):
+            if attempt is not None and self.is_open(attempt):
+                self._break_off(attempt, "no memory left for the response")
+
     def pause(self) -> None:
         """Stops reading the response, because its caller reads too slowly.
 
@@ -173,6 +180,8 @@
             attempt.error_bytes += len(data)
             if attempt.error_bytes > _MAX_ERROR_BODY_BYTES:
                 self._break_off(attempt, "the error body is too long")
+            else:
+                self._hold_memory()
             return
         self._hedge_watch.record_data(attempt)
         self._attempts.keep_only(attempt)
@@ -191,6 +200,7 @@
                 self._response.is_unbuffered = True
                 self._caller.write(bytes(attempt.body))
                 attempt.body.clear()
+            self._hold_memory()
 
     def receive_end(self, attempt: attempt_record.AttemptRecord) -> None:
         """Handles the end of the complete response of an open attempt."""
@@ -330,6 +340,22 @@
             self._caller.write(events)
         if self._response.splitter.rest_size > _MAX_EVENT_BYTES:
             self._break_off(attempt, "an event is too long")
+        else:
+            self._hold_memory()
+
+    def _hold_memory(self) -> None:
+        """Counts what is buffered of the responses to this request.
+
+        It may end the open attempts.
+        """
+        if self._is_done:
+            return
+        held = self._response.splitter.rest_size + sum(
+            len(each.body)
+            for each in (self._attempts.current, self._attempts.silent,
+                         self._failed_attempt)
+            if each is not None)
+        self._context.response_memory.hold(self, held)
 
     def _handle_error_response(self,
                                attempt: attempt_record.AttemptRecord) -> None:
@@ -435,6 +461,7 @@
 
     def _finish(self, outcome: str, status: int) -> None:
         self._is_done = True
+        self._context.response_memory.release(self)
         self._wait.leave_queue()
         self._version.cancel_lookup()
         self._hedge_watch.finish()
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -22,6 +22,7 @@
 from mustardwood.dispatch import process_exit as process_exit_module
 from mustardwood.dispatch import prompt_part_crashes
 from mustardwood.dispatch import refusal
+from mustardwood.dispatch import response_memory as response_memory_module
 from mustardwood.dispatch import retry_after_policy
 from mustardwood.dispatch import service_request
 from mustardwood.dispatch import service_retry_budgets
@@ -353,3 +354,5 @@
     process_exit: process_exit_module.ProcessExit
     usage: RequestCounter = NoRequestCounter()
     hedging: hedging_module.Hedging | None = None
+    response_memory: response_memory_module.ResponseMemory = dataclasses.field(
+        default_factory=response_memory_module.ResponseMemory)
--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -17,6 +17,8 @@
 from mustardwood.http1 import response_writer
 from mustardwood.http1 import socket_options
 
+_BUFFER_BYTES = 16 * 1024
+"""Bytes of a response to send beyond which its endpoint is not read."""
 _LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 """Time after the last byte sent for which received data is discarded.
 
@@ -64,6 +66,8 @@
         self._body = bytearray()
         self._body_budget = handler.get_body_budget()
         self._taken_bytes = 0
+        self._response_memory = handler.get_response_memory()
+        self._unsent_bytes = 0
         self._writer: response_writer.ResponseWriter | None = None
         self._timer: dispatch.Timer | None = None
         self._is_receiving = False
@@ -85,6 +89,7 @@
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport,
                                         socket_options.SLOW_READER_TIMEOUT)
+        self.transport.bufferSize = _BUFFER_BYTES
         self.transport.registerProducer(self, True)
         self._is_producer = True
         self._handler.add_connection(self)
@@ -110,6 +115,7 @@
         """See `protocol.Protocol`."""
         self._cancel_timer()
         self._handler.remove_connection(self, reason.getErrorMessage())
+        self._response_memory.release(self)
         self._drop_body()
         writer, self._writer = self._writer, None
         if writer is not None:
@@ -137,6 +143,8 @@
     def resumeProducing(self) -> None:  # pylint: disable=invalid-name
         """See `interfaces.IPushProducer`."""
         self._is_full = False
+        self._unsent_bytes = 0
+        self._response_memory.release(self)
         if self._writer is not None:
             self._writer.handle_resume()
         else:
@@ -145,6 +153,10 @@
     def stopProducing(self) -> None:  # pylint: disable=invalid-name
         """See `interfaces.IPushProducer`; `connectionLost` follows."""
 
+    def release_memory(self) -> None:
+        """See `dispatch.ResponseMemory`; the caller reads too slowly."""
+        self.transport.abortConnection()
+
     def close(self) -> None:
         """Closes the connection unless a request has arrived.
 
@@ -376,8 +388,12 @@
 
     def _send(self, event: h11.Event) -> None:
         data = self._http.send(event)
-        if data:
-            self.transport.write(data)
+        if not data:
+            return
+        self.transport.write(data)
+        if self._is_full:
+            self._unsent_bytes += len(data)
+            self._response_memory.hold(self, self._unsent_bytes)
 
     def _start_idle_timer(self) -> None:
         self._idle_timeout = self._handler.get_limits().idle_timeout
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -33,8 +33,22 @@
         opened: Number of connections that the pool has started to open.
     """
 
-    def __init__(self, reactor: typing.Any, clock: timing.Clock,
-                 scheduler: dispatch.Scheduler) -> None:
+    def __init__(
+            self,
+            reactor: typing.Any,
+            clock: timing.Clock,
+            scheduler: dispatch.Scheduler,
+            response_memory: dispatch.ResponseMemory | None = None) -> None:
+        """Creates a pool without connections.
+
+        Args:
+            reactor: Twisted's reactor.
+            clock: The clock by which connections are idle.
+            scheduler: Schedules the close of idle connections.
+            response_memory: Bounds the buffers of all connections; None for a
+                bound of this pool.
+        """
+        self._response_memory = response_memory or dispatch.ResponseMemory()
         self._reactor = reactor
         self._clock = clock
         self._scheduler = scheduler
@@ -89,7 +103,8 @@
         return endpoint_connection.EndpointConnection(
             self._clock,
             lambda idle: self._idle.setdefault(address, []).append(idle),
-            lambda lost: self._remove_idle(address, lost), first_exchange)
+            lambda lost: self._remove_idle(address, lost), first_exchange,
+            self._response_memory)
 
     def close_idle_connections(self, address: _Address) -> None:
         """Closes the idle connections to an address."""
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -10,6 +10,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from mustardwood import dispatch
 from mustardwood import timing
 from mustardwood.http1 import body_sender
 from mustardwood.http1 import exchange as exchange_module
@@ -56,8 +57,11 @@
                                                    None],
                  on_lost: collections.abc.Callable[["EndpointConnection"],
                                                    None],
-                 first_exchange: exchange_module.Exchange) -> None:
+                 first_exchange: exchange_module.Exchange,
+                 response_memory: dispatch.ResponseMemory) -> None:
         self._clock = clock
+        self._response_memory = response_memory
+        self._unparsed_bytes = 0
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._first_exchange = first_exchange
@@ -135,6 +139,7 @@
             self.abort()
             return
         self._received.add_received(len(data))
+        self._unparsed_bytes += len(data)
         self._http.receive_data(data)
         self._read_events()
 
@@ -144,6 +149,7 @@
         """See `protocol.Protocol`."""
         is_clean = reason.check(internet_error.ConnectionDone) is not None
         self._is_closed = True
+        self._response_memory.release(self)
         if self._exchange is not None and is_clean:
             # A response without a length ends when the connection closes.
             self._http.receive_data(b"")
@@ -159,8 +165,13 @@
         """Closes the connection immediately."""
         self._is_closed = True
         self._exchange = None
+        self._response_memory.release(self)
         socket_options.close_at_once(self.transport)
 
+    def release_memory(self) -> None:
+        """See `response_memory.Holder`."""
+        self._fail("no memory left for the response")
+
     def pause(self) -> None:
         """Stops reading until `resume` is called or the exchange ends."""
         self.transport.pauseProducing()
@@ -182,6 +193,7 @@
                 self._fail(f"not an answer: {error}")
                 return
             if isinstance(event, h11.Data):
+                self._unparsed_bytes = 0
                 self._handle_data(event.data)
                 continue
             self._deliver_data()
@@ -189,7 +201,10 @@
                 excess = self._received.find_framing_excess()
                 if excess:
                     self._fail(excess)
+                else:
+                    self._response_memory.hold(self, self._unparsed_bytes)
                 return
+            self._unparsed_bytes = 0
             if isinstance(event, h11.Response):
                 self._handle_head(event)
             elif isinstance(event, h11.InformationalResponse):
@@ -242,6 +257,7 @@
             self._expect_next_response()
             return
         exchange, self._exchange = self._exchange, None
+        self._response_memory.release(self)
         if exchange is None:
             return
         trailing, _ = self._http.trailing_data
@@ -280,6 +296,7 @@
     def _fail(self, reason: str) -> None:
         exchange, self._exchange = self._exchange, None
         was_closed, self._is_closed = self._is_closed, True
+        self._response_memory.release(self)
         socket_options.close_at_once(self.transport)
         if exchange is not None:
             exchange.is_response_invalid = not was_closed
--- a/mustardwood/http1/page_server.py
+++ b/mustardwood/http1/page_server.py
@@ -50,6 +50,7 @@
         self._scheduler = scheduler
         self._pages = pages
         self._body_budget = body_budget.BodyBudget(_MAX_BODY_BYTES)
+        self._response_memory = dispatch.ResponseMemory()
 
     def buildProtocol(  # pylint: disable=invalid-name
             self, addr: object) -> caller_connection.CallerConnection:
@@ -65,6 +66,10 @@
         """See `request_handler.RequestHandler`."""
         return self._body_budget
 
+    def get_response_memory(self) -> dispatch.ResponseMemory:
+        """See `request_handler.RequestHandler`."""
+        return self._response_memory
+
     def is_stopping(self) -> bool:
         """See `request_handler.RequestHandler`."""
         return False
--- a/mustardwood/http1/request_handler.py
+++ b/mustardwood/http1/request_handler.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from mustardwood import dispatch
 from mustardwood.http1 import body_budget
 from mustardwood.http1 import connection_limits
 from mustardwood.http1 import http_request
@@ -17,6 +18,9 @@
     def get_body_budget(self) -> body_budget.BodyBudget:
         """Returns the bound on the bodies of all requests together."""
 
+    def get_response_memory(self) -> dispatch.ResponseMemory:
+        """Returns the bound on the buffers of all responses together."""
+
     def is_stopping(self) -> bool:
         """Returns whether to close each connection after its next response."""
 
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.dispatch.tests import harness as harness_module
@@ -24,6 +25,7 @@
             idle_timeout=datetime.timedelta(seconds=15))
         self.stopping = False
         self.body_budget = http1.BodyBudget(1000)
+        self.response_memory = dispatch.ResponseMemory()
         self.requests = []
         self.connections = set()
         self.unanswered_bytes = []
@@ -36,6 +38,10 @@
         """Returns the room for bodies."""
         return self.body_budget
 
+    def get_response_memory(self):
+        """Returns the bound on the buffers of responses."""
+        return self.response_memory
+
     def is_stopping(self):
         """Returns whether connections close after their next response."""
         return self.stopping
@@ -423,3 +429,18 @@
             harness.respond()
     assert len(harness.handler.requests) == 300 * 21
     assert not harness.transport.closed
+
+
+def test_caller_that_reads_too_slowly_is_closed_when_memory_is_short():
+    harness = _Harness()
+    harness.receive(_REQUEST)
+    _, writer = harness.handler.requests[-1]
+    harness.connection.pauseProducing()
+    writer.begin(200, [], None)
+    writer.write(b"x" * 100_000)
+    assert harness.handler.response_memory.held_bytes >= 100_000
+    harness.connection.resumeProducing()
+    assert harness.handler.response_memory.held_bytes == 0
+    harness.connection.pauseProducing()
+    writer.write(b"x" * dispatch.response_memory.DEFAULT_MAX_BYTES)
+    assert harness.transport.closed == "reset"
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -4,6 +4,7 @@
 from twisted.internet import error as internet_error
 from twisted.python import failure
 
+from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.http1 import endpoint_connection
@@ -54,9 +55,10 @@
         self._body = body
         self.listener = _Listener()
         self.exchange = self._make_exchange(self.listener)
+        self.response_memory = dispatch.ResponseMemory()
         self.connection = endpoint_connection.EndpointConnection(
             timing.ManualClock(), self.idle.append, self.lost.append,
-            self.exchange)
+            self.exchange, self.response_memory)
         self.transport = fake_transport.FakeTransport()
         self.connection.makeConnection(self.transport)
 
@@ -305,3 +307,14 @@
     assert harness.listener.end == "complete"
     assert harness.transport.closed == "reset"
     assert not harness.idle
+
+
+def test_head_without_end_is_counted_until_it_is_cut_off():
+    harness = _Harness()
+    harness.connection.dataReceived(b"HTTP/1.1 200 OK\r\nId: mine\r\nLong: ")
+    harness.connection.dataReceived(b"x" * 40_000)
+    assert harness.response_memory.held_bytes > 40_000
+    harness.connection.release_memory()
+    assert harness.transport.closed == "reset"
+    assert harness.listener.end == "no memory left for the response"
+    assert harness.response_memory.held_bytes == 0
--- a/mustardwood/http1/tests/test_unbounded_responses.py
+++ b/mustardwood/http1/tests/test_unbounded_responses.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.http1 import endpoint_connection
@@ -57,7 +58,7 @@
             self.listener, **options)
         self.connection = endpoint_connection.EndpointConnection(
             timing.ManualClock(), lambda idle: None, lambda lost: None,
-            exchange)
+            exchange, dispatch.ResponseMemory())
         self.connection.makeConnection(self.transport)
 
     def receive(self, begin, part, end=b""):
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -106,7 +106,10 @@
                 "pause_rejected", endpoint=endpoint, error=problem))
         self._streams = dispatch.StreamVersionTable(self._clock)
         self._process_exit = dispatch.ProcessExit()
-        pool = http1.ConnectionPool(reactor, self._clock, self._scheduler)
+        self._response_memory = dispatch.ResponseMemory(
+            self._settings.max_response_memory)
+        pool = http1.ConnectionPool(reactor, self._clock, self._scheduler,
+                                    self._response_memory)
         client = store_client.StoreClient(
             settings_module.parse_address(self._settings.store.address), pool,
             self._scheduler)
@@ -177,10 +180,9 @@
         self._duties.add_endpoint_scaling(self._make_scaling)
         self._loop_monitor = event_loop_monitor.EventLoopMonitor(
             self._clock, self._scheduler, self._journal)
-        self._body_budget = http1.BodyBudget(self._settings.max_body_memory)
-        self._server = request_server.RequestServer(self._make_context(pool),
-                                                    self._watcher,
-                                                    self._body_budget)
+        self._server = request_server.RequestServer(
+            self._make_context(pool), self._watcher,
+            http1.BodyBudget(self._settings.max_body_memory))
         self._port: typing.Any = None
         self._settings_version = _read_file_version(path)
         self._shutdown = graceful_shutdown.GracefulShutdown(
@@ -280,7 +282,8 @@
             observer=self._make_observer(),
             process_exit=self._process_exit,
             usage=self._duties.request_counter,
-            hedging=self._hedging)
+            hedging=self._hedging,
+            response_memory=self._response_memory)
 
     def _make_observer(self) -> dispatch.ResponseObserver:
         if not self._learns_engines:
@@ -388,10 +391,16 @@
              lambda: float(self._server.open_requests)),
             ("mustardwood_request_body_bytes",
              "Bytes of the request bodies that are held.",
-             lambda: float(self._body_budget.taken_bytes)),
+             lambda: float(self._server.get_body_budget().taken_bytes)),
             ("mustardwood_request_body_refusals",
              "Requests refused because too little memory was left for bodies.",
-             lambda: float(self._body_budget.refusals)),
+             lambda: float(self._server.get_body_budget().refusals)),
+            ("mustardwood_response_buffer_bytes",
+             "Bytes of the large buffers of responses that are held.",
+             lambda: float(self._response_memory.held_bytes)),
+            ("mustardwood_response_buffer_drops",
+             "Buffers of responses dropped because too little memory was left.",
+             lambda: float(self._response_memory.drops)),
             ("mustardwood_proof_age_seconds",
              "Age of the proof that the configuration is the newest.",
              self._get_proof_age),
@@ -441,7 +450,7 @@
              lambda: self._hedging.remaining_budget),
             ("mustardwood_event_loop_late_seconds",
              "Time for which timers were late by 0.1 s or more.",
-             lambda: self._loop_monitor.total_delay.total_seconds()),
+             lambda: float(self._loop_monitor.total_delay.total_seconds())),
             ("mustardwood_dropped_log_lines", "Lines dropped since the last.",
              lambda: float(self._journal.dropped)),
         ):
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -54,6 +54,10 @@
         """See `http1.RequestHandler`."""
         return self._body_budget
 
+    def get_response_memory(self) -> dispatch.ResponseMemory:
+        """See `http1.RequestHandler`."""
+        return self._context.response_memory
+
     def is_stopping(self) -> bool:
         """See `http1.RequestHandler`."""
         return self._is_stopping
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -50,6 +50,8 @@
 """Largest number of a setting of duties; a time fits into a `timedelta`."""
 _BODY_MEMORY_SHARE = 0.5
 """Share of the memory for request bodies; the rest is for all other data."""
+_RESPONSE_MEMORY_SHARE = 0.15
+"""Share of the memory for the buffers of responses."""
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
 _MAX_QUOTED_LENGTH = 60
@@ -192,6 +194,11 @@
         """Maximum size in bytes of all request bodies that are held."""
         return int(self.limits.memory_mb * _BODY_MEMORY_SHARE * 1024 * 1024)
 
+    @property
+    def max_response_memory(self) -> int:
+        """Maximum size in bytes of the buffers of all responses."""
+        return int(self.limits.memory_mb * _RESPONSE_MEMORY_SHARE * 1024 * 1024)
+
     @property
     def max_watch_wait(self) -> datetime.timedelta:
         """Maximum wait of a watch, after which a dead connection is detected.
