Do not read a further attempt while its caller is full

A caller's connection that is full does not ask again, so an attempt that was sent after that, to continue a broken stream or to take over a silent one, was read at full speed into the caller's buffer, up to 64 MiB for each request.

Why this works: Attempts keeps that it is paused and pauses each attempt when it is sent; Exchange keeps it until there is a connection. No stall timeout runs in the meantime, as before.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -51,7 +51,6 @@
         self._request = request
         self._caller = caller
         self._context = context
-        self._paused_attempt: attempt_record.AttemptRecord | None = None
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._attribution = crash_attribution.CrashAttribution(request, context)
         self._is_done = False
@@ -136,19 +135,11 @@
 
         The endpoint does not count as silent in the meantime.
         """
-        attempt = self._attempts.current
-        if attempt is not None and attempt.handle is not None:
-            self._paused_attempt = attempt
-            attempt.handle.pause()
-            self._attempts.cancel_stall_timer()
+        self._attempts.pause()
 
     def resume(self) -> None:
         """Reads the response again."""
-        attempt, self._paused_attempt = self._paused_attempt, None
-        if (attempt is not None and attempt is self._attempts.current and
-                attempt.handle is not None):
-            attempt.handle.resume()
-            self._attempts.start_stall_timer()
+        self._attempts.resume()
 
     def record_statements(
             self, attempt: attempt_record.AttemptRecord,
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -80,6 +80,7 @@
         self._overlap = datetime.timedelta()
         self._tried: set[str] = set()
         self._sends = 0
+        self._is_paused = False
         self.runs = 0
         self._stall_timer: forwarding_context.Timer | None = None
         self._takeover_timer: forwarding_context.Timer | None = None
@@ -169,6 +170,8 @@
             request, choice.endpoint, time_left, self._response.resume_after,
             attempt_listener.AttemptListener(self._handler, attempt),
             before_write)
+        if self._is_paused:
+            attempt.handle.pause()
 
     def send_successor(self) -> bool:
         """Sends the request of the current, silent attempt to another endpoint.
@@ -263,6 +266,28 @@
             self.start_stall_timer()
         return True
 
+    def pause(self) -> None:
+        """Stops reading the responses, also to attempts that are yet to come.
+
+        No attempt counts as stalled in the meantime.
+        """
+        self._is_paused = True
+        self.cancel_stall_timer()
+        for attempt in (self._silent, self._current):
+            if attempt is not None and attempt.handle is not None:
+                attempt.handle.pause()
+
+    def resume(self) -> None:
+        """Reads the responses again."""
+        if not self._is_paused:
+            return
+        self._is_paused = False
+        for attempt in (self._silent, self._current):
+            if attempt is not None and attempt.handle is not None:
+                attempt.handle.resume()
+        if self._current is not None:
+            self.start_stall_timer()
+
     def abort_all(self, reason: str) -> None:
         """Aborts all open attempts.
 
@@ -323,6 +348,8 @@
             elapsed: Part of that time that has passed.
         """
         self.cancel_stall_timer()
+        if self._is_paused:
+            return
         timeout = stall_timeout.find_stall_timeout(self._request)
         self._stall_timer = self._context.scheduler.call_later(
             max(timeout - elapsed, datetime.timedelta()), self._confirm_stall)
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -87,12 +87,15 @@
         self.is_connected = False
         self.is_response_invalid = False
         self.is_close_delimited = False
+        self._is_paused = False
         self._connection: _Connection | None = None
 
     def attach(self, connection: _Connection, is_connected: bool) -> None:
         """Sets the connection or pending connection that `abort` closes."""
         self._connection = connection
         self.is_connected = is_connected
+        if self._is_paused:
+            connection.pause()
 
     def abort(self) -> None:
         """Closes the connection; the listener receives no further events."""
@@ -104,11 +107,13 @@
 
     def pause(self) -> None:
         """Stops reading the response; what was read is still delivered."""
+        self._is_paused = True
         if not self.is_finished and self._connection is not None:
             self._connection.pause()
 
     def resume(self) -> None:
         """Reads the response again."""
+        self._is_paused = False
         if not self.is_finished and self._connection is not None:
             self._connection.resume()
 
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -211,3 +211,15 @@
     exchange.abort()
     assert transport.is_shut_down
     assert transport.closed == "reset"
+
+
+def test_exchange_that_is_paused_before_it_has_a_connection_is_not_read():
+    harness = _Harness()
+    exchange = harness.send()
+    exchange.pause()
+    connection, transport = harness.reactor.complete_connect()
+    assert transport.producerState == "paused"
+    exchange.resume()
+    assert transport.producerState == "producing"
+    connection.dataReceived(_RESPONSE)
+    assert harness.listener.ends == ["complete"]
