Check that a request is allowed again when its connection is there

Found while looking for the same class of fault elsewhere: a decision that is carried out later, by a process that may have stood still in between.

A request is checked when an endpoint is chosen. If a connection has to be opened first, the request was written when it was there, without a further check. A VM that stands still for six seconds in between wrote a request whose API key had been removed for longer than keys_fail_closed allows.

Evidence: in virtual time, the key is removed while the connection is opened; the request was written. Not shown with real processes.

Why this works: the request is checked in before_write, at the moment at which it is written. If it is denied, the connection is closed, and the caller gets the denial. Both tests failed before.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -240,6 +240,15 @@
         if not self._attempts.return_to_silent():
             self._retry_after_run(reason)
 
+    def receive_denial(self, attempt: attempt_record.AttemptRecord) -> None:
+        """See `response_handler.ResponseHandler`."""
+        if not self.is_open(attempt):
+            return
+        is_silent_attempt = attempt is self._attempts.silent
+        self._attempts.end(attempt, "no longer allowed")
+        if not (is_silent_attempt or self._attempts.return_to_silent()):
+            self._send_next()
+
     def is_open(self, attempt: attempt_record.AttemptRecord) -> bool:
         """Returns whether the response of an attempt is still expected."""
         return self._attempts.is_open(attempt)
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -169,10 +169,25 @@
         attempt.handle = context.client.send(
             request, choice.endpoint, time_left, self._response.resume_after,
             attempt_listener.AttemptListener(self._handler, attempt),
-            before_write)
+            lambda: self._prepare_write(attempt, before_write))
         if self._is_paused:
             attempt.handle.pause()
 
+    def _prepare_write(
+            self, attempt: attempt_record.AttemptRecord,
+            before_write: collections.abc.Callable[[], None]) -> None:
+        """Checks once more that the request may be sent.
+
+        The process may have stood still since its connection was requested.
+        """
+        if attempt.handle is not None and not self._is_allowed():
+            attempt.handle.abort()
+            self._context.scheduler.call_later(
+                datetime.timedelta(),
+                lambda: self._handler.receive_denial(attempt))
+            return
+        before_write()
+
     def send_successor(self) -> bool:
         """Sends the request of the current, silent attempt to another endpoint.
 
--- a/mustardwood/forwarding/response_handler.py
+++ b/mustardwood/forwarding/response_handler.py
@@ -32,6 +32,9 @@
             reason: Cause of the failure, for the log.
         """
 
+    def receive_denial(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Handles that the request may not be written any more."""
+
     def handle_error(self, error: Exception) -> None:
         """Logs and ends the request after an unexpected error in its handling.
 
--- a/mustardwood/forwarding/tests/test_takeover.py
+++ b/mustardwood/forwarding/tests/test_takeover.py
@@ -1,5 +1,6 @@
 """Tests of streams that a second endpoint takes over from a silent one."""
 
+from mustardwood import dispatch
 from mustardwood.dispatch.tests import harness as harness_module
 
 ms = harness_module.ms
@@ -47,3 +48,20 @@
     first.listener.receive_end()
     assert harness.client.sent[1].is_aborted
     assert caller.end == "complete"
+
+
+def test_request_whose_key_was_removed_while_the_vm_stood_still_is_not_written(
+):
+    """The connection was being opened when the process stopped."""
+    harness = harness_module.Harness()
+    harness.client.is_connected = False
+    _, caller = harness.start()
+    attempt = harness.client.sent[0]
+    harness.clock.advance(ms(6000))
+    harness.authorizer.denial = dispatch.Refusal(401, "taken away")
+    attempt.connect()
+    assert attempt.is_aborted
+    harness.scheduler.advance(ms(0))
+    assert caller.status == 401
+    assert len(harness.client.sent) == 1
+    assert not harness.loads.list_own_loads()
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -112,6 +112,8 @@
         self._exchange = exchange
         exchange.attach(self, is_connected=True)
         exchange.before_write()
+        if exchange.is_finished:
+            return
         head, *rest = [
             self._http.send(each) or b"" for each in self._sent_events
         ]
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -62,7 +62,7 @@
         max_body_bytes: Size in bytes beyond which the response's body is cut
             off.
         before_write: Called when there is a connection, before a byte of the
-            request is written.
+            request is written; it may abort the exchange.
         is_finished: Whether the exchange was completed, failed or aborted.
         is_connected: Whether it has a connection, on which the request was
             sent.
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -223,3 +223,12 @@
     assert transport.producerState == "producing"
     connection.dataReceived(_RESPONSE)
     assert harness.listener.ends == ["complete"]
+
+
+def test_exchange_that_is_aborted_before_it_is_written_is_not_written():
+    harness = _Harness()
+    exchanges = []
+    exchanges.append(harness.send(before_write=lambda: exchanges[0].abort()))
+    _, transport = harness.reactor.complete_connect()
+    assert not transport.value()
+    assert transport.closed == "reset"
