--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -228,7 +228,11 @@
 def test_exchange_that_is_aborted_before_it_is_written_is_not_written():
     harness = _Harness()
     exchanges = []
-    exchanges.append(harness.send(before_write=lambda: exchanges[0].abort()))
+
+    def abort():
+        exchanges[0].abort()
+
+    exchanges.append(harness.send(before_write=abort))
     _, transport = harness.reactor.complete_connect()
     assert not transport.value()
     assert transport.closed == "reset"
--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -51,8 +51,9 @@
         print(f"seed {seed}: {'BROKEN' if verdict.breaches else 'kept'}, "
               f"{verdict.requests} requests, {verdict.runs} runs, "
               f"{verdict.takeovers} taken over")
-        print(*(f"  {each}" for each in verdict.breaches), sep="\n", end="")
-        print(flush=True)
+        for each in verdict.breaches:
+            print(f"  {each}")
+        sys.stdout.flush()
     sys.exit(1 if broken else 0)
 
 
--- a/mustardwood/platform/tests/test_request_priority.py
+++ b/mustardwood/platform/tests/test_request_priority.py
@@ -16,9 +16,10 @@
     def __init__(self):
         self.sent = []
 
-    def send(self, address, http_request, listener, max_idle_time):
+    def send(self, address, http_request, listener, max_idle_time,
+             before_write):
         """Records the request."""
-        del address, listener, max_idle_time
+        del address, listener, max_idle_time, before_write
         self.sent.append(http_request)
 
 
@@ -57,7 +58,7 @@
     pool = _Pool()
     endpoint_client.HttpEndpointClient(pool).send(
         request, harness_module.make_endpoint(0), harness_module.ms(1000), None,
-        None)
+        None, lambda: None)
     return next(
         int(value)
         for name, value in pool.sent[0].headers
