Do not close the socket of a connection that is already lost

Found by test_duty_client.py::test_lost_response_is_no_response, which hung: an endpoint closes its connection before the head of a response is complete.

The connection's end is read as an invalid response, and close_at_once asked the transport for its socket, which it has no longer. The error kept the exchange from being failed, so its request waited until its deadline.

Why this works: EndpointConnection closes its socket only if it is neither closed nor lost. The new test failed before with the same error; a second one covers an exchange that is aborted by what a lost connection still delivers (it passed before).

--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -165,10 +165,8 @@
 
     def abort(self) -> None:
         """Closes the connection immediately."""
-        self._is_closed = True
         self._exchange = None
-        self._response_memory.release(self)
-        socket_options.close_at_once(self.transport)
+        self._close()
 
     def release_memory(self) -> None:
         """See `response_memory.Holder`."""
@@ -295,11 +293,17 @@
         if trailing:
             self._http.receive_data(trailing)
 
-    def _fail(self, reason: str) -> None:
-        exchange, self._exchange = self._exchange, None
+    def _close(self) -> None:
+        """Closes the connection unless it is closed or lost."""
         was_closed, self._is_closed = self._is_closed, True
         self._response_memory.release(self)
-        socket_options.close_at_once(self.transport)
+        if not was_closed:
+            socket_options.close_at_once(self.transport)
+
+    def _fail(self, reason: str) -> None:
+        exchange, self._exchange = self._exchange, None
+        was_closed = self._is_closed
+        self._close()
         if exchange is not None:
             exchange.is_response_invalid = not was_closed
             exchange.fail(True, reason)
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -318,3 +318,24 @@
     assert harness.transport.closed == "reset"
     assert harness.listener.end == "no memory left for the response"
     assert harness.response_memory.held_bytes == 0
+
+
+@pytest.mark.parametrize("received", [b"", b"HTTP/1.1 200 OK\r\nId: mi"])
+def test_connection_that_ends_before_the_head_fails_the_exchange(received):
+    """A transport has no socket any more when its connection is lost."""
+    harness = _Harness()
+    harness.connection.dataReceived(received)
+    harness.transport.getHandle = None
+    harness.connection.connectionLost(
+        failure.Failure(internet_error.ConnectionDone()))
+    assert harness.listener.end.startswith("not an answer")
+
+
+def test_exchange_may_be_aborted_by_what_its_lost_connection_delivers():
+    harness = _Harness()
+    harness.connection.dataReceived(b"HTTP/1.1 200 OK\r\nId: mine\r\n\r\nab")
+    harness.transport.getHandle = None
+    harness.listener.receive_end = harness.exchange.abort
+    harness.connection.connectionLost(
+        failure.Failure(internet_error.ConnectionDone()))
+    assert harness.listener.body == b"ab"
