Check in soaks that no request waits after its endpoint has left it

A failed request must end within two seconds of the end of its last run, unless its VM was disturbed.

--- a/mustardwood/platform/tests/soak/checks.py
+++ b/mustardwood/platform/tests/soak/checks.py
@@ -13,6 +13,8 @@
 
 MAX_OVERLAP_SECONDS = 0.4
 """Time for which two endpoints may work on one stream."""
+_MAX_WAIT_SECONDS = 2.0
+"""Time in which a VM sends on a request whose endpoint has ended its work."""
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 _STREAM_PATH = "/stream/"
@@ -77,6 +79,27 @@
     ]
 
 
+def find_waiting_requests(
+    runs: _Runs, outcomes: _Outcomes,
+    disturbances: _Disturbances = ()) -> list[str]:
+    """Returns the ids of failed requests that waited without an endpoint.
+
+    No endpoint has worked on them for some time before their end.
+    """
+    ended_at = {}
+    for run in runs:
+        ended_at[run.attempt_id] = max(run.ended_at,
+                                       ended_at.get(run.attempt_id, 0.0))
+    return [
+        each.attempt_id
+        for each in outcomes
+        if not (each.is_complete or each.has_left) and
+        each.attempt_id in ended_at and each.ended_at -
+        ended_at[each.attempt_id] > _MAX_WAIT_SECONDS and
+        not _is_disturbed(each.vm, each.ended_at, disturbances)
+    ]
+
+
 def find_disordered_streams(outcomes: _Outcomes) -> list[str]:
     """Returns the ids of requests whose events have gaps or repetitions."""
     return [
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -211,6 +211,10 @@
         f"REFUSED: {each} ran"
         for each in checks.find_broken_promises(runs, outcomes)
     ]
+    breaches += [
+        f"{each} waited without an endpoint"
+        for each in checks.find_waiting_requests(runs, outcomes, disturbances)
+    ]
     breaches += [
         f"ORDER: {each}" for each in checks.find_disordered_streams(outcomes)
     ]
--- a/mustardwood/platform/tests/soak/test_checks.py
+++ b/mustardwood/platform/tests/soak/test_checks.py
@@ -58,3 +58,13 @@
 def test_gaps_and_repetitions_of_events_are_found(event_ids, last_id, found):
     outcome = _make_outcome("a", event_ids=event_ids, last_id=last_id)
     assert len(checks.find_disordered_streams([outcome])) == found
+
+
+@pytest.mark.parametrize("ended_at, is_complete, found", [(3.1, False, 1),
+                                                          (2.9, False, 0),
+                                                          (3.1, True, 0)])
+def test_request_that_waits_after_its_endpoint_has_left_it_is_found(
+        ended_at, is_complete, found):
+    runs = [_make_run("a", 0.0, 0.5), _make_run("a", 0.6, 1.0)]
+    outcome = _make_outcome("a", ended_at=ended_at, is_complete=is_complete)
+    assert len(checks.find_waiting_requests(runs, [outcome])) == found
