Reproduce runs that are repeated after a refusal or beside a late close

Callers saw requests run twice (TWICE) in runs of real processes.

An error outside of the listener, in a timer or in the retry from the queue, leaves the request open until its deadline.

The endpoints of the soak now refuse after a run, with and without a whole response, and its callers send a body of their own, since one body for all made the crash attribution refuse most of the traffic.

--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -8,6 +8,7 @@
 import io
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,6 +26,8 @@
 """Time within which a connection may be closed under a request."""
 _BALANCER_SECONDS = 2.0
 """Time after which the load balancer sends no new connections to a VM."""
+_FIRST_PORT = 12_000
+"""Lowest port of VMs; services of the system use lower ones."""
 _TIMEOUT_SECONDS = 30.0
 """Time after which a test stops waiting for an expected state."""
 
@@ -287,10 +290,22 @@
 
 
 def _find_free_ports(count):
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("127.0.0.1", 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    """Returns ports that no outgoing connection takes between two starts."""
+    candidates = random.sample(
+        range(_FIRST_PORT, _find_first_ephemeral_port()), 20 * count)
+    return [each for each in candidates if _is_free(each)][:count]
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def _find_first_ephemeral_port():
+    with open("/proc/sys/net/ipv4/ip_local_port_range",
+              encoding="utf-8") as range_file:
+        return int(range_file.read().split()[0])
--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -26,6 +26,11 @@
                         type=float,
                         default=0.0,
                         help="seconds from the begin of a takeover to the stop")
+    parser.add_argument(
+        "--close",
+        type=float,
+        default=0.0,
+        help="seconds for which endpoints work on after a close")
     parser.add_argument("--logs",
                         type=pathlib.Path,
                         help="folder that keeps the logs of the VMs")
@@ -40,7 +45,8 @@
                          callers=options.callers,
                          has_signals=options.signals,
                          takeover_stop_seconds=options.stop,
-                         takeover_delay_seconds=options.delay)
+                         takeover_delay_seconds=options.delay,
+                         close_seconds=options.close)
         with tempfile.TemporaryDirectory() as temporary:
             folder = pathlib.Path(temporary)
             if options.logs:
--- a/mustardwood/platform/tests/soak/caller.py
+++ b/mustardwood/platform/tests/soak/caller.py
@@ -87,7 +87,7 @@
                           resumed.stream_id if resumed else attempt_id, path,
                           "", time.monotonic())
         self.outcomes.append(outcome)
-        more = ""
+        more, body = "", outcome.stream_id
         if resumed is not None:
             outcome.last_id = resumed.event_ids[-1]
             outcome.event_ids.append(outcome.last_id)
@@ -101,7 +101,7 @@
                  f"Mustardwood-Attempt-Id: {attempt_id}\r\n"
                  f"Mustardwood-Deadline-Ms: {_DEADLINE_MS}\r\n"
                  "Authorization: Bearer key-1\r\n"
-                 f"{more}Content-Length: 4\r\n\r\nbody").encode())
+                 f"{more}Content-Length: {len(body)}\r\n\r\n{body}").encode())
             await asyncio.wait_for(self._read(outcome), _DEADLINE_MS / 1000 + 1)
         except (OSError, ValueError, asyncio.IncompleteReadError,
                 asyncio.TimeoutError):
--- a/mustardwood/platform/tests/soak/endpoint.py
+++ b/mustardwood/platform/tests/soak/endpoint.py
@@ -37,6 +37,14 @@
     """It resets the connection inside an event."""
     REPEAT_REFUSAL = "repeat refusal"
     """It sends a refusal of the request after the whole response."""
+    REFUSE_AFTER_RUN = "refuse after run"
+    """It runs the request and refuses it without stating that it has not."""
+    BREAK_REFUSAL = "break refusal"
+    """It runs the request and resets the connection inside a refusal."""
+
+
+_UNSTATED_STATUSES = (408, 421, 429, 503)
+"""Statuses of a refusal that does not state that the request has not run."""
 
 
 @dataclasses.dataclass
@@ -72,7 +80,13 @@
 
     _numbers = itertools.count(1)
 
-    def __init__(self, store, service, random, misbehavior, slots=64):
+    def __init__(self,
+                 store,
+                 service,
+                 random,
+                 misbehavior,
+                 slots=64,
+                 close_seconds=0.0):
         """Creates an endpoint; `start` starts it.
 
         Args:
@@ -81,6 +95,8 @@
             random: Source of random numbers.
             misbehavior: Probability that it does not answer a request.
             slots: Number of slots that it states.
+            close_seconds: Time for which it works on after the connection of a
+                request has closed.
         """
         self.name = f"{service}-{next(self._numbers)}"
         self.service = service
@@ -90,6 +106,7 @@
         self._random = random
         self._misbehavior = misbehavior
         self._slots = slots
+        self._close_seconds = close_seconds
 
     async def start(self):
         """Listens on a free port and registers."""
@@ -135,6 +152,8 @@
         try:
             await asyncio.wait({work, closed},
                                return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                await asyncio.wait({work}, timeout=self._close_seconds)
             if not work.done() or closed.done():
                 raise ConnectionResetError
             await work
@@ -152,6 +171,16 @@
             raise ConnectionResetError
         if behavior is Behavior.BE_SILENT:
             await asyncio.Event().wait()
+        if behavior is Behavior.REFUSE_AFTER_RUN:
+            status = self._random.choice(_UNSTATED_STATUSES)
+            writer.write(
+                _make_head(headers, status, "Content-Length: 0\r\n") + b"\r\n")
+            return
+        if behavior is Behavior.BREAK_REFUSAL:
+            writer.write(_make_refusal(headers)[:-2])
+            await writer.drain()
+            _reset(writer)
+            raise ConnectionResetError
         if path.startswith("/post/"):
             writer.write(
                 _make_head(headers, 200, "Content-Length: 4\r\n") + b"\r\nbody")
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -36,6 +36,8 @@
         takeover_stop_seconds: Time for which a VM stands still whenever a
             second endpoint has begun one of its streams; 0 for none.
         takeover_delay_seconds: Time from that beginning to the stop.
+        close_seconds: Time for which endpoints work on after the connection of
+            a request has closed.
     """
 
     seed: int
@@ -47,6 +49,7 @@
     has_signals: bool = False
     takeover_stop_seconds: float = 0.0
     takeover_delay_seconds: float = 0.0
+    close_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -156,7 +159,11 @@
     source = random.Random(plan.seed)
     store = _make_store()
     endpoints = [
-        endpoint_module.Endpoint(store, service, source, plan.misbehavior)
+        endpoint_module.Endpoint(store,
+                                 service,
+                                 source,
+                                 plan.misbehavior,
+                                 close_seconds=plan.close_seconds)
         for service in ["engine"] * plan.engines + ["api"] * 3
     ]
     servers = [await each.start() for each in endpoints]
--- a/mustardwood/platform/tests/soak/test_soak.py
+++ b/mustardwood/platform/tests/soak/test_soak.py
@@ -26,6 +26,21 @@
     assert not verdict.breaches
 
 
+@pytest.mark.parametrize("seed", [31, 32])
+def test_stream_does_not_run_twice_if_its_endpoint_notices_the_close_late(
+        tmp_path, seed):
+    verdict = _play(tmp_path, seed=seed, seconds=12.0, close_seconds=0.45)
+    assert verdict.takeovers > 10
+    assert not verdict.breaches
+
+
+@pytest.mark.parametrize("seed", [41, 47])
+def test_refusal_that_does_not_state_that_nothing_ran_is_not_believed(
+        tmp_path, seed):
+    verdict = _play(tmp_path, seed=seed, seconds=12.0)
+    assert not verdict.breaches
+
+
 def test_signals_in_series_break_no_rule(tmp_path):
     verdict = _play(tmp_path, seed=3, seconds=15.0, has_signals=True)
     assert verdict.runs > 100
--- a/mustardwood/platform/tests/test_endpoint_client.py
+++ b/mustardwood/platform/tests/test_endpoint_client.py
@@ -95,7 +95,10 @@
     (200, [_SIGNED, (b"Content-Encoding", b"gzip")], False, False),
     (503, [(b"Mustardwood-Not-Executed", b"1")], False, True),
     (503, [], False, False),
-    (421, [], False, True),
+    (421, [(b"Mustardwood-Replica-Id", b"endpoint-9")], False, True),
+    (421, [(b"Mustardwood-Replica-Id", b"endpoint-0")], False, False),
+    (421, [(b"Mustardwood-Not-Executed", b"1")], False, True),
+    (421, [], False, False),
     (500, [_SIGNED], True, False),
 ])
 def test_response_is_interpreted_by_status_and_headers(status, headers,
