Believe status 421 only with a statement that nothing ran

Callers saw TWICE and REFUSED: a request that may run once ran again, or was refused as not run after it had run. An endpoint that runs a request and then answers 421 was believed by the number alone, and the request was sent to the next endpoint.

Status 421 now counts as not run if the response has the header, or names an endpoint that is not the expected one.

--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import http
 
 from mustardwood import dispatch
 from mustardwood import http1
@@ -58,7 +59,7 @@
                          _MAX_IDLE_TIME_FOR_SINGLE_RUN)
         return self._pool.send((endpoint.host, endpoint.port),
                                http_request,
-                               _ResponseDecoder(request, listener),
+                               _ResponseDecoder(request, endpoint, listener),
                                max_idle_time,
                                before_write=before_write)
 
@@ -76,8 +77,10 @@
     """Interprets a response's headers for a listener."""
 
     def __init__(self, request: dispatch.ServiceRequest,
+                 endpoint: dispatch.Endpoint,
                  listener: dispatch.AttemptListener) -> None:
         self._request_id = request.request_id.encode("latin-1")
+        self._endpoint_name = endpoint.name.encode()
         self._listener = listener
 
     def accepts(self, status: int, response_headers: http1.Headers) -> bool:
@@ -94,13 +97,20 @@
                      for name, value in response_headers
                      if name.lower() not in _HOP_BY_HOP_HEADERS]
         names = {name.lower() for name, _ in response_headers}
+        was_not_run = headers.NOT_RUN in names or (
+            status == http.HTTPStatus.MISDIRECTED_REQUEST and
+            self._is_from_other_endpoint(response_headers))
         is_verified = (headers.SIGNATURE in names and
                        b"content-encoding" not in names)
         self._listener.receive_head(
-            status, forwarded, is_verified, headers.NOT_RUN in names or
-            status == 421,
+            status, forwarded, is_verified, was_not_run,
             statement_decoder.decode_statements(status, response_headers))
 
+    def _is_from_other_endpoint(self, response_headers: http1.Headers) -> bool:
+        return any(
+            name.lower() == headers.ENDPOINT_ID and value != self._endpoint_name
+            for name, value in response_headers)
+
     def receive_data(self, data: bytes) -> None:
         """Passes on a part of the response's body."""
         self._listener.receive_data(data)
--- a/mustardwood/platform/headers.py
+++ b/mustardwood/platform/headers.py
@@ -20,6 +20,8 @@
 """The caller's organisation; only the router sets it."""
 EXPECTED_ENDPOINT = b"mustardwood-expect-replica"
 """Id of the endpoint that may run the request; others respond with 421."""
+ENDPOINT_ID = b"mustardwood-replica-id"
+"""Id of the endpoint that has sent the response, if it states it."""
 NOT_RUN = b"mustardwood-not-executed"
 """Present if the endpoint has not run the request."""
 RATE_LIMIT = b"server-limit"
@@ -49,7 +51,7 @@
     SIGNATURE,
     DEADLINE,
     AUTHORIZATION,
-    b"mustardwood-replica-id",
+    ENDPOINT_ID,
     b"mustardwood-weight-versions",
     b"mustardwood-expect-version",
     b"mustardwood-pin-ms",
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -291,8 +291,8 @@
 
 def _find_free_ports(count):
     """Returns ports that no outgoing connection takes between two starts."""
-    candidates = random.sample(
-        range(_FIRST_PORT, _find_first_ephemeral_port()), 20 * count)
+    candidates = random.sample(range(_FIRST_PORT, _find_first_ephemeral_port()),
+                               20 * count)
     return [each for each in candidates if _is_free(each)][:count]
 
 
