End a request after an unexpected error in one of its timers

Callers saw no answer until their deadline when an error was raised outside of the listener of an attempt: in a timer, in the retry from the queue, at the exit, or when memory is released. The event loop only logs such an error. At the exit it also kept the requests behind it from being ended.

The hypothesis that such a request is then refused as not run did not hold: the queue's next retry ends its wait.

Each request now schedules its calls with a GuardedScheduler, which passes an error on to Forwarding.handle_error. That ends the request, and answers 502 if it was sent.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -1,5 +1,6 @@
 """Forwarding of one request, from its arrival to the end of the response."""
 
+import dataclasses
 import datetime
 import http
 
@@ -16,6 +17,7 @@
 from mustardwood.dispatch import stream_end
 from mustardwood.forwarding import attempts as attempts_module
 from mustardwood.forwarding import forwarded_response
+from mustardwood.forwarding import guarded_scheduler
 from mustardwood.forwarding import hedge_watch
 from mustardwood.forwarding import room_wait
 from mustardwood.forwarding import stream_version
@@ -50,6 +52,9 @@
                  context: forwarding_context.ForwardingContext) -> None:
         self._request = request
         self._caller = caller
+        self._scheduler = guarded_scheduler.GuardedScheduler(
+            context.scheduler, self.handle_error)
+        context = dataclasses.replace(context, scheduler=self._scheduler)
         self._context = context
         self._failed_attempt: attempt_record.AttemptRecord | None = None
         self._attribution = crash_attribution.CrashAttribution(request, context)
@@ -115,20 +120,12 @@
 
     def handle_exit(self) -> None:
         """Ends the request because the process is about to exit."""
-        if self._is_done:
-            return
-        if self._attempts.current is not None:
-            self._attempts.runs += 1
-        self._attempts.abort_all(request_record.PROCESS_EXITS)
-        self._give_up(request_record.PROCESS_EXITS,
-                      router_refusals.build_exit_refusal())
+        if not self._is_done:
+            self._scheduler.run(self._end_before_exit)
 
     def release_memory(self) -> None:
         """See `response_memory.Holder`; the request may be sent elsewhere."""
-        self._failed_attempt = None
-        for attempt in (self._attempts.silent, self._attempts.current):
-            if attempt is not None and self.is_open(attempt):
-                self._break_off(attempt, "no memory left for the response")
+        self._scheduler.run(self._break_off_all)
 
     def pause(self) -> None:
         """Stops reading the response, because its caller reads too slowly.
@@ -253,6 +250,19 @@
         """Returns whether the response of an attempt is still expected."""
         return self._attempts.is_open(attempt)
 
+    def _end_before_exit(self) -> None:
+        if self._attempts.current is not None:
+            self._attempts.runs += 1
+        self._attempts.abort_all(request_record.PROCESS_EXITS)
+        self._give_up(request_record.PROCESS_EXITS,
+                      router_refusals.build_exit_refusal())
+
+    def _break_off_all(self) -> None:
+        self._failed_attempt = None
+        for attempt in (self._attempts.silent, self._attempts.current):
+            if attempt is not None and self.is_open(attempt):
+                self._break_off(attempt, "no memory left for the response")
+
     def _handle_version(self, version: str | None) -> None:
         """Sends or refuses a resumption, whose version has been looked up."""
         if version is None:
@@ -306,13 +316,16 @@
                              is_head_sent)
 
     def _retry_queued(self) -> bool:
+        self._scheduler.run(self._send_queued)
+        return not self._wait.is_queued
+
+    def _send_queued(self) -> None:
         if self._attempts.current is not None:
             self._attempts.send_successor()
-        else:
-            self._send_next()
-            if self._attempts.current is not None:
-                self._wait.leave_queue()
-        return not self._wait.is_queued
+            return
+        self._send_next()
+        if self._attempts.current is not None:
+            self._wait.leave_queue()
 
     def _is_allowed(self) -> bool:
         return (self._find_denial() is None and
