Derive the promise that a request has not run from its attempts

Callers rely on 503 to mean that a request has not run. The router derived it from a counter of runs, which eleven places raised and lowered, whatever was open at the time. Where one of them is wrong, or an attempt is still open, a request that runs is refused (REFUSED), or sent again (TWICE).

Each attempt now says what is known of its run: connecting, written, unsent, not run. 'Written' is set before the first byte goes out, and the connection itself knows whether it has written (Exchange.is_written). The counter is gone. Whoever gives a request up aborts its open attempts first. The request line of the log has the state of each attempt.

What callers see: a request whose connection is still being opened at its deadline, or at the exit of the VM, gets 503 instead of 504 or 502. And a request whose connection opens after the shutdown has limited requests is refused instead of written.

--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -1,6 +1,7 @@
 """State of one attempt to send a request to an endpoint."""
 
 import datetime
+import enum
 
 from mustardwood import profiles
 from mustardwood.dispatch import endpoint_load
@@ -8,10 +9,24 @@
 from mustardwood.dispatch import placement as placement_module
 
 
+class RunState(enum.Enum):
+    """What is known of the run of a request at the endpoint of an attempt."""
+
+    CONNECTING = "connecting"
+    """No byte of the request was written."""
+    WRITTEN = "written"
+    """The endpoint may run the request, or has run it."""
+    UNSENT = "unsent"
+    """The attempt ended before a byte was written."""
+    NOT_RUN = "not run"
+    """The endpoint has stated in a complete response that it has not run it."""
+
+
 class AttemptRecord:
     """State of one attempt, which `Forwarding` updates.
 
     Attributes:
+        run: What is known of the run at its endpoint.
         choice: The endpoint that it was sent to, with the reasons.
         sent_at: Monotonic time at which it was sent.
         load: The load that it still adds to the load table.
@@ -41,6 +56,7 @@
 
     def __init__(self, choice: placement_module.Choice,
                  sent_at: datetime.timedelta) -> None:
+        self.run = RunState.CONNECTING
         self.choice = choice
         self.sent_at = sent_at
         self.load: endpoint_load.EndpointLoad = choice.load
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -21,6 +21,7 @@
 from mustardwood.forwarding import hedge_watch
 from mustardwood.forwarding import room_wait
 from mustardwood.forwarding import stream_version
+from mustardwood.forwarding import router_refusal
 
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes of a response that are buffered, so that it can be replaced."""
@@ -112,11 +113,12 @@
                                     traceback=_describe_traceback(error))
         if self._is_done:
             return
-        if self._attempts.has_sent:
-            # The error may have kept a run from being counted.
-            self._attempts.runs = max(1, self._attempts.runs)
-        self._attempts.abort_all("error")
-        self._give_up("error", None)
+        if self._attempts.has_sent and not self._response.is_head_sent:
+            # The error may have kept a run from being noticed.
+            self._attempts.abort_all("error")
+            self._refuse("error", router_refusals.build_lost_response_refusal())
+        else:
+            self._give_up("error", None)
 
     def handle_exit(self) -> None:
         """Ends the request because the process is about to exit."""
@@ -222,19 +224,17 @@
         is_silent_attempt = attempt is self._attempts.silent
         if was_sent:
             self._attribution.record_loss(attempt)
+            attempt.run = attempt_record.RunState.WRITTEN
+        else:
+            attempt.run = attempt_record.RunState.UNSENT
         self._attempts.end(attempt, reason)
         if not was_sent:
             self._context.health.record_unreachable(attempt.endpoint)
-            if is_silent_attempt:
-                self._attempts.runs -= 1
-            elif not self._attempts.return_to_silent():
+            if not (is_silent_attempt or self._attempts.return_to_silent()):
                 self._retry_unsent(reason)
             return
         self._context.health.record_failure(attempt.endpoint)
-        if is_silent_attempt:
-            return
-        self._attempts.runs += 1
-        if not self._attempts.return_to_silent():
+        if not (is_silent_attempt or self._attempts.return_to_silent()):
             self._retry_after_run(reason)
 
     def receive_denial(self, attempt: attempt_record.AttemptRecord) -> None:
@@ -251,9 +251,6 @@
         return self._attempts.is_open(attempt)
 
     def _end_before_exit(self) -> None:
-        if self._attempts.current is not None:
-            self._attempts.runs += 1
-        self._attempts.abort_all(request_record.PROCESS_EXITS)
         self._give_up(request_record.PROCESS_EXITS,
                       router_refusals.build_exit_refusal())
 
@@ -272,26 +269,17 @@
 
     def _send_next(self) -> None:
         context, request = self._context, self._request
-        denial = self._find_denial()
-        if denial is not None:
-            self._give_up("no longer allowed", denial)
-            return
-        crash_refusal = self._attribution.find_refusal()
-        if crash_refusal is not None:
-            self._give_up("crashes endpoints", crash_refusal)
+        obstacle = self._find_obstacle()
+        if obstacle is not None:
+            self._give_up(obstacle.reason, obstacle.response)
             return
         now = context.clock.monotonic()
         time_left = request.expires_at - now
         if time_left <= datetime.timedelta():
             self._handle_deadline()
             return
-        has_run = self._attempts.runs > 0
+        has_run = self._attempts.may_have_run
         is_head_sent = self._response.is_head_sent
-        if not (has_run or is_head_sent or
-                context.process_exit.allows(request)):
-            self._give_up(request_record.PROCESS_EXITS,
-                          router_refusals.build_exit_refusal())
-            return
         usable = context.directory.list_usable(request.service)
         is_new = not self._attempts.has_sent and not request.is_resumption
         if is_new and not context.admission.is_admitted(request, usable):
@@ -328,8 +316,23 @@
             self._wait.leave_queue()
 
     def _is_allowed(self) -> bool:
-        return (self._find_denial() is None and
-                self._attribution.find_refusal() is None)
+        return self._find_obstacle() is None
+
+    def _find_obstacle(self) -> router_refusal.RouterRefusal | None:
+        """Returns why the request may not be sent now; None if it may."""
+        denial = self._find_denial()
+        if denial is not None:
+            return router_refusal.RouterRefusal("no longer allowed", denial)
+        crash_refusal = self._attribution.find_refusal()
+        if crash_refusal is not None:
+            return router_refusal.RouterRefusal("crashes endpoints",
+                                                crash_refusal)
+        if not (self._attempts.may_have_run or self._response.is_head_sent or
+                self._context.process_exit.allows(self._request)):
+            return router_refusal.RouterRefusal(
+                request_record.PROCESS_EXITS,
+                router_refusals.build_exit_refusal())
+        return None
 
     def _find_denial(self) -> refusal.Refusal | None:
         """Returns why the request may not be sent; None if it may.
@@ -378,18 +381,16 @@
         unless the endpoint confirmed it, because callers rely on it.
         """
         is_silent_attempt = attempt is self._attempts.silent
+        if attempt.was_not_run:
+            attempt.run = attempt_record.RunState.NOT_RUN
         self._attempts.end(attempt, f"status {attempt.status}")
         if attempt.was_not_run:
             if attempt.status == http.HTTPStatus.MISDIRECTED_REQUEST:
                 self._context.notices.record(
                     attempt.incarnation, endpoint_notices.NoticeKind.REPLACED)
-            if is_silent_attempt:
-                self._attempts.runs -= 1
-            elif not self._attempts.return_to_silent():
+            if not (is_silent_attempt or self._attempts.return_to_silent()):
                 self._retry_not_run(attempt)
             return
-        if not is_silent_attempt:
-            self._attempts.runs += 1
         guarantees_not_run = attempt.status in request_record.NOT_RUN_STATUSES
         is_failure = attempt.status >= 400 and not guarantees_not_run
         if is_failure and not attempt.is_truncated:
@@ -419,24 +420,27 @@
             self._give_up(reason, None)
 
     def _retry_after_run(self, reason: str) -> None:
-        if self._attempts.may_run_again(
-                self._attempts.runs) and self._attempts.take_retry():
+        if self._attempts.may_run_again() and self._attempts.take_retry():
             self._response.splitter.drop_rest()
             self._send_next()
         else:
             self._give_up(reason, None)
 
     def _give_up(self, reason: str, denial: refusal.Refusal | None) -> None:
-        """Ends a request that no endpoint answered successfully."""
+        """Ends a request that no endpoint answered successfully.
+
+        The caller is told that it has not run only if that holds for each of
+        its attempts, also those that are still open.
+        """
+        self._attempts.abort_all(reason)
         if self._response.is_head_sent:
             self._caller.abort()
             self._finish(reason, 0)
             return
-        if self._attempts.runs == 0:
-            response = denial or router_refusals.build_not_run_refusal(
-                self._context.retry_after.draw_delay(self._request))
-            self._caller.refuse(response)
-            self._finish(reason, response.status)
+        if not self._attempts.may_have_run:
+            self._refuse(
+                reason, denial or router_refusals.build_not_run_refusal(
+                    self._context.retry_after.draw_delay(self._request)))
         elif self._failed_attempt is not None:
             failed = self._failed_attempt
             self._caller.begin(failed.status, failed.headers, len(failed.body))
@@ -444,25 +448,25 @@
             self._caller.finish()
             self._finish(reason, failed.status)
         else:
-            lost = router_refusals.build_lost_response_refusal()
-            self._caller.refuse(lost)
-            self._finish(reason, lost.status)
+            self._refuse(reason, router_refusals.build_lost_response_refusal())
+
+    def _refuse(self, reason: str, response: refusal.Refusal) -> None:
+        self._caller.refuse(response)
+        self._finish(reason, response.status)
 
     def _handle_deadline(self) -> None:
         if self._is_done:
             return
         self._deadline_timer = None
-        if self._attempts.current is not None:
-            self._attempts.runs += 1
-            self._attempts.abort_all("time is up")
+        self._attempts.abort_all("time is up")
         if self._response.is_head_sent:
             self._caller.abort()
             self._finish("time is up", 0)
             return
-        response = router_refusals.build_timeout_refusal(
-            may_have_run=self._attempts.runs > 0)
-        self._caller.refuse(response)
-        self._finish("time is up", response.status)
+        self._refuse(
+            "time is up",
+            router_refusals.build_timeout_refusal(
+                may_have_run=self._attempts.may_have_run))
 
     def _break_off(self, attempt: attempt_record.AttemptRecord,
                    reason: str) -> None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -62,7 +62,7 @@
 
     @property
     def is_connected(self) -> bool:
-        """Whether there is a connection, on which the request was sent."""
+        """Whether there is a connection."""
 
     @property
     def is_response_invalid(self) -> bool:
@@ -118,8 +118,7 @@
         """Receives the failure of an attempt without a complete response.
 
         Args:
-            was_sent: Whether the endpoint may have received a byte of the
-                request.
+            was_sent: Whether a byte of the request was written.
             reason: Cause of the failure, for the log.
         """
 
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -131,6 +131,7 @@
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
+            "run": attempt.run.value,
             "close_delimited": attempt.is_close_delimited,
             "partial_event_bytes": attempt.partial_event_bytes,
             "counts_as_crash": attempt.counts_as_crash,
@@ -227,7 +228,7 @@
         return False
     if attempt.status:
         return attempt.is_success or attempt.status in _RUN_STATUSES
-    return attempt.handle is not None and attempt.handle.is_connected
+    return attempt.run is attempt_record.RunState.WRITTEN
 
 
 def _classify(outcome: str, status: int) -> str:
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -73,11 +73,13 @@
         self._before_write = before_write
         self.is_close_delimited = False
         self.is_paused = False
+        self.is_written = False
 
     def connect(self):
         """Opens the connection, on which the request is written."""
         self._before_write()
         self.is_connected = True
+        self.is_written = not self.is_aborted
 
     def abort(self):
         """Records that the attempt was aborted."""
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import functools
 
 from mustardwood.dispatch import attempt_record
 from mustardwood.dispatch import endpoint_load
@@ -39,10 +40,6 @@
     The attempt at a slow endpoint stays open beside the one that hedges it,
     until one of them brings data. If none does within the stall timeout of the
     first, the hedged request takes it over.
-
-    Attributes:
-        runs: Number of endpoints that may have run the request, without the
-            current one.
     """
 
     def __init__(self, request: service_request.ServiceRequest,
@@ -65,6 +62,7 @@
             handler: Receives the responses.
             is_allowed: Returns whether the request may still be sent.
         """
+        self._sent: list[attempt_record.AttemptRecord] = []
         self._request = request
         self._context = context
         self._record = record
@@ -79,9 +77,7 @@
         self._hedge_sent_at = datetime.timedelta()
         self._overlap = datetime.timedelta()
         self._tried: set[str] = set()
-        self._sends = 0
         self._is_paused = False
-        self.runs = 0
         self._stall_timer: forwarding_context.Timer | None = None
         self._takeover_timer: forwarding_context.Timer | None = None
 
@@ -105,10 +101,16 @@
         """Names of the endpoints that the request was sent to."""
         return self._tried
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may run the request or have run it."""
+        return any(
+            each.run is attempt_record.RunState.WRITTEN for each in self._sent)
+
     @property
     def has_sent(self) -> bool:
         """Whether the request was sent to an endpoint."""
-        return self._sends > 0
+        return bool(self._sent)
 
     @property
     def has_begun_response(self) -> bool:
@@ -118,18 +120,17 @@
     @property
     def may_send(self) -> bool:
         """Whether the maximum number of sends is not reached."""
-        return self._sends < _MAX_SENDS
+        return len(self._sent) < _MAX_SENDS
 
     def is_open(self, attempt: attempt_record.AttemptRecord) -> bool:
         """Returns whether the response of an attempt is still expected."""
         return attempt in (self._current, self._silent)
 
-    def may_run_again(self, runs: int) -> bool:
-        """Returns whether one more endpoint may run the request.
-
-        Args:
-            runs: Number of endpoints that may have run it.
-        """
+    def may_run_again(self) -> bool:
+        """Returns whether one more endpoint may run the request."""
+        runs = sum(each.run in (attempt_record.RunState.WRITTEN,
+                                attempt_record.RunState.CONNECTING)
+                   for each in self._sent)
         return (self._request.retry_policy.allows_rerun and
                 self._response.can_continue and
                 runs < self._request.max_runs and self.may_send)
@@ -158,7 +159,7 @@
         context, request = self._context, self._request
         attempt = attempt_record.AttemptRecord(choice, now)
         self._current = attempt
-        self._sends += 1
+        self._sent.append(attempt)
         self._tried.add(attempt.endpoint)
         context.pauses.record_send(choice.endpoint)
         context.rate_limits.record_send(choice.endpoint)
@@ -176,17 +177,32 @@
     def _prepare_write(
             self, attempt: attempt_record.AttemptRecord,
             before_write: collections.abc.Callable[[], None]) -> None:
-        """Checks once more that the request may be sent.
+        """Prepares the write of the request to an endpoint."""
+        try:
+            if attempt.handle is not None and not self._check_allowed(attempt):
+                return
+            before_write()
+            attempt.run = attempt_record.RunState.WRITTEN
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # The code that opens the connection can't answer the caller.
+            self._context.scheduler.call_later(
+                datetime.timedelta(),
+                functools.partial(self._handler.handle_error, error))
+            if attempt.handle is not None:
+                attempt.handle.abort()
+
+    def _check_allowed(self, attempt: attempt_record.AttemptRecord) -> bool:
+        """Checks once more that the request may be sent; ends it if not.
 
         The process may have stood still since its connection was requested.
         """
-        if attempt.handle is not None and not self._is_allowed():
+        if self._is_allowed():
+            return True
+        if attempt.handle is not None:
             attempt.handle.abort()
-            self._context.scheduler.call_later(
-                datetime.timedelta(),
-                lambda: self._handler.receive_denial(attempt))
-            return
-        before_write()
+        self._context.scheduler.call_later(
+            datetime.timedelta(), lambda: self._handler.receive_denial(attempt))
+        return False
 
     def send_successor(self) -> bool:
         """Sends the request of the current, silent attempt to another endpoint.
@@ -211,7 +227,6 @@
             return False
         now = context.clock.monotonic()
         context.health.record_unreachable(silent.endpoint)
-        self.runs += 1
         self._silent = silent
         self.send(choice, now, request.expires_at - now, self._end_takeover)
         return True
@@ -226,7 +241,6 @@
         if first is None:
             return
         now = context.clock.monotonic()
-        self.runs += 1
         self._silent = self._hedged = first
         self._hedge_sent_at = now
         self.send(choice, now, self._request.expires_at - now)
@@ -273,7 +287,6 @@
             return False
         self._cancel_takeover_timer()
         self._current, self._silent, self._hedged = silent, None, None
-        self.runs -= 1
         if is_hedged:
             self.start_stall_timer(self._context.clock.monotonic() -
                                    silent.sent_at)
@@ -333,6 +346,8 @@
         """
         if self.is_hedged:
             self._overlap = self.find_overlap()
+        if attempt.run is attempt_record.RunState.CONNECTING:
+            attempt.run = attempt_record.RunState.UNSENT
         splitter = self._response.splitter
         if self._request.is_stream and attempt.has_received_data:
             attempt.partial_event_bytes = splitter.rest_size
@@ -417,7 +432,7 @@
         silent one.
         """
         context, request = self._context, self._request
-        if (not self.may_run_again(self.runs + 1) or
+        if (not self.may_run_again() or
                 request.expires_at <= context.clock.monotonic() or
                 not self._is_allowed()):
             return None
--- a/mustardwood/forwarding/hedge_watch.py
+++ b/mustardwood/forwarding/hedge_watch.py
@@ -201,8 +201,7 @@
                 not first.has_received_data and not first.is_stalled and
                 (not first.status or first.is_success) and
                 not self._request.is_resumption and
-                not attempts.has_begun_response and
-                attempts.may_run_again(attempts.runs + 1) and
+                not attempts.has_begun_response and attempts.may_run_again() and
                 self._request.expires_at > self._context.clock.monotonic() and
                 self._is_allowed())
 
--- a/mustardwood/forwarding/room_wait.py
+++ b/mustardwood/forwarding/room_wait.py
@@ -9,7 +9,7 @@
 from mustardwood.dispatch import request_record
 from mustardwood.dispatch import router_refusals
 from mustardwood.dispatch import service_request
-from mustardwood.forwarding import wait_refusal
+from mustardwood.forwarding import router_refusal
 
 _MAX_WAIT_TARGETS = 1.6
 """Maximum time in the queue as a multiple of the first-byte target.
@@ -56,7 +56,7 @@
     def find_refusal(self, limit: placement_limit.PlacementLimit,
                      usable: _Endpoints, excluded: collections.abc.Set[str],
                      has_run: bool,
-                     is_head_sent: bool) -> wait_refusal.WaitRefusal | None:
+                     is_head_sent: bool) -> router_refusal.RouterRefusal | None:
         """Returns why a request does not wait for room; None if it does.
 
         A response that has begun can't be refused, so it waits until its
@@ -71,20 +71,20 @@
         """
         context = self._context
         if len(excluded) == len(usable):
-            return wait_refusal.WaitRefusal("no endpoint left")
+            return router_refusal.RouterRefusal("no endpoint left")
         if is_head_sent:
             return None
         if limit is placement_limit.PlacementLimit.PAUSED:
             pause = self._find_pause(usable, excluded, has_run)
             if pause is not None:
-                return wait_refusal.WaitRefusal(
+                return router_refusal.RouterRefusal(
                     "endpoints ask for a pause",
                     router_refusals.build_not_run_refusal(
                         max(pause,
                             context.retry_after.draw_delay(self._request))))
         if (limit is placement_limit.PlacementLimit.RATE and
                 not context.rate_limits.has_share(usable)):
-            return wait_refusal.WaitRefusal("no share of a rate limit")
+            return router_refusal.RouterRefusal("no share of a rate limit")
         return None
 
     def start(self, group: str, has_run: bool, is_head_sent: bool) -> None:
--- a/mustardwood/forwarding/wait_refusal.py
+++ b/mustardwood/forwarding/router_refusal.py
@@ -1,4 +1,4 @@
-"""Refusal of a request that would wait in vain for an endpoint with room."""
+"""Refusal of a request by the router itself."""
 
 import dataclasses
 
@@ -6,8 +6,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class WaitRefusal:
-    """Why a request does not wait for an endpoint with room.
+class RouterRefusal:
+    """Why a request is not sent, or does not wait for an endpoint with room.
 
     Attributes:
         reason: Cause, for the log.
--- a/mustardwood/forwarding/tests/test_untrue_refusals.py
+++ b/mustardwood/forwarding/tests/test_untrue_refusals.py
@@ -61,3 +61,33 @@
     _advance(harness, ms(1500))
     assert forwarding.is_done
     assert caller.status not in _NOT_RUN_STATUSES
+
+
+@pytest.mark.parametrize("is_connected", [True, False])
+@pytest.mark.parametrize("end", ["deadline", "exit"])
+def test_open_attempt_is_refused_as_not_run_only_if_nothing_was_written(
+        end, is_connected):
+    harness = harness_module.Harness()
+    harness.client.is_connected = is_connected
+    request = harness_module.make_request(
+        harness, retry_policy=dispatch.RetryPolicy.AT_MOST_ONCE, max_runs=1)
+    forwarding, caller = harness.start(request)
+    if end == "exit":
+        forwarding.handle_exit()
+    else:
+        harness.scheduler.advance(ms(10_000))
+    assert harness.client.sent[0].is_aborted
+    assert (caller.status in _NOT_RUN_STATUSES) is not is_connected
+
+
+def test_request_is_not_written_if_its_vm_is_about_to_stop():
+    """The connection was being opened when the shutdown limited requests."""
+    harness = harness_module.Harness()
+    harness.client.is_connected = False
+    _, caller = harness.start()
+    harness.process_exit.limit_requests(harness.clock.monotonic() + ms(1000))
+    attempt = harness.client.sent[0]
+    attempt.connect()
+    harness.scheduler.advance(ms(0))
+    assert attempt.is_aborted and not attempt.is_written
+    assert caller.status == 503
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -185,5 +185,4 @@
         """See `protocol.ClientFactory`."""
         has_timed_out = reason.check(internet_error.TimeoutError) is not None
         self._exchange.fail(
-            False,
             "no connection in time" if has_timed_out else "connection refused")
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -114,6 +114,7 @@
         exchange.before_write()
         if exchange.is_finished:
             return
+        exchange.is_written = True
         head, *rest = [
             self._http.send(each) or b"" for each in self._sent_events
         ]
@@ -159,9 +160,8 @@
         exchange, self._exchange = self._exchange, None
         self._on_lost(self)
         if exchange is not None:
-            exchange.fail(
-                True, "connection closed"
-                if is_clean else f"connection lost: {reason.getErrorMessage()}")
+            exchange.fail("connection closed" if is_clean else
+                          f"connection lost: {reason.getErrorMessage()}")
 
     def abort(self) -> None:
         """Closes the connection immediately."""
@@ -306,4 +306,4 @@
         self._close()
         if exchange is not None:
             exchange.is_response_invalid = not was_closed
-            exchange.fail(True, reason)
+            exchange.fail(reason)
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -35,8 +35,7 @@
         """Handles a failure; no complete response will be received.
 
         Args:
-            was_sent: Whether the endpoint may have received any byte of the
-                request.
+            was_sent: Whether any byte of the request was written.
             reason: Description of the failure, for the log.
         """
 
@@ -64,8 +63,8 @@
         before_write: Called when there is a connection, before a byte of the
             request is written; it may abort the exchange.
         is_finished: Whether the exchange was completed, failed or aborted.
-        is_connected: Whether it has a connection, on which the request was
-            sent.
+        is_connected: Whether it has a connection.
+        is_written: Whether a byte of the request may have been written.
         is_response_invalid: Whether it failed because of what the endpoint
             sent, and not because the connection was lost.
         is_close_delimited: Whether the response has neither a length nor chunks
@@ -85,6 +84,7 @@
         self.before_write = before_write
         self.is_finished = False
         self.is_connected = False
+        self.is_written = False
         self.is_response_invalid = False
         self.is_close_delimited = False
         self._is_paused = False
@@ -117,11 +117,11 @@
         if not self.is_finished and self._connection is not None:
             self._connection.resume()
 
-    def fail(self, was_sent: bool, reason: str) -> None:
+    def fail(self, reason: str) -> None:
         """Reports a failure to the listener unless the exchange is finished."""
         if not self.is_finished:
             self.is_finished = True
-            self.listener.receive_failure(was_sent, reason)
+            self.listener.receive_failure(self.is_written, reason)
 
     def complete(self) -> None:
         """Reports the end to the listener unless the exchange is finished."""
--- a/mustardwood/platform/duty_client.py
+++ b/mustardwood/platform/duty_client.py
@@ -195,7 +195,7 @@
 
 
 def _abort_call(exchange: http1.Exchange, listener: _CallListener) -> None:
-    was_sent = exchange.is_connected
+    was_sent = exchange.is_written
     exchange.abort()
     listener.receive_failure(was_sent, "no answer in time")
 
