Write a request elsewhere after its endpoint has closed the connection

Callers saw TWICE: two endpoints worked on one stream for over 0.4 s. When a silent attempt was taken over, or a response was invalid, the router reset the connection and wrote the request to the next endpoint at once. An endpoint that looks at its connections only between two steps works on until then; the router did not learn when it stopped. Class: an end that is assumed from the own side of a connection.

The router closes its sending side, and writes the request elsewhere when the endpoint has closed its own, or after 400 ms, when the connection is reset. An endpoint that writes more than 64 KiB in the meantime is reset, so that its next write fails. In the request line, closed_after_ms tells how long the endpoint took; it is missing for one that did not close in time. An endpoint that does not answer costs 400 ms.

Whether the request is still allowed is asked again after that wait.

Two tests asserted that the connection of a malformed response is reset at once. It is now closed for sending and reset when more data comes or after 400 ms, which the tests assert in turn; bytes without end are reset within the same bound as before.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -30,10 +30,18 @@
         """See `dispatch.Attempt`."""
         return False
 
+    def write(self) -> None:
+        """See `dispatch.Attempt`; an engine closes its side at once."""
+
     def abort(self) -> None:
         """See `dispatch.Attempt`."""
         self.engine.cancel(self.run)
 
+    def close(self, on_closed: collections.abc.Callable[[bool], None]) -> None:
+        """See `dispatch.Attempt`."""
+        self.abort()
+        on_closed(True)
+
     def pause(self) -> None:
         """See `dispatch.Attempt`; modelled callers read at once."""
 
@@ -57,7 +65,7 @@
             time_left: datetime.timedelta, resume_after: int | None,
             listener: dispatch.AttemptListener,
             before_write: collections.abc.Callable[[],
-                                                   None]) -> dispatch.Attempt:
+                                                   bool]) -> dispatch.Attempt:
         """See `forwarding_context.EndpointClient`."""
         del time_left
         before_write()
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -27,6 +27,9 @@
 
     Attributes:
         run: What is known of the run at its endpoint.
+        closed_after: Time from the close of its connection by the router to
+            the close by the endpoint; None if neither, or if the endpoint did
+            not close it in time.
         choice: The endpoint that it was sent to, with the reasons.
         sent_at: Monotonic time at which it was sent.
         load: The load that it still adds to the load table.
@@ -57,6 +60,7 @@
     def __init__(self, choice: placement_module.Choice,
                  sent_at: datetime.timedelta) -> None:
         self.run = RunState.CONNECTING
+        self.closed_after: datetime.timedelta | None = None
         self.choice = choice
         self.sent_at = sent_at
         self.load: endpoint_load.EndpointLoad = choice.load
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -228,6 +228,7 @@
         else:
             attempt.run = attempt_record.RunState.UNSENT
         self._attempts.end(attempt, reason)
+        self._attempts.close(attempt)
         if not was_sent:
             self._context.health.record_unreachable(attempt.endpoint)
             if not (is_silent_attempt or self._attempts.return_to_silent()):
@@ -472,8 +473,6 @@
                    reason: str) -> None:
         """Closes the connection of an attempt whose response is invalid."""
         attempt.was_cut_off = True
-        if attempt.handle is not None:
-            attempt.handle.abort()
         self.receive_failure(attempt, True, reason)
 
     def _finish(self, outcome: str, status: int) -> None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -75,9 +75,22 @@
     def is_close_delimited(self) -> bool:
         """Whether the response ends with its connection."""
 
+    def write(self) -> None:
+        """Writes a request that was held back."""
+
     def abort(self) -> None:
         """Closes the connection; the listener is not called again."""
 
+    def close(self, on_closed: collections.abc.Callable[[bool], None]) -> None:
+        """Closes the connection when the endpoint has, or after a time.
+
+        The listener is not called again.
+
+        Args:
+            on_closed: Called once then, possibly within this call, with whether
+                the endpoint has closed the connection and so ended its work.
+        """
+
     def pause(self) -> None:
         """Stops reading the response."""
 
@@ -129,7 +142,7 @@
     def send(self, request: service_request.ServiceRequest,
              endpoint: endpoint_module.Endpoint, time_left: datetime.timedelta,
              resume_after: int | None, listener: AttemptListener,
-             before_write: collections.abc.Callable[[], None]) -> Attempt:
+             before_write: collections.abc.Callable[[], bool]) -> Attempt:
         """Sends a request.
 
         Args:
@@ -142,7 +155,8 @@
                 call returns.
             before_write: Called when there is a connection, before a byte of
                 the request is written, possibly within this call. It is not
-                called without a connection.
+                called without a connection. If it returns True, the request is
+                held back until `Attempt.write` is called.
         """
 
 
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -52,6 +52,7 @@
         self._waited = datetime.timedelta()
         self._limit: placement_limit.PlacementLimit | None = None
         self._attempts: list[dict[str, typing.Any]] = []
+        self._numbers: dict[attempt_record.AttemptRecord, int] = {}
         # A resumption continues a request that was counted at its first event.
         self._is_counted = not request.organisation or request.is_resumption
         self._hedge: dict[str, typing.Any] = {}
@@ -132,11 +133,24 @@
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
             "run": attempt.run.value,
+            "closed_after_ms": None,
             "close_delimited": attempt.is_close_delimited,
             "partial_event_bytes": attempt.partial_event_bytes,
             "counts_as_crash": attempt.counts_as_crash,
             "end": end,
         })
+        self._numbers[attempt] = len(self._attempts) - 1
+
+    def record_close(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Records that the endpoint has closed the connection of an attempt.
+
+        Args:
+            attempt: An attempt that has ended.
+        """
+        number = self._numbers.get(attempt)
+        if number is not None and attempt.closed_after is not None:
+            self._attempts[number]["closed_after_ms"] = _to_ms(
+                attempt.closed_after)
 
     @property
     def _is_whole(self) -> bool:
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -74,18 +74,32 @@
         self.is_close_delimited = False
         self.is_paused = False
         self.is_written = False
+        self.closes_late = False
+        self.on_closed = None
 
     def connect(self):
         """Opens the connection, on which the request is written."""
-        self._before_write()
+        is_held = self._before_write()
         self.is_connected = True
-        self.is_written = not self.is_aborted
+        self.is_written = not (is_held or self.is_aborted)
+
+    def write(self):
+        """Records that the request, which was held back, was written."""
+        assert not self.is_aborted and not self.is_written
+        self.is_written = True
 
     def abort(self):
         """Records that the attempt was aborted."""
         self.is_aborted = True
         self.on_abort()
 
+    def close(self, on_closed):
+        """Closes the connection, as the endpoint does unless it is late."""
+        self.abort()
+        self.on_closed = on_closed
+        if not self.closes_late:
+            on_closed(True)
+
     def pause(self):
         """Records that the response is not read for now."""
         self.is_paused = True
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -34,8 +34,10 @@
 
     An endpoint that is only silent may go on. Its attempt therefore stays open
     until there is a connection to another endpoint that has room. It is closed
-    before the request is written there, so that no two endpoints run it even if
-    the process stands still in between.
+    then, and the request is written there when the first endpoint has closed
+    its side, too, or has not done so in time. So no two endpoints run it, even
+    if the process stands still in between or an endpoint notices the close
+    late.
 
     The attempt at a slow endpoint stays open beside the one that hedges it,
     until one of them brings data. If none does within the stall timeout of the
@@ -63,6 +65,8 @@
             is_allowed: Returns whether the request may still be sent.
         """
         self._sent: list[attempt_record.AttemptRecord] = []
+        self._closing: set[attempt_record.AttemptRecord] = set()
+        self._held: attempt_record.AttemptRecord | None = None
         self._request = request
         self._context = context
         self._record = record
@@ -176,20 +180,28 @@
 
     def _prepare_write(
             self, attempt: attempt_record.AttemptRecord,
-            before_write: collections.abc.Callable[[], None]) -> None:
-        """Prepares the write of the request to an endpoint."""
+            before_write: collections.abc.Callable[[], None]) -> bool:
+        """Prepares the write of the request to an endpoint.
+
+        Returns:
+            Whether the request is held back.
+        """
         try:
             if attempt.handle is not None and not self._check_allowed(attempt):
-                return
+                return True
             before_write()
+            if self._closing:
+                self._held = attempt
+                self.cancel_stall_timer()
+                return True
             attempt.run = attempt_record.RunState.WRITTEN
+            return False
         except Exception as error:  # pylint: disable=broad-exception-caught
             # The code that opens the connection can't answer the caller.
             self._context.scheduler.call_later(
                 datetime.timedelta(),
                 functools.partial(self._handler.handle_error, error))
-            if attempt.handle is not None:
-                attempt.handle.abort()
+            return True
 
     def _check_allowed(self, attempt: attempt_record.AttemptRecord) -> bool:
         """Checks once more that the request may be sent; ends it if not.
@@ -204,6 +216,43 @@
             datetime.timedelta(), lambda: self._handler.receive_denial(attempt))
         return False
 
+    def close(self, attempt: attempt_record.AttemptRecord) -> None:
+        """Closes the connection of an attempt before another one is written.
+
+        The request is written to no other endpoint until this one has closed
+        the connection, too, or has not done so in time.
+
+        Args:
+            attempt: The attempt; its response is no longer expected.
+        """
+        if attempt.handle is None:
+            return
+        if attempt.run is not attempt_record.RunState.WRITTEN:
+            attempt.handle.abort()
+            return
+        closed_at = self._context.clock.monotonic()
+        self._closing.add(attempt)
+        attempt.handle.close(
+            functools.partial(self._handle_close, attempt, closed_at))
+
+    def _handle_close(self, attempt: attempt_record.AttemptRecord,
+                      closed_at: datetime.timedelta,
+                      is_closed_by_endpoint: bool) -> None:
+        if is_closed_by_endpoint:
+            attempt.closed_after = self._context.clock.monotonic() - closed_at
+            self._record.record_close(attempt)
+        self._closing.discard(attempt)
+        held = self._held
+        if held is None or self._closing:
+            return
+        self._held = None
+        if (held is not self._current or held.handle is None or
+                not self._check_allowed(held)):
+            return
+        held.run = attempt_record.RunState.WRITTEN
+        self.start_stall_timer()
+        held.handle.write()
+
     def send_successor(self) -> bool:
         """Sends the request of the current, silent attempt to another endpoint.
 
@@ -467,7 +516,10 @@
         if self.is_hedged:
             self._mark_stalled(silent)
             self._context.health.record_unreachable(silent.endpoint)
-        self.abort(silent, "silent")
+            self.abort(silent, "silent")
+            return
+        self.end(silent, "silent")
+        self.close(silent)
 
     def _cancel_takeover_timer(self) -> None:
         if self._takeover_timer is not None:
--- a/mustardwood/forwarding/tests/test_takeover.py
+++ b/mustardwood/forwarding/tests/test_takeover.py
@@ -65,3 +65,81 @@
     assert caller.status == 401
     assert len(harness.client.sent) == 1
     assert not harness.loads.list_own_loads()
+
+
+def _take_over_late(harness):
+    """Returns a stalled attempt, which closes late, and its successor."""
+    first, caller = _start_silent_stream(harness)
+    first.closes_late = True
+    harness.scheduler.advance(_STALL_TIMEOUT)
+    return first, harness.client.sent[1], caller
+
+
+def test_stream_is_written_elsewhere_after_its_endpoint_has_closed():
+    """An endpoint may work on for some time after its connection is closed."""
+    harness = harness_module.Harness()
+    first, second, _ = _take_over_late(harness)
+    harness.scheduler.advance(ms(300))
+    assert first.is_aborted and not second.is_written
+    first.on_closed(True)
+    assert second.is_written
+    second.respond(body=b"id: 2\ndata: b\n\n")
+    (_,
+     fields), = (each for each in harness.journal.lines if each[0] == "request")
+    assert fields["attempts"][0]["closed_after_ms"] == 300
+
+
+def test_stream_is_written_elsewhere_if_its_endpoint_does_not_close():
+    harness = harness_module.Harness()
+    first, second, _ = _take_over_late(harness)
+    first.on_closed(False)
+    assert second.is_written
+
+
+def test_stream_whose_caller_leaves_before_the_close_is_not_written():
+    harness = harness_module.Harness()
+    forwarding, _ = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.closes_late = True
+    harness.scheduler.advance(_STALL_TIMEOUT)
+    second = harness.client.sent[1]
+    forwarding.handle_caller_disconnect()
+    first.on_closed(True)
+    assert second.is_aborted and not second.is_written
+
+
+def test_successor_lost_before_the_close_does_not_release_the_next_one():
+    harness = harness_module.Harness()
+    first, second, _ = _take_over_late(harness)
+    second.listener.receive_failure(False, "connection lost")
+    third = harness.client.sent[2]
+    assert not third.is_written
+    first.on_closed(True)
+    assert third.is_written and not second.is_written
+
+
+def test_invalid_response_is_followed_by_a_run_only_after_the_close():
+    """The endpoint may still work on the request."""
+    harness = harness_module.Harness()
+    harness.start()
+    first = harness.client.sent[0]
+    first.closes_late = True
+    first.listener.receive_failure(True, "not an answer")
+    second = harness.client.sent[1]
+    assert not second.is_written
+    first.on_closed(True)
+    assert second.is_written
+
+
+def test_key_that_is_removed_before_the_close_stops_the_stream():
+    harness = harness_module.Harness()
+    _, caller = harness.start(harness_module.make_stream_request(harness))
+    first = harness.client.sent[0]
+    first.closes_late = True
+    harness.scheduler.advance(_STALL_TIMEOUT)
+    second = harness.client.sent[1]
+    harness.authorizer.denial = dispatch.Refusal(401, "taken away")
+    first.on_closed(True)
+    harness.scheduler.advance(ms(0))
+    assert second.is_aborted and not second.is_written
+    assert caller.end == "complete"
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -63,7 +63,7 @@
         listener: exchange_module.ExchangeListener,
         max_idle_time: datetime.timedelta = datetime.timedelta.max,
         max_body_bytes: int = exchange_module.DEFAULT_MAX_BODY_BYTES,
-        before_write: collections.abc.Callable[[], None] = lambda: None
+        before_write: collections.abc.Callable[[], bool] = lambda: False
     ) -> exchange_module.Exchange:
         """Sends a request.
 
@@ -78,7 +78,8 @@
                 cut off.
             before_write: Called when there is a connection, before a byte of
                 the request is written; within this call if a connection is
-                reused.
+                reused. If it returns True, the request is held back until
+                `Exchange.write` is called.
 
         Returns:
             The exchange, by which the request can be aborted.
@@ -101,7 +102,7 @@
     ) -> endpoint_connection.EndpointConnection:
         """Returns the protocol of a new connection that starts an exchange."""
         return endpoint_connection.EndpointConnection(
-            self._clock,
+            self._clock, self._scheduler,
             lambda idle: self._idle.setdefault(address, []).append(idle),
             lambda lost: self._remove_idle(address, lost), first_exchange,
             self._response_memory)
@@ -152,10 +153,18 @@
     def __init__(self, connector: typing.Any) -> None:
         self._connector = connector
 
+    def write_request(self) -> None:
+        """Does nothing; the request is written on the connection."""
+
     def abort(self) -> None:
         """Stops connecting; no connection is opened."""
         self._connector.disconnect()
 
+    def close(self, on_closed: exchange_module.OnClosed) -> None:
+        """Stops connecting; the endpoint has got nothing."""
+        self.abort()
+        on_closed(True)
+
     def pause(self) -> None:
         """Does nothing; a connection that is being opened has no response."""
 
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import http
 import re
 import typing
 
@@ -30,6 +31,13 @@
 """
 _MAX_SHORT_BODY_BYTES = 32 * 1024
 """Size up to which an endpoint's receive buffer holds a request's body."""
+_CLOSE_TIMEOUT = datetime.timedelta(milliseconds=400)
+"""Time for which an endpoint may take to close its side of a connection."""
+_MAX_BYTES_AFTER_CLOSE = 64 * 1024
+"""Number of bytes received after a close from which a connection is reset.
+
+It covers what was on the way; an endpoint that writes more has to fail to.
+"""
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 """Headers of which a response without either ends with its connection."""
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
@@ -52,7 +60,7 @@
 
     transport: typing.Any
 
-    def __init__(self, clock: timing.Clock,
+    def __init__(self, clock: timing.Clock, scheduler: dispatch.Scheduler,
                  on_idle: collections.abc.Callable[["EndpointConnection"],
                                                    None],
                  on_lost: collections.abc.Callable[["EndpointConnection"],
@@ -60,6 +68,7 @@
                  first_exchange: exchange_module.Exchange,
                  response_memory: dispatch.ResponseMemory) -> None:
         self._clock = clock
+        self._scheduler = scheduler
         self._response_memory = response_memory
         self._unparsed_bytes = 0
         self._on_idle = on_idle
@@ -74,6 +83,11 @@
         self._data = bytearray()
         self._is_discarding = False
         self._is_closed = False
+        self._is_lost = False
+        self._is_reset = False
+        self._bytes_after_close = 0
+        self._on_closed: list[exchange_module.OnClosed] = []
+        self._close_timer: dispatch.Timer | None = None
         self._send_timeout = socket_options.UNREACHABLE_TIMEOUT
         self.idle_since = clock.monotonic()
         self.max_idle_time = _DEFAULT_MAX_IDLE_TIME
@@ -93,7 +107,7 @@
             self.start(self._first_exchange)
 
     def start(self, exchange: exchange_module.Exchange) -> None:
-        """Sends the request of an exchange."""
+        """Sends the request of an exchange, unless it is held back."""
         request = exchange.request
         self._set_send_timeout(len(request.body))
         headers = list(request.headers)
@@ -111,10 +125,16 @@
         self._data.clear()
         self._exchange = exchange
         exchange.attach(self, is_connected=True)
-        exchange.before_write()
-        if exchange.is_finished:
+        if not exchange.before_write():
+            self.write_request()
+
+    def write_request(self) -> None:
+        """Writes the request of the exchange, unless the exchange has ended."""
+        exchange = self._exchange
+        if exchange is None or exchange.is_finished or exchange.is_written:
             return
         exchange.is_written = True
+        request = exchange.request
         head, *rest = [
             self._http.send(each) or b"" for each in self._sent_events
         ]
@@ -139,7 +159,10 @@
         """See `protocol.Protocol`."""
         if self._exchange is None:
             # Data that arrives without an exchange belongs to no request.
-            self.abort()
+            self._handle_unexpected_data(len(data))
+            return
+        if not self._exchange.is_written:
+            self._fail("data before the request", is_reset=True)
             return
         self._received.add_received(len(data))
         self._unparsed_bytes += len(data)
@@ -151,9 +174,10 @@
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
         is_clean = reason.check(internet_error.ConnectionDone) is not None
-        self._is_closed = True
+        self._is_closed = self._is_lost = True
         self._response_memory.release(self)
-        if self._exchange is not None and is_clean:
+        if (self._exchange is not None and self._exchange.is_written and
+                is_clean):
             # A response without a length ends when the connection closes.
             self._http.receive_data(b"")
             self._read_events()
@@ -162,15 +186,29 @@
         if exchange is not None:
             exchange.fail("connection closed" if is_clean else
                           f"connection lost: {reason.getErrorMessage()}")
+        if not self._is_reset:
+            self._report_closed(True)
 
     def abort(self) -> None:
         """Closes the connection immediately."""
         self._exchange = None
-        self._close()
+        self._reset()
+
+    def close(self, on_closed: exchange_module.OnClosed) -> None:
+        """See `Exchange.close`."""
+        if self._is_lost and not self._is_reset:
+            on_closed(True)
+            return
+        self._on_closed.append(on_closed)
+        self._exchange = None
+        self._end_sending()
+        if self._close_timer is None:
+            self._close_timer = self._scheduler.call_later(
+                _CLOSE_TIMEOUT, self._handle_close_timeout)
 
     def release_memory(self) -> None:
         """See `response_memory.Holder`."""
-        self._fail("no memory left for the response")
+        self._fail("no memory left for the response", is_reset=True)
 
     def pause(self) -> None:
         """Stops reading until `resume` is called or the exchange ends."""
@@ -184,13 +222,15 @@
         while self._exchange is not None:
             excess = self._received.find_excess()
             if excess:
-                self._fail(excess)
+                self._fail(excess, is_reset=True)
                 return
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 self._deliver_data()
-                self._fail(f"not an answer: {error}")
+                self._fail(f"not an answer: {error}",
+                           is_reset=error.error_status_hint ==
+                           http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
                 return
             if isinstance(event, h11.Data):
                 self._unparsed_bytes = 0
@@ -200,7 +240,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 excess = self._received.find_framing_excess()
                 if excess:
-                    self._fail(excess)
+                    self._fail(excess, is_reset=True)
                 else:
                     self._response_memory.hold(self, self._unparsed_bytes)
                 return
@@ -293,17 +333,61 @@
         if trailing:
             self._http.receive_data(trailing)
 
-    def _close(self) -> None:
-        """Closes the connection unless it is closed or lost."""
-        was_closed, self._is_closed = self._is_closed, True
+    def _reset(self) -> None:
+        """Resets the connection unless it is reset or lost."""
+        self._is_closed = True
         self._response_memory.release(self)
-        if not was_closed:
+        if not (self._is_reset or self._is_lost):
+            self._is_reset = True
             socket_options.close_at_once(self.transport)
 
-    def _fail(self, reason: str) -> None:
+    def _end_sending(self) -> None:
+        """Closes the sending direction unless the connection is closed.
+
+        The endpoint closes the other one when it has ended its work.
+        """
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._response_memory.release(self)
+        self.transport.resumeProducing()
+        socket_options.end_sending(self.transport)
+        self._close_timer = self._scheduler.call_later(
+            _CLOSE_TIMEOUT, self._handle_close_timeout)
+
+    def _handle_close_timeout(self) -> None:
+        self._close_timer = None
+        self._reset()
+        self._report_closed(False)
+
+    def _report_closed(self, is_closed_by_endpoint: bool) -> None:
+        if self._close_timer is not None:
+            self._close_timer.cancel()
+            self._close_timer = None
+        callbacks, self._on_closed = self._on_closed, []
+        for each in callbacks:
+            each(is_closed_by_endpoint)
+
+    def _handle_unexpected_data(self, count: int) -> None:
+        """Handles data that belongs to no exchange."""
+        self._bytes_after_close += count
+        if (not self._is_closed or
+                self._bytes_after_close > _MAX_BYTES_AFTER_CLOSE):
+            self._reset()
+
+    def _fail(self, reason: str, is_reset: bool = False) -> None:
+        """Ends the exchange because of what the endpoint has sent.
+
+        Args:
+            reason: Cause of the failure, for the log.
+            is_reset: Whether the connection is reset at once.
+        """
         exchange, self._exchange = self._exchange, None
         was_closed = self._is_closed
-        self._close()
+        if is_reset:
+            self._reset()
+        else:
+            self._end_sending()
         if exchange is not None:
             exchange.is_response_invalid = not was_closed
             exchange.fail(reason)
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -40,11 +40,28 @@
         """
 
 
+OnClosed = collections.abc.Callable[[bool], None]
+"""Receives whether the endpoint has closed its side of a connection in time.
+
+An endpoint that has closed it no longer works on the request.
+"""
+
+
 class _Connection(typing.Protocol):
 
+    def write_request(self) -> None:
+        """Writes the request of the exchange."""
+
     def abort(self) -> None:
         """Closes the connection, or stops connecting, immediately."""
 
+    def close(self, on_closed: OnClosed) -> None:
+        """Closes the connection when the endpoint has, or after a time.
+
+        Args:
+            on_closed: Called once then, possibly within this call.
+        """
+
     def pause(self) -> None:
         """Stops reading from the connection."""
 
@@ -61,7 +78,8 @@
         max_body_bytes: Size in bytes beyond which the response's body is cut
             off.
         before_write: Called when there is a connection, before a byte of the
-            request is written; it may abort the exchange.
+            request is written; it may abort the exchange. If it returns True,
+            the request is held back until `write` is called.
         is_finished: Whether the exchange was completed, failed or aborted.
         is_connected: Whether it has a connection.
         is_written: Whether a byte of the request may have been written.
@@ -77,7 +95,7 @@
         listener: ExchangeListener,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
         before_write: collections.abc.Callable[[],
-                                               None] = lambda: None) -> None:
+                                               bool] = lambda: False) -> None:
         self.request = request
         self.listener = listener
         self.max_body_bytes = max_body_bytes
@@ -97,6 +115,26 @@
         if self._is_paused:
             connection.pause()
 
+    def write(self) -> None:
+        """Writes a request that was held back, unless it was aborted."""
+        if not self.is_finished and self._connection is not None:
+            self._connection.write_request()
+
+    def close(self, on_closed: OnClosed) -> None:
+        """Closes the connection when the endpoint has, or after a time.
+
+        The listener receives no further events. An exchange that has failed may
+        be closed, too, to learn when the endpoint has closed its connection.
+
+        Args:
+            on_closed: Called once then, possibly within this call.
+        """
+        self.is_finished = True
+        if self._connection is None:
+            on_closed(True)
+        else:
+            self._connection.close(on_closed)
+
     def abort(self) -> None:
         """Closes the connection; the listener receives no further events."""
         if self.is_finished:
@@ -127,4 +165,6 @@
         """Reports the end to the listener unless the exchange is finished."""
         if not self.is_finished:
             self.is_finished = True
+            # The connection may serve another exchange from now on.
+            self._connection = None
             self.listener.receive_end()
--- a/mustardwood/http1/socket_options.py
+++ b/mustardwood/http1/socket_options.py
@@ -58,6 +58,16 @@
     transport.abortConnection()
 
 
+def end_sending(transport: typing.Any) -> None:
+    """Closes the sending direction before this call returns.
+
+    Args:
+        transport: Twisted's transport.
+    """
+    with contextlib.suppress(OSError):
+        transport.getHandle().shutdown(socket.SHUT_WR)
+
+
 def set_send_timeout(transport: typing.Any,
                      send_timeout: datetime.timedelta) -> None:
     """Sets the TCP user timeout [1]_.
--- a/mustardwood/http1/tests/fake_transport.py
+++ b/mustardwood/http1/tests/fake_transport.py
@@ -14,9 +14,12 @@
         """Ignores the option."""
 
     def shutdown(self, how):
-        """Records that both directions were closed."""
-        assert how == socket.SHUT_RDWR
-        self._transport.is_shut_down = True
+        """Records which directions were closed."""
+        if how == socket.SHUT_WR:
+            self._transport.loseWriteConnection()
+        else:
+            assert how == socket.SHUT_RDWR
+            self._transport.is_shut_down = True
 
 
 class FakeTransport(testing.StringTransport):
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -7,9 +7,11 @@
 from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
+from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.http1 import endpoint_connection
 from mustardwood.http1.tests import fake_transport
 
+ms = harness_module.ms
 _HEAD = b"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 4\r\n\r\n"
 
 
@@ -56,8 +58,10 @@
         self.listener = _Listener()
         self.exchange = self._make_exchange(self.listener)
         self.response_memory = dispatch.ResponseMemory()
+        clock = timing.ManualClock()
+        self.scheduler = harness_module.FakeScheduler(clock)
         self.connection = endpoint_connection.EndpointConnection(
-            timing.ManualClock(), self.idle.append, self.lost.append,
+            clock, self.scheduler, self.idle.append, self.lost.append,
             self.exchange, self.response_memory)
         self.transport = fake_transport.FakeTransport()
         self.connection.makeConnection(self.transport)
@@ -169,9 +173,61 @@
     harness = _Harness()
     harness.receive(b"\x00\x01garbage\r\n\r\n")
     assert harness.listener.end not in (None, "complete")
+    assert harness.transport.closed == "written"
+    assert not harness.connection.is_usable
+    harness.scheduler.advance(ms(400))
     assert harness.transport.closed == "reset"
 
 
+def test_closed_exchange_ends_when_its_endpoint_closes_the_connection():
+    harness = _Harness()
+    closed = []
+    harness.exchange.close(closed.append)
+    assert harness.transport.closed == "written"
+    harness.receive(_HEAD % b"mine")
+    assert not closed and harness.listener.status is None
+    harness.disconnect(internet_error.ConnectionDone)
+    assert closed == [True]
+    harness.scheduler.advance(ms(1000))
+    assert closed == [True]
+    assert harness.listener.end is None
+
+
+def test_endpoint_that_notices_the_close_late_is_reset():
+    harness = _Harness()
+    closed = []
+    harness.exchange.close(closed.append)
+    harness.scheduler.advance(ms(390))
+    assert not closed
+    harness.scheduler.advance(ms(10))
+    assert closed == [False]
+    assert harness.transport.closed == "reset"
+    harness.disconnect(internet_error.ConnectionAborted)
+    assert closed == [False]
+
+
+def test_endpoint_that_writes_on_after_the_close_is_reset():
+    """Its next write fails, and tells it that its caller has left."""
+    harness = _Harness()
+    closed = []
+    harness.exchange.close(closed.append)
+    for _ in range(9):
+        harness.receive(bytes(8 * 1024))
+    assert harness.transport.closed == "reset"
+    harness.disconnect(internet_error.ConnectionAborted)
+    assert not closed
+    harness.scheduler.advance(ms(400))
+    assert closed == [False]
+
+
+def test_exchange_whose_connection_was_lost_is_closed_at_once():
+    harness = _Harness()
+    harness.disconnect(internet_error.ConnectionLost)
+    closed = []
+    harness.exchange.close(closed.append)
+    assert closed == [True]
+
+
 def test_connection_closed_by_the_endpoint_is_not_reused():
     harness = _Harness()
     harness.receive(b"HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\n"
--- a/mustardwood/http1/tests/test_unbounded_responses.py
+++ b/mustardwood/http1/tests/test_unbounded_responses.py
@@ -7,6 +7,7 @@
 from mustardwood import dispatch
 from mustardwood import http1
 from mustardwood import timing
+from mustardwood.dispatch.tests import harness as harness_module
 from mustardwood.http1 import endpoint_connection
 from mustardwood.http1.tests import fake_transport
 
@@ -56,22 +57,24 @@
         exchange = http1.Exchange(
             http1.HttpRequest("POST", "/a", [(b"Host", b"h")], b"body"),
             self.listener, **options)
+        clock = timing.ManualClock()
         self.connection = endpoint_connection.EndpointConnection(
-            timing.ManualClock(), lambda idle: None, lambda lost: None,
-            exchange, dispatch.ResponseMemory())
+            clock, harness_module.FakeScheduler(clock), lambda idle: None,
+            lambda lost: None, exchange, dispatch.ResponseMemory())
         self.connection.makeConnection(self.transport)
 
     def receive(self, begin, part, end=b""):
         """Delivers `begin` and then `part` again and again, then `end`.
 
         Returns:
-            Number of bytes delivered when the connection was closed, or when
-            the response ended.
+            Number of bytes delivered when the connection was reset, or when
+            the response was complete.
         """
         parts = itertools.repeat(part * max(1, _READ_BYTES // len(part)))
         sent_bytes = 0
         for data in itertools.chain([begin] if begin else [], parts):
-            if (self.transport.closed or self.listener.end or
+            if (self.transport.closed == "reset" or
+                    self.listener.end == "complete" or
                     sent_bytes >= _ENDLESS_BYTES):
                 break
             self.connection.dataReceived(data)
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -35,7 +35,7 @@
             time_left: datetime.timedelta, resume_after: int | None,
             listener: dispatch.AttemptListener,
             before_write: collections.abc.Callable[[],
-                                                   None]) -> dispatch.Attempt:
+                                                   bool]) -> dispatch.Attempt:
         """See `dispatch.forwarding_context.EndpointClient`."""
         request_headers = list(request.headers)
         milliseconds = max(1, time_left // datetime.timedelta(milliseconds=1))
