--- /dev/null
+++ b/mustardwood/platform/tests/soak/plants.py
@@ -0,0 +1,99 @@
+"""Starts a VM with a planted fault: `python -m <module> FAULT`.
+
+A soak that does not find the planted faults shows nothing about others.
+"""
+
+# pylint: disable=protected-access
+import collections.abc
+import datetime
+import runpy
+import sys
+
+from mustardwood import http1
+from mustardwood.dispatch import forwarding
+from mustardwood.dispatch import request_record
+from mustardwood.dispatch import router_refusals
+from mustardwood.forwarding import attempt_listener
+from mustardwood.forwarding import attempts
+from mustardwood.http1 import endpoint_connection
+
+_LATE_CLOSE = datetime.timedelta(seconds=1)
+_SENDS_PER_ERROR = 10
+
+
+def _believe_unstated_refusals():
+    """Takes each refusal for a statement that the request has not run."""
+    receive_head = attempt_listener.AttemptListener.receive_head
+
+    def receive(self, status, headers, is_verified, was_not_run, *rest):
+        receive_head(self, status, headers, is_verified, was_not_run or
+                     status in request_record.NOT_RUN_STATUSES, *rest)
+
+    attempt_listener.AttemptListener.receive_head = receive
+
+
+def _count_runs_as_unsent():
+    """Reports a lost connection as one on which nothing was written."""
+
+    def fail(self, reason):
+        if not self.is_finished:
+            self.is_finished = True
+            self.listener.receive_failure(False, reason)
+
+    http1.Exchange.fail = fail
+
+
+def _close_late():
+    """Says that an endpoint has closed, and closes its connection later."""
+
+    def close(self, on_closed):
+        self._exchange = None
+        self._scheduler.call_later(_LATE_CLOSE, self.abort)
+        on_closed(True)
+
+    endpoint_connection.EndpointConnection.close = close
+
+
+def _refuse_after_errors():
+    """Raises errors after sends, and refuses these requests as not run."""
+    send = attempts.Attempts.send
+    count = 0
+
+    def send_and_raise(self, *arguments, **options):
+        nonlocal count
+        send(self, *arguments, **options)
+        count += 1
+        if count % _SENDS_PER_ERROR == 0:
+            raise RuntimeError("planted")
+
+    def handle_error(self, error):
+        del error
+        if not self.is_done:
+            self._refuse(
+                "error",
+                router_refusals.build_not_run_refusal(
+                    datetime.timedelta(milliseconds=50)))
+
+    attempts.Attempts.send = send_and_raise
+    forwarding.Forwarding.handle_error = handle_error
+
+
+FAULTS: dict[str, collections.abc.Callable[[], None]] = {
+    "unstated": _believe_unstated_refusals,
+    "unsent": _count_runs_as_unsent,
+    "late-close": _close_late,
+    "error": _refuse_after_errors,
+}
+"""Faults by name."""
+
+
+def main() -> None:
+    """Plants the named fault and runs the VM."""
+    FAULTS[sys.argv.pop(1)]()
+    runpy.run_module("mustardwood.platform",
+                     run_name="__main__",
+                     alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
