--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -286,6 +286,7 @@
         rate_limit: Value of the header with its rate limit; None for none.
         stated_headers: Further headers of all its responses.
         is_full: Whether it turns requests away with status 503.
+        status: Status of its responses to requests that it has run.
     """
 
     def __init__(self):
@@ -295,6 +296,7 @@
         self.rate_limit = None
         self.stated_headers = []
         self.is_full = False
+        self.status = 200
         endpoint = self
 
         class Handler(_Handler):
@@ -319,7 +321,7 @@
                     self._send_events(headers)
                     return
                 time.sleep(int(self.path.rpartition("/")[2] or 0) / 1000)
-                self.send(200,
+                self.send(endpoint.status,
                           b"answer to " + self.path.encode() + endpoint.padding,
                           headers)
 
