--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -20,8 +20,8 @@
 from mustardwood.forwarding import guarded_scheduler
 from mustardwood.forwarding import hedge_watch
 from mustardwood.forwarding import room_wait
-from mustardwood.forwarding import stream_version
 from mustardwood.forwarding import router_refusal
+from mustardwood.forwarding import stream_version
 
 _MAX_BUFFERED_BYTES = 256 * 1024
 """Bytes of a response that are buffered, so that it can be replaced."""
