Let callers of soaks resume silent streams elsewhere

Callers leave a silent stream after a gap and resume it at another VM, where only the endpoint's sight of the closed connection ends the first run.

--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -22,6 +22,9 @@
     parser.add_argument("--links",
                         action="store_true",
                         help="disturb links, endpoint processes and the store")
+    parser.add_argument("--impatient",
+                        action="store_true",
+                        help="callers resume silent streams elsewhere")
     parser.add_argument("--plant",
                         choices=sorted(plants.FAULTS),
                         default="",
@@ -53,6 +56,7 @@
                          callers=options.callers,
                          has_signals=options.signals,
                          has_link_faults=options.links,
+                         has_impatient_callers=options.impatient,
                          plant=options.plant,
                          takeover_stop_seconds=options.stop,
                          takeover_delay_seconds=options.delay,
--- a/mustardwood/platform/tests/soak/caller.py
+++ b/mustardwood/platform/tests/soak/caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random as random_module
 import time
 
 from mustardwood.platform.tests import documents
@@ -12,6 +13,8 @@
 _LEAVING_PROBABILITY = 0.05
 _STREAM_PROBABILITY = 0.7
 _RETRY_SECONDS = 0.05
+_MIN_PATIENCE_SECONDS, _MAX_PATIENCE_SECONDS = 0.6, 2.5
+"""Time without an event after which a caller resumes its stream elsewhere."""
 _MAX_RETRY_AFTER_SECONDS = 1.0
 
 
@@ -53,7 +56,7 @@
         outcomes: What it has seen of its requests.
     """
 
-    def __init__(self, name, vms, random, ports=None):
+    def __init__(self, name, vms, random, ports=None, is_impatient=False):
         """Creates a caller; `call_until` starts it.
 
         Args:
@@ -61,8 +64,11 @@
             vms: The VMs that it may call.
             random: Source of random numbers.
             ports: Ports of the links to VMs by their names, if there are any.
+            is_impatient: Whether it resumes silent streams elsewhere.
         """
         self._ports = ports or {}
+        # The other draws of a seed stay as they were.
+        self._patience = random_module.Random(name) if is_impatient else None
         self.outcomes = []
         self._name = name
         self._vms = vms
@@ -143,8 +149,14 @@
 
     async def _read_events(self, outcome):
         leaves = self._random.random() < _LEAVING_PROBABILITY
+        patience = None
+        if self._patience is not None:
+            patience = self._patience.uniform(_MIN_PATIENCE_SECONDS,
+                                              _MAX_PATIENCE_SECONDS)
         text = b""
-        while size := int((await self._reader.readuntil(b"\r\n"))[:-2], 16):
+        while size := int((await
+                           asyncio.wait_for(self._reader.readuntil(b"\r\n"),
+                                            patience))[:-2], 16):
             text += (await self._reader.readexactly(size + 2))[:-2]
             *events, text = text.split(b"\n\n")
             outcome.event_ids += [
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -42,6 +42,7 @@
         takeover_delay_seconds: Time from that beginning to the stop.
         close_seconds: Time for which endpoints work on after the connection of
             a request has closed.
+        has_impatient_callers: Whether callers resume silent streams elsewhere.
         plant: Name of the fault that is planted into the VMs; see `plants`.
     """
 
@@ -56,6 +57,7 @@
     takeover_stop_seconds: float = 0.0
     takeover_delay_seconds: float = 0.0
     close_seconds: float = 0.0
+    has_impatient_callers: bool = False
     plant: str = ""
 
 
@@ -126,7 +128,8 @@
         ports = {name: link.port for name, link in self._links.items()}
         self.callers = [
             caller_module.Caller(f"caller-{number}", self.vms,
-                                 random.Random(self._random.random()), ports)
+                                 random.Random(self._random.random()), ports,
+                                 self._plan.has_impatient_callers)
             for number in range(self._plan.callers)
         ]
         self.disruption = disruption_module.Disruption(
