End a request after an error behind the close of its endpoint

Callers would wait until their deadline if an error was raised when a request that was held back is written: the close of another connection calls that code, and only logs what it raises. The new test fails without the change.

--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -246,12 +246,19 @@
         if held is None or self._closing:
             return
         self._held = None
-        if (held is not self._current or held.handle is None or
-                not self._check_allowed(held)):
-            return
-        held.run = attempt_record.RunState.WRITTEN
-        self.start_stall_timer()
-        held.handle.write()
+        try:
+            self._write(held)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            # The code that closes the connection can't answer the caller.
+            self._handler.handle_error(error)
+
+    def _write(self, held: attempt_record.AttemptRecord) -> None:
+        """Writes a request that was held back, if it may still be sent."""
+        if (held is self._current and held.handle is not None and
+                self._check_allowed(held)):
+            held.run = attempt_record.RunState.WRITTEN
+            self.start_stall_timer()
+            held.handle.write()
 
     def send_successor(self) -> bool:
         """Sends the request of the current, silent attempt to another endpoint.
--- a/mustardwood/forwarding/tests/test_untrue_refusals.py
+++ b/mustardwood/forwarding/tests/test_untrue_refusals.py
@@ -91,3 +91,22 @@
     harness.scheduler.advance(ms(0))
     assert attempt.is_aborted and not attempt.is_written
     assert caller.status == 503
+
+
+def test_error_behind_the_close_of_an_endpoint_ends_its_request():
+    """The code that closes the connection can't answer the caller."""
+    harness = harness_module.Harness()
+    forwarding, caller = harness.start()
+    first = harness.client.sent[0]
+    first.closes_late = True
+    first.listener.receive_failure(True, "not an answer")
+    second = harness.client.sent[1]
+
+    def raise_error():
+        raise RuntimeError("unforeseen")
+
+    second.write = raise_error
+    first.on_closed(True)
+    assert forwarding.is_done
+    assert second.is_aborted
+    assert caller.status == 502
