Test requests that are held back on their connection

They are written once, when their owner says so, and count as unsent before that: when the connection is lost, when data comes first, and after an abort.

--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -236,3 +236,53 @@
     _, transport = harness.reactor.complete_connect()
     assert not transport.value()
     assert transport.closed == "reset"
+
+
+def test_request_that_is_held_back_is_written_once_by_its_owner():
+    harness = _Harness()
+    exchange = harness.send(before_write=lambda: True)
+    connection, transport = harness.reactor.complete_connect()
+    assert exchange.is_connected and not exchange.is_written
+    assert not transport.value()
+    exchange.write()
+    exchange.write()
+    assert transport.pop_written().count(b"GET / ") == 1
+    connection.dataReceived(_RESPONSE)
+    assert harness.listener.ends == ["complete"]
+
+
+def test_connection_lost_before_a_held_request_is_reported_as_nothing_sent():
+    harness = _Harness()
+    harness.send(before_write=lambda: True)
+    connection, _ = harness.reactor.complete_connect()
+    connection.connectionLost(failure.Failure(internet_error.ConnectionDone()))
+    assert harness.listener.ends == [(False, "connection closed")]
+
+
+def test_data_before_a_held_request_is_no_response_to_it():
+    harness = _Harness()
+    exchange = harness.send(before_write=lambda: True)
+    connection, transport = harness.reactor.complete_connect()
+    connection.dataReceived(_RESPONSE)
+    assert harness.listener.ends == [(False, "data before the request")]
+    exchange.write()
+    assert not transport.value()
+
+
+def test_held_request_that_was_aborted_is_not_written():
+    harness = _Harness()
+    exchange = harness.send(before_write=lambda: True)
+    _, transport = harness.reactor.complete_connect()
+    exchange.abort()
+    exchange.write()
+    assert not transport.value()
+    assert transport.closed == "reset"
+
+
+def test_exchange_closed_while_connecting_has_reached_no_endpoint():
+    harness = _Harness()
+    exchange = harness.send()
+    closed = []
+    exchange.close(closed.append)
+    assert closed == [True]
+    assert harness.reactor.connectors[-1].is_disconnected
