Draw the ports of VMs in two more tests below the ephemeral ones

The test asks the system for a free port and closes it; an outgoing connection of another process may take it before the VM starts. process_fleet had the same fault and draws its ports below that range since; both files use it now.

--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -196,7 +196,7 @@
         self.name = name
         self._command = command
         self.is_in_service = False
-        self.callers, self._ready, peers = _find_free_ports(3)
+        self.callers, self._ready, peers = find_free_ports(3)
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(f"""
 node_name = "{name}"
@@ -297,8 +297,12 @@
             connection.close()
 
 
-def _find_free_ports(count):
-    """Returns ports that no outgoing connection takes between two starts."""
+def find_free_ports(count: int) -> list[int]:
+    """Returns ports that no outgoing connection takes between two starts.
+
+    Args:
+        count: Number of ports.
+    """
     candidates = random.sample(range(_FIRST_PORT, _find_first_ephemeral_port()),
                                20 * count)
     return [each for each in candidates if _is_free(each)][:count]
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -16,6 +16,7 @@
 from mustardwood.platform import settings
 from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_servers
+from mustardwood.platform.tests import process_fleet
 
 pytestmark = pytest.mark.processes
 
@@ -47,17 +48,10 @@
 """First bytes and repeated bytes of responses without end."""
 
 
-def _find_free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class _Vm:
 
     def __init__(self, tmp_path, store, name="vm-1"):
-        self.callers, self.ready, self.peers = (
-            _find_free_port() for _ in range(3))
+        self.callers, self.ready, self.peers = process_fleet.find_free_ports(3)
         self._path = tmp_path / f"{name}.toml"
         self._path.write_text(f"""
 node_name = "{name}"
--- a/mustardwood/platform/tests/test_scaling_process.py
+++ b/mustardwood/platform/tests/test_scaling_process.py
@@ -2,7 +2,6 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -15,6 +14,7 @@
 from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_duty_api
 from mustardwood.platform.tests import fake_servers
+from mustardwood.platform.tests import process_fleet
 
 pytestmark = pytest.mark.processes
 
@@ -34,25 +34,20 @@
 }
 
 
-def _find_free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class _Vm:
 
     def __init__(self, tmp_path, store, api, **environment):
         host, port = api.address
+        callers, ready, peers = process_fleet.find_free_ports(3)
         path = tmp_path / "settings.toml"
         path.write_text(f"""
 node_name = "vm-1"
 zone = "a"
 ip = "127.0.0.1"
 [listen]
-front_addr = "127.0.0.1:{_find_free_port()}"
-ready = "127.0.0.1:{_find_free_port()}"
-control_plane = "127.0.0.1:{_find_free_port()}"
+front_addr = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+control_plane = "127.0.0.1:{peers}"
 [platform]
 address = "{store.address}"
 [cloud_api]
