Log the connection of each attempt and the responses discarded on it

Callers saw requests run that had been refused. Whether an attempt was ended by the response to an earlier send on its connection could not be told from the logs: they named the endpoint, not the connection, nor whether a response to another request had come first. Both are fields of an attempt now. No decision reads them.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -30,6 +30,16 @@
         """See `dispatch.Attempt`."""
         return False
 
+    @property
+    def connection_number(self) -> int:
+        """See `dispatch.Attempt`."""
+        return 0
+
+    @property
+    def discarded_responses(self) -> int:
+        """See `dispatch.Attempt`."""
+        return 0
+
     def write(self) -> None:
         """See `dispatch.Attempt`; an engine closes its side at once."""
 
--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -105,6 +105,16 @@
         """Whether the response ends with its connection."""
         return self.handle is not None and self.handle.is_close_delimited
 
+    @property
+    def connection_number(self) -> int:
+        """Number of its connection, for the log; 0 if it had none."""
+        return 0 if self.handle is None else self.handle.connection_number
+
+    @property
+    def discarded_responses(self) -> int:
+        """Number of responses to other requests that came before its own."""
+        return 0 if self.handle is None else self.handle.discarded_responses
+
     @property
     def is_success(self) -> bool:
         """Whether the head is that of a verified successful response."""
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -75,6 +75,14 @@
     def is_close_delimited(self) -> bool:
         """Whether the response ends with its connection."""
 
+    @property
+    def connection_number(self) -> int:
+        """Number of the connection, for the log; 0 if there is none."""
+
+    @property
+    def discarded_responses(self) -> int:
+        """Number of responses to other requests before its own."""
+
     def write(self) -> None:
         """Writes a request that was held back."""
 
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -133,6 +133,8 @@
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
             "run": attempt.run.value,
+            "connection": attempt.connection_number,
+            "discarded_responses": attempt.discarded_responses,
             "closed_after_ms": None,
             "close_delimited": attempt.is_close_delimited,
             "partial_event_bytes": attempt.partial_event_bytes,
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -72,6 +72,8 @@
         self.on_abort = lambda: None
         self._before_write = before_write
         self.is_close_delimited = False
+        self.connection_number = 0
+        self.discarded_responses = 0
         self.is_paused = False
         self.is_written = False
         self.closes_late = False
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import itertools
 import typing
 
 from twisted.internet import error as internet_error
@@ -53,6 +54,7 @@
         self._clock = clock
         self._scheduler = scheduler
         self._idle: dict[_Address, _ConnectionList] = {}
+        self._numbers = itertools.count(1)
         self.opened = 0
         self._close_expired()
 
@@ -105,7 +107,7 @@
             self._clock, self._scheduler,
             lambda idle: self._idle.setdefault(address, []).append(idle),
             lambda lost: self._remove_idle(address, lost), first_exchange,
-            self._response_memory)
+            self._response_memory, next(self._numbers))
 
     def close_idle_connections(self, address: _Address) -> None:
         """Closes the idle connections to an address."""
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -56,17 +56,22 @@
     Attributes:
         idle_since: Monotonic time at which the last exchange ended.
         max_idle_time: Idle time up to which the connection may be reused.
+        number: Number of the connection, unique in its pool, for the log.
     """
 
     transport: typing.Any
 
-    def __init__(self, clock: timing.Clock, scheduler: dispatch.Scheduler,
+    def __init__(self,
+                 clock: timing.Clock,
+                 scheduler: dispatch.Scheduler,
                  on_idle: collections.abc.Callable[["EndpointConnection"],
                                                    None],
                  on_lost: collections.abc.Callable[["EndpointConnection"],
                                                    None],
                  first_exchange: exchange_module.Exchange,
-                 response_memory: dispatch.ResponseMemory) -> None:
+                 response_memory: dispatch.ResponseMemory,
+                 number: int = 0) -> None:
+        self.number = number
         self._clock = clock
         self._scheduler = scheduler
         self._response_memory = response_memory
@@ -124,6 +129,7 @@
         self._received = received_bytes.ReceivedBytes(exchange.max_body_bytes)
         self._data.clear()
         self._exchange = exchange
+        exchange.connection_number = self.number
         exchange.attach(self, is_connected=True)
         if not exchange.before_write():
             self.write_request()
@@ -261,6 +267,7 @@
         headers: http_request.Headers = event.headers.raw_items()
         if not exchange.listener.accepts(event.status_code, headers):
             self._is_discarding = True
+            exchange.discarded_responses += 1
             self._received.add_discarded_response()
             return
         for name, value in event.headers:
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -87,6 +87,10 @@
             sent, and not because the connection was lost.
         is_close_delimited: Whether the response has neither a length nor chunks
             and ends with its connection; False before the response's head.
+        connection_number: Number of its connection, unique in the pool; 0 if it
+            has none.
+        discarded_responses: Number of responses to other requests that arrived
+            before its own.
     """
 
     def __init__(
@@ -105,6 +109,8 @@
         self.is_written = False
         self.is_response_invalid = False
         self.is_close_delimited = False
+        self.connection_number = 0
+        self.discarded_responses = 0
         self._is_paused = False
         self._connection: _Connection | None = None
 
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -113,6 +113,14 @@
     assert transport.pop_written().startswith(b"GET / ")
 
 
+def test_exchange_has_the_number_of_its_connection():
+    harness = _Harness()
+    harness.complete_request()
+    first, second = harness.send(), harness.send()
+    harness.reactor.complete_connect()
+    assert (first.connection_number, second.connection_number) == (1, 2)
+
+
 def test_connection_past_its_maximum_idle_time_is_not_reused():
     harness = _Harness()
     harness.complete_request()
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -138,6 +138,13 @@
                                                              "complete")
 
 
+def test_discarded_responses_are_counted():
+    harness = _Harness()
+    harness.receive(2 * (_HEAD % b"other" + b"them") + _HEAD % b"mine" +
+                    b"body")
+    assert harness.exchange.discarded_responses == 2
+
+
 def test_truncated_response_is_a_failure():
     harness = _Harness()
     harness.receive(_HEAD % b"mine" + b"da")
