Reproduce runs of refused requests after a copy of the refusal

Callers got 503 for requests that ran, and requests that may run once ran twice. Endpoints refuse a request, send the refusal once more when a request under the same id begins on the same connection, and run it; callers ask again under their id.

The soak's check of refusals used to compare ids only. If a caller asks again under its id, a run now belongs to the last time before its beginning; with one request an id it finds what it found before.

--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -350,6 +350,59 @@
         return self._server.address
 
 
+class CopyingEndpoint:
+    """A fake endpoint that sends copies of its refusals.
+
+    It refuses the first request on each connection. When a request under the
+    same id begins on the connection, it sends the refusal once more, and runs
+    the request.
+
+    Attributes:
+        run_ids: Ids of the requests that it has run.
+        copies: Number of copies sent.
+    """
+
+    def __init__(self):
+        self.run_ids = []
+        self.copies = 0
+        endpoint = self
+
+        class Handler(_Handler):
+            """Responds to requests."""
+
+            def setup(self):
+                """Records that nothing was refused on the connection."""
+                super().setup()
+                self._refused_id = None
+
+            def do_POST(self):  # pylint: disable=invalid-name
+                """Refuses the first request and runs the others."""
+                self.read_body()
+                request_id = self.headers["Mustardwood-Attempt-Id"]
+                if self._refused_id is None:
+                    self._refused_id = request_id
+                    self._refuse(request_id)
+                    return
+                if request_id == self._refused_id:
+                    endpoint.copies += 1
+                    self._refuse(request_id)
+                endpoint.run_ids.append(request_id)
+                self.send(200, b"body",
+                          [("Mustardwood-Attempt-Id", request_id),
+                           ("Mustardwood-Replica-Signature", "signed")])
+
+            def _refuse(self, request_id):
+                self.send(503, b"full", [("Mustardwood-Attempt-Id", request_id),
+                                         ("Mustardwood-Not-Executed", "1")])
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """Address of the server as IP:PORT."""
+        return self._server.address
+
+
 class EndlessEndpoint:
     """A fake endpoint that sends bytes without end, at full speed.
 
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -115,18 +115,31 @@
         """Closes the connection."""
         self._socket.close()
 
-    def call(self, path, key="key-1"):
-        """Sends a request and returns its outcome."""
-        self.send(path, key)
+    def call(self, path, key="key-1", is_repeated=False):
+        """Sends a request and returns its outcome; see `send`."""
+        self.send(path, key, is_repeated=is_repeated)
         return self.read()
 
-    def send(self, path, key="key-1", body=b"body", is_chunked=False):
-        """Sends a request."""
+    def send(self,
+             path,
+             key="key-1",
+             body=b"body",
+             is_chunked=False,
+             is_repeated=False):
+        """Sends a request.
+
+        Args:
+            path: Path of the request.
+            key: Key of its organisation.
+            body: Body of the request.
+            is_chunked: Whether the body is sent as a chunk.
+            is_repeated: Whether it has the id of the request before.
+        """
         framing = f"Content-Length: {len(body)}"
         if is_chunked:
             framing = "Transfer-Encoding: chunked"
             body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
-        self._count += 1
+        self._count += not is_repeated
         self._attempt_id = f"{self._name}-{self._count}"
         try:
             self._socket.sendall(
--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -25,6 +25,15 @@
     parser.add_argument("--impatient",
                         action="store_true",
                         help="callers resume silent streams elsewhere")
+    parser.add_argument("--copies",
+                        type=float,
+                        default=0.0,
+                        help="share of requests that endpoints refuse, with a "
+                        "copy of the refusal later")
+    parser.add_argument("--repeat",
+                        action="store_true",
+                        help="callers send refused requests again under the "
+                        "same id")
     parser.add_argument("--plant",
                         choices=sorted(plants.FAULTS),
                         default="",
@@ -57,6 +66,8 @@
                          has_signals=options.signals,
                          has_link_faults=options.links,
                          has_impatient_callers=options.impatient,
+                         copied_refusals=options.copies,
+                         has_repeating_callers=options.repeat,
                          plant=options.plant,
                          takeover_stop_seconds=options.stop,
                          takeover_delay_seconds=options.delay,
--- a/mustardwood/platform/tests/soak/caller.py
+++ b/mustardwood/platform/tests/soak/caller.py
@@ -16,6 +16,10 @@
 _MIN_PATIENCE_SECONDS, _MAX_PATIENCE_SECONDS = 0.6, 2.5
 """Time without an event after which a caller resumes its stream elsewhere."""
 _MAX_RETRY_AFTER_SECONDS = 1.0
+_MAX_REPETITIONS = 4
+"""Number of times that a caller sends a refused request again."""
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise that a request has not run and never will."""
 
 
 @dataclasses.dataclass
@@ -56,7 +60,13 @@
         outcomes: What it has seen of its requests.
     """
 
-    def __init__(self, name, vms, random, ports=None, is_impatient=False):
+    def __init__(self,
+                 name,
+                 vms,
+                 random,
+                 ports=None,
+                 is_impatient=False,
+                 is_repeating=False):
         """Creates a caller; `call_until` starts it.
 
         Args:
@@ -65,10 +75,13 @@
             random: Source of random numbers.
             ports: Ports of the links to VMs by their names, if there are any.
             is_impatient: Whether it resumes silent streams elsewhere.
+            is_repeating: Whether it sends refused requests again at once, under
+                the same id.
         """
         self._ports = ports or {}
         # The other draws of a seed stay as they were.
         self._patience = random_module.Random(name) if is_impatient else None
+        self._is_repeating = is_repeating
         self.outcomes = []
         self._name = name
         self._vms = vms
@@ -90,8 +103,21 @@
         self._close()
 
     async def _call(self, path, resumed=None):
-        """Sends a request, which may resume the stream of another one."""
+        """Sends a request, and again if it is refused and the caller repeats.
+
+        Args:
+            path: Path of the request.
+            resumed: Outcome of the request whose stream it resumes, if any.
+        """
         attempt_id = f"{self._name}-{len(self.outcomes) + 1}"
+        outcome = await self._send(attempt_id, path, resumed)
+        for _ in range(_MAX_REPETITIONS if self._is_repeating else 0):
+            if outcome.status not in _NOT_RUN_STATUSES:
+                break
+            outcome = await self._send(attempt_id, path, resumed)
+        return outcome
+
+    async def _send(self, attempt_id, path, resumed):
         outcome = Outcome(attempt_id,
                           resumed.stream_id if resumed else attempt_id, path,
                           "", time.monotonic())
@@ -142,7 +168,7 @@
             outcome.is_complete = True
         if headers.get("connection") == "close":
             self._close()
-        if "retry-after" in headers:
+        if "retry-after" in headers and not self._is_repeating:
             self._close()
             await asyncio.sleep(
                 min(float(headers["retry-after"]), _MAX_RETRY_AFTER_SECONDS))
--- a/mustardwood/platform/tests/soak/checks.py
+++ b/mustardwood/platform/tests/soak/checks.py
@@ -71,14 +71,21 @@
     """Returns the ids of requests that ran though the caller was told not.
 
     Only requests that may run once are meant; others may be refused after a
-    run.
+    run. If a caller has sent a request again under its id, a run belongs to the
+    last time before its beginning.
     """
-    ran = {each.attempt_id for each in runs if each.path != _STREAM_PATH}
-    return [
-        each.attempt_id
-        for each in outcomes
-        if each.status in _NOT_RUN_STATUSES and each.attempt_id in ran
-    ]
+    by_request = collections.defaultdict(list)
+    for outcome in sorted(outcomes, key=lambda each: each.sent_at):
+        by_request[outcome.attempt_id].append(outcome)
+    found = []
+    for run in runs:
+        if run.path == _STREAM_PATH:
+            continue
+        asked = by_request[run.attempt_id]
+        before = [each for each in asked if each.sent_at <= run.began_at]
+        if (before or asked)[-1].status in _NOT_RUN_STATUSES:
+            found.append(run.attempt_id)
+    return found
 
 
 def find_waiting_requests(
--- a/mustardwood/platform/tests/soak/endpoint.py
+++ b/mustardwood/platform/tests/soak/endpoint.py
@@ -14,6 +14,8 @@
 """Time before each event of a stream."""
 _EVENTS = 20
 _PLAIN_SECONDS = 0.03
+_COPY_FOR_OTHER_REQUEST = 0.1
+"""Probability that a copy of a refusal precedes another request's response."""
 _SILENT_AFTER_EVENTS = 3
 _RESET = struct.pack("ii", 1, 0)
 """Option SO_LINGER by which closing a socket resets its connection."""
@@ -87,7 +89,8 @@
                  misbehavior,
                  slots=64,
                  close_seconds=0.0,
-                 name=""):
+                 name="",
+                 copied_refusals=0.0):
         """Creates an endpoint; `start` starts it.
 
         Args:
@@ -99,6 +102,8 @@
             close_seconds: Time for which it works on after the connection of a
                 request has closed.
             name: Id in its registration; empty for a new one.
+            copied_refusals: Probability that it refuses a request and sends a
+                copy of the refusal, with a later response on the connection.
         """
         self.name = name or f"{service}-{next(self._numbers)}"
         self.service = service
@@ -109,6 +114,7 @@
         self._misbehavior = misbehavior
         self._slots = slots
         self._close_seconds = close_seconds
+        self._copied_refusals = copied_refusals
 
     async def start(self):
         """Listens on a free port and registers."""
@@ -126,6 +132,7 @@
         return await asyncio.start_server(self._serve, "127.0.0.1", port)
 
     async def _serve(self, reader, writer):
+        refusals = {}
         try:
             while (request := await read_head(reader)) is not None:
                 first_line, headers = request
@@ -138,6 +145,12 @@
                             f"Mustardwood-Replica-Id: {self.name}\r\n"
                             "Content-Length: 0\r\n") + b"\r\n")
                     continue
+                self._send_copy(headers, refusals, writer)
+                if self._random.random() < self._copied_refusals:
+                    refusal = _make_refusal(headers)
+                    refusals[headers["mustardwood-attempt-id"]] = refusal
+                    writer.write(refusal)
+                    continue
                 await self._handle(
                     first_line.split(" ")[1], headers, reader, writer)
         except (OSError, asyncio.IncompleteReadError):
@@ -145,6 +158,21 @@
         finally:
             writer.close()
 
+    def _send_copy(self, headers, refusals, writer):
+        """Sends the copy of a refusal where another response is due.
+
+        Args:
+            headers: Headers of the request that is due.
+            refusals: Refusals sent on the connection, by the request's id; the
+                one that is sent once more is removed.
+            writer: The connection.
+        """
+        attempt_id = headers["mustardwood-attempt-id"]
+        if (attempt_id not in refusals and refusals and
+                self._random.random() < _COPY_FOR_OTHER_REQUEST):
+            attempt_id = next(iter(refusals))
+        writer.write(refusals.pop(attempt_id, b""))
+
     async def _handle(self, path, headers, reader, writer):
         behavior = Behavior.ANSWER
         if self._random.random() < self._misbehavior:
--- a/mustardwood/platform/tests/soak/endpoint_process.py
+++ b/mustardwood/platform/tests/soak/endpoint_process.py
@@ -115,7 +115,8 @@
                 str(path),
                 str(self._plan.seed * 1000 + self._number),
                 str(self._plan.misbehavior),
-                str(self._plan.close_seconds)
+                str(self._plan.close_seconds),
+                str(self._plan.copied_refusals)
             ],
             stdout=subprocess.PIPE)
         line = await asyncio.wait_for(
@@ -159,7 +160,8 @@
                                    random.Random(options.seed),
                                    options.misbehavior,
                                    close_seconds=options.close,
-                                   name=options.name)
+                                   name=options.name,
+                                   copied_refusals=options.copies)
         served.runs, served.on_end = runs, runs.end
         server = await served.listen(options.port)
         print(server.sockets[0].getsockname()[1], flush=True)
@@ -176,6 +178,7 @@
     parser.add_argument("seed", type=int)
     parser.add_argument("misbehavior", type=float)
     parser.add_argument("close", type=float)
+    parser.add_argument("copies", type=float)
     asyncio.run(_serve(parser.parse_args()))
 
 
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -43,6 +43,10 @@
         close_seconds: Time for which endpoints work on after the connection of
             a request has closed.
         has_impatient_callers: Whether callers resume silent streams elsewhere.
+        copied_refusals: Probability that an endpoint refuses a request and
+            sends a copy of the refusal later.
+        has_repeating_callers: Whether callers send refused requests again at
+            once, under the same id.
         plant: Name of the fault that is planted into the VMs; see `plants`.
     """
 
@@ -58,6 +62,8 @@
     takeover_delay_seconds: float = 0.0
     close_seconds: float = 0.0
     has_impatient_callers: bool = False
+    copied_refusals: float = 0.0
+    has_repeating_callers: bool = False
     plant: str = ""
 
 
@@ -110,7 +116,8 @@
                                          service,
                                          self._random,
                                          plan.misbehavior,
-                                         close_seconds=plan.close_seconds)
+                                         close_seconds=plan.close_seconds,
+                                         copied_refusals=plan.copied_refusals)
                 for service in services
             ]
         self.callers = []
@@ -129,7 +136,8 @@
         self.callers = [
             caller_module.Caller(f"caller-{number}", self.vms,
                                  random.Random(self._random.random()), ports,
-                                 self._plan.has_impatient_callers)
+                                 self._plan.has_impatient_callers,
+                                 self._plan.has_repeating_callers)
             for number in range(self._plan.callers)
         ]
         self.disruption = disruption_module.Disruption(
--- a/mustardwood/platform/tests/soak/test_checks.py
+++ b/mustardwood/platform/tests/soak/test_checks.py
@@ -12,8 +12,9 @@
                         began_at, ended_at)
 
 
-def _make_outcome(attempt_id, vm="vm-1", **fields):
-    return caller.Outcome(attempt_id, attempt_id, "/stream/", vm, 0.0, **fields)
+def _make_outcome(attempt_id, vm="vm-1", sent_at=0.0, **fields):
+    return caller.Outcome(attempt_id, attempt_id, "/stream/", vm, sent_at,
+                          **fields)
 
 
 def test_request_that_may_run_once_and_ran_again_is_found():
@@ -49,6 +50,18 @@
     assert checks.find_broken_promises(runs, outcomes) == ["a"]
 
 
+@pytest.mark.parametrize("began_at, found", [(0.5, ["a"]), (2.5, [])])
+def test_run_belongs_to_the_last_time_at_which_its_caller_asked(
+        began_at, found):
+    runs = [_make_run("a", began_at, 3.0, "/post/")]
+    outcomes = [
+        _make_outcome("a", status=503, sent_at=0.0),
+        _make_outcome("a", status=503, sent_at=1.0),
+        _make_outcome("a", status=200, sent_at=2.0)
+    ]
+    assert checks.find_broken_promises(runs, outcomes) == found
+
+
 @pytest.mark.parametrize("event_ids, last_id, found", [([1, 2, 3], 0, 0),
                                                        ([2, 3], 0, 1),
                                                        ([1, 3], 0, 1),
--- a/mustardwood/platform/tests/soak/test_soak.py
+++ b/mustardwood/platform/tests/soak/test_soak.py
@@ -41,6 +41,19 @@
     assert not verdict.breaches
 
 
+@pytest.mark.parametrize("seed, engines", [(71, 4), (72, 1)])
+def test_copies_of_refusals_break_no_rule_for_callers_that_ask_again(
+        tmp_path, seed, engines):
+    verdict = _play(tmp_path,
+                    seed=seed,
+                    seconds=10.0,
+                    engines=engines,
+                    copied_refusals=0.5,
+                    has_repeating_callers=True)
+    assert verdict.sent > 100
+    assert not verdict.breaches
+
+
 def test_faults_of_links_endpoints_and_store_break_no_rule(tmp_path):
     verdict = _play(tmp_path,
                     seed=52,
