Send each request id once on a connection to an endpoint

Callers that sent a refused request again under its id got 503 for a request that ran, and requests that may run once ran twice.

Cause: a response is known by the request's id, and the pool hands out the connection that was used last, also to a request under an id that it has carried before. An endpoint may send a copy of its refusal late; it was then taken for the response to the later run. The same could happen within one request, after an endpoint had been replaced at its address: tried endpoints are known by name, connections by address.

Now a connection records the ids that it has carried, and the pool passes over one that has carried the request's. An id names one run on its connection then, so a response with it is true of that run, however late and however often it comes. The price is a new connection for a repeated id if no other is idle. Hashes are kept, 1,000 at most, after which a connection is closed.

--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -28,7 +28,8 @@
 class ConnectionPool:
     """Sends requests over idle connections or opens new ones.
 
-    The most recently used idle connection is reused first.
+    The most recently used idle connection is reused first, unless it has
+    carried the request's id before.
 
     Attributes:
         opened: Number of connections that the pool has started to open.
@@ -58,15 +59,14 @@
         self.opened = 0
         self._close_expired()
 
-    def send(
-        self,
-        address: _Address,
-        request: http_request.HttpRequest,
-        listener: exchange_module.ExchangeListener,
-        max_idle_time: datetime.timedelta = datetime.timedelta.max,
-        max_body_bytes: int = exchange_module.DEFAULT_MAX_BODY_BYTES,
-        before_write: collections.abc.Callable[[], bool] = lambda: False
-    ) -> exchange_module.Exchange:
+    def send(self,
+             address: _Address,
+             request: http_request.HttpRequest,
+             listener: exchange_module.ExchangeListener,
+             max_idle_time: datetime.timedelta = datetime.timedelta.max,
+             max_body_bytes: int = exchange_module.DEFAULT_MAX_BODY_BYTES,
+             before_write: collections.abc.Callable[[], bool] = lambda: False,
+             request_id: bytes = b"") -> exchange_module.Exchange:
         """Sends a request.
 
         Args:
@@ -82,13 +82,15 @@
                 the request is written; within this call if a connection is
                 reused. If it returns True, the request is held back until
                 `Exchange.write` is called.
+            request_id: Id by which responses to the request are known; empty if
+                there is none.
 
         Returns:
             The exchange, by which the request can be aborted.
         """
         exchange = exchange_module.Exchange(request, listener, max_body_bytes,
-                                            before_write)
-        connection = self._pop_idle(address, max_idle_time)
+                                            before_write, request_id)
+        connection = self._pop_idle(address, max_idle_time, request_id)
         if connection is not None:
             connection.start(exchange)
             return exchange
@@ -115,19 +117,21 @@
             connection.abort()
 
     def _pop_idle(
-        self, address: _Address, max_idle_time: datetime.timedelta
-    ) -> endpoint_connection.EndpointConnection | None:
+            self, address: _Address, max_idle_time: datetime.timedelta,
+            request_id: bytes) -> endpoint_connection.EndpointConnection | None:
         connections = self._idle.get(address, [])
         now = self._clock.monotonic()
-        while connections:
-            connection = connections.pop()
+        for connection in reversed(connections.copy()):
             idle_time = now - connection.idle_since
-            if connection.is_usable and idle_time < connection.max_idle_time:
-                if idle_time < max_idle_time:
-                    return connection
-                connections.append(connection)
+            if (not connection.is_usable or
+                    idle_time >= connection.max_idle_time):
+                connections.remove(connection)
+                connection.abort()
+            elif idle_time >= max_idle_time:
                 return None
-            connection.abort()
+            elif not connection.has_carried(request_id):
+                connections.remove(connection)
+                return connection
         return None
 
     def _remove_idle(
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -40,6 +40,8 @@
 """
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 """Headers of which a response without either ends with its connection."""
+_MAX_REQUEST_IDS = 1000
+"""Number of requests with an id after which a connection is not reused."""
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,9})")
 _KEEP_ALIVE_MARGIN = datetime.timedelta(milliseconds=500)
 """Time before the endpoint's idle timeout at which reuse stops."""
@@ -53,6 +55,10 @@
     The connection may be reused only if the response was complete and no
     unexpected bytes followed it.
 
+    It carries each request id once. An endpoint may send a response twice, the
+    second time late. While the same id is under way again, the copy could not
+    be told from the response to it.
+
     Attributes:
         idle_since: Monotonic time at which the last exchange ended.
         max_idle_time: Idle time up to which the connection may be reused.
@@ -72,6 +78,7 @@
                  response_memory: dispatch.ResponseMemory,
                  number: int = 0) -> None:
         self.number = number
+        self._request_ids: set[int] = set()
         self._clock = clock
         self._scheduler = scheduler
         self._response_memory = response_memory
@@ -102,6 +109,14 @@
         """Whether another exchange may be started."""
         return not self._is_closed and self._exchange is None
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Returns whether a request with an id was written before.
+
+        Args:
+            request_id: The id; empty for a request without one.
+        """
+        return hash(request_id) in self._request_ids
+
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport, self._send_timeout)
@@ -140,6 +155,9 @@
         if exchange is None or exchange.is_finished or exchange.is_written:
             return
         exchange.is_written = True
+        if exchange.request_id:
+            # Callers choose the ids, which may be long.
+            self._request_ids.add(hash(exchange.request_id))
         request = exchange.request
         head, *rest = [
             self._http.send(each) or b"" for each in self._sent_events
@@ -313,6 +331,7 @@
         is_sent = self._body_sender is None or self._body_sender.is_done
         self._body_sender = None
         if (self._is_closed or trailing or not is_sent or
+                len(self._request_ids) >= _MAX_REQUEST_IDS or
                 self._http.our_state is not h11.DONE or
                 self._http.their_state is not h11.DONE):
             self._is_closed = True
--- a/mustardwood/http1/exchange.py
+++ b/mustardwood/http1/exchange.py
@@ -80,6 +80,8 @@
         before_write: Called when there is a connection, before a byte of the
             request is written; it may abort the exchange. If it returns True,
             the request is held back until `write` is called.
+        request_id: Id by which responses to the request are known; empty if
+            there is none.
         is_finished: Whether the exchange was completed, failed or aborted.
         is_connected: Whether it has a connection.
         is_written: Whether a byte of the request may have been written.
@@ -93,13 +95,14 @@
             before its own.
     """
 
-    def __init__(
-        self,
-        request: http_request.HttpRequest,
-        listener: ExchangeListener,
-        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
-        before_write: collections.abc.Callable[[],
-                                               bool] = lambda: False) -> None:
+    def __init__(self,
+                 request: http_request.HttpRequest,
+                 listener: ExchangeListener,
+                 max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+                 before_write: collections.abc.Callable[[],
+                                                        bool] = lambda: False,
+                 request_id: bytes = b"") -> None:
+        self.request_id = request_id
         self.request = request
         self.listener = listener
         self.max_body_bytes = max_body_bytes
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -88,17 +88,19 @@
 
     def send(self,
              max_idle_time=datetime.timedelta.max,
-             before_write=lambda: None):
+             before_write=lambda: None,
+             request_id=b""):
         """Sends a request."""
         return self.pool.send(_ADDRESS,
                               http1.HttpRequest("GET", "/", [(b"Host", b"h")]),
                               self.listener,
                               max_idle_time,
-                              before_write=before_write)
+                              before_write=before_write,
+                              request_id=request_id)
 
-    def complete_request(self):
+    def complete_request(self, request_id=b""):
         """Sends a request on a new connection and delivers its response."""
-        self.send()
+        self.send(request_id=request_id)
         connection, transport = self.reactor.complete_connect()
         transport.pop_written()
         connection.dataReceived(_RESPONSE)
@@ -113,6 +115,47 @@
     assert transport.pop_written().startswith(b"GET / ")
 
 
+def test_connection_is_not_reused_for_an_id_that_it_has_carried():
+    """A late copy of the response to the id would be taken for the new one."""
+    harness = _Harness()
+    harness.complete_request(b"a")
+    harness.send(request_id=b"a")
+    assert len(harness.reactor.factories) == 2
+
+
+def test_connection_that_has_carried_an_id_is_reused_for_other_requests():
+    harness = _Harness()
+    _, first = harness.complete_request(b"a")
+    harness.send(request_id=b"a")
+    harness.reactor.complete_connect()
+    harness.send(request_id=b"b")
+    assert len(harness.reactor.factories) == 2
+    assert first.pop_written().startswith(b"GET / ")
+
+
+def test_older_connection_is_reused_if_the_last_one_has_carried_the_id():
+    harness = _Harness()
+    exchanges = [harness.send(request_id=each) for each in (b"a", b"b")]
+    connections = [
+        factory.buildProtocol(None) for factory in harness.reactor.factories
+    ]
+    for each in connections:
+        each.makeConnection(fake_transport.FakeTransport())
+        each.dataReceived(_RESPONSE)
+    assert all(each.is_finished for each in exchanges)
+    assert harness.send(request_id=b"b").connection_number == 1
+
+
+def test_connection_is_closed_after_its_maximum_number_of_ids():
+    harness = _Harness()
+    connection, transport = harness.complete_request(b"0")
+    for number in range(1, 1000):
+        harness.send(request_id=b"%d" % number)
+        connection.dataReceived(_RESPONSE)
+    assert len(harness.reactor.factories) == 1
+    assert transport.closed == "reset"
+
+
 def test_exchange_has_the_number_of_its_connection():
     harness = _Harness()
     harness.complete_request()
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -61,7 +61,8 @@
                                http_request,
                                _ResponseDecoder(request, endpoint, listener),
                                max_idle_time,
-                               before_write=before_write)
+                               before_write=before_write,
+                               request_id=request.request_id.encode("latin-1"))
 
 
 def _find_engine_priority(request: dispatch.ServiceRequest) -> int:
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -353,9 +353,9 @@
 class CopyingEndpoint:
     """A fake endpoint that sends copies of its refusals.
 
-    It refuses the first request on each connection. When a request under the
-    same id begins on the connection, it sends the refusal once more, and runs
-    the request.
+    It refuses the first request under each id. When a request under that id
+    begins on the same connection, it sends the refusal once more. It runs all
+    but the first ones.
 
     Attributes:
         run_ids: Ids of the requests that it has run.
@@ -365,6 +365,7 @@
     def __init__(self):
         self.run_ids = []
         self.copies = 0
+        refused_ids = set()
         endpoint = self
 
         class Handler(_Handler):
@@ -373,17 +374,18 @@
             def setup(self):
                 """Records that nothing was refused on the connection."""
                 super().setup()
-                self._refused_id = None
+                self._refused_ids = set()
 
             def do_POST(self):  # pylint: disable=invalid-name
-                """Refuses the first request and runs the others."""
+                """Refuses the first request under an id and runs the others."""
                 self.read_body()
                 request_id = self.headers["Mustardwood-Attempt-Id"]
-                if self._refused_id is None:
-                    self._refused_id = request_id
+                if request_id not in refused_ids:
+                    refused_ids.add(request_id)
+                    self._refused_ids.add(request_id)
                     self._refuse(request_id)
                     return
-                if request_id == self._refused_id:
+                if request_id in self._refused_ids:
                     endpoint.copies += 1
                     self._refuse(request_id)
                 endpoint.run_ids.append(request_id)
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -126,15 +126,7 @@
              body=b"body",
              is_chunked=False,
              is_repeated=False):
-        """Sends a request.
-
-        Args:
-            path: Path of the request.
-            key: Key of its organisation.
-            body: Body of the request.
-            is_chunked: Whether the body is sent as a chunk.
-            is_repeated: Whether it has the id of the request before.
-        """
+        """Sends a request, under the id of the one before if it is repeated."""
         framing = f"Content-Length: {len(body)}"
         if is_chunked:
             framing = "Transfer-Encoding: chunked"
--- a/mustardwood/platform/tests/test_endpoint_client.py
+++ b/mustardwood/platform/tests/test_endpoint_client.py
@@ -18,9 +18,10 @@
     def __init__(self):
         self.sent = None
 
-    def send(self, address, http_request, listener, max_idle_time,
-             before_write):
+    def send(self, address, http_request, listener, max_idle_time, before_write,
+             request_id):
         """Records the request."""
+        assert request_id == b"a1"
         before_write()
         self.sent = address, http_request, listener, max_idle_time
 
