Plant faults that copies of refusals and repeated requests meet

A soak shows nothing about faults that it would not find. Two are planted: a connection carries an id again, and a request under an id that was refused before is refused and sent.

--- a/mustardwood/platform/tests/soak/plants.py
+++ b/mustardwood/platform/tests/soak/plants.py
@@ -78,11 +78,38 @@
     forwarding.Forwarding.handle_error = handle_error
 
 
+def _reuse_any_connection():
+    """Lets a connection carry an id again that it has carried."""
+    endpoint_connection.EndpointConnection.has_carried = (
+        lambda self, request_id: False)
+
+
+def _refuse_repetitions():
+    """Refuses a request under an id that was refused before, and sends it."""
+    start, refuse = forwarding.Forwarding.start, forwarding.Forwarding._refuse
+    refused = {}
+
+    def record_and_refuse(self, reason, response):
+        refused[self._request.request_id] = response
+        refuse(self, reason, response)
+
+    def start_and_refuse(self):
+        start(self)
+        response = refused.get(self._request.request_id)
+        if response is not None and not self.is_done:
+            refuse(self, "refused before", response)
+
+    forwarding.Forwarding.start = start_and_refuse
+    forwarding.Forwarding._refuse = record_and_refuse
+
+
 FAULTS: dict[str, collections.abc.Callable[[], None]] = {
     "unstated": _believe_unstated_refusals,
     "unsent": _count_runs_as_unsent,
     "late-close": _close_late,
     "error": _refuse_after_errors,
+    "copy": _reuse_any_connection,
+    "repetition": _refuse_repetitions,
 }
 """Faults by name."""
 
--- a/mustardwood/platform/tests/soak/test_plants.py
+++ b/mustardwood/platform/tests/soak/test_plants.py
@@ -16,13 +16,25 @@
                                          ("late-close", "TWICE"),
                                          ("error", "REFUSED")])
 def test_planted_fault_is_found(tmp_path, plant, rule):
+    assert _is_found(tmp_path, rule, plant=plant)
+
+
+@pytest.mark.parametrize("plant, rule", [("copy", "TWICE"),
+                                         ("repetition", "REFUSED")])
+def test_fault_that_repeated_requests_meet_is_found(tmp_path, plant, rule):
+    assert _is_found(tmp_path,
+                     rule,
+                     plant=plant,
+                     copied_refusals=0.5,
+                     has_repeating_callers=True)
+
+
+def _is_found(folder, rule, **options):
+    """Returns whether one of the runs finds that a rule is broken."""
     for seed in _SEEDS:
-        folder = tmp_path / str(seed)
-        folder.mkdir()
-        verdict = asyncio.run(
-            soak.play(
-                soak.Plan(seed, seconds=6.0, misbehavior=0.4, plant=plant),
-                folder))
+        (folder / str(seed)).mkdir()
+        plan = soak.Plan(seed, seconds=6.0, misbehavior=0.4, **options)
+        verdict = asyncio.run(soak.play(plan, folder / str(seed)))
         if any(each.startswith(rule) for each in verdict.breaches):
-            return
-    pytest.fail("no run has found the fault")
+            return True
+    return False
