--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -272,6 +272,15 @@
             line, = (each for each in status if each.startswith("VmHWM:"))
         return int(line.split()[1]) * 1024
 
+    @property
+    def is_alive(self):
+        """Whether the process runs."""
+        return self._process.poll() is None
+
+    def count_descriptors(self):
+        """Returns the number of open descriptors of the process."""
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
     def suspend(self):
         """Suspends the process."""
         self._process.send_signal(signal.SIGSTOP)
