Drop the first request of a connection when it has ended

A process ran out of memory while callers sent long bodies. One of the causes: a connection to an endpoint, and the factory that opened it, kept the first exchange, and so its request with the body, for as long as the connection was open. The budget of bodies had taken these bytes back.

--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -187,17 +187,24 @@
                  exchange: exchange_module.Exchange) -> None:
         self._pool = pool
         self._address = address
-        self._exchange = exchange
+        self._exchange: exchange_module.Exchange | None = exchange
 
     def buildProtocol(  # pylint: disable=invalid-name
-            self, addr: typing.Any) -> protocol.Protocol:
+            self, addr: typing.Any) -> protocol.Protocol | None:
         """See `protocol.ClientFactory`."""
-        return self._pool.make_connection(self._address, self._exchange)
+        # The transport keeps the factory as long as the connection is open.
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            return None
+        return self._pool.make_connection(self._address, exchange)
 
     def clientConnectionFailed(  # pylint: disable=invalid-name
             self, connector: interfaces.IConnector,
             reason: failure.Failure) -> None:
         """See `protocol.ClientFactory`."""
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            return
         has_timed_out = reason.check(internet_error.TimeoutError) is not None
-        self._exchange.fail(
+        exchange.fail(
             "no connection in time" if has_timed_out else "connection refused")
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -85,7 +85,7 @@
         self._unparsed_bytes = 0
         self._on_idle = on_idle
         self._on_lost = on_lost
-        self._first_exchange = first_exchange
+        self._first_exchange: exchange_module.Exchange | None = first_exchange
         self._exchange: exchange_module.Exchange | None = None
         self._http = h11.Connection(h11.CLIENT, _MAX_HEADER_BYTES)
         self._sent_events: list[h11.Event] = []
@@ -121,10 +121,12 @@
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport, self._send_timeout)
         self.transport.bufferSize = _READ_BYTES
-        if self._first_exchange.is_finished:
+        # The connection outlives the exchange, whose request has a body.
+        exchange, self._first_exchange = self._first_exchange, None
+        if exchange is None or exchange.is_finished:
             self.abort()
         else:
-            self.start(self._first_exchange)
+            self.start(exchange)
 
     def start(self, exchange: exchange_module.Exchange) -> None:
         """Sends the request of an exchange, unless it is held back."""
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -1,6 +1,8 @@
 """Tests of the reuse, failure and cancellation of pooled connections."""
 
 import datetime
+import gc
+import weakref
 
 from twisted.internet import error as internet_error
 from twisted.python import failure
@@ -337,3 +339,15 @@
     exchange.close(closed.append)
     assert closed == [True]
     assert harness.reactor.connectors[-1].is_disconnected
+
+
+def test_idle_connection_keeps_no_request():
+    """Requests with long bodies would stay in memory while it is open."""
+    harness = _Harness()
+    exchange = weakref.ref(harness.send())
+    connection, transport = harness.reactor.complete_connect()
+    transport.pop_written()
+    connection.dataReceived(_RESPONSE)
+    gc.collect()
+    assert exchange() is None
+    assert connection.is_usable
