Let others take the room of bodies that do not end

Ordinary callers got nothing but 503 while 40 callers kept long bodies open and sent a byte now and then. Each byte restarts the idle timeout, and the room of a body was taken until its request ended, so that unfinished bodies held the whole budget for as long as their callers liked.

Now a body that is not complete 2 s after its head offers its room. When none is left for another one, the body with the oldest offer is refused with 503 and Retry-After; it has not run. While there is room, nobody is refused, and a complete body keeps its room.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -29,6 +29,8 @@
 """Number of bytes received behind an open response at which reading pauses."""
 _MAX_BYTES_PER_BODY_BYTE = 8
 """Bytes received for each byte of a body; chunks of one byte take six."""
+_BODY_TIME = datetime.timedelta(seconds=2)
+"""Time for receiving a body, after which others may take its room."""
 _MEMORY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
 """Time in which responses end and their requests' bodies are dropped."""
 _MAX_HEADERS_PER_REQUEST = 3
@@ -66,6 +68,7 @@
         self._body = bytearray()
         self._body_budget = handler.get_body_budget()
         self._taken_bytes = 0
+        self._body_timer: dispatch.Timer | None = None
         self._response_memory = handler.get_response_memory()
         self._unsent_bytes = 0
         self._writer: response_writer.ResponseWriter | None = None
@@ -272,6 +275,8 @@
                 min(length,
                     self._handler.get_limits().max_body_bytes)):
             return
+        self._body_timer = self._scheduler.call_later(
+            _BODY_TIME, lambda: self._body_budget.offer_room(self))
         self._start_timer(self._handler.get_limits().idle_timeout,
                           self._refuse_slow_request)
 
@@ -292,6 +297,7 @@
         if request is None:
             return
         self._cancel_timer()
+        self._keep_room()
         self._is_receiving = False
         self.unanswered_bytes = len(self._http.trailing_data[0])
         writer = response_writer.ResponseWriter(self)
@@ -314,14 +320,25 @@
         """
         if count <= 0:
             return True
-        if self._body_budget.take(count):
+        if self._body_budget.take(count, self):
             self._taken_bytes += count
             return True
+        self.release_room()
+        return False
+
+    def release_room(self) -> None:
+        """See `body_budget.UnfinishedBody`."""
         self._refuse(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
             "This VM has no memory left for the body; the request has not run. "
             "Send it again after the given time.", _MEMORY_RETRY_AFTER)
-        return False
+
+    def _keep_room(self) -> None:
+        """Keeps the room of the body, which is complete or dropped."""
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
+        self._body_budget.withdraw_offer(self)
 
     def _drop_body(self) -> None:
         """Frees the body, also where others still refer to its request.
@@ -329,6 +346,7 @@
         What belongs to a request refers to each other, so that it stays in
         memory until the next garbage collection.
         """
+        self._keep_room()
         body, self._body = self._body, bytearray()
         body.clear()
         self._body_budget.give_back(self._taken_bytes)
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -137,6 +137,60 @@
     assert harness.handler.body_budget.taken_bytes == 0
 
 
+def _make_pair(rest_seconds):
+    """Returns a connection that waits for a body, and one that needs room."""
+    waiting, other = _Harness(), _Harness()
+    budget = waiting.handler.body_budget = other.handler.body_budget = (
+        http1.BodyBudget(100))
+    for each in (waiting, other):
+        each.transport = fake_transport.FakeTransport()
+        each.connection = http1.CallerConnection(each.handler, each.scheduler)
+        each.connection.makeConnection(each.transport)
+    waiting.receive(_make_post(80) + b"x" * 79)
+    waiting.scheduler.advance(datetime.timedelta(seconds=rest_seconds))
+    return waiting, other, budget
+
+
+def test_unfinished_body_loses_its_room_to_others_after_a_time():
+    """Bodies that never ended kept all others from being received."""
+    waiting, other, budget = _make_pair(rest_seconds=2.1)
+    other.receive(_make_post(30) + b"x" * 30)
+    assert waiting.transport.pop_written().startswith(b"HTTP/1.1 503 ")
+    assert len(other.handler.requests) == 1
+    assert (budget.taken_bytes, budget.drops) == (30, 1)
+
+
+def test_unfinished_body_keeps_its_room_while_there_is_enough():
+    waiting, other, budget = _make_pair(rest_seconds=10)
+    other.receive(_make_post(20) + b"x" * 20)
+    waiting.receive(b"x")
+    assert len(waiting.handler.requests) == len(other.handler.requests) == 1
+    assert budget.drops == 0
+
+
+def test_growing_body_that_offers_its_room_returns_what_it_took():
+    harness = _Harness()
+    harness.handler.body_budget.take(950)
+    harness.receive(b"POST /a HTTP/1.1\r\nHost: h\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n"
+                    b"20\r\n" + b"x" * 32 + b"\r\n")
+    harness.scheduler.advance(ms(3000))
+    harness.receive(b"20\r\n" + b"x" * 32 + b"\r\n")
+    assert harness.transport.pop_written().startswith(b"HTTP/1.1 503 ")
+    assert harness.handler.body_budget.taken_bytes == 950
+
+
+@pytest.mark.parametrize("rest_seconds, is_complete", [(1.9, False),
+                                                       (10, True)])
+def test_body_in_time_or_complete_keeps_its_room(rest_seconds, is_complete):
+    waiting, other, _ = _make_pair(rest_seconds)
+    if is_complete:
+        waiting.receive(b"x")
+    other.receive(_make_post(30) + b"x" * 30)
+    assert not waiting.transport.pop_written()
+    assert other.transport.pop_written().startswith(b"HTTP/1.1 503 ")
+
+
 @pytest.mark.parametrize("received", [0, 40, 80])
 def test_lost_connection_returns_the_room_of_its_body(received):
     """Room that is never returned would let the VM refuse all bodies."""
