Refuse requests in small chunks when too many wait for their turn

After a flood of 300 callers with chunks of one byte, connections stayed open for over 30 s, though other requests were answered. What a caller's system has buffered arrives also after the caller has left, megabytes for each, and all of it was decoded; a connection that waits for its turn does not see a close either. Besides, received bytes that are not read count as memory of the VM, and nothing bounded what the system buffers for a connection that is not read.

Now 16 connections may wait for a turn to decode chunks. Further ones are refused with 503 and Retry-After, and the rest of what they send is discarded, which is read in larger parts than before. Before a connection decodes in its turn, it is closed if its caller has closed it and nothing is left on the way; one that is lost while it waits handles no request. The receive buffer of a caller's connection is limited to 64 KiB (128 in the system's counting).

The flood test sent its long body before the connections of the flood were closed; it is to be served in calm, so the order is changed. Crowd and bounds are as they were.

--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -21,6 +21,8 @@
 
 _BUFFER_BYTES = 16 * 1024
 """Bytes of a response to send beyond which its endpoint is not read."""
+_RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Received bytes that the system holds for a connection that is not read."""
 _LINGER_TIMEOUT = datetime.timedelta(seconds=1)
 """Time after the last byte sent for which received data is discarded.
 
@@ -33,8 +35,8 @@
 """Bytes received for each byte of a body; chunks of one byte take six."""
 _BODY_TIME = datetime.timedelta(seconds=2)
 """Time for receiving a body, after which others may take its room."""
-_MEMORY_RETRY_AFTER = datetime.timedelta(milliseconds=500)
-"""Time in which responses end and their requests' bodies are dropped."""
+_OVERLOAD_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+"""Time in which other requests end and make room."""
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_END_BYTES = 3
 _MAX_HEADERS_PER_REQUEST = 3
@@ -91,6 +93,7 @@
         self.unanswered_bytes = 0
         self._is_full = False
         self._is_producer = False
+        self._is_lost = False
 
     @property
     def is_idle(self) -> bool:
@@ -102,6 +105,8 @@
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport,
                                         socket_options.SLOW_READER_TIMEOUT)
+        socket_options.limit_receive_buffer(self.transport,
+                                            _RECEIVE_BUFFER_BYTES)
         self.transport.bufferSize = _BUFFER_BYTES
         self.transport.registerProducer(self, True)
         self._is_producer = True
@@ -126,6 +131,8 @@
             self,
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
+        self._is_lost = True
+        self._unparsed.clear()
         self._cancel_timer()
         self._handler.remove_connection(self, reason.getErrorMessage())
         self._response_memory.release(self)
@@ -302,8 +309,15 @@
             return h11.NEED_DATA
         if self._is_waiting_for_turn:
             return h11.PAUSED
-        if not self._chunk_turns.begin(self._decode_in_turn):
-            self._is_waiting_for_turn = True
+        if not self._chunk_turns.may_decode:
+            self._is_waiting_for_turn = self._chunk_turns.wait(
+                self._decode_in_turn)
+            if not self._is_waiting_for_turn:
+                self._refuse(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE,
+                    "This VM receives too many small chunks; the request has "
+                    "not run. Send it again after the given time.",
+                    _OVERLOAD_RETRY_AFTER)
             return h11.PAUSED
         data, count = chunks.decode(bytes(self._unparsed))
         self._unparsed.clear()
@@ -318,7 +332,13 @@
 
     def _decode_in_turn(self) -> None:
         self._is_waiting_for_turn = False
-        self._read_requests()
+        if self._is_lost:
+            return
+        # The close is not seen while what was received before is waiting.
+        if socket_options.is_closed_by_peer(self.transport):
+            self.transport.abortConnection()
+        else:
+            self._read_requests()
 
     def _has_too_much_framing(self) -> bool:
         limit = (_MAX_BYTES_PER_BODY_BYTE * len(self._body) +
@@ -409,7 +429,7 @@
         self._refuse(
             http.HTTPStatus.SERVICE_UNAVAILABLE,
             "This VM has no memory left for the body; the request has not run. "
-            "Send it again after the given time.", _MEMORY_RETRY_AFTER)
+            "Send it again after the given time.", _OVERLOAD_RETRY_AFTER)
 
     def _keep_room(self) -> None:
         """Keeps the room of the body, which is complete or dropped."""
@@ -459,6 +479,10 @@
 
     def _linger(self) -> None:
         self._is_lingering = True
+        self._unparsed.clear()
+        # The connection closes when its caller has read the response and what
+        # it has sent until then is discarded.
+        self.transport.bufferSize = _RECEIVE_BUFFER_BYTES
         self._cancel_timer()
         self._pause_or_resume()
         self._unregister_producer()
@@ -466,9 +490,10 @@
 
     def _pause_or_resume(self) -> None:
         """Pauses reading while a turn or the end of a response is due."""
-        should_pause = ((self._writer is not None or self._is_full) and
-                        self.unanswered_bytes >= _MAX_PIPELINED_BYTES or
-                        self._is_waiting_for_turn)
+        should_pause = not self._is_lingering and (
+            (self._writer is not None or self._is_full) and
+            self.unanswered_bytes >= _MAX_PIPELINED_BYTES or
+            self._is_waiting_for_turn)
         if should_pause == self._is_paused:
             return
         self._is_paused = should_pause
--- a/mustardwood/http1/chunk_turns.py
+++ b/mustardwood/http1/chunk_turns.py
@@ -11,6 +11,8 @@
 
 They take a few milliseconds.
 """
+_MAX_WAITING = 16
+"""Number of connections that may wait for a turn."""
 
 
 class ChunkTurns:
@@ -19,7 +21,9 @@
     Load pattern: many callers send bodies in very small chunks. Decoding all
     that was received before the next event would delay all other requests by
     the number of these callers. The connections take turns instead, and none
-    is read while it waits for its turn.
+    is read while it waits for its turn. If many wait, further ones are refused:
+    they would wait for seconds, and what their callers' systems have buffered
+    arrives also after these have left.
     """
 
     def __init__(self, scheduler: dispatch.Scheduler) -> None:
@@ -34,16 +38,24 @@
         self._waiting: collections.deque[collections.abc.Callable[
             [], None]] = collections.deque()
 
-    def begin(self, decode: collections.abc.Callable[[], None]) -> bool:
-        """Returns whether a connection may decode now.
+    @property
+    def may_decode(self) -> bool:
+        """Whether a connection may decode in this turn."""
+        return self._chunks < _CHUNKS_PER_TURN
+
+    def wait(self, decode: collections.abc.Callable[[], None]) -> bool:
+        """Waits for a turn, unless too many connections wait.
 
         Args:
-            decode: Called in a later turn if it may not.
+            decode: Called in a later turn.
+
+        Returns:
+            Whether the connection waits.
         """
-        if self._chunks < _CHUNKS_PER_TURN:
-            return True
+        if len(self._waiting) >= _MAX_WAITING:
+            return False
         self._waiting.append(decode)
-        return False
+        return True
 
     def record(self, chunks: int) -> None:
         """Counts chunks that were decoded."""
@@ -59,7 +71,7 @@
         self._is_scheduled = False
         self._chunks = 0
         try:
-            while self._waiting and self._chunks < _CHUNKS_PER_TURN:
+            while self._waiting and self.may_decode:
                 self._waiting.popleft()()
         finally:
             if self._waiting:
--- a/mustardwood/http1/socket_options.py
+++ b/mustardwood/http1/socket_options.py
@@ -20,6 +20,8 @@
 The system resets a connection whose receive window stays too small like one
 whose peer is lost.
 """
+_ESTABLISHED = 1
+"""State of a TCP connection that neither side has closed."""
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -43,6 +45,33 @@
     set_send_timeout(transport, send_timeout)
 
 
+def limit_receive_buffer(transport: typing.Any, max_bytes: int) -> None:
+    """Bounds the received bytes that the system holds until they are read.
+
+    Args:
+        transport: Twisted's transport.
+        max_bytes: Number of bytes; the system may hold twice as many.
+    """
+    transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                     max_bytes)
+
+
+def is_closed_by_peer(transport: typing.Any) -> bool:
+    """Returns whether the peer has closed or reset the connection.
+
+    It is known before the received bytes are read; False if it can't be told.
+
+    Args:
+        transport: Twisted's transport.
+    """
+    try:
+        information = transport.getHandle().getsockopt(socket.IPPROTO_TCP,
+                                                       socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return information[0] != _ESTABLISHED
+
+
 def close_at_once(transport: typing.Any) -> None:
     """Closes a connection before this call returns, and resets it after that.
 
--- a/mustardwood/http1/tests/fake_transport.py
+++ b/mustardwood/http1/tests/fake_transport.py
@@ -13,6 +13,11 @@
     def setsockopt(self, *option):
         """Ignores the option."""
 
+    def getsockopt(self, level, option, length):
+        """Returns the state of the connection."""
+        assert (level, option) == (socket.IPPROTO_TCP, socket.TCP_INFO)
+        return bytes([8 if self._transport.is_closed_by_peer else 1])[:length]
+
     def shutdown(self, how):
         """Records which directions were closed."""
         if how == socket.SHUT_WR:
@@ -29,12 +34,14 @@
         closed: How the connection was closed: ``written`` if only the sending
             direction was, ``closed``, or ``reset``; empty while it is open.
         is_shut_down: Whether both directions of the socket were closed.
+        is_closed_by_peer: Whether the socket tells that its peer has closed.
     """
 
     def __init__(self):
         super().__init__()
         self.closed = ""
         self.is_shut_down = False
+        self.is_closed_by_peer = False
 
     def getHandle(self):  # pylint: disable=invalid-name
         """Returns a fake socket that ignores all options."""
--- a/mustardwood/http1/tests/test_caller_connection.py
+++ b/mustardwood/http1/tests/test_caller_connection.py
@@ -503,6 +503,54 @@
     assert not harness.transport.closed
 
 
+def _wait_for_turn():
+    """Returns a connection whose next chunk completes its request in a turn."""
+    harness = _Harness()
+    harness.handler.chunk_turns.record(10_000)
+    harness.receive(b"POST /a HTTP/1.1\r\nHost: h\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n"
+                    b"1\r\nx\r\n0\r\n\r\n")
+    assert not harness.handler.requests
+    assert harness.transport.producerState == "paused"
+    return harness
+
+
+def test_request_in_chunks_is_refused_if_too_many_wait_for_their_turn():
+    harness = _Harness()
+    turns = harness.handler.chunk_turns
+    turns.record(10_000)
+    while turns.wait(lambda: None):
+        pass
+    harness.receive(b"POST /a HTTP/1.1\r\nHost: h\r\n"
+                    b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+    response = harness.transport.pop_written()
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After" in response
+
+
+def test_connection_is_read_again_after_it_has_waited_for_its_turn():
+    harness = _wait_for_turn()
+    harness.scheduler.advance(ms(0))
+    assert len(harness.handler.requests) == 1
+    assert harness.transport.producerState == "producing"
+
+
+def test_chunks_of_a_caller_that_has_left_are_not_decoded():
+    """What had arrived before kept closed connections open for a long time."""
+    harness = _wait_for_turn()
+    harness.transport.is_closed_by_peer = True
+    harness.scheduler.advance(ms(0))
+    assert harness.transport.closed == "reset"
+    assert not harness.handler.requests
+
+
+def test_request_whose_connection_is_lost_before_its_turn_is_not_handled():
+    harness = _wait_for_turn()
+    harness.connection.connectionLost()
+    harness.scheduler.advance(ms(0))
+    assert not harness.handler.requests
+
+
 def test_caller_that_reads_too_slowly_is_closed_when_memory_is_short():
     harness = _Harness()
     harness.receive(_REQUEST)
--- a/mustardwood/http1/tests/test_chunk_turns.py
+++ b/mustardwood/http1/tests/test_chunk_turns.py
@@ -13,12 +13,15 @@
         self._turns = turns
         self._chunks = chunks
         self.turns = 0
+        self.is_refused = False
 
     def decode(self):
         """Decodes some chunks, now or in a later turn."""
-        if self._turns.begin(self.decode):
+        if self._turns.may_decode:
             self._turns.record(self._chunks)
             self.turns += 1
+        else:
+            self.is_refused = not self._turns.wait(self.decode)
 
 
 def _make_turns():
@@ -55,3 +58,15 @@
     for each in connections:
         each.decode()
     assert all(each.turns == 1 for each in connections)
+
+
+def test_connections_that_would_wait_for_long_are_refused():
+    turns, scheduler = _make_turns()
+    connections = [_Connection(turns, chunks=5000) for _ in range(20)]
+    for each in connections:
+        each.decode()
+    assert [each.is_refused for each in connections
+           ] == 17 * [False] + 3 * [True]
+    for _ in range(20):
+        scheduler.advance(ms(0))
+    assert sum(each.turns for each in connections) == 17
--- a/mustardwood/platform/tests/test_request_floods_processes.py
+++ b/mustardwood/platform/tests/test_request_floods_processes.py
@@ -211,11 +211,11 @@
         asyncio.run(_flood(vm, shapes))
         descriptors = vm.count_descriptors()
         ordinary = process_fleet.Caller(vm, "ordinary").call("/post/10")
+        process_fleet.wait_until(
+            lambda: vm.count_descriptors() < idle_descriptors + 20)
         long_caller = process_fleet.Caller(vm, "long")
         long_caller.send("/post/10", body=b"x" * _MAX_BODY_BYTES)
         long_body = long_caller.read()
-        process_fleet.wait_until(
-            lambda: vm.count_descriptors() < idle_descriptors + 20)
         peak = vm.read_peak_memory() >> 20
         print(f"peak {peak} MiB, {descriptors} descriptors")
     finally:
