--- a/mustardwood/http1/caller_connection.py
+++ b/mustardwood/http1/caller_connection.py
@@ -39,6 +39,7 @@
 """Time in which other requests end and make room."""
 _HEAD_END = re.compile(rb"\n\r?\n")
 _HEAD_END_BYTES = 3
+"""Maximum length of the lines' ends that end a head."""
 _MAX_HEADERS_PER_REQUEST = 3
 """Maximum size of the rest of a request, in sizes of the largest headers.
 
