--- a/mustardwood/platform/tests/test_request_priority.py
+++ b/mustardwood/platform/tests/test_request_priority.py
@@ -16,8 +16,8 @@
     def __init__(self):
         self.sent = []
 
-    def send(self, address, http_request, listener, max_idle_time,
-             before_write, request_id):
+    def send(self, address, http_request, listener, max_idle_time, before_write,
+             request_id):
         """Records the request."""
         del address, listener, max_idle_time, before_write, request_id
         self.sent.append(http_request)
