Log the share of prefill and the partition of engines of each attempt

Callers with long prompts lost streams at their deadline or were refused after seconds. The log showed for how long an engine had prefilled without a gap at the end of a wait, but not for which share of the time an engine prefilled while a stream ran, how many events it brought, and whether engines that were passed over were reserved. These tell apart engines that begin too much, engines that are idle, and crashes as the cause.

Each attempt has prefill_share, takes_long_prompts and events; the engines of a refused request have the first two.

--- a/mustardwood/dispatch/load_table.py
+++ b/mustardwood/dispatch/load_table.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import math
 
 from mustardwood import timing
 from mustardwood.dispatch import endpoint_load
@@ -20,6 +21,13 @@
 _CHUNK_TOKENS = 2048
 """Prompt tokens that an engine prefills in one step."""
 
+_PREFILL_SHARE_TIME_CONSTANT = datetime.timedelta(seconds=2)
+"""Time constant of the exponentially weighted share of prefill.
+
+It is shorter than a stream of usual length, so that the share is known before
+a stream has lost its time.
+"""
+
 _IDLE = endpoint_load.EndpointLoad()
 
 
@@ -32,11 +40,14 @@
         prefill_time: Time for which it has been prefilling continuously.
         request_time: Time for which it ran requests and did not, summed over
             the requests.
+        prefill_share: Share of the recent time for which it was prefilling
+            continuously, from 0 to 1, as an exponentially weighted average.
     """
 
     measured_at: datetime.timedelta
     prefill_time: datetime.timedelta = datetime.timedelta()
     request_time: datetime.timedelta = datetime.timedelta()
+    prefill_share: float = 0.0
 
 
 class LoadTable:
@@ -181,13 +192,16 @@
             use = EndpointUse(now)
         elapsed = now - use.measured_at
         if elapsed:
+            weight = math.exp(-(elapsed / _PREFILL_SHARE_TIME_CONSTANT))
             if endpoint in self._prefill_starts:
                 use = EndpointUse(now, use.prefill_time + elapsed,
-                                  use.request_time)
+                                  use.request_time,
+                                  1.0 - weight * (1.0 - use.prefill_share))
             else:
                 requests = self._total_loads.get(endpoint, _IDLE).requests
                 use = EndpointUse(now, use.prefill_time,
-                                  use.request_time + requests * elapsed)
+                                  use.request_time + requests * elapsed,
+                                  weight * use.prefill_share)
         self._uses[endpoint] = use
         return use
 
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -45,6 +45,10 @@
         expected_first_token: Time in which the first token is expected, by the
             engine's profile; 0 for a plain service.
         slowdown: Factor of the engine's times on those of its service.
+        takes_long_prompts: Whether the engine is not reserved for interactive
+            streams.
+        prefill_share: Share of the recent time for which the engine was
+            prefilling, from 0 to 1.
     """
 
     endpoint: endpoint_module.Endpoint
@@ -55,6 +59,8 @@
     known_load: endpoint_load.EndpointLoad = _IDLE
     expected_first_token: datetime.timedelta = datetime.timedelta()
     slowdown: float = 1.0
+    takes_long_prompts: bool = True
+    prefill_share: float = 0.0
 
 
 class Placement:
@@ -228,18 +234,21 @@
             return placement_limit.PlacementLimit.PREFILL
         return self._make_choice(best, least_cost, best.name == preferred,
                                  best.name in holders,
-                                 costs.find_added_load(best))
+                                 costs.find_added_load(best), best.name
+                                 in pool.long_prompt_engines)
 
     def _make_choice(self, engine: endpoint_module.Endpoint, cost: float,
                      is_preferred: bool, is_cached: bool,
-                     added: endpoint_load.EndpointLoad) -> Choice:
+                     added: endpoint_load.EndpointLoad,
+                     takes_long_prompts: bool) -> Choice:
         known = self._loads.find_load(engine.name)
         profile = self._table.find_profile(engine.service, engine.incarnation)
         return Choice(
             engine, cost, is_preferred, is_cached, added, known,
             profile.estimate_first_token(
                 known.prefill_tokens + added.prefill_tokens, known.requests),
-            profile.slowdown)
+            profile.slowdown, takes_long_prompts,
+            self._loads.measure_use(engine.name).prefill_share)
 
     def _record_targets(self, request: service_request.ServiceRequest) -> None:
         """Tells the partition which targets interactive streams have.
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -129,6 +129,9 @@
             "rate_limit": rate_limit,
             "expected_first_ms": _to_ms(attempt.choice.expected_first_token),
             "engine_slowdown": round(attempt.choice.slowdown, 2),
+            "takes_long_prompts": attempt.choice.takes_long_prompts,
+            "prefill_share": round(attempt.choice.prefill_share, 2),
+            "events": attempt.timing.event_count,
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
@@ -220,16 +223,28 @@
     def _list_engines(self) -> list[dict[str, typing.Any]]:
         """Returns the known load of some of the engines, for the log."""
         context = self._context
-        usable = context.directory.list_usable(self._request.service)
+        service = self._request.service
+        usable = context.directory.list_usable(service)
+        long_prompt_engines = context.placement.find_long_prompt_engines(
+            service, usable)
         engines = []
         for each in usable[:_MAX_LOGGED_ENGINES]:
             load = context.loads.find_load(each.name)
             duration = context.loads.find_prefill_duration(each.name)
             engines.append({
-                "endpoint": each.name,
-                "requests": load.requests,
-                "prefill_tokens": load.prefill_tokens,
-                "prefill_ms": _to_ms(duration),
+                "endpoint":
+                    each.name,
+                "requests":
+                    load.requests,
+                "prefill_tokens":
+                    load.prefill_tokens,
+                "prefill_ms":
+                    _to_ms(duration),
+                "prefill_share":
+                    round(
+                        context.loads.measure_use(each.name).prefill_share, 2),
+                "takes_long_prompts":
+                    each.name in long_prompt_engines,
             })
         return engines
 
--- a/mustardwood/dispatch/tests/test_forwarding.py
+++ b/mustardwood/dispatch/tests/test_forwarding.py
@@ -673,4 +673,6 @@
         "requests": 3,
         "prefill_tokens": 14_000,
         "prefill_ms": 3_333,
+        "prefill_share": 0.81,
+        "takes_long_prompts": True,
     }]
--- a/mustardwood/dispatch/tests/test_load_table.py
+++ b/mustardwood/dispatch/tests/test_load_table.py
@@ -51,3 +51,22 @@
         table.subtract(f"engine-{number}", load)
     assert not table.list_total_loads()
     assert not table.list_own_loads()
+
+
+def test_share_of_prefill_follows_the_last_seconds():
+    clock = timing.ManualClock()
+    table = dispatch.LoadTable(clock)
+    load = dispatch.EndpointLoad(prefill_tokens=30_000, requests=1)
+    table.add("engine", load)
+    clock.advance(datetime.timedelta(seconds=20))
+    assert table.measure_use("engine").prefill_share > 0.99
+    table.subtract("engine", load)
+    clock.advance(datetime.timedelta(seconds=20))
+    assert table.measure_use("engine").prefill_share < 0.01
+    for _ in range(200):
+        table.add("engine", load)
+        clock.advance(datetime.timedelta(milliseconds=30))
+        table.subtract("engine", load)
+        clock.advance(datetime.timedelta(milliseconds=10))
+    share = table.measure_use("engine").prefill_share
+    assert 0.7 < share < 0.8
