--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -48,6 +48,7 @@
         counts_as_crash: Whether its endpoint may have crashed under the
             request.
         has_sent_events: Whether the caller got events of its stream.
+        event_count: Number of them.
         partial_event_bytes: Number of bytes after the last complete event at
             the end of its stream.
         is_truncated: Whether the body exceeded the buffer and is incomplete.
@@ -75,6 +76,7 @@
         self.was_cut_off = False
         self.counts_as_crash = False
         self.has_sent_events = False
+        self.event_count = 0
         self.partial_event_bytes = 0
         self.is_truncated = False
         self.error_bytes = 0
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -35,6 +35,8 @@
 
 What exceeds the buffer is only read to learn that the response is complete.
 """
+_EVENT_END = b"\n\n"
+"""End of most events, by which they are counted for the log."""
 _MAX_FRAMES = 20
 """Maximum number of functions in the log line of an error."""
 
@@ -353,6 +355,7 @@
                 self._version.record_software(attempt)
                 self._response.send_head(attempt, None)
             attempt.has_sent_events = True
+            attempt.event_count += events.count(_EVENT_END)
             self._record.record_events(attempt, events)
             self._caller.write(events)
         if self._response.splitter.rest_size > _MAX_EVENT_BYTES:
--- a/mustardwood/dispatch/request_record.py
+++ b/mustardwood/dispatch/request_record.py
@@ -131,7 +131,7 @@
             "engine_slowdown": round(attempt.choice.slowdown, 2),
             "takes_long_prompts": attempt.choice.takes_long_prompts,
             "prefill_share": round(attempt.choice.prefill_share, 2),
-            "events": attempt.timing.event_count,
+            "events": attempt.event_count,
             "after_ms": _to_ms(attempt.sent_at - self._request.arrived_at),
             "for_ms": _to_ms(now - attempt.sent_at),
             "status": attempt.status,
--- a/mustardwood/profiles/response_timing.py
+++ b/mustardwood/profiles/response_timing.py
@@ -57,11 +57,6 @@
         self._event_count = 0
         self._last_gap: _Gap | None = None
 
-    @property
-    def event_count(self) -> int:
-        """Number of events that have arrived."""
-        return self._event_count
-
     @property
     def has_events(self) -> bool:
         """Whether the first event has been recorded."""
