Reproduce fewer complete streams under more load

Callers with long prompts got hardly any complete response in a burst, although engines worked all the time.

--- a/mustardwood/benchmarks/streams/simulation.py
+++ b/mustardwood/benchmarks/streams/simulation.py
@@ -127,7 +127,8 @@
         credit_share_by_kind: The same ratio by kind of request.
         late_pauses: Number of complete streams in which a pause between two
             events exceeded the target.
-        failed: Number of requests without a complete response.
+        completed: Number of requests with a complete response.
+        failed: Number of requests without one.
         prefilled_tokens: Number of prompt tokens that engines prefilled.
         prefilled_by_engine: The same of each engine.
         preemptions: Number of requests that engines preempted.
@@ -147,6 +148,7 @@
     credit_share: float
     credit_share_by_kind: dict[str, float]
     late_pauses: int
+    completed: int
     failed: int
     prefilled_tokens: int
     prefilled_by_engine: tuple[int, ...]
@@ -373,6 +375,7 @@
                 each.caller.is_complete and
                 each.caller.longest_pause > each.kind.inter_event_target
                 for each in self._callers),
+            completed=sum(each.caller.is_complete for each in self._callers),
             failed=sum(not each.caller.is_complete for each in self._callers),
             prefilled_tokens=sum(
                 each.prefilled_tokens for each in self._engines.values()),
--- a/mustardwood/benchmarks/streams/tests/test_simulation.py
+++ b/mustardwood/benchmarks/streams/tests/test_simulation.py
@@ -57,6 +57,13 @@
 By the speed that the VMs assume, they would have a third of it.
 """
 
+_LONG_PROMPTS_ONLY = simulation.LoadProfile(
+    kinds=stream_kind.ACCOUNTING_TRAFFIC[:1], seconds=20.0, engines=2)
+_BEARABLE_RATE = 5.0
+"""Requests per second of this load that two engines serve in full."""
+_OVERLOAD_RATE = 20.0
+"""Requests per second of which they can prefill less than a half."""
+
 _MIXED_VERSIONS = simulation.LoadProfile(seconds=6.0,
                                          versions=("v1", "v1.1"),
                                          crashes=(2.0, 3.0, 4.0),
@@ -196,3 +203,14 @@
                                      fixed_profile=profiles.PRIOR.slow_down(
                                          1 / speed))
     assert learned.credit_share >= right.credit_share - 0.02
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+def test_overload_of_long_prompts_does_not_complete_fewer_streams(seed):
+    completed = []
+    for rate in (_BEARABLE_RATE, _OVERLOAD_RATE):
+        kind = dataclasses.replace(_LONG_PROMPTS_ONLY.kinds[0], rate=rate)
+        profile = dataclasses.replace(_LONG_PROMPTS_ONLY, kinds=(kind,))
+        outcome = simulation.simulate_load(profile, seed=seed)
+        completed.append(outcome.completed)
+    assert completed[1] >= completed[0]
