Bound the share of prefill by the pace that streams need

Callers with long prompts got hardly any complete response in a burst: their streams were cut at the deadline after half of their events, while engines worked all the time.

Cause: a prompt was sent as soon as the engine had room to prefill it. A step that also prefills a chunk takes several times as long as one that does not, so the streams of an engine that always prefills get 6 tokens in about 300 ms and need 18.6 s for 64 events; their deadline is 15 s. The class is work that is begun at a rate at which it cannot end, known as receive livelock: goodput falls as load rises.

Now a long prompt waits while the engine's recent share of prefill is above the one at which streams end by their deadlines. It follows from the profile of the engine, its load, and the tokens a second that the prompt itself and those sent before it need. The share is measured from the load reports that all VMs have, so they decide alike, without messages of their own.

--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -9,6 +9,7 @@
 
 from mustardwood import profiles
 from mustardwood import timing
+from mustardwood.dispatch import decode_pace
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_load
@@ -103,6 +104,7 @@
         self._rate_limits = rate_limits
         self._pauses = pauses
         self._partitions: dict[str, engine_partition.EnginePartition] = {}
+        self._paces: dict[str, decode_pace.DecodePace] = {}
         self._settings = settings
         self._find_service = find_service
         self._rng = rng
@@ -183,6 +185,9 @@
             self._partitions[service] = partition
         return partition
 
+    def _find_pace(self, service: str) -> decode_pace.DecodePace:
+        return self._paces.setdefault(service, decode_pace.DecodePace())
+
     def _choose_plain_endpoint(
             self,
             candidates: _Endpoints) -> Choice | placement_limit.PlacementLimit:
@@ -215,7 +220,8 @@
             pool.long_prompt_engines, self._find_cache_weight(request),
             self._find_size_weight(request), parameters.memory_tokens,
             self._find_partition(request.service).find_max_prefill_duration(
-                parameters.event_tokens), self._waits_for_gap(request, is_long))
+                parameters.event_tokens), self._waits_for_gap(request, is_long),
+            self._find_pace(request.service), self._clock.monotonic())
         best, least_cost = None, math.inf
         limits: collections.Counter[placement_limit.PlacementLimit] = (
             collections.Counter())
@@ -232,6 +238,9 @@
                     if limits else placement_limit.PlacementLimit.NO_ENDPOINT)
         if costs.should_wait(best):
             return placement_limit.PlacementLimit.PREFILL
+        if is_long:
+            self._find_pace(request.service).record_request(
+                request, self._clock.monotonic())
         return self._make_choice(best, least_cost, best.name == preferred,
                                  best.name in holders,
                                  costs.find_added_load(best), best.name
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -4,6 +4,7 @@
 import datetime
 
 from mustardwood import profiles
+from mustardwood.dispatch import decode_pace
 from mustardwood.dispatch import endpoint as endpoint_module
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import engine_limits
@@ -30,7 +31,8 @@
                  long_prompt_engines: collections.abc.Set[str],
                  cache_weight: float, size_weight: float, memory_tokens: int,
                  max_prefill_duration: datetime.timedelta | None,
-                 waits_for_gap: bool) -> None:
+                 waits_for_gap: bool, pace: decode_pace.DecodePace,
+                 now: datetime.timedelta) -> None:
         """Computes the values that are the same for all engines.
 
         Args:
@@ -50,6 +52,8 @@
                 interactive streams; None for no limit.
             waits_for_gap: Whether the request waits for a gap in a continuous
                 prefill that has reached this maximum.
+            pace: Pace that the service's streams need.
+            now: Monotonic time.
         """
         prompt = request.prompt
         self._request = request
@@ -72,6 +76,8 @@
             settings, request.urgency)
         self._max_prefill_duration = max_prefill_duration
         self._waits_for_gap = waits_for_gap
+        self._pace = pace
+        self._now = now
         self._memory_limit = memory_tokens * self._limits.memory_share
 
     def find_cost(
@@ -137,6 +143,8 @@
         if (self._waits_for_gap and
                 self._exceeds_prefill_limit(endpoint, load, added_tokens)):
             return True
+        if self._is_long and self._delays_streams(endpoint, load):
+            return True
         if not self._is_long or not load.prefill_tokens:
             return False
         rate = self._find_profile(endpoint).prefill_rate
@@ -171,6 +179,16 @@
                 endpoint.name not in self._long_prompt_engines and
                 load.interactive_streams > self._settings.tolerated_streams)
 
+    def _delays_streams(self, endpoint: endpoint_module.Endpoint,
+                        load: endpoint_load.EndpointLoad) -> bool:
+        """Returns whether streams on an engine would miss their deadlines."""
+        if not load.requests:
+            return False
+        share = self._table.measure_use(endpoint.name).prefill_share
+        return share > self._pace.find_max_prefill_share(
+            self._request, self._now, self._find_profile(endpoint),
+            load.requests + 1, load.held_tokens)
+
     def _exceeds_prefill_limit(self, endpoint: endpoint_module.Endpoint,
                                load: endpoint_load.EndpointLoad,
                                added_tokens: int) -> bool:
