--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -188,6 +188,7 @@
     Attributes:
         name: Name of the VM.
         callers: Port for callers.
+        peer_address: Address for messages of other VMs as IP:PORT.
         is_in_service: Whether the load balancer sends it new connections.
     """
 
@@ -210,6 +211,7 @@
         self._command = command
         self.is_in_service = False
         self.callers, self._ready, peers = find_free_ports(3)
+        self.peer_address = f"127.0.0.1:{peers}"
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(f"""
 node_name = "{name}"
@@ -219,7 +221,7 @@
 [listen]
 front_addr = "127.0.0.1:{self.callers}"
 ready = "127.0.0.1:{self._ready}"
-control_plane = "127.0.0.1:{peers}"
+control_plane = "{self.peer_address}"
 [bounds]
 grace_s = 8
 revoke_ms = 5000
