Connect to endpoints through another VM while the own path is lost

Callers of VMs that were cut from all endpoints got 503 for most first tries, or no answer in time, while other VMs served the same requests.

Causes: a VM used only the endpoints that it reached itself, and it took the loss of its own path for the failure of all endpoints, which it then avoided; the admission of tiers saw no capacity and refused at once. The class is a fault of the observer's path that is booked as a fault of what it observes.

Now a VM whose connections to two endpoints of a service fail, with none that succeeds, opens its connections through a tunnel of another VM, by HTTP's CONNECT, and forgets what it learnt of these endpoints' health. Connections that hang are found by probes when several endpoints send nothing for 500 ms. Only the connection is relayed, so that attempts, budgets, limits, keys and what is known of a run stay with one VM, and the endpoint's close and reset reach it as before. Tunnels lead from registered VMs to known endpoints, over one hop. In calm nothing is sent.

--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -206,6 +206,11 @@
         return tuple(each for each in self._endpoints.values()
                      if each.service == service)
 
+    def list_endpoints(self) -> tuple[endpoint_module.Endpoint, ...]:
+        """Returns the known endpoints of all services, also draining ones."""
+        self._process_expirations()
+        return tuple(self._endpoints.values())
+
     def find_endpoint(self, name: str) -> endpoint_module.Endpoint | None:
         """Returns the endpoint with a name, including one that is leaving."""
         self._process_expirations()
--- a/mustardwood/http1/__init__.py
+++ b/mustardwood/http1/__init__.py
@@ -15,22 +15,30 @@
 from mustardwood.http1.http_request import HttpRequest
 from mustardwood.http1.page_server import Page
 from mustardwood.http1.page_server import PageServer
+from mustardwood.http1.path import CONNECT_TIMEOUT
+from mustardwood.http1.path import DirectPath
+from mustardwood.http1.path import EndpointFactory
+from mustardwood.http1.path import Path
 from mustardwood.http1.reactor_scheduler import ReactorScheduler
 from mustardwood.http1.request_handler import RequestHandler
 from mustardwood.http1.response_writer import ResponseWriter
 
 __all__ = [
     "BodyBudget",
+    "CONNECT_TIMEOUT",
     "CallerConnection",
     "ChunkTurns",
     "ConnectionLimits",
     "ConnectionPool",
+    "DirectPath",
+    "EndpointFactory",
     "Exchange",
     "ExchangeListener",
     "Headers",
     "HttpRequest",
     "Page",
     "PageServer",
+    "Path",
     "ReactorScheduler",
     "RequestHandler",
     "ResponseWriter",
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -15,9 +15,8 @@
 from mustardwood.http1 import endpoint_connection
 from mustardwood.http1 import exchange as exchange_module
 from mustardwood.http1 import http_request
+from mustardwood.http1 import path as path_module
 
-CONNECT_TIMEOUT = datetime.timedelta(milliseconds=400)
-"""Timeout for opening a connection; a hundred round trips between zones."""
 _CLEANUP_INTERVAL = datetime.timedelta(seconds=1)
 """Interval at which expired idle connections are closed."""
 
@@ -35,12 +34,12 @@
         opened: Number of connections that the pool has started to open.
     """
 
-    def __init__(
-            self,
-            reactor: typing.Any,
-            clock: timing.Clock,
-            scheduler: dispatch.Scheduler,
-            response_memory: dispatch.ResponseMemory | None = None) -> None:
+    def __init__(self,
+                 reactor: typing.Any,
+                 clock: timing.Clock,
+                 scheduler: dispatch.Scheduler,
+                 response_memory: dispatch.ResponseMemory | None = None,
+                 path: path_module.Path | None = None) -> None:
         """Creates a pool without connections.
 
         Args:
@@ -49,9 +48,10 @@
             scheduler: Schedules the close of idle connections.
             response_memory: Bounds the buffers of all connections; None for a
                 bound of this pool.
+            path: Opens the connections; None for direct ones.
         """
+        self._path = path or path_module.DirectPath(reactor)
         self._response_memory = response_memory or dispatch.ResponseMemory()
-        self._reactor = reactor
         self._clock = clock
         self._scheduler = scheduler
         self._idle: dict[_Address, _ConnectionList] = {}
@@ -96,20 +96,30 @@
             return exchange
         self.opened += 1
         factory = _ConnectionFactory(self, address, exchange)
-        connector = self._reactor.connectTCP(
-            *address, factory, timeout=CONNECT_TIMEOUT.total_seconds())
+        connector = self._path.connect(address, factory)
         exchange.attach(_PendingConnection(connector), is_connected=False)
         return exchange
 
     def make_connection(
-        self, address: _Address, first_exchange: exchange_module.Exchange
-    ) -> endpoint_connection.EndpointConnection:
-        """Returns the protocol of a new connection that starts an exchange."""
+            self,
+            address: _Address,
+            first_exchange: exchange_module.Exchange,
+            is_relayed: bool = False) -> endpoint_connection.EndpointConnection:
+        """Returns the protocol of a new connection that starts an exchange.
+
+        Args:
+            address: IP address and port of the endpoint.
+            first_exchange: The exchange.
+            is_relayed: Whether the connection leads through another VM.
+        """
+        path = self._path
         return endpoint_connection.EndpointConnection(
             self._clock, self._scheduler,
             lambda idle: self._idle.setdefault(address, []).append(idle),
             lambda lost: self._remove_idle(address, lost), first_exchange,
-            self._response_memory, next(self._numbers))
+            self._response_memory, next(self._numbers), is_relayed,
+            _do_nothing if is_relayed else lambda: path.record_write(address),
+            _do_nothing if is_relayed else lambda: path.record_data(address))
 
     def close_idle_connections(self, address: _Address) -> None:
         """Closes the idle connections to an address."""
@@ -124,7 +134,9 @@
         for connection in reversed(connections.copy()):
             idle_time = now - connection.idle_since
             if (not connection.is_usable or
-                    idle_time >= connection.max_idle_time):
+                    idle_time >= connection.max_idle_time or
+                    not self._path.allows_reuse(address,
+                                                connection.is_relayed)):
                 connections.remove(connection)
                 connection.abort()
             elif idle_time >= max_idle_time:
@@ -153,6 +165,10 @@
         self._scheduler.call_later(_CLEANUP_INTERVAL, self._close_expired)
 
 
+def _do_nothing() -> None:
+    """Ignores what happens on a connection through another VM."""
+
+
 class _PendingConnection:
     """A connection that is being opened."""
 
@@ -198,6 +214,15 @@
             return None
         return self._pool.make_connection(self._address, exchange)
 
+    def build_relayed(self) -> protocol.Protocol | None:
+        """See `path.EndpointFactory`."""
+        exchange, self._exchange = self._exchange, None
+        if exchange is None:
+            return None
+        return self._pool.make_connection(self._address,
+                                          exchange,
+                                          is_relayed=True)
+
     def clientConnectionFailed(  # pylint: disable=invalid-name
             self, connector: interfaces.IConnector,
             reason: failure.Failure) -> None:
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -63,20 +63,26 @@
         idle_since: Monotonic time at which the last exchange ended.
         max_idle_time: Idle time up to which the connection may be reused.
         number: Number of the connection, unique in its pool, for the log.
+        is_relayed: Whether it leads through another VM.
     """
 
     transport: typing.Any
 
-    def __init__(self,
-                 clock: timing.Clock,
-                 scheduler: dispatch.Scheduler,
-                 on_idle: collections.abc.Callable[["EndpointConnection"],
-                                                   None],
-                 on_lost: collections.abc.Callable[["EndpointConnection"],
-                                                   None],
-                 first_exchange: exchange_module.Exchange,
-                 response_memory: dispatch.ResponseMemory,
-                 number: int = 0) -> None:
+    def __init__(
+            self,
+            clock: timing.Clock,
+            scheduler: dispatch.Scheduler,
+            on_idle: collections.abc.Callable[["EndpointConnection"], None],
+            on_lost: collections.abc.Callable[["EndpointConnection"], None],
+            first_exchange: exchange_module.Exchange,
+            response_memory: dispatch.ResponseMemory,
+            number: int = 0,
+            is_relayed: bool = False,
+            on_write: collections.abc.Callable[[], None] = lambda: None,
+            on_data: collections.abc.Callable[[], None] = lambda: None) -> None:
+        self.is_relayed = is_relayed
+        self._on_write = on_write
+        self._on_data = on_data
         self.number = number
         self._request_ids: set[int] = set()
         self._clock = clock
@@ -158,6 +164,7 @@
         if exchange is None or exchange.is_finished or exchange.is_written:
             return
         exchange.is_written = True
+        self._on_write()
         if exchange.request_id:
             # Callers choose the ids, which may be long.
             self._request_ids.add(hash(exchange.request_id))
@@ -186,6 +193,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
+        self._on_data()
         if self._exchange is None:
             # Data that arrives without an exchange belongs to no request.
             self._handle_unexpected_data(len(data))
--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -20,6 +20,7 @@
 from mustardwood import leadership
 from mustardwood import peers
 from mustardwood import profiles
+from mustardwood import relay
 from mustardwood import timing
 from mustardwood.platform import authorizer
 from mustardwood.platform import duties
@@ -59,6 +60,8 @@
 class Daemon:
     """Creates the components of the process and runs them."""
 
+    _port: typing.Any = None
+
     def __init__(self, reactor: typing.Any, path: pathlib.Path) -> None:
         """Reads the settings and creates the components.
 
@@ -180,10 +183,13 @@
         self._duties.add_endpoint_scaling(self._make_scaling)
         self._loop_monitor = event_loop_monitor.EventLoopMonitor(
             self._clock, self._scheduler, self._journal)
+        self._endpoint_path = self._make_endpoint_path(reactor)
         self._server = request_server.RequestServer(
-            self._make_context(pool), self._watcher,
+            self._make_context(
+                http1.ConnectionPool(reactor, self._clock, self._scheduler,
+                                     self._response_memory,
+                                     self._endpoint_path)), self._watcher,
             http1.BodyBudget(self._settings.max_body_memory))
-        self._port: typing.Any = None
         self._settings_version = _read_file_version(path)
         self._shutdown = graceful_shutdown.GracefulShutdown(
             self._server, self._process_exit, self._clock, self._scheduler,
@@ -204,9 +210,17 @@
         self._loop_monitor.start()
         self._duties.start()
         if listen.peers:
-            self._serve_page(listen.peers, peer_synchronizer.CONFIGURATION_PATH,
-                             self._build_configuration)
             host, port = settings_module.parse_address(listen.peers)
+            pages = http1.PageServer(self._scheduler, {
+                peer_synchronizer.CONFIGURATION_PATH: self._build_configuration
+            })
+            self._reactor.listenTCP(port,
+                                    relay.TunnelServer(
+                                        pages, self._endpoint_path,
+                                        self._directory.find_endpoint,
+                                        self._peers.is_peer,
+                                        self._endpoint_path.has_path),
+                                    interface=host)
             self._reactor.listenUDP(port, self._peers.port, interface=host)
             self._registration.start()
             self._peers.start()
@@ -341,6 +355,17 @@
                             endpoint=change.endpoint,
                             **change.profile.describe())
 
+    def _make_endpoint_path(self, reactor: typing.Any) -> relay.RelayedPath:
+        return relay.RelayedPath(reactor, self._clock, self._scheduler,
+                                 self._journal, self._directory.list_endpoints,
+                                 self._peers.list_running,
+                                 self._forget_failures, self._rng)
+
+    def _forget_failures(self, service: str) -> None:
+        """Forgets that endpoints failed, as the path to them did."""
+        for each in self._directory.list_registered(service):
+            self._health.forget_endpoint(each.name)
+
     def _handle_vm_change(self, name: str, value: bytes | None) -> None:
         self._peers.set_vm(name, value)
 
@@ -440,6 +465,12 @@
             ("mustardwood_paused_endpoints",
              "Endpoints that have asked this VM for a pause.",
              lambda: float(self._pauses.paused_count)),
+            ("mustardwood_lost_paths",
+             "Services whose endpoints are reached through other VMs.",
+             lambda: float(self._endpoint_path.lost_count)),
+            ("mustardwood_relayed_connections",
+             "Connections through other VMs that were asked for.",
+             lambda: float(self._endpoint_path.opened_tunnels)),
             ("mustardwood_hedges", "Requests sent to a second endpoint, too.",
              lambda: float(self._hedging.sent)),
             ("mustardwood_hedge_wins",
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -39,6 +39,11 @@
 """Number of peers that are asked about a stream; most know all streams."""
 _PEER_TIMEOUT = datetime.timedelta(seconds=15)
 """Time without updates after which an unregistered peer is removed."""
+_MAX_SILENCE = datetime.timedelta(seconds=2.5)
+"""Time without updates after which a peer may not run any more.
+
+Two updates at the longest interval may be lost.
+"""
 _FETCH_DELAY = datetime.timedelta(milliseconds=200)
 """Delay before a newer configuration is read from a peer.
 
@@ -92,6 +97,19 @@
         """Names of these peers."""
         return self._addresses.keys()
 
+    def is_peer(self, ip: str) -> bool:
+        """Returns whether an IP address is that of a peer."""
+        return any(host == ip for host, _ in self._addresses.values())
+
+    def list_running(self) -> list[tuple[str, int]]:
+        """Returns the addresses of the peers that have sent updates recently.
+        """
+        oldest = self._clock.monotonic() - _MAX_SILENCE
+        return [
+            address for name, address in sorted(self._addresses.items())
+            if self._received_at.get(name, datetime.timedelta()) >= oldest
+        ]
+
     def start(self) -> None:
         """Starts to send updates."""
         self._repeat(self._send_updates)
--- /dev/null
+++ b/mustardwood/relay/tests/test_tunnels.py
@@ -0,0 +1,203 @@
+"""Tests of tunnels between VMs, without a network."""
+
+import random
+
+import pytest
+from twisted.internet import address as address_module
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.internet import testing
+from twisted.python import failure
+
+from mustardwood import relay
+from mustardwood.dispatch.tests import harness as harness_module
+from mustardwood.relay import tunnel_server
+
+_VM = "192.0.2.50"
+_VMS = [("192.0.2.51", 8265), ("192.0.2.52", 8265)]
+
+
+class _Transport(testing.StringTransport):
+    """A transport that keeps a changed protocol, as sockets do."""
+
+    protocol = None
+
+    def setTcpNoDelay(self, enabled):  # pylint: disable=invalid-name
+        """Does nothing."""
+
+    def getHandle(self):  # pylint: disable=invalid-name
+        """Returns a socket that takes any option."""
+        return self
+
+    def setsockopt(self, *_):
+        """Does nothing."""
+
+
+class _Pages(protocol.ServerFactory):
+    """Builds a protocol that repeats what it gets."""
+
+    def buildProtocol(self, addr):
+        """See `protocol.ServerFactory`."""
+        built = protocol.Protocol()
+        built.dataReceived = lambda data: built.transport.write(b"page:" + data)
+        return built
+
+
+class _Factory:
+    """Records what becomes of a connection."""
+
+    def __init__(self):
+        self.failures = []
+        self.relayed = []
+
+    def buildProtocol(self, addr):  # pylint: disable=invalid-name
+        """Returns the protocol of a direct connection."""
+        del addr
+        return protocol.Protocol()
+
+    def build_relayed(self):
+        """Returns the protocol of a connection through another VM."""
+        self.relayed.append(protocol.Protocol())
+        return self.relayed[-1]
+
+    def clientConnectionFailed(  # pylint: disable=invalid-name
+            self, connector, reason):
+        """Records a failure."""
+        del connector
+        self.failures.append(reason)
+
+
+def _make_path(harness, reactor, vms):
+    lost = []
+    path = relay.RelayedPath(reactor, harness.clock, harness.scheduler,
+                             harness.journal, harness.directory.list_endpoints,
+                             lambda: vms, lost.append, random.Random(1))
+    return path, lost
+
+
+def _find_address(harness, index):
+    endpoint = harness.directory.find_endpoint(f"endpoint-{index}")
+    return endpoint.host, endpoint.port
+
+
+def _fail_last(reactor):
+    *_, factory, _, _ = reactor.tcpClients[-1]
+    factory.clientConnectionFailed(None, failure.Failure(error.TimeoutError()))
+
+
+def _lose_path(harness, path, reactor):
+    for index in (0, 1):
+        path.connect(_find_address(harness, index), _Factory())
+        _fail_last(reactor)
+
+
+def _open_tunnel(reactor, response):
+    """Lets the VM that was asked last answer; returns the transport."""
+    *_, factory, _, _ = reactor.tcpClients[-1]
+    transport = _Transport()
+    transport.protocol = factory.buildProtocol(None)
+    transport.protocol.makeConnection(transport)
+    transport.protocol.dataReceived(response)
+    if transport.disconnected or transport.disconnecting:
+        transport.protocol.connectionLost(
+            failure.Failure(error.ConnectionLost()))
+    return transport
+
+
+def test_connections_lead_through_another_vm_while_the_path_is_lost():
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, lost = _make_path(harness, reactor, _VMS)
+    _lose_path(harness, path, reactor)
+    assert lost == ["engine"]
+    factory = _Factory()
+    path.connect(_find_address(harness, 2), factory)
+    assert reactor.tcpClients[-1][:2] in _VMS
+    transport = _open_tunnel(reactor, b"HTTP/1.1 200 OK\r\n\r\n")
+    assert transport.value().startswith(b"CONNECT endpoint-2 HTTP/1.1\r\n")
+    assert transport.protocol is factory.relayed[0]
+    assert not path.allows_reuse(_find_address(harness, 2), False)
+    assert path.allows_reuse(_find_address(harness, 2), True)
+
+
+def test_next_vm_is_asked_if_one_has_no_path_itself():
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, _VMS)
+    _lose_path(harness, path, reactor)
+    factory = _Factory()
+    path.connect(_find_address(harness, 2), factory)
+    asked = [reactor.tcpClients[-1][:2]]
+    _open_tunnel(reactor, b"HTTP/1.1 503 Service Unavailable\r\n\r\n")
+    asked.append(reactor.tcpClients[-1][:2])
+    assert sorted(asked) == _VMS
+    assert not factory.failures
+    _open_tunnel(reactor, b"HTTP/1.1 502 Bad Gateway\r\n\r\n")
+    assert len(factory.failures) == 1
+
+
+def test_path_without_other_vms_is_direct():
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, [])
+    _lose_path(harness, path, reactor)
+    path.connect(_find_address(harness, 2), _Factory())
+    assert reactor.tcpClients[-1][:2] == _find_address(harness, 2)
+
+
+def test_probe_finds_the_path_again():
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, _VMS)
+    _lose_path(harness, path, reactor)
+    harness.scheduler.advance(harness_module.ms(600))
+    *_, probe, _, _ = reactor.tcpClients[-1]
+    assert reactor.tcpClients[-1][:2] not in _VMS
+    assert probe.buildProtocol(None) is None
+    assert path.has_path(harness.directory.find_endpoint("endpoint-0"))
+    assert [
+        fields["state"]
+        for event, fields in harness.journal.lines
+        if event == "endpoint_path"
+    ] == ["lost", "direct"]
+
+
+@pytest.mark.parametrize("ip, name, has_path, status",
+                         [("192.0.2.99", "endpoint-0", True, 403),
+                          (_VM, "endpoint-9", True, 404),
+                          (_VM, "endpoint-0", False, 503),
+                          (_VM, "endpoint-0", True, None)])
+def test_tunnel_leads_only_from_vms_to_endpoints(ip, name, has_path, status):
+    harness = harness_module.Harness(endpoints=1)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, [])
+    server = tunnel_server.TunnelServer(_Pages(), path,
+                                        harness.directory.find_endpoint,
+                                        lambda each: each == _VM,
+                                        lambda endpoint: has_path)
+    transport = _Transport()
+    transport.protocol = server.buildProtocol(
+        address_module.IPv4Address("TCP", ip, 40_000))
+    transport.protocol.makeConnection(transport)
+    for part in (b"CON", b"NECT " + name.encode(), b" HTTP/1.1\r\n\r\n"):
+        transport.protocol.dataReceived(part)
+    if status is None:
+        assert reactor.tcpClients[-1][:2] == _find_address(harness, 0)
+    else:
+        assert not reactor.tcpClients
+        assert transport.value().startswith(b"HTTP/1.1 %d " % status)
+        assert transport.disconnecting
+
+
+def test_other_requests_on_the_port_get_their_page():
+    harness = harness_module.Harness(endpoints=1)
+    path, _ = _make_path(harness, testing.MemoryReactor(), [])
+    server = tunnel_server.TunnelServer(_Pages(), path,
+                                        harness.directory.find_endpoint,
+                                        lambda ip: True, path.has_path)
+    transport = _Transport()
+    transport.protocol = server.buildProtocol(
+        address_module.IPv4Address("TCP", "192.0.2.99", 40_000))
+    transport.protocol.makeConnection(transport)
+    transport.protocol.dataReceived(b"GET /configuration HTTP/1.1\r\n\r\n")
+    assert transport.value() == b"page:GET /configuration HTTP/1.1\r\n\r\n"
--- /dev/null
+++ b/mustardwood/relay/tunnel_server.py
@@ -0,0 +1,276 @@
+"""Tunnels to endpoints for other VMs."""
+
+import collections.abc
+import http
+import typing
+
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.python import failure
+from zope.interface import implementer
+
+from mustardwood import dispatch
+from mustardwood.http1 import socket_options
+
+METHOD = b"CONNECT "
+"""Beginning of the request for a tunnel [1]_.
+
+References:
+    .. [1] R. Fielding, M. Nottingham and J. Reschke, "HTTP Semantics", RFC
+       9110, 2022, section 9.3.6.
+"""
+END_OF_HEAD = b"\r\n\r\n"
+MAX_HEAD_BYTES = 2048
+"""Maximum size of the head of a request or response for a tunnel."""
+MAX_TUNNELS = 256
+"""Number of tunnels that may be open; each has two connections."""
+
+FindEndpoint = collections.abc.Callable[[str], dispatch.Endpoint | None]
+
+
+class Connector(typing.Protocol):
+    """Opens direct connections to endpoints."""
+
+    def connect_directly(self, address: tuple[str, int],
+                         factory: protocol.ClientFactory) -> typing.Any:
+        """Opens a connection; returns Twisted's connector."""
+
+
+class TunnelServer(protocol.ServerFactory):
+    """Serves tunnels and, for all other requests, another factory's protocol.
+
+    A tunnel leads to an endpoint that this VM knows, over its own path only, so
+    that there are no loops. Only registered VMs may open one. It carries bytes,
+    ends and resets in both directions; the endpoint gets just what the other VM
+    would have sent.
+    """
+
+    noisy = False
+
+    def __init__(
+            self, pages: protocol.ServerFactory, connector: Connector,
+            find_endpoint: FindEndpoint, is_vm: collections.abc.Callable[[str],
+                                                                         bool],
+            has_path: collections.abc.Callable[[dispatch.Endpoint],
+                                               bool]) -> None:
+        """Creates the factory.
+
+        Args:
+            pages: Builds the protocol of connections for other requests.
+            connector: Opens connections to endpoints.
+            find_endpoint: Returns the endpoint of a name.
+            is_vm: Returns whether an IP address is that of another VM.
+            has_path: Returns whether this VM reaches an endpoint itself.
+        """
+        self._pages = pages
+        self._connector = connector
+        self._find_endpoint = find_endpoint
+        self._is_vm = is_vm
+        self._has_path = has_path
+        self.open_tunnels = 0
+
+    def buildProtocol(  # pylint: disable=invalid-name
+            self, addr: typing.Any) -> protocol.Protocol:
+        """See `protocol.ServerFactory`."""
+        return _FirstBytes(self, addr)
+
+    def build_page_protocol(self, address: typing.Any) -> typing.Any:
+        """Returns the protocol of a connection for other requests."""
+        return self._pages.buildProtocol(address)
+
+    def find_target(self, ip: str,
+                    name: str) -> dispatch.Endpoint | http.HTTPStatus:
+        """Returns the endpoint to which a tunnel may be opened.
+
+        Args:
+            ip: IP address of the VM that asks for it.
+            name: Name of the endpoint.
+
+        Returns:
+            The endpoint, or the status to refuse with.
+        """
+        if not self._is_vm(ip):
+            return http.HTTPStatus.FORBIDDEN
+        endpoint = self._find_endpoint(name)
+        if endpoint is None:
+            return http.HTTPStatus.NOT_FOUND
+        if not self._has_path(endpoint) or self.open_tunnels >= MAX_TUNNELS:
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        return endpoint
+
+    def connect(self, endpoint: dispatch.Endpoint,
+                inner: "_TunnelEnd") -> typing.Any:
+        """Opens the connection of a tunnel to its endpoint."""
+        return self._connector.connect_directly((endpoint.host, endpoint.port),
+                                                _OuterFactory(inner))
+
+
+class _FirstBytes(protocol.Protocol):
+    """Chooses the protocol of a connection by its first bytes."""
+
+    transport: typing.Any
+
+    def __init__(self, server: TunnelServer, address: typing.Any) -> None:
+        self._server = server
+        self._address = address
+        self._data = b""
+
+    def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        self._data += data
+        if METHOD.startswith(self._data):
+            return
+        chosen: typing.Any = (_TunnelEnd(self._server, self._address.host)
+                              if self._data.startswith(METHOD) else
+                              self._server.build_page_protocol(self._address))
+        self.transport.protocol = chosen
+        chosen.makeConnection(self.transport)
+        chosen.dataReceived(self._data)
+
+
+@implementer(interfaces.IHalfCloseableProtocol)
+class _End(protocol.Protocol):
+    """One of the two connections of a tunnel."""
+
+    transport: typing.Any
+
+    def __init__(self) -> None:
+        self.other: "_End | None" = None
+
+    def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        if self.other is not None:
+            self.other.transport.write(data)
+
+    def readConnectionLost(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IHalfCloseableProtocol`."""
+        if self.other is None:
+            self.transport.loseConnection()
+        else:
+            self.other.transport.loseWriteConnection()
+
+    def writeConnectionLost(self) -> None:  # pylint: disable=invalid-name
+        """See `interfaces.IHalfCloseableProtocol`."""
+
+    def connectionLost(  # pylint: disable=invalid-name
+            self,
+            reason: failure.Failure = protocol.connectionDone) -> None:
+        """See `protocol.Protocol`."""
+        other, self.other = self.other, None
+        if other is None:
+            return
+        other.other = None
+        other.transport.unregisterProducer()
+        if reason.check(type(protocol.connectionDone.value)):
+            other.transport.loseConnection()
+        else:
+            other.transport.abortConnection()
+
+    def join(self, other: "_End") -> None:
+        """Connects the two ends, each of which holds back the other's data."""
+        self.other, other.other = other, self
+        self.transport.registerProducer(other.transport, True)
+        other.transport.registerProducer(self.transport, True)
+
+
+class _TunnelEnd(_End):
+    """The connection to the VM that has asked for a tunnel."""
+
+    def __init__(self, server: TunnelServer, ip: str) -> None:
+        super().__init__()
+        self._server = server
+        self._ip = ip
+        self._head = b""
+        self._connector: typing.Any = None
+        self._is_open = False
+
+    def connectionMade(self) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        socket_options.configure_socket(self.transport,
+                                        socket_options.UNREACHABLE_TIMEOUT)
+        self._server.open_tunnels += 1
+
+    def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        if self._is_open:
+            super().dataReceived(data)
+            return
+        self._head += data
+        if END_OF_HEAD not in self._head:
+            if len(self._head) > MAX_HEAD_BYTES:
+                self._refuse(http.HTTPStatus.BAD_REQUEST)
+            return
+        if self._connector is not None or not self._head.endswith(END_OF_HEAD):
+            # The other VM sends nothing before the tunnel is open.
+            self._refuse(http.HTTPStatus.BAD_REQUEST)
+            return
+        name = self._head[len(METHOD):].partition(b" ")[0].decode("latin-1")
+        target = self._server.find_target(self._ip, name)
+        if isinstance(target, http.HTTPStatus):
+            self._refuse(target)
+        else:
+            self._connector = self._server.connect(target, self)
+
+    def connectionLost(  # pylint: disable=invalid-name
+            self,
+            reason: failure.Failure = protocol.connectionDone) -> None:
+        """See `protocol.Protocol`."""
+        self._server.open_tunnels -= 1
+        if not self._is_open and self._connector is not None:
+            self._connector.disconnect()
+        super().connectionLost(reason)
+
+    def open(self, outer: _End) -> None:
+        """Opens the tunnel, whose connection to the endpoint is there."""
+        self._is_open = True
+        self.transport.write(b"HTTP/1.1 200 OK" + END_OF_HEAD)
+        self.join(outer)
+
+    def handle_failure(self) -> None:
+        """Refuses the tunnel, since the endpoint can't be connected to."""
+        self._refuse(http.HTTPStatus.BAD_GATEWAY)
+
+    def _refuse(self, status: http.HTTPStatus) -> None:
+        self._head = b""
+        self.transport.write(b"HTTP/1.1 %d %b\r\nConnection: close" %
+                             (status, status.phrase.encode()) + END_OF_HEAD)
+        self.transport.loseConnection()
+
+
+class _OuterEnd(_End):
+    """The connection to the endpoint."""
+
+    def __init__(self, inner: _TunnelEnd) -> None:
+        super().__init__()
+        self._inner = inner
+
+    def connectionMade(self) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        socket_options.configure_socket(self.transport,
+                                        socket_options.SLOW_READER_TIMEOUT)
+        if self._inner.transport.connected:
+            self._inner.open(self)
+        else:
+            self.transport.abortConnection()
+
+
+class _OuterFactory(protocol.ClientFactory):
+    """Opens the connection to the endpoint."""
+
+    noisy = False
+
+    def __init__(self, inner: _TunnelEnd) -> None:
+        self._inner = inner
+
+    def buildProtocol(  # pylint: disable=invalid-name
+            self, addr: typing.Any) -> protocol.Protocol:
+        """See `protocol.ClientFactory`."""
+        del addr
+        return _OuterEnd(self._inner)
+
+    def clientConnectionFailed(  # pylint: disable=invalid-name
+            self, connector: interfaces.IConnector,
+            reason: failure.Failure) -> None:
+        """See `protocol.ClientFactory`."""
+        del connector, reason
+        self._inner.handle_failure()
