Cut VMs from all endpoints in the soak, and plant a fault that it finds

Runs cut one or more VMs from all endpoints again and again, silent, with resets or with new connections refused, and check from 3 s after each cut that callers' requests are served at least two thirds as often there as at the other VMs.

--- a/mustardwood/platform/tests/cut_path.py
+++ b/mustardwood/platform/tests/cut_path.py
@@ -38,8 +38,9 @@
         """Cuts the path.
 
         Args:
-            how: `refused`: open connections live on, new ones are refused;
-                `reset`: open ones are reset besides; `silent`: all hang.
+            how (str): `refused`: open connections live on, new ones are
+                refused; `reset`: open ones are reset besides; `silent`: all
+                hang.
         """
         if how == "silent":
             self._is_silent = True
--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -34,6 +34,10 @@
                         action="store_true",
                         help="callers send refused requests again under the "
                         "same id")
+    parser.add_argument("--cut",
+                        type=int,
+                        default=0,
+                        help="number of VMs that are cut from all endpoints")
     parser.add_argument("--plant",
                         choices=sorted(plants.FAULTS),
                         default="",
@@ -68,6 +72,7 @@
                          has_impatient_callers=options.impatient,
                          copied_refusals=options.copies,
                          has_repeating_callers=options.repeat,
+                         cut_vms=options.cut,
                          plant=options.plant,
                          takeover_stop_seconds=options.stop,
                          takeover_delay_seconds=options.delay,
--- a/mustardwood/platform/tests/soak/checks.py
+++ b/mustardwood/platform/tests/soak/checks.py
@@ -9,6 +9,7 @@
 
 _Runs = collections.abc.Iterable[endpoint.Run]
 _Outcomes = collections.abc.Iterable[caller.Outcome]
+_Cuts = collections.abc.Iterable[tuple[frozenset[str], float, float]]
 _Disturbances = collections.abc.Sequence[tuple[str, float, float]]
 
 MAX_OVERLAP_SECONDS = 0.4
@@ -18,6 +19,12 @@
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 _STREAM_PATH = "/stream/"
+_CONTACT_SECONDS = 3.0
+"""Time after the beginning of a cut from which VMs have to serve."""
+_MIN_SHARE = 2 / 3
+"""Share of the others' served requests that a cut VM has to serve."""
+_MAX_FAILED, _MAX_FAILED_SHARE = 10, 1 / 50
+"""Requests that may fail at cut VMs anyway."""
 
 
 def find_repeated_runs(runs: _Runs) -> list[str]:
@@ -121,6 +128,36 @@
     ]
 
 
+def find_unserved_cuts(outcomes: _Outcomes, cuts: _Cuts) -> list[str]:
+    """Returns the cuts in which callers of cut VMs were served far worse.
+
+    A cut VM has to serve two thirds as often as the others, unless few requests
+    fail there.
+
+    Args:
+        outcomes: What callers have seen of all requests.
+        cuts: Tuples of the names of the VMs that were cut from all endpoints
+            and the monotonic times at which that began and ended.
+    """
+    outcomes, found = list(outcomes), []
+    for names, began_at, ended_at in cuts:
+        counts = {True: [0, 0], False: [0, 0]}
+        for each in outcomes:
+            if began_at + _CONTACT_SECONDS <= each.sent_at < ended_at:
+                served, sent = counts[each.vm in names]
+                counts[each.vm in names] = [
+                    served + (each.status == 200), sent + 1
+                ]
+        (served, sent), (others_served, others_sent) = (counts[True],
+                                                        counts[False])
+        if (sent and others_sent and
+                sent - served > _MAX_FAILED + _MAX_FAILED_SHARE * sent and
+                served / sent < _MIN_SHARE * others_served / others_sent):
+            found.append(f"{served} of {sent} served at cut VMs, "
+                         f"{others_served} of {others_sent} at the others")
+    return found
+
+
 def _is_disturbed(name: str,
                   at: float,
                   disturbances: _Disturbances,
--- a/mustardwood/platform/tests/soak/disruption.py
+++ b/mustardwood/platform/tests/soak/disruption.py
@@ -9,6 +9,8 @@
 _MAX_FAULT_PAUSE_SECONDS = 3.0
 _MIN_STOP_SECONDS, _MAX_STOP_SECONDS = 0.05, 2.0
 _MAX_LINK_DELAY_SECONDS = 0.1
+_MIN_CUT_SECONDS, _MAX_CUT_SECONDS = 4.0, 6.0
+"""Duration of a cut, of which the first seconds are not judged."""
 
 
 class Disruption:
@@ -17,9 +19,11 @@
     Attributes:
         disturbances: Tuples of the name of a VM or an endpoint and the
             monotonic times at which a disturbance began and ended.
+        cuts: Tuples of the names of the VMs that were cut from all endpoints
+            and the monotonic times at which that began and ended.
     """
 
-    def __init__(self, plan, vms, endpoints, links, store, source):
+    def __init__(self, plan, vms, endpoints, links, paths, store, source):
         """Creates the disruption of a run.
 
         Args:
@@ -27,6 +31,7 @@
             vms: The VMs.
             endpoints: The endpoints.
             links: Links to VMs by the names of these, if there are any.
+            paths: Paths of the VMs to be cut to the endpoints.
             store: The store.
             source: Source of random numbers.
         """
@@ -37,7 +42,9 @@
         self._store = store
         self._random = source
         self._last_restart = asyncio.Lock()
+        self._paths = paths
         self.disturbances = []
+        self.cuts = []
 
     def list_series(self):
         """Returns the coroutines that disturb the run until cancelled."""
@@ -58,6 +65,8 @@
                 self._repeat(_MAX_FAULT_PAUSE_SECONDS, self._disturb_endpoint,
                              each) for each in self._endpoints
             ]
+        if self._paths:
+            series.append(self._repeat(_MAX_PAUSE_SECONDS, self._cut_vms))
         if self._plan.takeover_stop_seconds:
             series.append(self._stop_during_takeovers())
         return series
@@ -85,6 +94,22 @@
                     await asyncio.to_thread(vm.restart)
         self._record(vm.name, began_at)
 
+    async def _cut_vms(self):
+        how = self._random.choice(("refused", "reset", "silent"))
+        names = frozenset(each.name for each in self._vms[:self._plan.cut_vms])
+        began_at = time.monotonic()
+        for each in self._paths:
+            each.cut(how)
+        try:
+            await asyncio.sleep(
+                self._random.uniform(_MIN_CUT_SECONDS, _MAX_CUT_SECONDS))
+        finally:
+            for each in self._paths:
+                each.mend()
+        self.cuts.append((names, began_at, time.monotonic()))
+        for each in names:
+            self._record(each, began_at)
+
     async def _disturb_endpoint(self, endpoint):
         name, began_at = endpoint.name, time.monotonic()
         kind = self._random.choice(("link", "link", "stop", "restart"))
--- a/mustardwood/platform/tests/soak/plants.py
+++ b/mustardwood/platform/tests/soak/plants.py
@@ -10,6 +10,7 @@
 import sys
 
 from mustardwood import http1
+from mustardwood import relay
 from mustardwood.dispatch import forwarding
 from mustardwood.dispatch import request_record
 from mustardwood.dispatch import router_refusals
@@ -103,6 +104,11 @@
     forwarding.Forwarding._refuse = record_and_refuse
 
 
+def _use_own_path_only():
+    """Never opens a connection through another VM."""
+    relay.RelayedPath.has_path = lambda self, endpoint: True
+
+
 FAULTS: dict[str, collections.abc.Callable[[], None]] = {
     "unstated": _believe_unstated_refusals,
     "unsent": _count_runs_as_unsent,
@@ -110,6 +116,7 @@
     "error": _refuse_after_errors,
     "copy": _reuse_any_connection,
     "repetition": _refuse_repetitions,
+    "own-path": _use_own_path_only,
 }
 """Faults by name."""
 
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -1,12 +1,16 @@
 """One run of VMs under disruptions that a seed decides."""
 
 import asyncio
+import base64
 import collections
 import dataclasses
+import json
 import pathlib
 import random
 import time
 
+from mustardwood.platform import store_watcher
+from mustardwood.platform.tests import cut_path
 from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_servers
 from mustardwood.platform.tests import process_fleet
@@ -47,6 +51,8 @@
             sends a copy of the refusal later.
         has_repeating_callers: Whether callers send refused requests again at
             once, under the same id.
+        cut_vms: Number of VMs that are cut from all endpoints again and again;
+            these can't be behind links.
         plant: Name of the fault that is planted into the VMs; see `plants`.
     """
 
@@ -64,6 +70,7 @@
     has_impatient_callers: bool = False
     copied_refusals: float = 0.0
     has_repeating_callers: bool = False
+    cut_vms: int = 0
     plant: str = ""
 
 
@@ -95,13 +102,17 @@
         self._folder = folder
         self._servers = []
         self._links = {}
+        self._paths = []
         self.store = _make_store()
+        self._cut_store = _make_store() if plan.cut_vms else self.store
         command = ("mustardwood.platform",)
         if plan.plant:
             command = (plants.__name__, plan.plant)
         self.vms = [
-            process_fleet.Vm(folder, f"vm-{number}", self.store, "", command)
-            for number in range(plan.vms)
+            process_fleet.Vm(
+                folder, f"vm-{number}",
+                self._cut_store if number < plan.cut_vms else self.store, "",
+                command) for number in range(plan.vms)
         ]
         services = ["engine"] * plan.engines + ["api"] * _API_ENDPOINTS
         if plan.has_link_faults:
@@ -132,6 +143,8 @@
                 self._links[vm.name] = await self._make_link(vm.callers)
         else:
             self._servers += [await each.start() for each in self.endpoints]
+        if self._plan.cut_vms:
+            self._open_paths()
         ports = {name: link.port for name, link in self._links.items()}
         self.callers = [
             caller_module.Caller(f"caller-{number}", self.vms,
@@ -141,10 +154,26 @@
             for number in range(self._plan.callers)
         ]
         self.disruption = disruption_module.Disruption(
-            self._plan, self.vms, self.endpoints, self._links, self.store,
-            random.Random(self._random.random()))
+            self._plan, self.vms, self.endpoints, self._links, self._paths,
+            self.store, random.Random(self._random.random()))
         await asyncio.gather(*(asyncio.to_thread(vm.start) for vm in self.vms))
 
+    def _open_paths(self):
+        """Registers the endpoints with the VMs to be cut, behind paths."""
+        for each in self.endpoints:
+            entry = json.loads(
+                base64.b64decode(
+                    self.store.find(f"servers/{each.name}")["value"]))
+            path = cut_path.CutPath(entry["address"])
+            self._paths.append(path)
+            self._cut_store.put(f"servers/{each.name}", {
+                **entry, "address": path.address
+            })
+        for store in (self.store, self._cut_store):
+            for vm in self.vms:
+                store.put(store_watcher.VM_PREFIX + vm.name,
+                          vm.peer_address.encode())
+
     def stop(self):
         """Ends the processes and the links."""
         for vm in self.vms:
@@ -208,10 +237,10 @@
     return _judge(
         fleet.list_runs(),
         [each for caller in fleet.callers for each in caller.outcomes],
-        disruption.disturbances)
+        disruption.disturbances, disruption.cuts)
 
 
-def _judge(runs, outcomes, disturbances):
+def _judge(runs, outcomes, disturbances, cuts):
     breaches = [
         f"TWICE: {each} may run once and ran again"
         for each in checks.find_repeated_runs(runs)
@@ -231,6 +260,10 @@
     breaches += [
         f"ORDER: {each}" for each in checks.find_disordered_streams(outcomes)
     ]
+    breaches += [
+        f"RECOVER: {each}"
+        for each in checks.find_unserved_cuts(outcomes, cuts)
+    ]
     counts = collections.Counter(run.attempt_id for run in runs)
     return Verdict(tuple(breaches), len(outcomes), len(counts), len(runs),
                    sum(count > 1 for count in counts.values()))
--- a/mustardwood/platform/tests/soak/test_checks.py
+++ b/mustardwood/platform/tests/soak/test_checks.py
@@ -81,3 +81,22 @@
     runs = [_make_run("a", 0.0, 0.5), _make_run("a", 0.6, 1.0)]
     outcome = _make_outcome("a", ended_at=ended_at, is_complete=is_complete)
     assert len(checks.find_waiting_requests(runs, [outcome])) == found
+
+
+@pytest.mark.parametrize("served, sent_at, found", [(10, 4.0, 1), (25, 4.0, 0),
+                                                    (10, 2.0, 0), (10, 9.0, 0)])
+def test_vm_that_serves_far_less_while_it_is_cut_is_found(
+        served, sent_at, found):
+    outcomes = [
+        _make_outcome(str(number),
+                      "vm-1",
+                      sent_at,
+                      status=200 if number < served else 503)
+        for number in range(30)
+    ]
+    outcomes += [
+        _make_outcome(f"other-{number}", "vm-2", sent_at, status=200)
+        for number in range(30)
+    ]
+    cuts = [(frozenset({"vm-1"}), 0.5, 8.0)]
+    assert len(checks.find_unserved_cuts(outcomes, cuts)) == found
--- a/mustardwood/platform/tests/soak/test_plants.py
+++ b/mustardwood/platform/tests/soak/test_plants.py
@@ -29,11 +29,23 @@
                      has_repeating_callers=True)
 
 
+def test_vm_that_uses_its_own_path_only_is_found(tmp_path):
+    assert _is_found(tmp_path,
+                     "RECOVER",
+                     plant="own-path",
+                     cut_vms=2,
+                     seconds=10.0)
+
+
 def _is_found(folder, rule, **options):
     """Returns whether one of the runs finds that a rule is broken."""
     for seed in _SEEDS:
         (folder / str(seed)).mkdir()
-        plan = soak.Plan(seed, seconds=6.0, misbehavior=0.4, **options)
+        plan = soak.Plan(seed, **{
+            "seconds": 6.0,
+            "misbehavior": 0.4,
+            **options
+        })
         verdict = asyncio.run(soak.play(plan, folder / str(seed)))
         if any(each.startswith(rule) for each in verdict.breaches):
             return True
--- a/mustardwood/platform/tests/soak/test_soak.py
+++ b/mustardwood/platform/tests/soak/test_soak.py
@@ -64,6 +64,14 @@
     assert not verdict.breaches
 
 
+@pytest.mark.parametrize("seed, cut_vms", [(81, 1), (82, 2)])
+def test_vms_cut_from_all_endpoints_serve_their_callers(tmp_path, seed,
+                                                        cut_vms):
+    verdict = _play(tmp_path, seed=seed, seconds=14.0, cut_vms=cut_vms)
+    assert verdict.sent > 100
+    assert not verdict.breaches
+
+
 def test_signals_in_series_break_no_rule(tmp_path):
     verdict = _play(tmp_path, seed=3, seconds=15.0, has_signals=True)
     assert verdict.runs > 100
