--- a/mustardwood/relay/relayed_path.py
+++ b/mustardwood/relay/relayed_path.py
@@ -202,8 +202,11 @@
         endpoint = self._endpoints.get(address)
         if endpoint is None:
             return None
-        return self._monitors.setdefault(endpoint.service,
-                                         path_monitor.PathMonitor(self._clock))
+        monitor = self._monitors.get(endpoint.service)
+        if monitor is None:
+            monitor = path_monitor.PathMonitor(self._clock)
+            self._monitors[endpoint.service] = monitor
+        return monitor
 
     def _list_addresses(self, service: str) -> list[Address]:
         return sorted(address for address, each in self._endpoints.items()
