Reproduce engines that are reserved and not needed

Callers with long prompts are refused while engines reserved for interactive streams prefill for 0.08 to 0.22 of the time. 20 streams a second that need 1.4 engines by the engines' profile get three of five.

--- a/mustardwood/dispatch/tests/test_placement.py
+++ b/mustardwood/dispatch/tests/test_placement.py
@@ -183,6 +183,36 @@
     assert max_count - 1 <= len(engines) <= max_count
 
 
+@pytest.mark.parametrize("per_second, reserved", [(8, 2), (20, 2), (64, 3)])
+def test_no_more_engines_are_reserved_than_interactive_streams_need(
+        per_second, reserved):
+    """Streams of 2 s with 400 tokens, each of which needs 0.07 s of an engine.
+    """
+    harness = harness_module.Harness(endpoints=5)
+    running = []
+    for index in range(per_second * 10):
+        request = harness_module.make_stream_request(
+            harness,
+            request_id=f"id-{index}",
+            prompt=harness_module.make_prompt(f"q-{index}", 800, 200))
+        harness.admission.record_arrival(request, harness.list_usable())
+        choice = _place(harness, request)
+        if choice is not None:
+            _finish_prefill(harness, choice)
+            running.append(choice)
+        if len(running) > 2 * per_second:
+            ended = running.pop(0)
+            harness.loads.subtract(
+                ended.endpoint.name,
+                dispatch.EndpointLoad(requests=1,
+                                      interactive_streams=1,
+                                      held_tokens=ended.load.held_tokens))
+        harness.clock.advance(ms(1_000 / per_second))
+    engines = harness.placement.find_long_prompt_engines(
+        "engine", harness.list_usable())
+    assert len(engines) == 5 - reserved
+
+
 def test_reserved_engines_are_released_when_interactive_streams_end():
     harness = harness_module.Harness(endpoints=10)
     _start_interactive_streams(harness, 60)
