Leave the share of prefill alone where the slots of engines bound it

Cause: the bound holds for a share of prefill that lasts. Where slots are few, it can't: slow streams hold the slots, and no further prompt is begun until one ends. A burst on idle engines fills the slots in a second or two, all of it prefill, and was held back for nothing.

Now there is no bound if the slots, each with a prompt of the mean size, take less than half of the time that streams have.

--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -240,7 +240,8 @@
             return placement_limit.PlacementLimit.PREFILL
         if is_long:
             self._find_pace(request.service).record_request(
-                request, self._clock.monotonic())
+                request, self._clock.monotonic(),
+                costs.find_added_load(best).prefill_tokens)
         return self._make_choice(best, least_cost, best.name == preferred,
                                  best.name in holders,
                                  costs.find_added_load(best), best.name
