Count slots, not queued requests, as the bound on prefill

The number of requests that may be sent to an engine includes those that wait there for a slot, 16 for the most urgent tier.

--- a/mustardwood/dispatch/decode_pace.py
+++ b/mustardwood/dispatch/decode_pace.py
@@ -68,7 +68,7 @@
     def find_max_prefill_share(self, request: service_request.ServiceRequest,
                                now: datetime.timedelta,
                                profile: profiles.EngineProfile, requests: int,
-                               held_tokens: int, max_requests: int) -> float:
+                               held_tokens: int, slots: int) -> float:
         """Returns the share of prefill up to which streams end in time.
 
         Args:
@@ -77,7 +77,7 @@
             profile: Speed of the engine.
             requests: Number of requests that run there.
             held_tokens: Number of tokens that they hold in its KV cache.
-            max_requests: Number of requests that may run there.
+            slots: Number of requests that may run there at a time.
 
         Returns:
             Share of the time, 0 or less if the streams are too many, 1 or more
@@ -89,8 +89,7 @@
         fastest = 1.0 / step_time
         slowest = 1.0 / (step_time + profile.find_chunk_time())
         share = (fastest - needed) / (fastest - slowest)
-        prefill_time = (max_requests * self._prefill_tokens /
-                        profile.prefill_rate)
+        prefill_time = (slots * self._prefill_tokens / profile.prefill_rate)
         is_bounded_by_slots = (0.0 < _SLOT_MARGIN * prefill_time <=
                                share * self._time)
         return 1.0 if is_bounded_by_slots else share
--- a/mustardwood/dispatch/prompt_cost.py
+++ b/mustardwood/dispatch/prompt_cost.py
@@ -187,8 +187,7 @@
         share = self._table.measure_use(endpoint.name).prefill_share
         return share > self._pace.find_max_prefill_share(
             self._request, self._now, self._find_profile(endpoint),
-            load.requests + 1, load.held_tokens,
-            self._limits.find_max_requests(endpoint.slots))
+            load.requests + 1, load.held_tokens, endpoint.slots)
 
     def _exceeds_prefill_limit(self, endpoint: endpoint_module.Endpoint,
                                load: endpoint_load.EndpointLoad,
