--- a/mustardwood/dispatch/decode_pace.py
+++ b/mustardwood/dispatch/decode_pace.py
@@ -89,7 +89,7 @@
         fastest = 1.0 / step_time
         slowest = 1.0 / (step_time + profile.find_chunk_time())
         share = (fastest - needed) / (fastest - slowest)
-        prefill_time = (slots * self._prefill_tokens / profile.prefill_rate)
+        prefill_time = slots * self._prefill_tokens / profile.prefill_rate
         is_bounded_by_slots = (0.0 < _SLOT_MARGIN * prefill_time <=
                                share * self._time)
         return 1.0 if is_bounded_by_slots else share
