Bound the share of prefill only while streams are observed to be behind

Cause: the bound followed from the profile of engines only, which is fixed by default.

Now each VM compares the tokens of its own long prompts' streams with the pace that these need, from half a second after the first event, and holds prompts back only while a tenth of them are behind. The exemption for few slots stays.

--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -357,6 +357,10 @@
             attempt.has_sent_events = True
             attempt.event_count += events.count(_EVENT_END)
             self._record.record_events(attempt, events)
+            if attempt.first_data_at is not None:
+                self._context.placement.record_progress(self._request,
+                                                        attempt.first_data_at,
+                                                        attempt.event_count)
             self._caller.write(events)
         if self._response.splitter.rest_size > _MAX_EVENT_BYTES:
             self._break_off(attempt, "an event is too long")
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -155,6 +155,21 @@
                                            choice.endpoint.incarnation)
         return datetime.timedelta(seconds=tokens / profile.prefill_rate)
 
+    def record_progress(self, request: service_request.ServiceRequest,
+                        began_at: datetime.timedelta, events: int) -> None:
+        """Records how far the stream of a long prompt has come.
+
+        Args:
+            request: Its request.
+            began_at: Monotonic time of its first event.
+            events: Number of its events so far.
+        """
+        if self._settings.is_long(request):
+            self._find_pace(request.service).record_progress(
+                request, began_at,
+                events * self._find_service(request.service).event_tokens,
+                self._clock.monotonic())
+
     def find_long_prompt_engines(self, service: str,
                                  usable: _Endpoints) -> frozenset[str]:
         """Returns the names of the engines that take long prompts.
