--- a/review/6/case.py
+++ b/review/6/case.py
@@ -67,4 +67,5 @@
     return bool(broken)
 
 
-stand_ins.run_case(run, pathlib.Path(__file__).parent)
+stand_ins.run_case(run,
+                   pathlib.Path(__file__).resolve().parent / "record.txt")
--- a/review/6/stand_ins.py
+++ b/review/6/stand_ins.py
@@ -40,10 +40,8 @@
 class Record:
     """Writes what was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt",
-                          "w",
-                          encoding="utf-8")
+    def __init__(self, path):
+        self._file = open(path, "w", encoding="utf-8")
         self._start = time.monotonic()
         self._lock = threading.Lock()
 
@@ -841,9 +839,14 @@
         self.record.write(f"{vm.name} reaches the replicas again")
 
 
-def run_case(run, folder):
-    """Runs a case and exits: 1 if the rule was broken, 0 if it held, else 2."""
-    record = Record(folder)
+def run_case(run, path):
+    """Runs a case and exits: 1 if the rule was broken, 0 if it held, else 2.
+
+    Args:
+        run: Plays the case; returns whether the rule was broken.
+        path: The file of the record.
+    """
+    record = Record(path)
     status = 2
     # The machines are killed also if the case takes too long or is ended.
     for each in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
