--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 import stand_ins
 
-_STREAMS = 24
+_STREAMS = 48
 _EVENTS = 30
 _EVENT_MS = 200
 
