Review: a short silence ends streams while the other replica is full

The machine closes the silent replica before the other one has taken the request, and cuts the client off when it is turned away.

--- a/review/6/stand_ins.py
+++ b/review/6/stand_ins.py
@@ -354,6 +354,7 @@
         unframed: Returns whether the answer to a request, by its number, comes
             with neither a length nor chunks and ends with its connection.
         works_on: Whether it works on a request whose sender has closed.
+        is_full: Whether it turns new requests away.
         silence_s: Time for which it falls silent once in a stream.
         silent_event: Number of the event before which it does.
         runs: Attempt ids with the version that ran them, in order.
@@ -373,6 +374,7 @@
         self.version = version
         self.unframed = unframed
         self.works_on = works_on
+        self.is_full = False
         self.silence_s = 0.0
         self.silent_event = 0
         self.began_at = {}
@@ -434,6 +436,13 @@
                  f"Mustardwood-Not-Executed: 1\r\n"
                  f"Content-Length: 0\r\n\r\n").encode())
             return True
+        if self.is_full:
+            self._record.write(f"refused  {attempt} at {self.name}, full")
+            connection.sendall((f"HTTP/1.1 503 Full\r\n"
+                                f"Mustardwood-Attempt-Id: {attempt}\r\n"
+                                f"Mustardwood-Not-Executed: 1\r\n"
+                                f"Content-Length: 0\r\n\r\n").encode())
+            return True
         self._count += 1
         incarnation, version = self._incarnation, self.version
         self.runs.append((attempt, version))
@@ -515,26 +524,53 @@
         self.is_complete = False
 
 
+class Client:
+    """A client with one connection, which it keeps for further requests."""
+
+    def __init__(self, vm, timeout_s):
+        self._socket = socket.create_connection(("127.0.0.1", vm.front),
+                                                timeout=timeout_s)
+        self._stream = self._socket.makefile("rb")
+
+    def close(self):
+        """Closes the connection."""
+        self._socket.close()
+
+    def call(self, attempt, path, deadline_ms=15000, extra=""):
+        """Sends a request and reads the answer.
+
+        Args:
+            attempt: Its id.
+            path: Its path.
+            deadline_ms: Its deadline.
+            extra: Further lines of its head.
+        """
+        # The requests share the parts of eight prompts.
+        shared = 0x5c1e07a0 + sum(attempt.encode()) % 8
+        answer = Answer()
+        with contextlib.suppress(OSError, ValueError):
+            self._socket.sendall(
+                (f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+                 f"Mustardwood-Attempt-Id: {attempt}\r\n"
+                 f"Mustardwood-Deadline-Ms: {deadline_ms}\r\n"
+                 f"Mustardwood-Model: m\r\n"
+                 f"Mustardwood-Token-Usage: 1460,80\r\n"
+                 f"Mustardwood-Prompt-Prefix: {shared:x}:800,"
+                 f"{attempt.encode().hex()}:660\r\n"
+                 f"Authorization: Bearer {KEY}\r\n{extra}"
+                 f"Content-Length: 4\r\n\r\nbody").encode())
+            _read_answer(self._stream, answer)
+        return answer
+
+
 def send_request(vm, attempt, path, deadline_ms=15000, extra=""):
-    """Sends a request on a new connection and reads the answer."""
-    answer = Answer()
-    # The requests share the parts of eight prompts.
-    shared = 0x5c1e07a0 + sum(attempt.encode()) % 8
+    """Sends a request on a new connection; see `Client.call`."""
     try:
-        with socket.create_connection(("127.0.0.1", vm.front),
-                                      timeout=deadline_ms / 1000 + 1) as peer:
-            peer.sendall((f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                          f"Mustardwood-Attempt-Id: {attempt}\r\n"
-                          f"Mustardwood-Deadline-Ms: {deadline_ms}\r\n"
-                          f"Mustardwood-Model: m\r\n"
-                          f"Mustardwood-Token-Usage: 1460,80\r\n"
-                          f"Mustardwood-Prompt-Prefix: {shared:x}:800,"
-                          f"{attempt.encode().hex()}:660\r\n"
-                          f"Authorization: Bearer {KEY}\r\n{extra}"
-                          f"Content-Length: 4\r\n\r\nbody").encode())
-            _read_answer(peer.makefile("rb"), answer)
-    except (OSError, ValueError):
-        pass
+        client = Client(vm, deadline_ms / 1000 + 1)
+    except OSError:
+        return Answer()
+    answer = client.call(attempt, path, deadline_ms, extra)
+    client.close()
     return answer
 
 
