--- a/review/6/stand_ins.py
+++ b/review/6/stand_ins.py
@@ -166,9 +166,9 @@
                 self._leases[lease] = [time.monotonic() + ttl, ttl]
                 return 200, {"lease_id": lease, "ttl_ms": int(ttl * 1000)}
             _, call, number = path.split("/")
-            lease = self._leases.get(int(number))
-            if lease is None or lease[0] <= time.monotonic():
+            if not self._is_valid(int(number)):
                 return 404, {}
+            lease = self._leases[int(number)]
             lease[0] = time.monotonic() + (lease[1] if call == "kv-keep" else 0)
             self._end_leases()
             return 200, {}
@@ -207,7 +207,7 @@
                 rows.append(found or {"key": each["key"], "revision": 0})
         if rows:
             return 412, {"entries": rows}
-        if any(each["lease_id"] and each["lease_id"] not in self._leases
+        if any(each["lease_id"] and not self._is_valid(each["lease_id"])
                for each in write):
             return 404, {}
         for each in write:
@@ -216,6 +216,10 @@
             self._remove(key)
         return 200, {"revision": self._revision}
 
+    def _is_valid(self, lease):
+        return (lease in self._leases and
+                self._leases[lease][0] > time.monotonic())
+
     def _end_leases(self):
         now = time.monotonic()
         for lease, (end, _) in list(self._leases.items()):
