Mark the end of an endpoint's connection in tunnels

Cause: a tunnel passed bytes and ends on as they were. The system closes the connections of a process that ends with a FIN, as an endpoint does, so the end of the relaying VM completed responses that have neither a length nor chunks. Class: an end is inferred from how a connection went away.

Fix: what the endpoint sends comes in chunks, whose last one stands for its end; any other end is a lost connection. Builds without the format are told by its header: their ends are not believed, and towards them the system resets the tunnel when the relaying process ends.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -214,13 +214,14 @@
             pages = http1.PageServer(self._scheduler, {
                 peer_synchronizer.CONFIGURATION_PATH: self._build_configuration
             })
-            self._reactor.listenTCP(port,
-                                    relay.TunnelServer(
-                                        pages, self._endpoint_path,
-                                        self._directory.find_endpoint,
-                                        self._peers.is_peer,
-                                        self._endpoint_path.has_path),
-                                    interface=host)
+            tunnels = relay.TunnelServer(pages, self._endpoint_path,
+                                         self._directory.find_endpoint,
+                                         self._peers.is_peer,
+                                         self._endpoint_path.has_path)
+            self._reactor.listenTCP(port, tunnels, interface=host)
+            # The reactor would close them regularly.
+            self._reactor.addSystemEventTrigger("before", "shutdown",
+                                                tunnels.abort_tunnels)
             self._reactor.listenUDP(port, self._peers.port, interface=host)
             self._registration.start()
             self._peers.start()
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -273,6 +273,11 @@
         self._condition.notify_all()
 
 
+def make_event(number):
+    """Returns an event of a fake endpoint's stream."""
+    return b"id: %d\ndata: event\n\n" % number
+
+
 class FakeEndpoint:
     """A fake endpoint whose response time is given by the request's path.
 
@@ -286,6 +291,8 @@
         rate_limit: Value of the header with its rate limit; None for none.
         stated_headers: Further headers of all its responses.
         is_full: Whether it turns requests away with status 503.
+        is_unframed: Whether its streams end with their connection, and have
+            neither a length nor chunks.
         status: Status of its responses to requests that it has run.
     """
 
@@ -296,6 +303,7 @@
         self.rate_limit = None
         self.stated_headers = []
         self.is_full = False
+        self.is_unframed = False
         self.status = 200
         endpoint = self
 
@@ -333,14 +341,22 @@
                 for name, value in headers:
                     self.send_header(name, value)
                 self.send_header("Content-Type", "text/event-stream")
-                self.send_header("Transfer-Encoding", "chunked")
+                if endpoint.is_unframed:
+                    self.send_header("Connection", "close")
+                else:
+                    self.send_header("Transfer-Encoding", "chunked")
                 self.end_headers()
                 last = int(self.headers.get("Last-Event-Id") or 0)
                 for number in range(last + 1, int(count) + 1):
                     time.sleep(int(interval_ms) / 1000)
-                    event = b"id: %d\ndata: event\n\n" % number
-                    self.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
-                self.wfile.write(b"0\r\n\r\n")
+                    event = make_event(number)
+                    self.wfile.write(
+                        event if endpoint.is_unframed else b"%x\r\n%b\r\n" %
+                        (len(event), event))
+                if endpoint.is_unframed:
+                    self.close_connection = True
+                else:
+                    self.wfile.write(b"0\r\n\r\n")
 
         self._server = _Server(Handler)
 
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -188,6 +188,8 @@
     Attributes:
         name: Name of the VM.
         callers: Port for callers.
+        source: Folder with the build that it runs when it is started next;
+            None for this one.
         peer_address: Address for messages of other VMs as IP:PORT.
         is_in_service: Whether the load balancer sends it new connections.
     """
@@ -197,7 +199,8 @@
                  name,
                  store,
                  further_settings="",
-                 command=("mustardwood.platform",)):
+                 command=("mustardwood.platform",),
+                 source=None):
         """Writes the settings; `start` starts the process.
 
         Args:
@@ -206,7 +209,9 @@
             store: The fake store.
             further_settings: Further tables of the settings.
             command: Module that runs the VM, and its arguments.
+            source: Folder with the build that it runs; None for this one.
         """
+        self.source = source
         self.name = name
         self._command = command
         self.is_in_service = False
@@ -238,12 +243,16 @@
 
     def start(self):
         """Starts the process and waits until it is ready."""
+        environment = {
+            **os.environ, settings.PATH_VARIABLE: str(self._settings)
+        }
+        if self.source is not None:
+            environment["PYTHONPATH"] = str(self.source)
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen(  # pylint: disable=consider-using-with
                 [sys.executable, "-m", *self._command],
-                env={
-                    **os.environ, settings.PATH_VARIABLE: str(self._settings)
-                },
+                cwd=self.source,
+                env=environment,
                 stdout=log)
         wait_until(lambda: self._read_readiness() == 200)
         self.is_in_service = True
@@ -265,7 +274,11 @@
 
     def stop(self):
         """Sends SIGTERM."""
-        self._process.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
+
+    def send_signal(self, number):
+        """Sends a signal."""
+        self._process.send_signal(number)
 
     def wait(self):
         """Waits until the process exits and returns its exit code."""
--- /dev/null
+++ b/mustardwood/platform/tests/test_relayed_responses_processes.py
@@ -0,0 +1,120 @@
+"""Tests of responses that come through another VM, with real processes."""
+
+import contextlib
+import http.client
+import signal
+import threading
+import time
+
+import pytest
+
+from mustardwood.platform import store_watcher
+from mustardwood.platform.tests import cut_path
+from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import earlier_builds
+from mustardwood.platform.tests import fake_servers
+from mustardwood.platform.tests import process_fleet
+
+pytestmark = pytest.mark.processes
+
+_BUILD_WITHOUT_CHUNKS = "aad01d3"
+"""Commit of a build whose tunnels end like the process that relays them."""
+_STREAMS = 16
+_EVENTS = 45
+_EVENT_MS = 100
+
+
+def _make_store(servers):
+    store = fake_servers.FakeStore()
+    store.put("op/config", documents.make_document())
+    for number, each in enumerate(servers):
+        store.put(
+            f"servers/engine-{number}",
+            documents.make_registration(service="engine",
+                                        slots=64,
+                                        address=each.address))
+    return store
+
+
+def _find_source(commit, folder):
+    if commit is None:
+        return None
+    source = None
+    try:
+        source = earlier_builds.extract_build(commit, folder / commit)
+    except earlier_builds.BuildError as error:
+        pytest.skip(str(error))
+    return source
+
+
+def _read_stream(vm, number, responses):
+    """Records the body of a stream and whether it was complete."""
+    connection = http.client.HTTPConnection("127.0.0.1", vm.callers, timeout=20)
+    body, is_complete = b"", False
+    with contextlib.suppress(OSError, http.client.HTTPException):
+        connection.request(
+            "POST", f"/stream/{_EVENTS}/{_EVENT_MS}", b"body", {
+                "Host": documents.HOST,
+                "Mustardwood-Attempt-Id": f"stream-{number}",
+                "Authorization": "Bearer key-3"
+            })
+        response = connection.getresponse()
+        if response.status == 200:
+            with contextlib.suppress(http.client.IncompleteRead):
+                while data := response.read1():
+                    body += data
+                is_complete = True
+    connection.close()
+    responses.append((body, is_complete))
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
+@pytest.mark.parametrize("entry_build, relay_build",
+                         [(None, None), (_BUILD_WITHOUT_CHUNKS, None),
+                          (None, _BUILD_WITHOUT_CHUNKS)])
+def test_responses_cut_off_by_the_end_of_a_relaying_vm_look_incomplete(
+        tmp_path, entry_build, relay_build, number):
+    # The responses have no length, and the system closes the connections of
+    # the process that relays them.
+    endpoints = [fake_servers.FakeEndpoint() for _ in range(3)]
+    for each in endpoints:
+        each.is_unframed = True
+    paths = [cut_path.CutPath(each.address) for each in endpoints]
+    stores = [_make_store(paths), _make_store(endpoints)]
+    entry = process_fleet.Vm(tmp_path,
+                             "entry",
+                             stores[0],
+                             source=_find_source(entry_build, tmp_path))
+    relay = process_fleet.Vm(tmp_path,
+                             "relay",
+                             stores[1],
+                             source=_find_source(relay_build, tmp_path))
+    for store in stores:
+        for vm in (entry, relay):
+            store.put(store_watcher.VM_PREFIX + vm.name,
+                      vm.peer_address.encode())
+    responses, threads = [], []
+    try:
+        entry.start()
+        relay.start()
+        for each in paths:
+            each.cut("reset")
+        time.sleep(2.0)
+        for each in range(_STREAMS):
+            threads.append(
+                threading.Thread(target=_read_stream,
+                                 args=(entry, each, responses)))
+            threads[-1].start()
+            time.sleep(0.03)
+        relay.send_signal(number)
+        for each in threads:
+            each.join()
+    finally:
+        entry.kill()
+        relay.kill()
+    whole = b"".join(
+        fake_servers.make_event(each) for each in range(1, _EVENTS + 1))
+    assert sum(b"id: 2" in body for body, _ in responses) > _STREAMS / 2
+    assert not [
+        body for body, is_complete in responses if is_complete and body != whole
+    ]
--- a/mustardwood/relay/relayed_path.py
+++ b/mustardwood/relay/relayed_path.py
@@ -14,6 +14,7 @@
 from mustardwood import http1
 from mustardwood import timing
 from mustardwood.relay import path_monitor
+from mustardwood.relay import relayed_connection
 from mustardwood.relay import tunnel_server
 
 _MAX_TRIED_VMS = 3
@@ -261,8 +262,15 @@
         self._is_ended = True
         self._connector.disconnect()
 
-    def open(self, transport: typing.Any) -> None:
-        """Starts the protocol of the connection, whose tunnel is open."""
+    def open(self, transport: typing.Any, is_chunked: bool,
+             data: bytes) -> None:
+        """Starts the protocol of the connection, whose tunnel is open.
+
+        Args:
+            transport: Twisted's transport.
+            is_chunked: Whether the tunnel has an explicit end.
+            data: Data that was received after the response for the tunnel.
+        """
         if self._is_ended:
             transport.abortConnection()
             return
@@ -271,8 +279,12 @@
         if chosen is None:
             transport.abortConnection()
             return
-        transport.protocol = chosen
-        chosen.makeConnection(transport)
+        relayed: typing.Any = relayed_connection.RelayedConnection(
+            chosen, is_chunked)
+        transport.protocol = relayed
+        relayed.makeConnection(transport)
+        if data:
+            relayed.dataReceived(data)
 
     def handle_failure(self, vm: Address) -> None:
         """Asks the next VM, or reports that the connection failed.
@@ -330,17 +342,20 @@
         self.transport.setTcpNoDelay(True)
         self.transport.write(tunnel_server.METHOD + self._name.encode() +
                              b" HTTP/1.1\r\nHost: " + self._name.encode() +
+                             b"\r\n" + tunnel_server.CHUNKED_FORMAT +
                              tunnel_server.END_OF_HEAD)
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         self._head += data
-        if not self._head.endswith(tunnel_server.END_OF_HEAD):
+        head, separator, rest = self._head.partition(tunnel_server.END_OF_HEAD)
+        if not separator:
             if len(self._head) > tunnel_server.MAX_HEAD_BYTES:
                 self.transport.abortConnection()
             return
-        if self._head.split(b" ", 2)[1:2] == [b"200"]:
-            self._tunnel.open(self.transport)
+        if head.split(b" ", 2)[1:2] == [b"200"]:
+            self._tunnel.open(self.transport,
+                              tunnel_server.has_chunked_format(head), rest)
         else:
             self.transport.abortConnection()
 
--- a/mustardwood/relay/tests/test_tunnels.py
+++ b/mustardwood/relay/tests/test_tunnels.py
@@ -1,6 +1,8 @@
 """Tests of tunnels between VMs, without a network."""
 
 import random
+import socket
+import struct
 
 import pytest
 from twisted.internet import address as address_module
@@ -22,6 +24,10 @@
 
     protocol = None
 
+    def __init__(self):
+        super().__init__()
+        self.options = []
+
     def setTcpNoDelay(self, enabled):  # pylint: disable=invalid-name
         """Does nothing."""
 
@@ -29,9 +35,17 @@
         """Returns a socket that takes any option."""
         return self
 
-    def setsockopt(self, *_):
+    def setsockopt(self, *option):
+        """Records the option."""
+        self.options.append(option)
+
+    def loseWriteConnection(self):  # pylint: disable=invalid-name
         """Does nothing."""
 
+    def unregisterProducer(self):  # pylint: disable=invalid-name
+        """Removes the producer, if there is one, as sockets do."""
+        self.producer = None
+
 
 class _Pages(protocol.ServerFactory):
     """Builds a protocol that repeats what it gets."""
@@ -43,6 +57,22 @@
         return built
 
 
+class _Recorder(protocol.Protocol):
+    """Records what arrives on a connection, and its end."""
+
+    def __init__(self):
+        self.data = b""
+        self.ends = []
+
+    def dataReceived(self, data):
+        """Records data."""
+        self.data += data
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        """Records the end."""
+        self.ends.append(reason.type)
+
+
 class _Factory:
     """Records what becomes of a connection."""
 
@@ -57,7 +87,7 @@
 
     def build_relayed(self):
         """Returns the protocol of a connection through another VM."""
-        self.relayed.append(protocol.Protocol())
+        self.relayed.append(_Recorder())
         return self.relayed[-1]
 
     def clientConnectionFailed(  # pylint: disable=invalid-name
@@ -115,7 +145,7 @@
     assert reactor.tcpClients[-1][:2] in _VMS
     transport = _open_tunnel(reactor, b"HTTP/1.1 200 OK\r\n\r\n")
     assert transport.value().startswith(b"CONNECT endpoint-2 HTTP/1.1\r\n")
-    assert transport.protocol is factory.relayed[0]
+    assert factory.relayed[0].transport is transport
     assert not path.allows_reuse(_find_address(harness, 2), False)
     assert path.allows_reuse(_find_address(harness, 2), True)
 
@@ -201,3 +231,94 @@
     transport.protocol.makeConnection(transport)
     transport.protocol.dataReceived(b"GET /configuration HTTP/1.1\r\n\r\n")
     assert transport.value() == b"page:GET /configuration HTTP/1.1\r\n\r\n"
+
+
+def _open_relayed(response):
+    """Returns the transport and the inner protocol of a relayed connection."""
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, _VMS)
+    _lose_path(harness, path, reactor)
+    factory = _Factory()
+    path.connect(_find_address(harness, 2), factory)
+    return _open_tunnel(reactor, response), factory.relayed[0]
+
+
+_CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTunnel-Format: chunked\r\n\r\n"
+
+
+def test_end_of_the_relaying_process_is_no_end_of_the_endpoint():
+    # The system closes the connections of a process that ends regularly.
+    transport, inner = _open_relayed(_CHUNKED_RESPONSE)
+    transport.protocol.dataReceived(b"5\r\nevent\r\n")
+    transport.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert (inner.data, inner.ends) == (b"event", [error.ConnectionLost])
+
+
+def test_end_of_a_tunnel_without_chunks_is_no_end_of_the_endpoint():
+    # A VM of an earlier build relays the end of its process like any other.
+    transport, inner = _open_relayed(b"HTTP/1.1 200 OK\r\n\r\n")
+    transport.protocol.dataReceived(b"event")
+    transport.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert (inner.data, inner.ends) == (b"event", [error.ConnectionLost])
+
+
+def test_last_chunk_is_the_end_of_the_endpoint():
+    transport, inner = _open_relayed(_CHUNKED_RESPONSE + b"5\r\nevent\r\n")
+    transport.protocol.dataReceived(b"1\r\n.\r\n0\r\n\r\n")
+    assert (inner.data, inner.ends) == (b"event.", [error.ConnectionDone])
+    assert transport.disconnecting or transport.disconnected
+    transport.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert len(inner.ends) == 1
+
+
+def test_malformed_chunk_loses_the_connection():
+    transport, inner = _open_relayed(_CHUNKED_RESPONSE)
+    transport.protocol.dataReceived(b"no size\r\n")
+    assert transport.disconnected
+    transport.protocol.connectionLost(failure.Failure(
+        error.ConnectionAborted()))
+    assert inner.ends == [error.ConnectionAborted]
+
+
+def _relay(head):
+    """Opens a tunnel at a server; returns its two transports."""
+    harness = harness_module.Harness(endpoints=1)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, [])
+    server = tunnel_server.TunnelServer(_Pages(), path,
+                                        harness.directory.find_endpoint,
+                                        lambda ip: True, path.has_path)
+    inner = _Transport()
+    inner.protocol = server.buildProtocol(
+        address_module.IPv4Address("TCP", _VM, 40_000))
+    inner.protocol.makeConnection(inner)
+    inner.connected = True
+    inner.protocol.dataReceived(head)
+    *_, factory, _, _ = reactor.tcpClients[-1]
+    outer = _Transport()
+    outer.protocol = factory.buildProtocol(None)
+    outer.protocol.makeConnection(outer)
+    return inner, outer
+
+
+def test_relayed_end_of_the_endpoint_is_the_last_chunk():
+    inner, outer = _relay(b"CONNECT endpoint-0 HTTP/1.1\r\n"
+                          b"Tunnel-Format: chunked\r\n\r\n")
+    inner.protocol.dataReceived(b"request")
+    assert outer.value() == b"request"
+    outer.protocol.dataReceived(b"answer")
+    outer.protocol.readConnectionLost()
+    outer.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    assert inner.value() == _CHUNKED_RESPONSE + b"6\r\nanswer\r\n0\r\n\r\n"
+
+
+def test_vm_without_chunks_sees_the_end_of_the_relaying_process_as_a_reset():
+    # A VM of an earlier build takes any regular end for the endpoint's.
+    inner, outer = _relay(b"CONNECT endpoint-0 HTTP/1.1\r\n\r\n")
+    linger = [each[2] for each in inner.options if each[1] == socket.SO_LINGER]
+    assert linger == [struct.pack("ii", 1, 0)]
+    outer.protocol.dataReceived(b"answer")
+    assert inner.value() == b"HTTP/1.1 200 OK\r\n\r\nanswer"
+    outer.protocol.readConnectionLost()
+    assert inner.options[-1][1:] == (socket.SO_LINGER, struct.pack("ii", 0, 0))
--- a/mustardwood/relay/tunnel_server.py
+++ b/mustardwood/relay/tunnel_server.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 import http
+import socket
+import struct
 import typing
 
 from twisted.internet import interfaces
@@ -24,6 +26,20 @@
 """Maximum size of the head of a request or response for a tunnel."""
 MAX_TUNNELS = 256
 """Number of tunnels that may be open; each has two connections."""
+CHUNKED_FORMAT = b"Tunnel-Format: chunked"
+"""Header of requests and responses for tunnels with an explicit end.
+
+What the endpoint sends comes in chunks [1]_, and the last chunk stands for the
+end of its connection. An end without a last chunk is that of the tunnel alone.
+
+References:
+    .. [1] R. Fielding, M. Nottingham and J. Reschke, "HTTP/1.1", RFC 9112,
+       2022, section 7.1.
+"""
+LAST_CHUNK = b"0\r\n\r\n"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_END_ON_CLOSE = struct.pack("ii", 0, 0)
+"""Values of SO_LINGER: whether a close resets the connection."""
 
 FindEndpoint = collections.abc.Callable[[str], dispatch.Endpoint | None]
 
@@ -43,6 +59,10 @@
     that there are no loops. Only registered VMs may open one. It carries bytes,
     ends and resets in both directions; the endpoint gets just what the other VM
     would have sent.
+
+    Failure: this process ends, and the system closes its connections as if the
+    endpoint had closed them. The other VM must not take that for the end of a
+    response.
     """
 
     noisy = False
@@ -67,7 +87,25 @@
         self._find_endpoint = find_endpoint
         self._is_vm = is_vm
         self._has_path = has_path
-        self.open_tunnels = 0
+        self._tunnels: set["_TunnelEnd"] = set()
+
+    @property
+    def open_tunnels(self) -> int:
+        """Number of tunnels that are open or being opened."""
+        return len(self._tunnels)
+
+    def add_tunnel(self, tunnel: "_TunnelEnd") -> None:
+        """Counts a tunnel."""
+        self._tunnels.add(tunnel)
+
+    def remove_tunnel(self, tunnel: "_TunnelEnd") -> None:
+        """Ends counting a tunnel."""
+        self._tunnels.discard(tunnel)
+
+    def abort_tunnels(self) -> None:
+        """Resets all tunnels; the process is about to exit."""
+        for each in list(self._tunnels):
+            each.transport.abortConnection()
 
     def buildProtocol(  # pylint: disable=invalid-name
             self, addr: typing.Any) -> protocol.Protocol:
@@ -140,14 +178,22 @@
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         if self.other is not None:
-            self.other.transport.write(data)
+            self.other.write(data)
 
     def readConnectionLost(self) -> None:  # pylint: disable=invalid-name
         """See `interfaces.IHalfCloseableProtocol`."""
         if self.other is None:
             self.transport.loseConnection()
         else:
-            self.other.transport.loseWriteConnection()
+            self.other.end_writing()
+
+    def end_writing(self) -> None:
+        """Passes on the end of the other connection."""
+        self.transport.loseWriteConnection()
+
+    def write(self, data: bytes) -> None:
+        """Passes on data of the other connection."""
+        self.transport.write(data)
 
     def writeConnectionLost(self) -> None:  # pylint: disable=invalid-name
         """See `interfaces.IHalfCloseableProtocol`."""
@@ -162,6 +208,7 @@
         other.other = None
         other.transport.unregisterProducer()
         if reason.check(type(protocol.connectionDone.value)):
+            other.end_writing()
             other.transport.loseConnection()
         else:
             other.transport.abortConnection()
@@ -183,12 +230,14 @@
         self._head = b""
         self._connector: typing.Any = None
         self._is_open = False
+        self._is_chunked = False
+        self._has_ended = False
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport,
                                         socket_options.UNREACHABLE_TIMEOUT)
-        self._server.open_tunnels += 1
+        self._server.add_tunnel(self)
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
@@ -204,6 +253,7 @@
             # The other VM sends nothing before the tunnel is open.
             self._refuse(http.HTTPStatus.BAD_REQUEST)
             return
+        self._is_chunked = has_chunked_format(self._head)
         name = self._head[len(METHOD):].partition(b" ")[0].decode("latin-1")
         target = self._server.find_target(self._ip, name)
         if isinstance(target, http.HTTPStatus):
@@ -215,7 +265,7 @@
             self,
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
-        self._server.open_tunnels -= 1
+        self._server.remove_tunnel(self)
         if not self._is_open and self._connector is not None:
             self._connector.disconnect()
         super().connectionLost(reason)
@@ -223,9 +273,38 @@
     def open(self, outer: _End) -> None:
         """Opens the tunnel, whose connection to the endpoint is there."""
         self._is_open = True
-        self.transport.write(b"HTTP/1.1 200 OK" + END_OF_HEAD)
+        if self._is_chunked:
+            self.transport.write(b"HTTP/1.1 200 OK\r\n" + CHUNKED_FORMAT +
+                                 END_OF_HEAD)
+        else:
+            # A VM that knows no chunks takes any regular end for the
+            # endpoint's.
+            self._set_linger(_RESET_ON_CLOSE)
+            self.transport.write(b"HTTP/1.1 200 OK" + END_OF_HEAD)
         self.join(outer)
 
+    def write(self, data: bytes) -> None:
+        """See `_End`."""
+        if self._is_chunked:
+            self.transport.writeSequence([b"%x\r\n" % len(data), data, b"\r\n"])
+        else:
+            super().write(data)
+
+    def end_writing(self) -> None:
+        """See `_End`."""
+        if self._has_ended:
+            return
+        self._has_ended = True
+        if self._is_chunked:
+            self.transport.write(LAST_CHUNK)
+        else:
+            self._set_linger(_END_ON_CLOSE)
+        super().end_writing()
+
+    def _set_linger(self, value: bytes) -> None:
+        self.transport.getHandle().setsockopt(socket.SOL_SOCKET,
+                                              socket.SO_LINGER, value)
+
     def handle_failure(self) -> None:
         """Refuses the tunnel, since the endpoint can't be connected to."""
         self._refuse(http.HTTPStatus.BAD_GATEWAY)
@@ -237,6 +316,12 @@
         self.transport.loseConnection()
 
 
+def has_chunked_format(head: bytes) -> bool:
+    """Returns whether a head of a request or response names the format."""
+    return any(line.strip().lower() == CHUNKED_FORMAT.lower()
+               for line in head.split(b"\r\n")[1:])
+
+
 class _OuterEnd(_End):
     """The connection to the endpoint."""
 
