Read the socket before a connection counts as ended

Callers got parts of responses without a length as complete ones when the endpoint reset the connection while it still received the request (MIXED, and ORDER for streams).

Cause: Twisted reports a regular end when a poll shows a hang-up without input, which Linux may show while it handles a reset. EndpointConnection took that for the end of the response, and a relaying VM passed it on. Class: an end is inferred from how a connection went away, not from what was read.

Fix: readConnectionLost reads the socket. No bytes are an end, an error is a reset, data is data.

--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -14,6 +14,7 @@
 from mustardwood import dispatch
 from mustardwood import timing
 from mustardwood.http1 import body_sender
+from mustardwood.http1 import confirmed_end
 from mustardwood.http1 import exchange as exchange_module
 from mustardwood.http1 import http_request
 from mustardwood.http1 import received_bytes
@@ -49,7 +50,7 @@
 """Maximum idle time before reuse; a Keep-Alive header may only shorten it."""
 
 
-class EndpointConnection(protocol.Protocol):
+class EndpointConnection(confirmed_end.ConfirmedEndProtocol):
     """Runs one exchange at a time.
 
     The connection may be reused only if the response was complete and no
--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -4,6 +4,10 @@
 import contextlib
 import http.server
 import json
+import os
+import random
+import socket
+import struct
 import threading
 import time
 import urllib.parse
@@ -463,6 +467,59 @@
         return self._server.address
 
 
+class ResettingEndpoint:
+    """A fake endpoint that answers before it has read a request's body.
+
+    Its responses end with their connection, which it resets while the body is
+    still being written.
+
+    Attributes:
+        resets: Number of connections that it has reset.
+    """
+
+    def __init__(self, body, max_delay_seconds):
+        """Starts the endpoint.
+
+        Args:
+            body (bytes): Part of the body that it sends.
+            max_delay_seconds (float): Maximum time before the reset.
+        """
+        self.resets = 0
+        rng = random.Random(1)
+        endpoint = self
+
+        class Handler(_Handler):
+            """Responds to one request on each connection."""
+
+            def do_POST(self):  # pylint: disable=invalid-name
+                """Sends a part of a response and resets the connection."""
+                self.close_connection = True
+                head = ("HTTP/1.1 200 OK\r\n"
+                        "Mustardwood-Attempt-Id: "
+                        f"{self.headers['Mustardwood-Attempt-Id']}\r\n"
+                        "Mustardwood-Replica-Signature: signed\r\n"
+                        "Connection: close\r\n\r\n")
+                with contextlib.suppress(OSError):
+                    self.connection.sendall(head.encode() + body)
+                    time.sleep(rng.uniform(0, max_delay_seconds))
+                    self.connection.setsockopt(socket.SOL_SOCKET,
+                                               socket.SO_LINGER,
+                                               struct.pack("ii", 1, 0))
+                endpoint.resets += 1
+                # The streams of the handler keep the socket open otherwise.
+                os.close(self.connection.detach())
+
+            def finish(self):
+                """Leaves the closed connection alone."""
+
+        self._server = _Server(Handler)
+
+    @property
+    def address(self):
+        """Address of the server as IP:PORT."""
+        return self._server.address
+
+
 class ClosingEndpoint:
     """A fake endpoint that sends fixed bytes and closes the connection."""
 
--- a/mustardwood/relay/tests/test_tunnels.py
+++ b/mustardwood/relay/tests/test_tunnels.py
@@ -1,6 +1,7 @@
 """Tests of tunnels between VMs, without a network."""
 
 import random
+import select
 import socket
 import struct
 
@@ -13,6 +14,7 @@
 
 from mustardwood import relay
 from mustardwood.dispatch.tests import harness as harness_module
+from mustardwood.http1.tests import real_connection
 from mustardwood.relay import tunnel_server
 
 _VM = "192.0.2.50"
@@ -244,6 +246,8 @@
     return _open_tunnel(reactor, response), factory.relayed[0]
 
 
+_CHUNKED_REQUEST = (b"CONNECT endpoint-0 HTTP/1.1\r\n"
+                    b"Tunnel-Format: chunked\r\n\r\n")
 _CHUNKED_RESPONSE = b"HTTP/1.1 200 OK\r\nTunnel-Format: chunked\r\n\r\n"
 
 
@@ -281,8 +285,14 @@
     assert inner.ends == [error.ConnectionAborted]
 
 
-def _relay(head):
-    """Opens a tunnel at a server; returns its two transports."""
+def _relay(head, connection=None):
+    """Opens a tunnel at a server; returns its two transports.
+
+    Args:
+        head (bytes): The request for the tunnel.
+        connection (real_connection.RealConnection): The connection to the
+            endpoint; None for one without a network.
+    """
     harness = harness_module.Harness(endpoints=1)
     reactor = testing.MemoryReactor()
     path, _ = _make_path(harness, reactor, [])
@@ -296,6 +306,9 @@
     inner.connected = True
     inner.protocol.dataReceived(head)
     *_, factory, _, _ = reactor.tcpClients[-1]
+    if connection is not None:
+        connection.open(factory.buildProtocol(None))
+        return inner, connection.transport
     outer = _Transport()
     outer.protocol = factory.buildProtocol(None)
     outer.protocol.makeConnection(outer)
@@ -303,12 +316,11 @@
 
 
 def test_relayed_end_of_the_endpoint_is_the_last_chunk():
-    inner, outer = _relay(b"CONNECT endpoint-0 HTTP/1.1\r\n"
-                          b"Tunnel-Format: chunked\r\n\r\n")
+    inner, outer = _relay(_CHUNKED_REQUEST)
     inner.protocol.dataReceived(b"request")
     assert outer.value() == b"request"
     outer.protocol.dataReceived(b"answer")
-    outer.protocol.readConnectionLost()
+    outer.protocol.handle_end()
     outer.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
     assert inner.value() == _CHUNKED_RESPONSE + b"6\r\nanswer\r\n0\r\n\r\n"
 
@@ -320,5 +332,17 @@
     assert linger == [struct.pack("ii", 1, 0)]
     outer.protocol.dataReceived(b"answer")
     assert inner.value() == b"HTTP/1.1 200 OK\r\n\r\nanswer"
-    outer.protocol.readConnectionLost()
+    outer.protocol.handle_end()
     assert inner.options[-1][1:] == (socket.SO_LINGER, struct.pack("ii", 0, 0))
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_hang_up_of_a_reset_connection_is_relayed_as_no_end(is_reset):
+    # While the system handles a reset, a poll may show a hang-up without input.
+    connection = real_connection.RealConnection()
+    inner, _ = _relay(_CHUNKED_REQUEST, connection)
+    connection.receive(b"event")
+    connection.close(is_reset)
+    connection.handle(select.EPOLLHUP)
+    assert inner.value().endswith(b"0\r\n\r\n") == (not is_reset)
+    connection.end()
--- a/mustardwood/relay/tunnel_server.py
+++ b/mustardwood/relay/tunnel_server.py
@@ -9,9 +9,9 @@
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
-from zope.interface import implementer
 
 from mustardwood import dispatch
+from mustardwood.http1 import confirmed_end
 from mustardwood.http1 import socket_options
 
 METHOD = b"CONNECT "
@@ -166,12 +166,9 @@
         chosen.dataReceived(self._data)
 
 
-@implementer(interfaces.IHalfCloseableProtocol)
-class _End(protocol.Protocol):
+class _End(confirmed_end.ConfirmedEndProtocol):
     """One of the two connections of a tunnel."""
 
-    transport: typing.Any
-
     def __init__(self) -> None:
         self.other: "_End | None" = None
 
@@ -180,8 +177,8 @@
         if self.other is not None:
             self.other.write(data)
 
-    def readConnectionLost(self) -> None:  # pylint: disable=invalid-name
-        """See `interfaces.IHalfCloseableProtocol`."""
+    def handle_end(self) -> None:
+        """See `confirmed_end.ConfirmedEndProtocol`."""
         if self.other is None:
             self.transport.loseConnection()
         else:
@@ -195,9 +192,6 @@
         """Passes on data of the other connection."""
         self.transport.write(data)
 
-    def writeConnectionLost(self) -> None:  # pylint: disable=invalid-name
-        """See `interfaces.IHalfCloseableProtocol`."""
-
     def connectionLost(  # pylint: disable=invalid-name
             self,
             reason: failure.Failure = protocol.connectionDone) -> None:
