Bound the silence of a transfer instead of its length

Callers of a VM with a link of 10 Mbit/s got 503 for all requests with API keys, and 404 for new routes, after a few changes of a large configuration in quick succession (CONFIG, DENIED).

Cause: a call to the store had to be whole within a fixed time from its beginning (a watch: its wait and 0.6 s). A watch's response holds each version since its position, so each try had more to transfer than the one before, and was thrown away just before its end. The same limit held for a peer's configuration. Class: a time limit on a whole transfer, where the thing to bound is silence; the work that is thrown away grows with the delay.

Evidence: test_slow_links_processes.py, 1,400 routes, 12 changes in 4 s and 24 in 1.2 s, a link of 10 Mbit/s.

Fix: http1.ProgressTimeout. A response has to begin in time, and then to make progress in each period. A server that sends a byte now and then makes none.

--- a/mustardwood/http1/__init__.py
+++ b/mustardwood/http1/__init__.py
@@ -19,6 +19,7 @@
 from mustardwood.http1.path import DirectPath
 from mustardwood.http1.path import EndpointFactory
 from mustardwood.http1.path import Path
+from mustardwood.http1.progress_timeout import ProgressTimeout
 from mustardwood.http1.reactor_scheduler import ReactorScheduler
 from mustardwood.http1.request_handler import RequestHandler
 from mustardwood.http1.response_writer import ResponseWriter
@@ -39,6 +40,7 @@
     "Page",
     "PageServer",
     "Path",
+    "ProgressTimeout",
     "ReactorScheduler",
     "RequestHandler",
     "ResponseWriter",
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -50,7 +50,7 @@
 Usually the store delivers the configuration within that time.
 """
 _FETCH_TIMEOUT = datetime.timedelta(milliseconds=1500)
-"""Time after which a read from a peer is aborted, as with the store."""
+"""Time in which a peer's response begins, as with the store."""
 _MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
 """Maximum size of a peer's response, more than twice the largest of the store.
 """
@@ -230,13 +230,15 @@
             self._is_fetching = False
             return
         host = f"{address[0]}:{address[1]}".encode()
+        listener = _ConfigurationListener(self._finish_fetch)
         exchange = self._pool.send(address,
                                    http1.HttpRequest("GET", CONFIGURATION_PATH,
                                                      [(b"Host", host)]),
-                                   _ConfigurationListener(self._finish_fetch),
+                                   listener,
                                    max_body_bytes=_MAX_CONFIGURATION_BYTES)
-        self._scheduler.call_later(_FETCH_TIMEOUT,
-                                   lambda: self._abort_fetch(exchange))
+        listener.progress = http1.ProgressTimeout(
+            self._scheduler, _FETCH_TIMEOUT,
+            lambda: self._abort_fetch(exchange))
 
     def _abort_fetch(self, exchange: http1.Exchange) -> None:
         if not exchange.is_finished:
@@ -255,7 +257,11 @@
 
 
 class _ConfigurationListener:
-    """Collects the response to a configuration request to a peer."""
+    """Collects the response to a configuration request to a peer.
+
+    Attributes:
+        progress: Ends the request if the response stalls.
+    """
 
     def __init__(
         self, deliver: collections.abc.Callable[[store_client.Item | None, str],
@@ -264,6 +270,7 @@
         self._deliver = deliver
         self._status = 0
         self._body = bytearray()
+        self.progress: http1.ProgressTimeout | None = None
 
     def accepts(self, status: int, response_headers: http1.Headers) -> bool:
         """Accepts every response."""
@@ -279,9 +286,12 @@
     def receive_data(self, data: bytes) -> None:
         """Collects a part of the body."""
         self._body += data
+        if self.progress is not None:
+            self.progress.record(len(data))
 
     def receive_end(self) -> None:
         """Decodes and delivers the configuration."""
+        self._stop_timeout()
         try:
             item = decoding.decode_json(bytes(self._body), store_client.Item)
         except decoding.DecodingError as error:
@@ -292,4 +302,9 @@
     def receive_failure(self, was_sent: bool, reason: str) -> None:
         """Delivers the reason of the failure."""
         del was_sent
+        self._stop_timeout()
         self._deliver(None, reason)
+
+    def _stop_timeout(self) -> None:
+        if self.progress is not None:
+            self.progress.cancel()
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -16,9 +16,10 @@
 from mustardwood import http1
 
 CALL_TIMEOUT = datetime.timedelta(milliseconds=1500)
-"""Timeout of a call; a store slowed down a hundredfold responds in 0.4 s."""
+"""Time in which a response begins; a store slowed down a hundredfold responds
+in 0.4 s."""
 _WATCH_MARGIN = datetime.timedelta(milliseconds=600)
-"""Time after the end of a watch's wait at which its connection is aborted."""
+"""Time after the end of a watch's wait in which its response begins."""
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Maximum size of a response's body; that of a page of items is about 1.4 MB.
 
@@ -383,12 +384,13 @@
             self._calls_of_era[listener] = exchange
         if request.target.startswith(_WATCH_PATH):
             self._watches[listener] = exchange
-        timer = self._scheduler.call_later(
-            timeout, lambda: _abort_call(exchange, listener))
+        progress = http1.ProgressTimeout(
+            self._scheduler, timeout, lambda: _abort_call(exchange, listener))
+        listener.on_data = progress.record
         try:
             return await listener.deferred
         finally:
-            timer.cancel()
+            progress.cancel()
             self._calls_of_era.pop(listener, None)
             self._watches.pop(listener, None)
 
@@ -479,10 +481,16 @@
 
 
 class _CallListener:
-    """Collects the response to a call."""
+    """Collects the response to a call.
+
+    Attributes:
+        deferred: Receives the response, or an error.
+        on_data: Called with the number of bytes of each part of the body.
+    """
 
     def __init__(self) -> None:
         self.deferred: defer.Deferred[_Response] = defer.Deferred()
+        self.on_data: collections.abc.Callable[[int], None] = lambda count: None
         self._status = 0
         self._era = 0
         self._retry_after: datetime.timedelta | None = None
@@ -506,6 +514,7 @@
     def receive_data(self, data: bytes) -> None:
         """Collects a part of the body."""
         self._body += data
+        self.on_data(len(data))
 
     def receive_end(self) -> None:
         """Delivers the response to `deferred`."""
--- /dev/null
+++ b/mustardwood/platform/tests/test_slow_links_processes.py
@@ -0,0 +1,129 @@
+"""Tests of configurations that take a VM's link long to carry."""
+
+import threading
+import time
+
+import pytest
+
+from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import fake_servers
+from mustardwood.platform.tests import process_fleet
+from mustardwood.platform.tests import rated_link
+
+pytestmark = pytest.mark.processes
+
+_APPLY_SECONDS = 3.0
+"""Time in which a change takes effect, as the deployment with such links has
+it."""
+_ROUTES = 1400
+_LINK_MEGABITS = 10.0
+_CALL_SECONDS = 0.1
+
+
+def _make_document(changes):
+    """Returns a configuration with many routes, and one for each change."""
+    document = documents.make_document()
+    names = [f"big-{number}" for number in range(_ROUTES)]
+    names += [f"new-{number}" for number in range(1, changes + 1)]
+    document["version"] += changes
+    document["routes"] += [{
+        **document["routes"][2], "name": name,
+        "path_prefix": f"/open/{name}/",
+        "anonymous": False
+    } for name in names]
+    return document
+
+
+class _Fleet:
+    """VMs behind slow links to one store.
+
+    Attributes:
+        outcomes: What callers got, each with the time at which it was sent, the
+            VM's number and the number of the newest change.
+    """
+
+    def __init__(self, folder, vm_count):
+        self.store = fake_servers.FakeStore()
+        self._acknowledged = 0
+        self.store.put("op/config", _make_document(0))
+        endpoint = fake_servers.FakeEndpoint()
+        self.store.put("servers/api-0",
+                       documents.make_registration(address=endpoint.address))
+        self.links = [
+            rated_link.RatedLink(self.store.address, _LINK_MEGABITS)
+            for _ in range(vm_count)
+        ]
+        self.vms = [
+            process_fleet.Vm(folder, f"vm-{number}", link)
+            for number, link in enumerate(self.links)
+        ]
+        self.outcomes = []
+        self._stop = threading.Event()
+        self._threads = []
+
+    def start(self):
+        """Starts the VMs and a caller at each."""
+        for each in self.vms:
+            each.start()
+        for number in range(len(self.vms)):
+            self._threads.append(
+                threading.Thread(target=self._call, args=(number,)))
+            self._threads[-1].start()
+
+    def change(self):
+        """Adds a route."""
+        self.store.put("op/config", _make_document(self._acknowledged + 1))
+        self._acknowledged += 1
+
+    def close(self):
+        """Ends the callers and the VMs."""
+        self._stop.set()
+        for each in self._threads:
+            each.join()
+        for each in self.vms:
+            each.kill()
+
+    def find_statuses(self, since, change):
+        """Returns the statuses of requests for the route of a change.
+
+        Args:
+            since (float): Monotonic time from which they were sent.
+            change (int): Number of the change.
+        """
+        return [[
+            status
+            for at, vm, newest, status in self.outcomes
+            if at >= since and (vm, newest) == (number, change)
+        ]
+                for number in range(len(self.vms))]
+
+    def _call(self, number):
+        count = 0
+        while not self._stop.wait(_CALL_SECONDS):
+            count += 1
+            newest = self._acknowledged
+            path = f"/open/new-{newest}/0" if newest else "/open/0"
+            sent_at = time.monotonic()
+            caller = process_fleet.Caller(self.vms[number],
+                                          f"caller-{number}-{count}")
+            self.outcomes.append(
+                (sent_at, number, newest, caller.call(path).status))
+            caller.close()
+
+
+@pytest.mark.parametrize("changes, interval_seconds", [(12, 0.33), (24, 0.05)])
+def test_changes_in_quick_succession_take_effect_over_slow_links(
+        tmp_path, changes, interval_seconds):
+    fleet = _Fleet(tmp_path, vm_count=1)
+    try:
+        fleet.start()
+        for _ in range(changes):
+            fleet.change()
+            time.sleep(interval_seconds)
+        since = time.monotonic() + _APPLY_SECONDS
+        time.sleep(_APPLY_SECONDS + 5.0)
+    finally:
+        fleet.close()
+    for statuses in fleet.find_statuses(since, changes):
+        assert len(statuses) > 5
+        assert set(statuses) == {200}
--- a/mustardwood/platform/tests/test_store_client.py
+++ b/mustardwood/platform/tests/test_store_client.py
@@ -35,11 +35,24 @@
 
     def answer(self, status, body=None, era=None, headers=()):
         """Completes the call with a response."""
+        self.begin(body, era, status, headers)
+        self.end()
+
+    def begin(self, body=None, era=None, status=200, headers=()):
+        """Begins a response."""
         headers = list(headers)
         if era is not None:
             headers.append((b"store-era", str(era).encode()))
         self._listener.receive_head(status, headers)
-        self._listener.receive_data(json.dumps(body or {}).encode())
+        self.go_on(json.dumps(body or {}).encode())
+
+    def go_on(self, data):
+        """Sends another part of the response."""
+        if data and not self.exchange.is_aborted:
+            self._listener.receive_data(data)
+
+    def end(self):
+        """Ends the response."""
         self._listener.receive_end()
 
 
@@ -59,9 +72,9 @@
 
     def __init__(self, era=1):
         self.pool = _Pool()
-        self.client = store_client.StoreClient(
-            ("192.0.2.1", 1), self.pool,
-            harness_module.FakeScheduler(timing.ManualClock()))
+        self.scheduler = harness_module.FakeScheduler(timing.ManualClock())
+        self.client = store_client.StoreClient(("192.0.2.1", 1), self.pool,
+                                               self.scheduler)
         self.changes = []
         self.client.add_era_listener(lambda: self.changes.append("changed"))
         if era is not None:
@@ -261,3 +274,31 @@
                                    store_client.Lease(17, 1)))
     call.answer(status, {"revision": 41}, era)
     assert isinstance(_get_error(waiting), errors.LeaseLostError)
+
+
+def test_long_response_is_received_whole_over_a_slow_link():
+    # A limit on the whole transfer cut it off again and again.
+    harness = _Harness()
+    waiting, call = harness.start_watch()
+    harness.scheduler.advance(_WAIT)
+    call.begin({"events": [], "at": 43}, 1)
+    for _ in range(50):
+        harness.scheduler.advance(ms(100))
+        call.go_on(b" " * 100_000)
+    call.end()
+    assert not call.exchange.is_aborted
+    assert waiting.result == ([], (1, 43))
+
+
+@pytest.mark.parametrize("data, interval", [(b"", ms(100)), (b" ", ms(100)),
+                                            (b" " * 1000, ms(500))])
+def test_response_without_progress_is_cut_off(data, interval):
+    harness = _Harness()
+    waiting, call = harness.start_watch()
+    call.begin({"events": []}, 1)
+    until = harness.scheduler.clock.monotonic() + _WAIT + ms(1800)
+    while harness.scheduler.clock.monotonic() < until:
+        harness.scheduler.advance(interval)
+        call.go_on(data)
+    assert call.exchange.is_aborted
+    assert isinstance(_get_error(waiting), errors.UnavailableError)
