Keep a watch whose response is arriving

VMs with slow links took up changes of a large configuration seconds late, or not at all (CONFIG).

Cause: a watch that had not shown for 1 s what a peer knew was ended as silent, also while its response was arriving.

Fix: StoreClient tells whether a response is arriving (and ends one that stalls); while it is, the watch is not silent.

--- a/mustardwood/http1/progress_timeout.py
+++ b/mustardwood/http1/progress_timeout.py
@@ -40,7 +40,7 @@
 
     @property
     def has_begun(self) -> bool:
-        """Whether the body has begun to arrive, and goes on."""
+        """Whether the body has begun to arrive."""
         return self._min_bytes > 1 or self._received_bytes > 0
 
     def record(self, count: int) -> None:
--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -164,6 +164,7 @@
         self._era_listeners: list[collections.abc.Callable[[], None]] = []
         self._calls_of_era: dict[_CallListener, http1.Exchange] = {}
         self._watches: dict[_CallListener, http1.Exchange] = {}
+        self._progress: set[http1.ProgressTimeout] = set()
         self.calls: collections.Counter[str] = collections.Counter()
 
     def add_era_listener(self,
@@ -171,6 +172,11 @@
         """Adds a function that is called when a new era has begun."""
         self._era_listeners.append(listener)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response has begun to arrive and does not stall."""
+        return any(each.has_begun for each in self._progress)
+
     async def read_key(self, key: str) -> tuple[Item | None, Position]:
         """Reads a key.
 
@@ -387,10 +393,12 @@
         progress = http1.ProgressTimeout(
             self._scheduler, timeout, lambda: _abort_call(exchange, listener))
         listener.on_data = progress.record
+        self._progress.add(progress)
         try:
             return await listener.deferred
         finally:
             progress.cancel()
+            self._progress.discard(progress)
             self._calls_of_era.pop(listener, None)
             self._watches.pop(listener, None)
 
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -475,13 +475,14 @@
     def record_peer_position(self, position: store_client.Position) -> None:
         """Ends a pending watch that has not shown changes that a peer knows.
 
-        Failure: the watch's connection has fallen silent without a reset.
+        Failure: the watch's connection has fallen silent without a reset. A
+        watch whose response is arriving has not, however long that takes.
 
         Args:
             position: Position of the last change that the peer knows.
         """
         if (not self._is_watching or position.era != self._position.era or
-                position <= self._position):
+                position <= self._position or self._client.is_receiving):
             return
         now = self._clock.monotonic()
         if self._lags_since is None:
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -38,6 +38,7 @@
             ]
         }
         self.position = store_client.Position(0, 10)
+        self.is_receiving = False
         self.watches = []
         self.reads = 0
 
@@ -762,3 +763,13 @@
         store_client.HistoryLostError("Lost.", "Read the keys again."))
     harness.scheduler.advance(_BATCH_DELAY)
     assert listings == [([leader], (0, 10))]
+
+
+def test_watch_whose_response_is_arriving_is_not_taken_for_silent():
+    # A long response over a slow link was thrown away, and began anew.
+    harness = _Harness()
+    harness.client.is_receiving = True
+    for _ in range(30):
+        harness.watcher.record_peer_position(store_client.Position(0, 12))
+        harness.scheduler.advance(ms(100))
+    assert len(harness.client.watches) == 1
