Read from a peer only what the store does not deliver

VMs with slow links took up a large configuration seconds late, and callers got 404 for new routes meanwhile (CONFIG, DENIED).

Cause: a VM that learned of a newer configuration from a peer read it from that peer after 200 ms, also while the store was sending it. The first VM that had it was asked by all others at once (incast), over a link that carries one configuration in 0.3 s; the reads failed, and took the link from the store's response and from callers. Class: all act on the same news at the same moment, on one resource.

Fix: a VM waits while the store's response is arriving, and for 1 s if the store can be reached and its response has not begun; then it asks a random one of the peers that have a newer configuration. The log names the peer.

Two tests of unbounded responses and restores got the new argument; the fakes of the watcher can't reach the store, as these tests assumed.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -164,7 +164,7 @@
                                self._admission, self._profiles,
                                None if counted is None else counted.exchange),
             self._loads, self._clock, self._scheduler, pool, self._watcher,
-            self._journal, self._settings.vm)
+            self._journal, self._settings.vm, self._rng)
         self._registration = vm_registration.VmRegistration(
             client, self._scheduler, self._journal, self._settings.vm,
             self._settings.listen.peers, lambda: self._peers.peer_count,
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -3,6 +3,7 @@
 import collections.abc
 import datetime
 import heapq
+import random
 import traceback
 
 from mustardwood import decoding
@@ -45,9 +46,11 @@
 Two updates at the longest interval may be lost.
 """
 _FETCH_DELAY = datetime.timedelta(milliseconds=200)
-"""Delay before a newer configuration is read from a peer.
+"""Delay before a newer configuration is read from a peer."""
+_DELIVERY_TIME = datetime.timedelta(seconds=1)
+"""Time in which the store begins to deliver a change, if it can be reached.
 
-Usually the store delivers the configuration within that time.
+Changes are gathered for a part of it.
 """
 _FETCH_TIMEOUT = datetime.timedelta(milliseconds=1500)
 """Time in which a peer's response begins, as with the store."""
@@ -62,6 +65,12 @@
     If a peer uses a newer configuration that the store does not deliver, it is
     read from the peer. A VM that can't reach the store thus stays up to date.
 
+    Load pattern: all VMs learn at the same time that one of them has a newer
+    configuration, which the store takes a while to send to each. If all read it
+    from that VM, none gets it soon, and its link carries nothing else. So a VM
+    reads from a peer only what the store does not deliver, and from a random
+    one of those that have it.
+
     Attributes:
         port: The UDP port for updates.
     """
@@ -70,7 +79,8 @@
                  clock: timing.Clock, scheduler: dispatch.Scheduler,
                  pool: http1.ConnectionPool,
                  watcher: store_watcher.StoreWatcher, journal: dispatch.Journal,
-                 vm: str) -> None:
+                 vm: str, rng: random.Random) -> None:
+        self._rng = rng
         self._protocol = protocol
         self._loads = loads
         self._clock = clock
@@ -82,7 +92,9 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._removed_at: dict[str, datetime.timedelta] = {}
         self._received_at: dict[str, datetime.timedelta] = {}
+        self._configurations: dict[str, peers.ConfigurationPosition] = {}
         self._is_fetching = False
+        self._newer_since = datetime.timedelta()
         self._sent_load_version = -1
         self._sent_at = datetime.timedelta()
         self.port = peers.DatagramPort(self._receive)
@@ -198,6 +210,7 @@
             if max(since, self._received_at.get(name, since)) < oldest:
                 del self._removed_at[name]
                 self._received_at.pop(name, None)
+                self._configurations.pop(name, None)
                 self._addresses.pop(name, None)
                 self._protocol.forget_peer(name)
                 self._journal.write("peer_gone", peer=name)
@@ -208,6 +221,7 @@
         if received is None:
             return
         self._received_at[received.sender] = self._clock.monotonic()
+        self._configurations[received.sender] = received.configuration
         if received.questions and received.sender in self._addresses:
             for name, reply in self._protocol.build_answers(
                     received, self._watcher.configuration_position):
@@ -218,19 +232,26 @@
         if (received.configuration > self._watcher.configuration_position and
                 not self._is_fetching):
             self._is_fetching = True
-            self._scheduler.call_later(
-                _FETCH_DELAY, lambda: self._fetch_configuration(
-                    received.sender, received.configuration))
-
-    def _fetch_configuration(self, peer: str,
-                             position: peers.ConfigurationPosition) -> None:
-        address = self._addresses.get(peer)
-        if (self._watcher.configuration_position >= position or
-                address is None):
+            self._newer_since = self._clock.monotonic()
+            self._scheduler.call_later(_FETCH_DELAY, self._fetch_configuration)
+
+    def _fetch_configuration(self) -> None:
+        present = self._watcher.configuration_position
+        newer = [
+            name for name, each in sorted(self._configurations.items())
+            if each > present and name in self._addresses
+        ]
+        if not newer:
             self._is_fetching = False
             return
+        if self._is_delivered_by_store():
+            self._scheduler.call_later(_FETCH_DELAY, self._fetch_configuration)
+            return
+        peer = self._rng.choice(newer)
+        address = self._addresses[peer]
         host = f"{address[0]}:{address[1]}".encode()
-        listener = _ConfigurationListener(self._finish_fetch)
+        listener = _ConfigurationListener(
+            lambda item, reason: self._finish_fetch(peer, item, reason))
         exchange = self._pool.send(address,
                                    http1.HttpRequest("GET", CONFIGURATION_PATH,
                                                      [(b"Host", host)]),
@@ -238,17 +259,25 @@
                                    max_body_bytes=_MAX_CONFIGURATION_BYTES)
         listener.progress = http1.ProgressTimeout(
             self._scheduler, _FETCH_TIMEOUT,
-            lambda: self._abort_fetch(exchange))
+            lambda: self._abort_fetch(peer, exchange))
+
+    def _is_delivered_by_store(self) -> bool:
+        """Returns whether the store delivers changes now, or is about to."""
+        if not self._watcher.is_connected:
+            return False
+        return (self._watcher.is_receiving or
+                self._clock.monotonic() - self._newer_since < _DELIVERY_TIME)
 
-    def _abort_fetch(self, exchange: http1.Exchange) -> None:
+    def _abort_fetch(self, peer: str, exchange: http1.Exchange) -> None:
         if not exchange.is_finished:
             exchange.abort()
-            self._finish_fetch(None, "no answer in time")
+            self._finish_fetch(peer, None, "no answer in time")
 
-    def _finish_fetch(self, item: store_client.Item | None,
+    def _finish_fetch(self, peer: str, item: store_client.Item | None,
                       reason: str) -> None:
         self._is_fetching = False
         self._journal.write("configuration_from_peer",
+                            peer=peer,
                             era=0 if item is None else item.era,
                             revision=0 if item is None else item.revision,
                             error=reason)
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -499,6 +499,11 @@
         """Position up to which all changes are known."""
         return self._position
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response of the store is arriving."""
+        return self._client.is_receiving
+
     def check_era(self, era: int) -> None:
         """Asks the store for its era if a peer knows a later one.
 
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -23,6 +23,8 @@
 
     def __init__(self, position):
         self.configuration_position = position
+        self.is_connected = False
+        self.is_receiving = False
         self.applied = []
         self.eras = []
         self.position = (position.era, position.revision)
@@ -83,7 +85,8 @@
                     dispatch.EndpointRateLimits(name, self.clock, lambda: ()),
                     dispatch.PlacementSettings()),
                 profiles.EngineProfiles(self.clock)), self.loads, self.clock,
-            self.scheduler, self.pool, self.watcher, self.journal, name)
+            self.scheduler, self.pool, self.watcher, self.journal, name,
+            random.Random(name))
         self.synchronizer.port.send = lambda data, address: self.sent.append(
             (data, address))
 
@@ -237,6 +240,49 @@
     assert not local.pool.pool_requests
 
 
+def test_configuration_that_the_store_delivers_is_not_read_from_a_peer():
+    # All VMs read it from the first one that had it, whose link was too slow.
+    local, remote = _Vm("vm-1", revision=5), _Vm("vm-2", revision=9)
+    _join(local)
+    _join(remote, "vm-1", b"192.0.2.1:8229")
+    remote.synchronizer.start()
+    local.watcher.is_connected = local.watcher.is_receiving = True
+    local.receive(remote.sent[-1][0])
+    local.scheduler.advance(ms(5000))
+    assert not local.pool.pool_requests
+    local.watcher.is_receiving = False
+    local.scheduler.advance(ms(200))
+    assert len(local.pool.pool_requests) == 1
+
+
+def test_store_that_can_be_reached_has_time_to_begin_its_delivery():
+    local, remote = _Vm("vm-1", revision=5), _Vm("vm-2", revision=9)
+    _join(local)
+    _join(remote, "vm-1", b"192.0.2.1:8229")
+    remote.synchronizer.start()
+    local.watcher.is_connected = True
+    local.receive(remote.sent[-1][0])
+    local.scheduler.advance(ms(900))
+    assert not local.pool.pool_requests
+    local.scheduler.advance(ms(200))
+    assert len(local.pool.pool_requests) == 1
+
+
+def test_vms_read_from_different_ones_of_the_peers_that_are_newer():
+    remotes = [_Vm(f"vm-{number}", revision=9) for number in range(2, 10)]
+    asked = set()
+    for number in range(10, 20):
+        local = _Vm(f"vm-{number}", revision=5)
+        for index, remote in enumerate(remotes):
+            _join(local, f"vm-{index + 2}", b"192.0.2.%d:8229" % (index + 2))
+            _join(remote, f"vm-{number}", b"192.0.2.%d:8229" % number)
+            remote.synchronizer.start()
+            local.receive(remote.sent[-1][0])
+        local.scheduler.advance(ms(200))
+        asked.add(local.pool.pool_requests[0][0])
+    assert len(asked) > 3
+
+
 def test_failed_read_from_a_peer_is_repeated_at_its_next_update():
     local, remote = _Vm("vm-1", revision=5), _Vm("vm-2", revision=9)
     _join(local)
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -102,7 +102,7 @@
                     dispatch.EndpointRateLimits(name, clock, lambda: ()),
                     dispatch.PlacementSettings()),
                 profiles.EngineProfiles(clock)), loads, clock, scheduler,
-            self.pool, self.watcher, self.journal, name)
+            self.pool, self.watcher, self.journal, name, rng)
         self.synchronizer.port.send = lambda data, address: world.deliver(
             self, data, address)
         registration = vm_registration.VmRegistration(
--- a/mustardwood/platform/tests/test_unbounded_responses.py
+++ b/mustardwood/platform/tests/test_unbounded_responses.py
@@ -75,6 +75,8 @@
 class _Watcher:
     configuration_position = peers.ConfigurationPosition(5, 0, 5)
     position = (0, 5)
+    is_connected = False
+    is_receiving = False
 
     def check_era(self, era):
         """Ignores the peer's era."""
@@ -121,7 +123,8 @@
                                                       harness.clock,
                                                       harness.scheduler,
                                                       harness.pool, _Watcher(),
-                                                      journal, "vm-1")
+                                                      journal, "vm-1",
+                                                      random.Random(1))
     synchronizer.set_vm("vm-2", b"192.0.2.2:8229")
 
     def receive_update():
