Read all keys instead of a longer history of changes

Endpoints that had left still got requests, and new routes were unknown, while a large configuration changed in quick succession (DRAIN, CONFIG, DENIED).

Cause: a watch delivers every version of the configuration, of which the newest alone counts, and all that follows waits behind them. A VM with a slow link that is behind gets further behind. Class: work that is obsolete before it is done (livelock under load).

Fix: a response to a watch that is longer than all keys together is not received, by its Content-Length where it has one; all keys are read instead, as when the store has dropped its history.

--- a/mustardwood/platform/store_client.py
+++ b/mustardwood/platform/store_client.py
@@ -138,6 +138,12 @@
     code = "key_value_history_lost"
 
 
+class HistoryTooLongError(HistoryLostError):
+    """The response to a watch is longer than the caller wants."""
+
+    code = "key_value_history_too_long"
+
+
 class EraChangedError(HistoryLostError):
     """The store was restored, so positions and leases are no longer valid."""
 
@@ -212,14 +218,20 @@
                 return items
             after = found[-1].key
 
-    async def watch(self, prefix: str, after: Position,
-                    wait: datetime.timedelta) -> tuple[list[Item], Position]:
+    async def watch(
+            self,
+            prefix: str,
+            after: Position,
+            wait: datetime.timedelta,
+            max_bytes: int = _MAX_RESPONSE_BYTES
+    ) -> tuple[list[Item], Position]:
         """Waits for changes under a prefix.
 
         Args:
             prefix: Prefix of the keys.
             after: Position after which changes are returned.
             wait: Time for which the store waits for a change.
+            max_bytes: Size in bytes beyond which the response is not received.
 
         Returns:
             The changes, none if the time has passed without one, and the
@@ -228,6 +240,7 @@
         Raises:
             EraChangedError: If the store is no longer in the era of `after`,
                 as any call's response may show in the meantime.
+            HistoryTooLongError: If the response is longer than `max_bytes`.
         """
         query = {
             "path_prefix": prefix,
@@ -238,7 +251,8 @@
                                     _WATCH_PATH,
                                     query,
                                     timeout=wait + _WATCH_MARGIN,
-                                    era=after.era)
+                                    era=after.era,
+                                    max_bytes=max_bytes)
         changes = msgspec.json.decode(response.body, type=Changes)
         return (decode_items(changes.events,
                              after.era), Position(after.era, changes.at))
@@ -379,9 +393,9 @@
         return response
 
     async def _send(self, request: http1.HttpRequest,
-                    timeout: datetime.timedelta,
-                    depends_on_era: bool) -> _Response:
-        listener = _CallListener()
+                    timeout: datetime.timedelta, depends_on_era: bool,
+                    max_bytes: int) -> _Response:
+        listener = _CallListener(max_bytes)
         exchange = self._pool.send(self._address,
                                    request,
                                    listener,
@@ -396,6 +410,9 @@
         self._progress.add(progress)
         try:
             return await listener.deferred
+        except HistoryTooLongError:
+            exchange.abort()
+            raise
         finally:
             progress.cancel()
             self._progress.discard(progress)
@@ -417,16 +434,15 @@
         for notify in self._era_listeners:
             notify()
 
-    async def _call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str] | None = None,
-        timeout: datetime.timedelta = CALL_TIMEOUT,
-        body: dict[str, typing.Any] | None = None,
-        era: int | None = None,
-        accepted: collections.abc.Container[int] = (200, 404)
-    ) -> _Response:
+    async def _call(self,
+                    method: str,
+                    path: str,
+                    query: dict[str, str] | None = None,
+                    timeout: datetime.timedelta = CALL_TIMEOUT,
+                    body: dict[str, typing.Any] | None = None,
+                    era: int | None = None,
+                    accepted: collections.abc.Container[int] = (200, 404),
+                    max_bytes: int = _MAX_RESPONSE_BYTES) -> _Response:
         """Makes a call; `era` is the only era in which it is valid, if any."""
         if era not in (None, self._era):
             raise _make_era_error()
@@ -439,7 +455,8 @@
             request_headers.append((b"Content-Type", b"application/json"))
             content = msgspec.json.encode(body)
         request = http1.HttpRequest(method, target, request_headers, content)
-        response = await self._send(request, timeout, era is not None)
+        response = await self._send(request, timeout, era is not None,
+                                    max_bytes)
         self._record_era(response.era)
         if era not in (None, self._era):
             raise _make_era_error()
@@ -496,7 +513,13 @@
         on_data: Called with the number of bytes of each part of the body.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int) -> None:
+        """Creates a listener.
+
+        Args:
+            max_bytes: Size in bytes beyond which a body fails the call.
+        """
+        self._max_bytes = max_bytes
         self.deferred: defer.Deferred[_Response] = defer.Deferred()
         self.on_data: collections.abc.Callable[[int], None] = lambda count: None
         self._status = 0
@@ -518,11 +541,14 @@
                 self._retry_after = _parse_seconds(value)
             elif name.lower() == _ERA_HEADER:
                 self._era = _parse_era(value)
+            elif name.lower() == b"content-length" and value.isdigit():
+                self._check_size(int(value))
 
     def receive_data(self, data: bytes) -> None:
         """Collects a part of the body."""
         self._body += data
         self.on_data(len(data))
+        self._check_size(len(self._body))
 
     def receive_end(self) -> None:
         """Delivers the response to `deferred`."""
@@ -538,6 +564,14 @@
                 f"The store did not answer: {reason}.",
                 "Call again; calls are retried until the store responds."))
 
+    def _check_size(self, size: int) -> None:
+        if size > self._max_bytes:
+            self._deliver(
+                HistoryTooLongError(
+                    f"The response has {size} bytes or more, of "
+                    f"{self._max_bytes} that are received.",
+                    "Read the keys again."))
+
     def fail(self, error: Exception) -> None:
         """Delivers an error to `deferred`, unless the call has ended."""
         self._deliver(error)
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -61,6 +61,13 @@
 
 It is the longest interval at which peers send updates.
 """
+_MIN_HISTORY_BYTES = 256 * 1024
+"""Size of changes that are received however little reading all keys takes.
+
+All keys take some more calls, which are billed.
+"""
+_ITEM_OVERHEAD_BYTES = 80
+"""Approximate size of an item in a response besides its key and its value."""
 _MAX_LOGGED_ERROR_LENGTH = 200
 _MAX_FRAMES = 20
 """Maximum length of an error and of its traceback in a log line."""
@@ -126,6 +133,11 @@
 
     One watch covers all keys, so that a VM has only one pending call.
 
+    Load pattern: a large configuration that changes in quick succession. A
+    watch delivers each version, of which the newest alone counts, and a VM with
+    a slow link falls behind further with each. Changes that are longer than all
+    keys are not received; all keys are read instead.
+
     Failure: a store that was restored from an older copy starts a new era and
     gives out revisions again. All keys are read again then. An older version of
     the configuration does not replace the one in force, and `EndpointDirectory`
@@ -192,6 +204,7 @@
         self._next_changes_read_at = clock.monotonic()
         self._era_start: store_client.Position | None = None
         self._copied_revision = 0
+        self._listed_bytes = 0
         self._position = store_client.Position()
         self._positions: dict[str, store_client.Position] = {}
         self._vms: set[str] = set()
@@ -212,6 +225,13 @@
             return peers.ConfigurationPosition()
         return _make_configuration_position(self.item, self.configuration)
 
+    @property
+    def max_history_bytes(self) -> int:
+        """Size in bytes of changes from which all keys are read instead."""
+        configuration = [] if self.item is None else [self.item]
+        return max(_MIN_HISTORY_BYTES,
+                   self._listed_bytes + _count_bytes(configuration))
+
     @property
     def shows_newest(self) -> bool:
         """Whether a read of the configuration would be a freshness proof."""
@@ -302,13 +322,16 @@
                             revision=position.revision,
                             endpoints=len(items),
                             missing=missing)
+        listed_bytes = _count_bytes(streams + items + vms)
         for prefix, listeners in self._listeners.items():
             listed = vms
             if prefix != VM_PREFIX:
                 listed = await self._client.read_range(prefix, position.era)
+                listed_bytes += _count_bytes(listed)
             for on_listing, _ in listeners:
                 self._guard(prefix,
                             functools.partial(on_listing, listed, position))
+        self._listed_bytes = listed_bytes
         return position
 
     def _list_registered_since(self, items: list[store_client.Item],
@@ -356,7 +379,7 @@
         self._is_watching, self._lags_since = True, None
         try:
             items, next_position = await self._client.watch(
-                "", position, self._draw_watch_wait())
+                "", position, self._draw_watch_wait(), self.max_history_bytes)
         finally:
             self._is_watching = False
         self._had_changes = bool(items)
@@ -427,7 +450,8 @@
         requested_at = self._clock.monotonic()
         try:
             items, _ = await self._client.watch("", self._position,
-                                                _RECOVERY_WATCH_WAIT)
+                                                _RECOVERY_WATCH_WAIT,
+                                                self.max_history_bytes)
             for each in items:
                 self._guard_item(self._apply_item, each)
             self._directory.record_listing(requested_at)
@@ -703,6 +727,13 @@
         return deferred
 
 
+def _count_bytes(items: collections.abc.Iterable[store_client.Item]) -> int:
+    """Returns the approximate size of a response with these items."""
+    return sum(
+        len(each.key) + len(each.value or "") + _ITEM_OVERHEAD_BYTES
+        for each in items)
+
+
 def _find_size_factor(peers_count: int) -> float:
     return max(1.0, peers_count / _PEERS_AT_MIN_TIMES)
 
--- a/mustardwood/platform/tests/test_slow_links_processes.py
+++ b/mustardwood/platform/tests/test_slow_links_processes.py
@@ -38,6 +38,8 @@
     """VMs behind slow links to one store.
 
     Attributes:
+        store: The store.
+        endpoints: Two endpoints of one service.
         outcomes: What callers got, each with the time at which it was sent, the
             VM's number and the number of the newest change.
     """
@@ -46,9 +48,10 @@
         self.store = fake_servers.FakeStore()
         self._acknowledged = 0
         self.store.put("op/config", _make_document(0))
-        endpoint = fake_servers.FakeEndpoint()
-        self.store.put("servers/api-0",
-                       documents.make_registration(address=endpoint.address))
+        self.endpoints = [fake_servers.FakeEndpoint() for _ in range(2)]
+        for number, each in enumerate(self.endpoints):
+            self.store.put(f"servers/api-{number}",
+                           documents.make_registration(address=each.address))
         self.links = [
             rated_link.RatedLink(self.store.address, _LINK_MEGABITS)
             for _ in range(vm_count)
@@ -127,3 +130,20 @@
     for statuses in fleet.find_statuses(since, changes):
         assert len(statuses) > 5
         assert set(statuses) == {200}
+
+
+def test_endpoint_that_leaves_after_many_changes_gets_no_late_request(tmp_path):
+    # Its removal came after all versions of the configuration over the link.
+    fleet = _Fleet(tmp_path, vm_count=1)
+    try:
+        fleet.start()
+        time.sleep(1.0)
+        for _ in range(24):
+            fleet.change()
+            time.sleep(0.05)
+        left_at = fleet.store.remove("servers/api-0")
+        time.sleep(process_fleet.DRAIN_SECONDS + 4.0)
+    finally:
+        fleet.close()
+    assert fleet.endpoints[0].arrivals
+    assert not process_fleet.find_late_arrivals(fleet.endpoints[0], left_at)
--- a/mustardwood/platform/tests/test_store_client.py
+++ b/mustardwood/platform/tests/test_store_client.py
@@ -302,3 +302,16 @@
         call.go_on(data)
     assert call.exchange.is_aborted
     assert isinstance(_get_error(waiting), errors.UnavailableError)
+
+
+@pytest.mark.parametrize("headers", [[], [(b"content-length", b"5000")]])
+def test_response_to_a_watch_that_is_too_long_is_not_received(headers):
+    harness = _Harness()
+    waiting, call = harness.start(
+        harness.client.watch("", _AFTER, _WAIT, max_bytes=4000))
+    call.begin({"events": []}, 1, headers=headers)
+    assert call.exchange.is_aborted == bool(headers)
+    call.go_on(b" " * 5000)
+    assert call.exchange.is_aborted
+    assert isinstance(_get_error(waiting), store_client.HistoryTooLongError)
+    assert not harness.client.is_receiving
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -39,6 +39,7 @@
         }
         self.position = store_client.Position(0, 10)
         self.is_receiving = False
+        self.max_bytes = 0
         self.watches = []
         self.reads = 0
 
@@ -53,8 +54,9 @@
         assert era == self.position.era
         return self.ranges.get(prefix, [])
 
-    async def watch(self, prefix, after, wait):
+    async def watch(self, prefix, after, wait, max_bytes):
         """Records the watch; the test completes it."""
+        self.max_bytes = max_bytes
         waiting = defer.Deferred()
         self.watches.append((prefix, after, wait, waiting))
         return await waiting
@@ -773,3 +775,29 @@
         harness.watcher.record_peer_position(store_client.Position(0, 12))
         harness.scheduler.advance(ms(100))
     assert len(harness.client.watches) == 1
+
+
+def test_changes_longer_than_all_keys_are_not_received():
+    # Versions of a large configuration came faster than a slow link carries.
+    harness = _Harness()
+    large = documents.make_document(8,
+                                    tenants=[{
+                                        "name": f"organisation-{number}",
+                                        "api_keys": [f"key-{number}"]
+                                    } for number in range(10_000)])
+    item = documents.make_item(_CONFIGURATION, large, 11)
+    harness.deliver([item], 11)
+    assert len(item.value) < harness.client.max_bytes < 1.2 * len(item.value)
+    newest = documents.make_item(_CONFIGURATION, {**large, "version": 9}, 14)
+    harness.client.configuration = newest
+    harness.client.position = store_client.Position(0, 14)
+    harness.client.fail(
+        store_client.HistoryTooLongError("Too long.", "Read the keys again."))
+    harness.scheduler.advance(_BATCH_DELAY)
+    assert harness.version == 9
+    assert harness.client.watches[-1][1] == (0, 14)
+
+
+def test_short_changes_are_received_however_small_the_listing():
+    harness = _Harness()
+    assert harness.client.max_bytes >= 200_000
