Deny a request only with a recent proof of freshness

Cause: a VM that is behind can't tell what it does not know yet from what no configuration allows, and denied both. Accepting a key needed a proof that the configuration is the newest; denying one did not. Class: a negative answer from a copy of unknown age.

Fix: a 401, 403 or 404 needs a proof younger than the time in which a change takes effect, so that each change acknowledged before that is in force; without it the answer is 503 with Retry-After, and names the objection.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -171,7 +171,8 @@
             self._rng)
         client.add_era_listener(self._registration.handle_era_change)
         self._authorizer = authorizer.Authorizer(
-            self._watcher, self._proof, self._settings.bounds.keys_fail_closed)
+            self._watcher, self._proof, self._settings.bounds.keys_fail_closed,
+            self._settings.apply_time)
         self._retry_budgets = dispatch.ServiceRetryBudgets(
             self._rng, self._settings.bounds.retry_share,
             self._settings.bounds.spare_retries,
@@ -189,7 +190,8 @@
                 http1.ConnectionPool(reactor, self._clock, self._scheduler,
                                      self._response_memory,
                                      self._endpoint_path)), self._watcher,
-            http1.BodyBudget(self._settings.max_body_memory))
+            http1.BodyBudget(self._settings.max_body_memory),
+            self._authorizer.confirm_refusal)
         self._settings_version = _read_file_version(path)
         self._shutdown = graceful_shutdown.GracefulShutdown(
             self._server, self._process_exit, self._clock, self._scheduler,
@@ -395,8 +397,8 @@
             return
         self._proof.set_key_removal_time(self._settings.key_removal_time,
                                          _FORWARDING_MARGIN)
-        self._authorizer.set_fails_closed(
-            self._settings.bounds.keys_fail_closed)
+        self._authorizer.set_bounds(self._settings.bounds.keys_fail_closed,
+                                    self._settings.apply_time)
         self._journal.write("reload", path=str(self._path))
 
     def _watch_settings(self) -> None:
--- a/mustardwood/platform/request_server.py
+++ b/mustardwood/platform/request_server.py
@@ -17,9 +17,21 @@
 
     noisy = False
 
-    def __init__(self, context: dispatch.ForwardingContext,
-                 watcher: store_watcher.StoreWatcher,
-                 body_budget: http1.BodyBudget) -> None:
+    def __init__(
+        self, context: dispatch.ForwardingContext,
+        watcher: store_watcher.StoreWatcher, body_budget: http1.BodyBudget,
+        confirm_refusal: collections.abc.Callable[[dispatch.Refusal],
+                                                  dispatch.Refusal]
+    ) -> None:
+        """Creates a server without connections.
+
+        Args:
+            context: What the forwarding of requests needs.
+            watcher: Has the present configuration.
+            body_budget: Bounds the memory of request bodies.
+            confirm_refusal: See `authorizer.Authorizer`.
+        """
+        self._confirm_refusal = confirm_refusal
         self._context = context
         self._watcher = watcher
         self._connections: set[http1.CallerConnection] = set()
@@ -92,7 +104,7 @@
             None if configuration is None else configuration.table,
             context.clock.monotonic())
         if isinstance(request, dispatch.Refusal):
-            self._refuse(http_request, writer, request)
+            self._refuse(http_request, writer, self._confirm_refusal(request))
             return
         if not request.request_id:
             self._refuse(
--- a/mustardwood/platform/settings.py
+++ b/mustardwood/platform/settings.py
@@ -189,6 +189,11 @@
         """Time after which a removed API key must be refused."""
         return datetime.timedelta(milliseconds=self.bounds.key_removal_ms)
 
+    @property
+    def apply_time(self) -> datetime.timedelta:
+        """Time in which a change of the configuration takes effect."""
+        return datetime.timedelta(milliseconds=self.bounds.apply_ms)
+
     @property
     def max_body_memory(self) -> int:
         """Maximum size in bytes of all request bodies that are held."""
--- a/mustardwood/platform/tests/test_authorizer.py
+++ b/mustardwood/platform/tests/test_authorizer.py
@@ -1,4 +1,8 @@
-"""Tests of the check of API keys at each send."""
+"""Tests of the check of API keys at each send, and of denials."""
+
+import http
+
+import pytest
 
 from mustardwood import dispatch
 from mustardwood import timing
@@ -21,7 +25,8 @@
     clock = timing.ManualClock()
     proof = dispatch.FreshnessProof(clock, ms(5000), ms(500))
     proof.record(clock.monotonic())
-    return clock, authorizer.Authorizer(_FakeWatcher(keys), proof, fails_closed)
+    return clock, authorizer.Authorizer(_FakeWatcher(keys), proof, fails_closed,
+                                        ms(2000))
 
 
 def _check(checker, **changes):
@@ -61,7 +66,7 @@
     clock, checker = _make(fails_closed=False)
     clock.advance(ms(60_000))
     assert _check(checker) is None
-    checker.set_fails_closed(True)
+    checker.set_bounds(True, ms(2000))
     assert _check(checker) == 503
 
 
@@ -69,3 +74,30 @@
     clock, checker = _make()
     clock.advance(ms(300))
     assert checker.describe() == {"version": 7, "proof_age_ms": 300}
+
+
+@pytest.mark.parametrize("status", [401, 403, 404])
+def test_vm_that_may_be_behind_does_not_deny_what_it_does_not_know(status):
+    # A route or key that was added is unknown to it.
+    clock, checker = _make()
+    refusal = dispatch.Refusal(http.HTTPStatus(status), "Unknown.")
+    clock.advance(ms(1999))
+    assert checker.confirm_refusal(refusal) is refusal
+    clock.advance(ms(1))
+    confirmed = checker.confirm_refusal(refusal)
+    assert confirmed.status == http.HTTPStatus.SERVICE_UNAVAILABLE
+    assert "Unknown." in confirmed.message
+    assert confirmed.retry_after
+
+
+def test_other_refusals_need_no_proof():
+    clock, checker = _make()
+    clock.advance(ms(60_000))
+    refusal = dispatch.Refusal(http.HTTPStatus.BAD_REQUEST, "No id.")
+    assert checker.confirm_refusal(refusal) is refusal
+
+
+def test_key_that_is_unknown_with_an_old_proof_may_be_a_new_one():
+    clock, checker = _make(keys=())
+    clock.advance(ms(2500))
+    assert _check(checker) == 503
--- a/mustardwood/platform/tests/test_freshness_reader.py
+++ b/mustardwood/platform/tests/test_freshness_reader.py
@@ -188,7 +188,8 @@
     vm = _Vm()
     vm.watcher.position = _POSITION
     vm.scheduler.advance(ms(700))
-    (after, waiting), = vm.client.watches
+    assert len(vm.client.watches) == 1
+    after, waiting = vm.client.watches[0]
     assert after == _POSITION
     waiting.callback(([], _POSITION))
     assert vm.proof.get_age() == ms(100)
--- a/mustardwood/platform/tests/test_request_server.py
+++ b/mustardwood/platform/tests/test_request_server.py
@@ -29,7 +29,8 @@
         self.harness = harness_module.Harness()
         self.server = request_server.RequestServer(self.harness.context,
                                                    _Watcher(),
-                                                   http1.BodyBudget(1000))
+                                                   http1.BodyBudget(1000),
+                                                   lambda refusal: refusal)
 
     def call(self, data):
         """Sends bytes on a new connection and returns the response's."""
--- a/mustardwood/platform/tests/test_store_restore.py
+++ b/mustardwood/platform/tests/test_store_restore.py
@@ -110,7 +110,8 @@
             f"{self.address[0]}:{self.address[1]}",
             lambda: self.synchronizer.peer_count, rng)
         client.add_era_listener(registration.handle_era_change)
-        self.authorizer = authorizer.Authorizer(self.watcher, self.proof, True)
+        self.authorizer = authorizer.Authorizer(self.watcher, self.proof, True,
+                                                ms(2000))
         self.watcher.start()
         reader.start()
         registration.start()
