Take a response with a status above 599 for malformed

Evidence: of fourteen odd statuses, test_response_with_an_invalid_status_is_none failed with 600 and 999.

Fix: such a response is none; the attempt fails as with any malformed response, and may be repeated where the request may.

--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -39,6 +39,13 @@
 
 It covers what was on the way; an endpoint that writes more has to fail to.
 """
+_MAX_STATUS = 599
+"""Largest valid status code [1]_; h11 refuses the invalid ones below 100.
+
+References:
+    .. [1] R. Fielding, M. Nottingham and J. Reschke, "HTTP Semantics", RFC
+       9110, 2022, section 15.
+"""
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 """Headers of which a response without either ends with its connection."""
 _MAX_REQUEST_IDS = 1000
@@ -296,6 +303,9 @@
         exchange = self._exchange
         if exchange is None:
             return
+        if event.status_code > _MAX_STATUS:
+            self._fail(f"not an answer: status {event.status_code}")
+            return
         headers: http_request.Headers = event.headers.raw_items()
         if not exchange.listener.accepts(event.status_code, headers):
             self._is_discarding = True
--- a/mustardwood/http1/tests/test_endpoint_connection.py
+++ b/mustardwood/http1/tests/test_endpoint_connection.py
@@ -402,3 +402,17 @@
     harness.connection.connectionLost(
         failure.Failure(internet_error.ConnectionDone()))
     assert harness.listener.body == b"ab"
+
+
+@pytest.mark.parametrize("status", [
+    b"000", b"001", b"099", b"600", b"999", b"0", b"00", b"20", b"2000", b"+20",
+    b"-00", b"2x0", b"", b"\xd9\xa2\xd9\xa0\xd9\xa0"
+])
+def test_response_with_an_invalid_status_is_none(status):
+    # An endpoint in trouble sent the status 000, which callers got.
+    harness = _Harness()
+    harness.receive(b"HTTP/1.1 " + status + b" Odd\r\nId: mine\r\n"
+                    b"Content-Length: 4\r\n\r\nbody")
+    assert harness.listener.status is None
+    assert harness.listener.end.startswith("not an answer")
+    assert not harness.idle
