Refuse odd statuses at the product's own entry, too

A caller of the product's own entry got the status 000, or 999, as an endpoint in trouble sent it.

Cause: Twisted's client parses any number, and the entry passed it on, as final where it is below 500.

Fix: a status outside 100 to 599 (RFC 9110, section 15) makes the response malformed, and its connection is closed.

--- a/mustardwood/engines/http_exchange.py
+++ b/mustardwood/engines/http_exchange.py
@@ -16,6 +16,15 @@
 _NOT_SENT_ERRORS = (error.ConnectError, error.DNSLookupError,
                     error.ConnectionRefusedError)
 
+_MIN_STATUS = 100
+_MAX_STATUS = 599
+"""Bounds of the valid status codes [1]_.
+
+References:
+    .. [1] R. Fielding, M. Nottingham and J. Reschke, "HTTP Semantics", RFC
+       9110, 2022, section 15.
+"""
+
 
 class HttpExchange:
     """Reports the response to a request until it ends or is cancelled.
@@ -69,6 +78,10 @@
     def _handle_response(self, response: typing.Any) -> None:
         if self._ended:
             return
+        if not _MIN_STATUS <= response.code <= _MAX_STATUS:
+            response.deliverBody(_Discard())
+            self.finish(routing.AttemptEnd.MALFORMED)
+            return
         headers = tuple(
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, values in response.headers.getAllRawHeaders()
@@ -117,6 +130,14 @@
             self._exchange.finish(_classify_failure(reason))
 
 
+class _Discard(protocol.Protocol):
+    """Closes the connection of a response that is not read."""
+
+    def connectionMade(self) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        typing.cast(typing.Any, self.transport).loseConnection()
+
+
 def _classify_failure(reason: failure.Failure) -> routing.AttemptEnd:
     if reason.check(*_NOT_SENT_ERRORS):
         return routing.AttemptEnd.NOT_SENT
