Free tunnels whose sides close one after the other

Cause: Twisted reports the end of each direction, but not the loss of the connection when the second one has ended, so the tunnel was never discounted.

Fix: a tunnel both of whose sides have ended is closed by the relaying VM.

--- a/mustardwood/platform/tests/test_relayed_responses_processes.py
+++ b/mustardwood/platform/tests/test_relayed_responses_processes.py
@@ -22,6 +22,10 @@
 _STREAMS = 16
 _EVENTS = 45
 _EVENT_MS = 100
+_WHOLE = b"".join(
+    fake_servers.make_event(each) for each in range(1, _EVENTS + 1))
+_MANY_TUNNELS = 300
+"""Number of tunnels; a VM bears 256 at the same time."""
 
 
 def _make_store(servers):
@@ -47,13 +51,13 @@
     return source
 
 
-def _read_stream(vm, number, responses):
+def _read_stream(vm, number, responses, events=_EVENTS, interval_ms=_EVENT_MS):
     """Records the body of a stream and whether it was complete."""
     connection = http.client.HTTPConnection("127.0.0.1", vm.callers, timeout=20)
     body, is_complete = b"", False
     with contextlib.suppress(OSError, http.client.HTTPException):
         connection.request(
-            "POST", f"/stream/{_EVENTS}/{_EVENT_MS}", b"body", {
+            "POST", f"/stream/{events}/{interval_ms}", b"body", {
                 "Host": documents.HOST,
                 "Mustardwood-Attempt-Id": f"stream-{number}",
                 "Authorization": "Bearer key-3"
@@ -68,6 +72,47 @@
     responses.append((body, is_complete))
 
 
+class _Fleet:
+    """An entry VM, cut from the endpoints, and one that relays for it.
+
+    Attributes:
+        entry: The VM that is cut.
+        relay: The other one.
+    """
+
+    def __init__(self, folder, entry_build=None, relay_build=None):
+        endpoints = [fake_servers.FakeEndpoint() for _ in range(3)]
+        for each in endpoints:
+            each.is_unframed = True
+        self._paths = [cut_path.CutPath(each.address) for each in endpoints]
+        stores = [_make_store(self._paths), _make_store(endpoints)]
+        self.entry = process_fleet.Vm(folder,
+                                      "entry",
+                                      stores[0],
+                                      source=_find_source(entry_build, folder))
+        self.relay = process_fleet.Vm(folder,
+                                      "relay",
+                                      stores[1],
+                                      source=_find_source(relay_build, folder))
+        for store in stores:
+            for vm in (self.entry, self.relay):
+                store.put(store_watcher.VM_PREFIX + vm.name,
+                          vm.peer_address.encode())
+
+    def start(self):
+        """Starts the VMs and cuts the first one."""
+        self.entry.start()
+        self.relay.start()
+        for each in self._paths:
+            each.cut("reset")
+        time.sleep(2.0)
+
+    def close(self):
+        """Ends the VMs."""
+        self.entry.kill()
+        self.relay.kill()
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGKILL])
 @pytest.mark.parametrize("entry_build, relay_build",
                          [(None, None), (_BUILD_WITHOUT_CHUNKS, None),
@@ -76,45 +121,36 @@
         tmp_path, entry_build, relay_build, number):
     # The responses have no length, and the system closes the connections of
     # the process that relays them.
-    endpoints = [fake_servers.FakeEndpoint() for _ in range(3)]
-    for each in endpoints:
-        each.is_unframed = True
-    paths = [cut_path.CutPath(each.address) for each in endpoints]
-    stores = [_make_store(paths), _make_store(endpoints)]
-    entry = process_fleet.Vm(tmp_path,
-                             "entry",
-                             stores[0],
-                             source=_find_source(entry_build, tmp_path))
-    relay = process_fleet.Vm(tmp_path,
-                             "relay",
-                             stores[1],
-                             source=_find_source(relay_build, tmp_path))
-    for store in stores:
-        for vm in (entry, relay):
-            store.put(store_watcher.VM_PREFIX + vm.name,
-                      vm.peer_address.encode())
+    fleet = _Fleet(tmp_path, entry_build, relay_build)
     responses, threads = [], []
     try:
-        entry.start()
-        relay.start()
-        for each in paths:
-            each.cut("reset")
-        time.sleep(2.0)
+        fleet.start()
         for each in range(_STREAMS):
             threads.append(
                 threading.Thread(target=_read_stream,
-                                 args=(entry, each, responses)))
+                                 args=(fleet.entry, each, responses)))
             threads[-1].start()
             time.sleep(0.03)
-        relay.send_signal(number)
+        fleet.relay.send_signal(number)
         for each in threads:
             each.join()
     finally:
-        entry.kill()
-        relay.kill()
-    whole = b"".join(
-        fake_servers.make_event(each) for each in range(1, _EVENTS + 1))
+        fleet.close()
     assert sum(b"id: 2" in body for body, _ in responses) > _STREAMS / 2
     assert not [
-        body for body, is_complete in responses if is_complete and body != whole
+        body for body, is_complete in responses
+        if is_complete and body != _WHOLE
     ]
+
+
+def test_tunnels_that_endpoints_closed_are_free_again(tmp_path):
+    # After 256 of them all requests of VMs that are cut failed.
+    fleet = _Fleet(tmp_path)
+    responses = []
+    try:
+        fleet.start()
+        for each in range(_MANY_TUNNELS):
+            _read_stream(fleet.entry, each, responses, events=1, interval_ms=0)
+    finally:
+        fleet.close()
+    assert sum(is_complete for _, is_complete in responses) == _MANY_TUNNELS
--- a/mustardwood/relay/tests/test_tunnels.py
+++ b/mustardwood/relay/tests/test_tunnels.py
@@ -44,6 +44,11 @@
     def loseWriteConnection(self):  # pylint: disable=invalid-name
         """Does nothing."""
 
+    def reportLoss(self):  # pylint: disable=invalid-name
+        """Reports the loss that the protocol has asked for."""
+        assert self.disconnecting
+        self.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+
     def unregisterProducer(self):  # pylint: disable=invalid-name
         """Removes the producer, if there is one, as sockets do."""
         self.producer = None
@@ -286,7 +291,7 @@
 
 
 def _relay(head, connection=None):
-    """Opens a tunnel at a server; returns its two transports.
+    """Opens a tunnel at a server; returns its two transports and the server.
 
     Args:
         head (bytes): The request for the tunnel.
@@ -308,15 +313,15 @@
     *_, factory, _, _ = reactor.tcpClients[-1]
     if connection is not None:
         connection.open(factory.buildProtocol(None))
-        return inner, connection.transport
+        return inner, connection.transport, server
     outer = _Transport()
     outer.protocol = factory.buildProtocol(None)
     outer.protocol.makeConnection(outer)
-    return inner, outer
+    return inner, outer, server
 
 
 def test_relayed_end_of_the_endpoint_is_the_last_chunk():
-    inner, outer = _relay(_CHUNKED_REQUEST)
+    inner, outer, _ = _relay(_CHUNKED_REQUEST)
     inner.protocol.dataReceived(b"request")
     assert outer.value() == b"request"
     outer.protocol.dataReceived(b"answer")
@@ -327,7 +332,7 @@
 
 def test_vm_without_chunks_sees_the_end_of_the_relaying_process_as_a_reset():
     # A VM of an earlier build takes any regular end for the endpoint's.
-    inner, outer = _relay(b"CONNECT endpoint-0 HTTP/1.1\r\n\r\n")
+    inner, outer, _ = _relay(b"CONNECT endpoint-0 HTTP/1.1\r\n\r\n")
     linger = [each[2] for each in inner.options if each[1] == socket.SO_LINGER]
     assert linger == [struct.pack("ii", 1, 0)]
     outer.protocol.dataReceived(b"answer")
@@ -340,9 +345,26 @@
 def test_hang_up_of_a_reset_connection_is_relayed_as_no_end(is_reset):
     # While the system handles a reset, a poll may show a hang-up without input.
     connection = real_connection.RealConnection()
-    inner, _ = _relay(_CHUNKED_REQUEST, connection)
+    inner, _, _ = _relay(_CHUNKED_REQUEST, connection)
     connection.receive(b"event")
     connection.close(is_reset)
     connection.handle(select.EPOLLHUP)
     assert inner.value().endswith(b"0\r\n\r\n") == (not is_reset)
     connection.end()
+
+
+@pytest.mark.parametrize("is_endpoint_first", [True, False])
+@pytest.mark.parametrize(
+    "head", [_CHUNKED_REQUEST, b"CONNECT endpoint-0 HTTP/1.1\r\n\r\n"])
+def test_tunnel_whose_sides_close_one_after_the_other_is_freed(
+        head, is_endpoint_first):
+    # After 256 of them a VM refused all tunnels.
+    inner, outer, server = _relay(head)
+    assert server.open_tunnels == 1
+    sides = [outer, inner] if is_endpoint_first else [inner, outer]
+    sides[0].protocol.handle_end()
+    assert server.open_tunnels == 1
+    sides[1].protocol.handle_end()
+    for each in sides:
+        each.reportLoss()
+    assert server.open_tunnels == 0
--- a/mustardwood/relay/tunnel_server.py
+++ b/mustardwood/relay/tunnel_server.py
@@ -167,10 +167,16 @@
 
 
 class _End(confirmed_end.ConfirmedEndProtocol):
-    """One of the two connections of a tunnel."""
+    """One of the two connections of a tunnel.
+
+    Attributes:
+        other: The other one; None while the tunnel is not open.
+        is_read_ended: Whether the peer has closed its side.
+    """
 
     def __init__(self) -> None:
         self.other: "_End | None" = None
+        self.is_read_ended = False
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
@@ -179,10 +185,17 @@
 
     def handle_end(self) -> None:
         """See `confirmed_end.ConfirmedEndProtocol`."""
-        if self.other is None:
+        self.is_read_ended = True
+        other = self.other
+        if other is None:
+            self.transport.loseConnection()
+            return
+        other.transport.unregisterProducer()
+        other.end_writing()
+        if other.is_read_ended:
+            # Twisted does not report the loss of the second direction.
+            other.transport.loseConnection()
             self.transport.loseConnection()
-        else:
-            self.other.end_writing()
 
     def end_writing(self) -> None:
         """Passes on the end of the other connection."""
