Let a planned stop wait for the responses that are relayed

Callers of a VM that is cut from all endpoints lost their responses when another VM, which relayed them, was stopped as planned.

Cause: the shutdown waited for the VM's own callers, not for its tunnels.

Fix: a VM that stops refuses further tunnels, so that the others ask another VM, and exits when the open ones have ended, or at the end of the grace.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -193,9 +193,14 @@
             http1.BodyBudget(self._settings.max_body_memory),
             self._authorizer.confirm_refusal)
         self._settings_version = _read_file_version(path)
+        self._tunnels = relay.TunnelServer(
+            http1.PageServer(self._scheduler, {
+                peer_synchronizer.CONFIGURATION_PATH: self._build_configuration
+            }), self._endpoint_path, self._directory.find_endpoint,
+            self._peers.is_peer, self._endpoint_path.has_path)
         self._shutdown = graceful_shutdown.GracefulShutdown(
-            self._server, self._process_exit, self._clock, self._scheduler,
-            self._journal, self._stop_reactor)
+            self._server, self._tunnels, self._process_exit, self._clock,
+            self._scheduler, self._journal, self._stop_reactor)
 
     def start(self) -> None:
         """Starts the servers, the store watch and the signal handlers."""
@@ -213,17 +218,10 @@
         self._duties.start()
         if listen.peers:
             host, port = settings_module.parse_address(listen.peers)
-            pages = http1.PageServer(self._scheduler, {
-                peer_synchronizer.CONFIGURATION_PATH: self._build_configuration
-            })
-            tunnels = relay.TunnelServer(pages, self._endpoint_path,
-                                         self._directory.find_endpoint,
-                                         self._peers.is_peer,
-                                         self._endpoint_path.has_path)
-            self._reactor.listenTCP(port, tunnels, interface=host)
+            self._reactor.listenTCP(port, self._tunnels, interface=host)
             # The reactor would close them regularly.
             self._reactor.addSystemEventTrigger("before", "shutdown",
-                                                tunnels.abort_tunnels)
+                                                self._tunnels.abort_tunnels)
             self._reactor.listenUDP(port, self._peers.port, interface=host)
             self._registration.start()
             self._peers.start()
--- a/mustardwood/platform/graceful_shutdown.py
+++ b/mustardwood/platform/graceful_shutdown.py
@@ -5,6 +5,7 @@
 import typing
 
 from mustardwood import dispatch
+from mustardwood import relay
 from mustardwood import timing
 from mustardwood.platform import request_server
 
@@ -35,13 +36,15 @@
     Callers learn of the stop only from a response or from the load balancer, so
     requests still arrive: on new connections until the listener closes, and on
     kept ones until they are idle. After the listener has closed, only those are
-    sent to an endpoint that end before the process exits.
+    sent to an endpoint that end before the process exits. Responses that this
+    VM relays for others end, too, if they do so in the grace.
 
     Attributes:
         has_begun: Whether the shutdown has begun.
     """
 
     def __init__(self, server: request_server.RequestServer,
+                 tunnels: relay.TunnelServer,
                  process_exit: dispatch.ProcessExit, clock: timing.Clock,
                  scheduler: dispatch.Scheduler, journal: dispatch.Journal,
                  exit_process: collections.abc.Callable[[], None]) -> None:
@@ -49,6 +52,7 @@
 
         Args:
             server: Accepts connections and handles requests.
+            tunnels: Relays connections for other VMs.
             process_exit: Limits the requests that are sent.
             clock: The clock by which requests expire.
             scheduler: Schedules the steps of the shutdown.
@@ -56,6 +60,7 @@
             exit_process: Exits the process; may be called more than once.
         """
         self._server = server
+        self._tunnels = tunnels
         self._process_exit = process_exit
         self._clock = clock
         self._scheduler = scheduler
@@ -75,6 +80,7 @@
         self._journal.write("stop_begins",
                             open_requests=self._server.open_requests)
         self._server.stop()
+        self._tunnels.stop()
         self._exits_at = self._clock.monotonic() + grace - _KILL_MARGIN
         self._scheduler.call_later(_ACCEPT_TIME,
                                    lambda: self._stop_listening(port))
@@ -103,7 +109,7 @@
 
     def _wait_for_connections(self) -> None:
         self._server.close_idle_connections()
-        if self._server.has_connections:
+        if self._server.has_connections or self._tunnels.open_tunnels:
             self._scheduler.call_later(_POLL_INTERVAL,
                                        self._wait_for_connections)
         else:
--- a/mustardwood/platform/tests/test_relayed_responses_processes.py
+++ b/mustardwood/platform/tests/test_relayed_responses_processes.py
@@ -143,6 +143,27 @@
     ]
 
 
+def test_planned_stop_of_a_relaying_vm_waits_for_the_responses(tmp_path):
+    # It has no callers of its own, and exited under the other VM's responses.
+    fleet = _Fleet(tmp_path)
+    responses, threads = [], []
+    try:
+        fleet.start()
+        for each in range(_STREAMS):
+            threads.append(
+                threading.Thread(target=_read_stream,
+                                 args=(fleet.entry, each, responses)))
+            threads[-1].start()
+        time.sleep(0.5)
+        fleet.relay.stop()
+        for each in threads:
+            each.join()
+        assert fleet.relay.wait() == 0
+    finally:
+        fleet.close()
+    assert responses == [(_WHOLE, True)] * _STREAMS
+
+
 def test_tunnels_that_endpoints_closed_are_free_again(tmp_path):
     # After 256 of them all requests of VMs that are cut failed.
     fleet = _Fleet(tmp_path)
--- a/mustardwood/relay/tunnel_server.py
+++ b/mustardwood/relay/tunnel_server.py
@@ -88,6 +88,7 @@
         self._is_vm = is_vm
         self._has_path = has_path
         self._tunnels: set["_TunnelEnd"] = set()
+        self._is_stopping = False
 
     @property
     def open_tunnels(self) -> int:
@@ -102,6 +103,10 @@
         """Ends counting a tunnel."""
         self._tunnels.discard(tunnel)
 
+    def stop(self) -> None:
+        """Refuses further tunnels; the open ones go on."""
+        self._is_stopping = True
+
     def abort_tunnels(self) -> None:
         """Resets all tunnels; the process is about to exit."""
         for each in list(self._tunnels):
@@ -132,7 +137,8 @@
         endpoint = self._find_endpoint(name)
         if endpoint is None:
             return http.HTTPStatus.NOT_FOUND
-        if not self._has_path(endpoint) or self.open_tunnels >= MAX_TUNNELS:
+        if (self._is_stopping or not self._has_path(endpoint) or
+                self.open_tunnels >= MAX_TUNNELS):
             return http.HTTPStatus.SERVICE_UNAVAILABLE
         return endpoint
 
