--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -155,14 +155,13 @@
         self._duties = duties.Duties.from_settings(
             self._settings, client, self._watcher, self._clock, self._scheduler,
             self._journal, pool, lambda: self._peers.peer_names, self._rng)
-        counted = self._duties.usage
         self._peers = peer_synchronizer.PeerSynchronizer(
-            peers.PeerProtocol(self._settings.vm, self._clock, self._loads,
-                               self._prefix_caches, self._crashes,
-                               self._part_crashes, self._proof, self._rng,
-                               self._streams, self._rate_limits, self._notices,
-                               self._admission, self._profiles,
-                               None if counted is None else counted.exchange),
+            peers.PeerProtocol(
+                self._settings.vm, self._clock, self._loads,
+                self._prefix_caches, self._crashes, self._part_crashes,
+                self._proof, self._rng, self._streams, self._rate_limits,
+                self._notices, self._admission, self._profiles, None
+                if self._duties.usage is None else self._duties.usage.exchange),
             self._loads, self._clock, self._scheduler, pool, self._watcher,
             self._journal, self._settings.vm, self._rng)
         self._registration = vm_registration.VmRegistration(
@@ -193,11 +192,7 @@
             http1.BodyBudget(self._settings.max_body_memory),
             self._authorizer.confirm_refusal)
         self._settings_version = _read_file_version(path)
-        self._tunnels = relay.TunnelServer(
-            http1.PageServer(self._scheduler, {
-                peer_synchronizer.CONFIGURATION_PATH: self._build_configuration
-            }), self._endpoint_path, self._directory.find_endpoint,
-            self._peers.is_peer, self._endpoint_path.has_path)
+        self._tunnels = self._make_tunnel_server()
         self._shutdown = graceful_shutdown.GracefulShutdown(
             self._server, self._tunnels, self._process_exit, self._clock,
             self._scheduler, self._journal, self._stop_reactor)
@@ -362,6 +357,15 @@
                                  self._peers.list_running,
                                  self._forget_failures, self._rng)
 
+    def _make_tunnel_server(self) -> relay.TunnelServer:
+        pages = http1.PageServer(
+            self._scheduler,
+            {peer_synchronizer.CONFIGURATION_PATH: self._build_configuration})
+        return relay.TunnelServer(pages, self._endpoint_path,
+                                  self._directory.find_endpoint,
+                                  self._peers.is_peer,
+                                  self._endpoint_path.has_path)
+
     def _forget_failures(self, service: str) -> None:
         """Forgets that endpoints failed, as the path to them did."""
         for each in self._directory.list_registered(service):
