Check the progress of a response from its first bytes

Fix: the first part of the body starts the checks. The test of responses without progress now gives them 1.2 s from there, instead of the wait and 1.8 s.

--- a/mustardwood/http1/progress_timeout.py
+++ b/mustardwood/http1/progress_timeout.py
@@ -20,6 +20,9 @@
     Load pattern: large responses over slow links. A limit on the whole transfer
     would throw away what has arrived just before the end, and the next try
     would begin anew, with more to transfer and less of the link for it.
+
+    Attributes:
+        has_begun: Whether the body has begun to arrive.
     """
 
     def __init__(self, scheduler: dispatch.Scheduler,
@@ -34,27 +37,25 @@
         """
         self._scheduler = scheduler
         self._on_timeout = on_timeout
-        self._min_bytes = 1
         self._received_bytes = 0
-        self._timer = scheduler.call_later(first_timeout, self._check)
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether the body has begun to arrive."""
-        return self._min_bytes > 1 or self._received_bytes > 0
+        self.has_begun = False
+        self._timer = scheduler.call_later(first_timeout, on_timeout)
 
     def record(self, count: int) -> None:
         """Records a number of received bytes of the body."""
         self._received_bytes += count
+        if not self.has_begun:
+            self.has_begun = True
+            self._timer.cancel()
+            self._timer = self._scheduler.call_later(_PERIOD, self._check)
 
     def cancel(self) -> None:
         """Stops the timeout."""
         self._timer.cancel()
 
     def _check(self) -> None:
-        if self._received_bytes < self._min_bytes:
+        if self._received_bytes < _MIN_BYTES_PER_PERIOD:
             self._on_timeout()
             return
         self._received_bytes = 0
-        self._min_bytes = _MIN_BYTES_PER_PERIOD
         self._timer = self._scheduler.call_later(_PERIOD, self._check)
--- a/mustardwood/platform/tests/test_store_client.py
+++ b/mustardwood/platform/tests/test_store_client.py
@@ -296,7 +296,7 @@
     harness = _Harness()
     waiting, call = harness.start_watch()
     call.begin({"events": []}, 1)
-    until = harness.scheduler.clock.monotonic() + _WAIT + ms(1800)
+    until = harness.scheduler.clock.monotonic() + ms(1200)
     while harness.scheduler.clock.monotonic() < until:
         harness.scheduler.advance(interval)
         call.go_on(data)
