--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -38,6 +38,13 @@
                         type=int,
                         default=0,
                         help="number of VMs that are cut from all endpoints")
+    parser.add_argument("--unframed",
+                        type=float,
+                        default=0.0,
+                        help="share of streams that end with their connection")
+    parser.add_argument("--relays",
+                        action="store_true",
+                        help="restart and kill the VMs that are not cut")
     parser.add_argument("--plant",
                         choices=sorted(plants.FAULTS),
                         default="",
@@ -73,6 +80,8 @@
                          copied_refusals=options.copies,
                          has_repeating_callers=options.repeat,
                          cut_vms=options.cut,
+                         unframed=options.unframed,
+                         has_relay_restarts=options.relays,
                          plant=options.plant,
                          takeover_stop_seconds=options.stop,
                          takeover_delay_seconds=options.delay,
--- a/mustardwood/platform/tests/soak/checks.py
+++ b/mustardwood/platform/tests/soak/checks.py
@@ -128,6 +128,16 @@
     ]
 
 
+def find_cut_off_streams(outcomes: _Outcomes) -> list[str]:
+    """Returns the ids of streams that look complete before their last event."""
+    return [
+        each.attempt_id
+        for each in outcomes
+        if each.path == _STREAM_PATH and each.is_complete and each.status == 200
+        and (not each.event_ids or each.event_ids[-1] < endpoint.EVENTS)
+    ]
+
+
 def find_unserved_cuts(outcomes: _Outcomes, cuts: _Cuts) -> list[str]:
     """Returns the cuts in which callers of cut VMs were served far worse.
 
--- a/mustardwood/platform/tests/soak/disruption.py
+++ b/mustardwood/platform/tests/soak/disruption.py
@@ -54,6 +54,11 @@
                 self._repeat(_MAX_PAUSE_SECONDS, self._disturb_vm, each)
                 for each in self._vms
             ]
+        if self._plan.has_relay_restarts:
+            series += [
+                self._repeat(_MAX_FAULT_PAUSE_SECONDS, self._restart_vm, each)
+                for each in self._vms[self._plan.cut_vms:]
+            ]
         if self._plan.has_link_faults:
             series.append(
                 self._repeat(_MAX_FAULT_PAUSE_SECONDS, self._disturb_store))
@@ -85,15 +90,23 @@
         elif kind == "reload":
             vm.reload()
         else:
-            # One VM is left at any time.
-            async with self._last_restart:
-                if kind == "kill":
-                    vm.kill()
-                    await asyncio.to_thread(vm.start)
-                else:
-                    await asyncio.to_thread(vm.restart)
+            await self._restart(vm, kind)
+        self._record(vm.name, began_at)
+
+    async def _restart_vm(self, vm):
+        began_at = time.monotonic()
+        await self._restart(vm, self._random.choice(("restart", "kill")))
         self._record(vm.name, began_at)
 
+    async def _restart(self, vm, kind):
+        # One VM is left at any time.
+        async with self._last_restart:
+            if kind == "kill":
+                vm.kill()
+                await asyncio.to_thread(vm.start)
+            else:
+                await asyncio.to_thread(vm.restart)
+
     async def _cut_vms(self):
         how = self._random.choice(("refused", "reset", "silent"))
         names = frozenset(each.name for each in self._vms[:self._plan.cut_vms])
--- a/mustardwood/platform/tests/soak/endpoint.py
+++ b/mustardwood/platform/tests/soak/endpoint.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import itertools
+import random as random_module
 import socket
 import struct
 import time
@@ -12,7 +13,8 @@
 
 _EVENT_SECONDS = 0.05
 """Time before each event of a stream."""
-_EVENTS = 20
+EVENTS = 20
+"""Number of events of a stream."""
 _PLAIN_SECONDS = 0.03
 _COPY_FOR_OTHER_REQUEST = 0.1
 """Probability that a copy of a refusal precedes another request's response."""
@@ -90,7 +92,8 @@
                  slots=64,
                  close_seconds=0.0,
                  name="",
-                 copied_refusals=0.0):
+                 copied_refusals=0.0,
+                 unframed=0.0):
         """Creates an endpoint; `start` starts it.
 
         Args:
@@ -104,7 +107,12 @@
             name: Id in its registration; empty for a new one.
             copied_refusals: Probability that it refuses a request and sends a
                 copy of the refusal, with a later response on the connection.
+            unframed: Probability that a stream has neither a length nor chunks,
+                and ends with its connection.
         """
+        self._unframed = unframed
+        # The other draws of a seed stay as they were.
+        self._framing = random_module.Random(f"{service} {slots}")
         self.name = name or f"{service}-{next(self._numbers)}"
         self.service = service
         self.runs = []
@@ -224,29 +232,35 @@
                 _make_head(headers, 200, "Content-Length: 4\r\n") + b"\r\nbody")
         else:
             await self._send_events(headers, behavior, writer)
-        if behavior is Behavior.REPEAT_REFUSAL:
+        if behavior is Behavior.REPEAT_REFUSAL and not writer.is_closing():
             writer.write(_make_refusal(headers))
         await writer.drain()
 
     async def _send_events(self, headers, behavior, writer):
-        writer.write(
-            _make_head(headers, 200, "Transfer-Encoding: chunked\r\n") +
-            b"\r\n")
+        is_unframed = self._framing.random() < self._unframed
+        framing = ("Connection: close\r\n"
+                   if is_unframed else "Transfer-Encoding: chunked\r\n")
+        writer.write(_make_head(headers, 200, framing) + b"\r\n")
         last = int(headers.get("last-event-id") or 0)
-        for number in range(last + 1, _EVENTS + 1):
+        for number in range(last + 1, EVENTS + 1):
             await asyncio.sleep(_EVENT_SECONDS)
             event = b"id: %d\ndata: event\n\n" % number
             if number > last + _SILENT_AFTER_EVENTS:
                 if behavior is Behavior.FALL_SILENT:
                     await asyncio.Event().wait()
                 if behavior is Behavior.BREAK_EVENT:
-                    writer.write(b"%x\r\n%b" % (len(event), event[:-2]))
+                    writer.write(event[:-2] if is_unframed else b"%x\r\n%b" %
+                                 (len(event), event[:-2]))
                     await writer.drain()
                     reset_connection(writer)
                     raise ConnectionResetError
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(event if is_unframed else b"%x\r\n%b\r\n" %
+                         (len(event), event))
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+        if is_unframed:
+            writer.close()
+        else:
+            writer.write(b"0\r\n\r\n")
 
 
 async def read_head(reader):
--- a/mustardwood/platform/tests/soak/endpoint_process.py
+++ b/mustardwood/platform/tests/soak/endpoint_process.py
@@ -116,7 +116,8 @@
                 str(self._plan.seed * 1000 + self._number),
                 str(self._plan.misbehavior),
                 str(self._plan.close_seconds),
-                str(self._plan.copied_refusals)
+                str(self._plan.copied_refusals),
+                str(self._plan.unframed)
             ],
             stdout=subprocess.PIPE)
         line = await asyncio.wait_for(
@@ -161,7 +162,8 @@
                                    options.misbehavior,
                                    close_seconds=options.close,
                                    name=options.name,
-                                   copied_refusals=options.copies)
+                                   copied_refusals=options.copies,
+                                   unframed=options.unframed)
         served.runs, served.on_end = runs, runs.end
         server = await served.listen(options.port)
         print(server.sockets[0].getsockname()[1], flush=True)
@@ -179,6 +181,7 @@
     parser.add_argument("misbehavior", type=float)
     parser.add_argument("close", type=float)
     parser.add_argument("copies", type=float)
+    parser.add_argument("unframed", type=float)
     asyncio.run(_serve(parser.parse_args()))
 
 
--- a/mustardwood/platform/tests/soak/plants.py
+++ b/mustardwood/platform/tests/soak/plants.py
@@ -17,6 +17,7 @@
 from mustardwood.forwarding import attempt_listener
 from mustardwood.forwarding import attempts
 from mustardwood.http1 import endpoint_connection
+from mustardwood.relay import relayed_connection
 
 _LATE_CLOSE = datetime.timedelta(seconds=1)
 _SENDS_PER_ERROR = 10
@@ -109,6 +110,15 @@
     relay.RelayedPath.has_path = lambda self, endpoint: True
 
 
+def _believe_ends_of_tunnels():
+    """Takes the end of a tunnel for that of the endpoint's connection."""
+
+    def lose(self, reason):
+        self._lose(reason)
+
+    relayed_connection.RelayedConnection.connectionLost = lose
+
+
 FAULTS: dict[str, collections.abc.Callable[[], None]] = {
     "unstated": _believe_unstated_refusals,
     "unsent": _count_runs_as_unsent,
@@ -117,6 +127,7 @@
     "copy": _reuse_any_connection,
     "repetition": _refuse_repetitions,
     "own-path": _use_own_path_only,
+    "tunnel-end": _believe_ends_of_tunnels,
 }
 """Faults by name."""
 
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -53,6 +53,10 @@
             once, under the same id.
         cut_vms: Number of VMs that are cut from all endpoints again and again;
             these can't be behind links.
+        unframed: Probability that a stream ends with its connection, without a
+            length or chunks.
+        has_relay_restarts: Whether the VMs that are not cut are restarted and
+            killed, one at a time.
         plant: Name of the fault that is planted into the VMs; see `plants`.
     """
 
@@ -71,6 +75,8 @@
     copied_refusals: float = 0.0
     has_repeating_callers: bool = False
     cut_vms: int = 0
+    unframed: float = 0.0
+    has_relay_restarts: bool = False
     plant: str = ""
 
 
@@ -128,7 +134,8 @@
                                          self._random,
                                          plan.misbehavior,
                                          close_seconds=plan.close_seconds,
-                                         copied_refusals=plan.copied_refusals)
+                                         copied_refusals=plan.copied_refusals,
+                                         unframed=plan.unframed)
                 for service in services
             ]
         self.callers = []
@@ -260,6 +267,10 @@
     breaches += [
         f"ORDER: {each}" for each in checks.find_disordered_streams(outcomes)
     ]
+    breaches += [
+        f"MIXED: {each} ended early and looks complete"
+        for each in checks.find_cut_off_streams(outcomes)
+    ]
     breaches += [
         f"RECOVER: {each}"
         for each in checks.find_unserved_cuts(outcomes, cuts)
--- a/mustardwood/platform/tests/soak/test_checks.py
+++ b/mustardwood/platform/tests/soak/test_checks.py
@@ -100,3 +100,15 @@
     ]
     cuts = [(frozenset({"vm-1"}), 0.5, 8.0)]
     assert len(checks.find_unserved_cuts(outcomes, cuts)) == found
+
+
+@pytest.mark.parametrize("last, is_complete, found", [(20, True, 0),
+                                                      (19, True, 1),
+                                                      (19, False, 0)])
+def test_stream_that_looks_complete_before_its_last_event_is_found(
+        last, is_complete, found):
+    outcome = _make_outcome("a",
+                            status=200,
+                            event_ids=list(range(1, last + 1)),
+                            is_complete=is_complete)
+    assert len(checks.find_cut_off_streams([outcome])) == found
--- a/mustardwood/platform/tests/soak/test_plants.py
+++ b/mustardwood/platform/tests/soak/test_plants.py
@@ -37,6 +37,18 @@
                      seconds=10.0)
 
 
+def test_end_of_a_relaying_vm_that_completes_responses_is_found(tmp_path):
+    assert _is_found(tmp_path,
+                     "MIXED",
+                     plant="tunnel-end",
+                     vms=4,
+                     cut_vms=1,
+                     unframed=1.0,
+                     has_relay_restarts=True,
+                     misbehavior=0.0,
+                     seconds=12.0)
+
+
 def _is_found(folder, rule, **options):
     """Returns whether one of the runs finds that a rule is broken."""
     for seed in _SEEDS:
--- a/mustardwood/platform/tests/soak/test_soak.py
+++ b/mustardwood/platform/tests/soak/test_soak.py
@@ -72,6 +72,18 @@
     assert not verdict.breaches
 
 
+def test_responses_that_vms_relay_until_they_end_break_no_rule(tmp_path):
+    verdict = _play(tmp_path,
+                    seed=91,
+                    seconds=14.0,
+                    vms=4,
+                    cut_vms=1,
+                    unframed=0.5,
+                    has_relay_restarts=True)
+    assert verdict.sent > 100
+    assert not verdict.breaches
+
+
 def test_signals_in_series_break_no_rule(tmp_path):
     verdict = _play(tmp_path, seed=3, seconds=15.0, has_signals=True)
     assert verdict.runs > 100
