--- a/mustardwood/platform/tests/soak/endpoint.py
+++ b/mustardwood/platform/tests/soak/endpoint.py
@@ -62,6 +62,7 @@
         stream_id: Id of the request whose stream it begins or resumes.
         began_at: Monotonic time in seconds at which the work began.
         ended_at: Monotonic time at which it ended; infinite before that.
+        was_killed: Whether it ended with the endpoint's process.
     """
 
     attempt_id: str
@@ -70,6 +71,7 @@
     stream_id: str
     began_at: float
     ended_at: float = float("inf")
+    was_killed: bool = False
 
 
 class Endpoint:
