--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -250,8 +250,8 @@
 async def _cancel(tasks):
     """Cancels tasks until all have ended.
 
-    `asyncio.wait_for` may drop a cancellation that comes just when what it waits
-    for ends.
+    `asyncio.wait_for` may drop a cancellation that comes just when what it
+    waits for ends.
     """
     while pending := [each for each in tasks if not each.done()]:
         for each in pending:
