Give each port to one VM of a test run

Two runs of the tests beside each other could meet in the same way.

Fix: a test process reserves a block of ports and gives each in turn.

--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -8,7 +8,6 @@
 import io
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -17,6 +16,7 @@
 
 from mustardwood.platform import settings
 from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import port_block
 
 DRAIN_SECONDS = 2.0
 """Time after which no request may reach an endpoint that has left."""
@@ -26,8 +26,6 @@
 """Time within which a connection may be closed under a request."""
 _BALANCER_SECONDS = 2.0
 """Time after which the load balancer sends no new connections to a VM."""
-_FIRST_PORT = 12_000
-"""Lowest port of VMs; services of the system use lower ones."""
 _TIMEOUT_SECONDS = 30.0
 """Time after which a test stops waiting for an expected state."""
 
@@ -215,7 +213,7 @@
         self.name = name
         self._command = command
         self.is_in_service = False
-        self.callers, self._ready, peers = find_free_ports(3)
+        self.callers, self._ready, peers = port_block.find_free_ports(3)
         self.peer_address = f"127.0.0.1:{peers}"
         self._settings = folder / f"{name}.toml"
         self._settings.write_text(f"""
@@ -332,29 +330,3 @@
             return 0
         finally:
             connection.close()
-
-
-def find_free_ports(count: int) -> list[int]:
-    """Returns ports that no outgoing connection takes between two starts.
-
-    Args:
-        count: Number of ports.
-    """
-    candidates = random.sample(range(_FIRST_PORT, _find_first_ephemeral_port()),
-                               20 * count)
-    return [each for each in candidates if _is_free(each)][:count]
-
-
-def _is_free(port):
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
-def _find_first_ephemeral_port():
-    with open("/proc/sys/net/ipv4/ip_local_port_range",
-              encoding="utf-8") as range_file:
-        return int(range_file.read().split()[0])
--- a/mustardwood/platform/tests/test_process.py
+++ b/mustardwood/platform/tests/test_process.py
@@ -16,7 +16,7 @@
 from mustardwood.platform import settings
 from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_servers
-from mustardwood.platform.tests import process_fleet
+from mustardwood.platform.tests import port_block
 
 pytestmark = pytest.mark.processes
 
@@ -51,7 +51,7 @@
 class _Vm:
 
     def __init__(self, tmp_path, store, name="vm-1"):
-        self.callers, self.ready, self.peers = process_fleet.find_free_ports(3)
+        self.callers, self.ready, self.peers = port_block.find_free_ports(3)
         self._path = tmp_path / f"{name}.toml"
         self._path.write_text(f"""
 node_name = "{name}"
--- a/mustardwood/platform/tests/test_scaling_process.py
+++ b/mustardwood/platform/tests/test_scaling_process.py
@@ -14,7 +14,7 @@
 from mustardwood.platform.tests import documents
 from mustardwood.platform.tests import fake_duty_api
 from mustardwood.platform.tests import fake_servers
-from mustardwood.platform.tests import process_fleet
+from mustardwood.platform.tests import port_block
 
 pytestmark = pytest.mark.processes
 
@@ -38,7 +38,7 @@
 
     def __init__(self, tmp_path, store, api, **environment):
         host, port = api.address
-        callers, ready, peers = process_fleet.find_free_ports(3)
+        callers, ready, peers = port_block.find_free_ports(3)
         path = tmp_path / "settings.toml"
         path.write_text(f"""
 node_name = "vm-1"
