Let fleets with the same network run one after the other

Two runs of the tests at once failed with AddressInUse where a fleet of stand-ins has fixed loopback addresses (KNOWN-RED.txt names test_stored_minutes_survive_a_killed_vm).

Cause: nothing kept two fleets from the same network. Fix: a fleet holds a file lock for its network, which the system releases with its process; another fleet waits, and gets a FleetError that names the network after five minutes.

The entry of KNOWN-RED.txt stays until whole runs beside each other show that it is gone.

--- a/mustardwood/standins/fleet/fleet.py
+++ b/mustardwood/standins/fleet/fleet.py
@@ -1,6 +1,7 @@
 """Starts and stops the processes of a fleet."""
 
 import collections.abc
+import datetime
 import pathlib
 import shutil
 import subprocess
@@ -18,10 +19,14 @@
 from mustardwood.standins.fleet import child_process
 from mustardwood.standins.fleet import fleet_error
 from mustardwood.standins.fleet import http_calls
+from mustardwood.standins.fleet import network_lock
 
 _START_TIMEOUT_SECONDS = 120.0
 """Time within which a child process must answer after its start."""
 
+_NETWORK_TIMEOUT = datetime.timedelta(minutes=5)
+"""Time within which another fleet must release the network."""
+
 _STOP_TIMEOUT_SECONDS = 10.0
 """Time for the graceful shutdown of each process of the fleet."""
 
@@ -41,7 +46,8 @@
 
     It is a context manager that stops all child processes at the end of the
     block. Its methods block, so don't call them from a reactor's thread.
-    Several threads may start child processes at the same time.
+    Several threads may start child processes at the same time. Fleets with the
+    same network run one after the other.
 
     Args:
         network: First three numbers of the addresses, in 127.0.0.0/8.
@@ -69,8 +75,10 @@
         self._settings: dict[str, settings_module.Settings] = {}
         self._vm_records: dict[str, vmlist.VmRecord] = {}
         self._publish_lock = threading.Lock()
+        self._network_lock = network_lock.NetworkLock(network)
 
     def __enter__(self) -> typing.Self:
+        self._network_lock.acquire(_NETWORK_TIMEOUT)
         return self
 
     def __exit__(self, exception_type: type[BaseException] | None,
@@ -241,6 +249,7 @@
                 child.terminate()
         for child in reversed(self.children.values()):
             child.stop(_STOP_TIMEOUT_SECONDS)
+        self._network_lock.release()
         shutil.rmtree(self.folder)
 
     def _publish_vm_list(self) -> None:
