Return a stream to its silent endpoint if no other one takes it

Cause: an endpoint that a request was sent to was never chosen again, also if it had only been silent and had dropped the request. When the other one refused, none was left, and the response that had begun was aborted.

Fix: if no other endpoint is left, a response that has begun may return to those that have closed their connections after the withdrawal, and so ended their work. One that may still run the request is not chosen again.

--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -42,6 +42,10 @@
     request, even if the process stands still in between or an endpoint notices
     the close late.
 
+    If the other endpoint turns away a request whose response has begun, and
+    none is left, the request returns to an endpoint that was only silent and
+    has dropped it.
+
     The attempt at a slow endpoint stays open beside the one that hedges it,
     until one of them brings data. If none does within the stall timeout of the
     first, the hedged request takes it over.
@@ -160,7 +164,15 @@
         Args:
             usable: Endpoints of the service that accept new requests.
         """
-        return self._version.find_excluded(usable, self._tried)
+        excluded = self._version.find_excluded(usable, self._tried)
+        if len(excluded) < len(usable) or not self._response.is_head_sent:
+            return excluded
+        dropped = {
+            each.endpoint
+            for each in self._sent
+            if each.withdrawn_at is not None and each.closed_after is not None
+        }
+        return self._version.find_excluded(usable, self._tried - dropped)
 
     def may_run_again(self) -> bool:
         """Returns whether one more endpoint may run the request."""
--- a/mustardwood/forwarding/tests/test_takeover.py
+++ b/mustardwood/forwarding/tests/test_takeover.py
@@ -202,6 +202,31 @@
     assert caller.end == "complete"
 
 
+def test_stream_returns_to_its_endpoint_if_the_only_other_one_is_full():
+    """It was only silent for a moment, and has dropped the request."""
+    harness = harness_module.Harness(endpoints=2)
+    first, caller = _start_silent_stream(harness)
+    harness.scheduler.advance(_STALL_TIMEOUT)
+    second = harness.client.sent[1]
+    second.respond(503, not_run=True)
+    third = harness.client.sent[2]
+    assert third.endpoint == first.endpoint
+    assert third.resume_after == 1
+    third.respond(body=b"id: 2\ndata: b\n\n")
+    assert caller.end == "complete"
+    assert caller.body.count(b"data") == 2
+
+
+def test_stream_does_not_return_to_an_endpoint_that_may_still_run_it():
+    harness = harness_module.Harness(endpoints=2)
+    _, second, caller = _take_over_late(harness)
+    harness.scheduler.advance(ms(400))
+    assert second.is_written
+    second.respond(503, not_run=True)
+    assert len(harness.client.sent) == 2
+    assert caller.end == "broken"
+
+
 def test_refusal_of_a_withdrawn_request_lets_it_be_written_elsewhere():
     harness = harness_module.Harness()
     harness.start(harness_module.make_stream_request(harness))
