Know a resumed stream by the service that began it

Cause: a resumption was looked up under the service that its route leads to now. Nothing was found there, and the only version of that service was taken for the one that began the stream. Class: the identity of something is derived from what the present configuration says of it.

Fix: a stream is looked up under all services that are known, here and at peers, and refused (503, not run) if another one began it. The route table remembers to which services earlier versions led each path; while there is one, a stream that no VM knows is not assumed to be of the present service. VMs save their streams once when a route of streams is moved, so that this outlasts all of them. What VMs tell each other and the format in the store are unchanged.

--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -5,9 +5,18 @@
 import datetime
 
 from mustardwood.dispatch import organisation as organisation_module
+from mustardwood.dispatch import retry_policy
 from mustardwood.dispatch import route as route_module
 from mustardwood.dispatch import service_parameters
 
+_PAST_SERVICE_MEMORY = datetime.timedelta(seconds=60)
+"""Time for which the former services of a route are remembered.
+
+It is that for which the streams of callers who may resume them are kept.
+"""
+
+_RouteKey = tuple[str, str]
+
 
 class RouteTable:
     """Lookup of routes by host and path, and of organisations by API key.
@@ -40,6 +49,7 @@
         self.version = version
         self._routes = {(each.host, each.path_prefix): each for each in routes}
         self._services = _add_stream_targets(services, self._routes.values())
+        self._past_services: dict[_RouteKey, dict[str, datetime.timedelta]] = {}
         organisations = tuple(organisations)
         self._by_key = {
             key: each for each in organisations for key in each.api_keys
@@ -49,13 +59,59 @@
 
     def find_route(self, host: str, path: str) -> route_module.Route | None:
         """Returns the host's route with the longest prefix of a path."""
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            found = self._routes.get((host, path[:end + 1]))
+        for key in _list_keys(host, path):
+            found = self._routes.get(key)
             if found is not None:
                 return found
         return None
 
+    def record_previous(self, previous: "RouteTable",
+                        now: datetime.timedelta) -> bool:
+        """Records to which services the previous version led.
+
+        Args:
+            previous: The table that was in force until now.
+            now: Monotonic time.
+
+        Returns:
+            Whether streams that callers may resume lead to other services now.
+        """
+        has_moved_streams = False
+        oldest = now - _PAST_SERVICE_MEMORY
+        for key, services in previous._past_services.items():
+            recent = {
+                name: until
+                for name, until in services.items()
+                if until >= oldest
+            }
+            if recent:
+                self._past_services[key] = recent
+        for key in self._routes.keys() | previous._routes.keys():
+            host, path_prefix = key
+            present = self.find_route(host, path_prefix)
+            past = previous.find_route(host, path_prefix)
+            if past is not None and (present is None or
+                                     present.targets != past.targets):
+                known = self._past_services.setdefault(key, {})
+                known.update((each.service, now) for each in past.targets)
+                has_moved_streams = (has_moved_streams or past.retry_policy
+                                     is retry_policy.RetryPolicy.RESUMABLE)
+        return has_moved_streams
+
+    def find_past_services(self, host: str, path: str,
+                           since: datetime.timedelta) -> frozenset[str]:
+        """Returns the services to which other versions led a request.
+
+        Args:
+            host: Host of the request.
+            path: Its path.
+            since: Monotonic time from which on other versions count.
+        """
+        return frozenset(
+            name for key in _list_keys(host, path)
+            for name, until in self._past_services.get(key, {}).items()
+            if until >= since)
+
     def find_organisation(self,
                           key: str) -> organisation_module.Organisation | None:
         """Returns the organisation that an API key belongs to."""
@@ -86,6 +142,13 @@
         return tuple(self._services.values())
 
 
+def _list_keys(host: str, path: str) -> collections.abc.Iterator[_RouteKey]:
+    """Yields the keys of a host's routes for a path, the longest first."""
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield host, path[:end + 1]
+
+
 def _add_stream_targets(
     services: collections.abc.Iterable[service_parameters.ServiceParameters],
     routes: collections.abc.Iterable[route_module.Route]
--- a/mustardwood/dispatch/service_request.py
+++ b/mustardwood/dispatch/service_request.py
@@ -41,6 +41,9 @@
             resumes; None for a new stream.
         resumed_request_id: Id of the request that brought the first event of
             that stream; empty if the caller named none.
+        past_services: Other services to which recent versions of the
+            configuration led such a request, where a stream that the caller
+            resumes may have begun.
     """
 
     request_id: str
@@ -67,6 +70,7 @@
     organisation_tier: int | None = None
     time_limit: datetime.timedelta = datetime.timedelta(minutes=1)
     resumed_request_id: str = ""
+    past_services: frozenset[str] = frozenset()
 
     @property
     def is_resumption(self) -> bool:
--- a/mustardwood/dispatch/stream_journal.py
+++ b/mustardwood/dispatch/stream_journal.py
@@ -61,7 +61,8 @@
     The versions of each service are saved when they change, by one VM; the
     order in which others take over from it is that of their hashes. While that
     leaves several versions possible, each VM also saves the streams that it
-    begins, at once: a stream that began within the time of a write is lost.
+    begins, at once: a stream that began within the time of a write is lost. It
+    saves them once, too, when a route is moved to another service.
 
     It implements `forwarding_context.VersionRecord`.
 
@@ -103,6 +104,7 @@
         self._is_writing_history = False
         self._is_writing_streams = False
         self._saved_count = 0
+        self._moved_count: int | None = None
         self._next_write_at = clock.monotonic()
         self.write_count = 0
 
@@ -144,6 +146,14 @@
         """Saves all streams again, since the store was restored from a copy."""
         self._saved_count = -1
 
+    def handle_route_move(self) -> None:
+        """Saves the streams that began before a route was moved.
+
+        Their service can't be told from the route any more.
+        """
+        self._moved_count = self._streams.own_count
+        self._save_streams()
+
     def handle_new_stream(self) -> None:
         """See `forwarding_context.VersionRecord`."""
         self._save_streams()
@@ -214,6 +224,9 @@
 
     def _needs_streams(self) -> bool:
         """Returns whether the history alone can't tell a stream's version."""
+        if (self._moved_count is not None and
+                self._saved_count < self._moved_count):
+            return True
         return any(
             self.find_only_version(service, time_limit) is None
             for service, time_limit in self._streams.list_services().items())
--- a/mustardwood/dispatch/stream_version_table.py
+++ b/mustardwood/dispatch/stream_version_table.py
@@ -151,6 +151,11 @@
         found = self._streams.get(key)
         return None if found is None or not found.version else found.version
 
+    def has(self, key: bytes) -> bool:
+        """Returns whether a stream is known, also one of several versions."""
+        self._drop_old()
+        return key in self._streams
+
     def ask_peers(self, key: bytes) -> None:
         """Has peers asked about a stream."""
         self._questions[key] = None
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -364,3 +364,45 @@
     _observe_list(harness, ms(20_000))
     _, caller = _resume(harness, "")
     assert caller.status == 503
+
+
+def _set_service(harness, index, service, version):
+    _set_version(harness, index, version, service=service)
+
+
+def test_stream_is_not_resumed_at_the_service_to_which_its_route_was_moved():
+    """What another service writes does not fit, whatever its version."""
+    harness = _make_harness("v1")
+    _set_service(harness, 1, "engine-b", "v2")
+    _observe_list(harness, ms(61_000))
+    _break_stream(harness, request_id="first")
+    _, caller = _resume(harness, "first", service="engine-b")
+    harness.scheduler.advance(ms(1000))
+    assert len(harness.client.sent) == 1
+    assert caller.status == 503
+
+
+def test_stream_that_a_peer_began_at_another_service_is_not_resumed():
+    harness = _make_harness("v1")
+    _set_service(harness, 1, "engine-b", "v2")
+    _observe_list(harness, ms(61_000))
+    _, caller = _resume(harness, "first", service="engine-b")
+    asked = harness.streams.take_questions()
+    key = stream_version_table.find_key("engine", "first")
+    assert key in asked
+    harness.streams.record_peer_streams({"v1": key})
+    harness.scheduler.advance(ms(1000))
+    assert not harness.client.sent
+    assert caller.status == 503
+
+
+@pytest.mark.parametrize("past, count", [(frozenset({"engine-a"}), 0),
+                                         (frozenset(), 1)])
+def test_unknown_stream_of_a_moved_route_is_not_resumed(past, count):
+    """No VM knows it, and it may have begun at the past service."""
+    harness = _make_harness("v1")
+    _observe_list(harness, ms(61_000))
+    _resume(harness, "first", past_services=past)
+    harness.loads.set_peer_loads("peer", {})
+    harness.scheduler.advance(ms(400))
+    assert len(harness.client.sent) == count
--- a/mustardwood/dispatch/tests/test_stream_journal.py
+++ b/mustardwood/dispatch/tests/test_stream_journal.py
@@ -339,3 +339,31 @@
     harness = harness_module.Harness(endpoints=2)
     harness.start(harness_module.make_stream_request(harness))
     assert len(harness.client.sent) == 1
+
+
+def test_streams_that_began_before_a_move_of_their_route_outlast_all_vms():
+    """One version has served, but not at the service of the route now."""
+    fleet = _Fleet()
+    fleet.run(2)
+    fleet.begin_stream(1, "v1")
+    for vm in fleet.store.vms:
+        vm.journal.handle_route_move()
+    fleet.begin_stream(2, "v1")
+    fleet.run(1)
+    assert set(fleet.store.streams) == {"vm-0"}
+    assert fleet.store.writes == 2
+    fleet.start_all()
+    assert fleet.find(1) == "v1"
+
+
+def test_streams_before_a_move_are_saved_when_the_store_is_back():
+    fleet = _Fleet()
+    fleet.run(2)
+    fleet.begin_stream(1, "v1")
+    fleet.store.is_away = True
+    fleet.store.vms[0].journal.handle_route_move()
+    fleet.run(1)
+    fleet.store.is_away = False
+    fleet.run(2)
+    fleet.start_all()
+    assert fleet.find(1) == "v1"
--- a/mustardwood/dispatch/version_lookup.py
+++ b/mustardwood/dispatch/version_lookup.py
@@ -19,6 +19,8 @@
 """
 _MAX_READ_TIME = datetime.timedelta(seconds=1)
 """Time within which the store shows the registrations."""
+_MAX_ASKED_SERVICES = 8
+"""Number of further services under which peers are asked for a stream."""
 
 
 class VersionLookup:
@@ -26,6 +28,11 @@
 
     It is known to this VM or a peer, or the service has had no other version.
 
+    Failure: the route of the request was moved to another service after the
+    stream had begun, so it can't go on at any endpoint of the present one. A
+    stream is therefore looked up under all services. One that no VM knows is of
+    an unknown version while it may have begun at a past service of its route.
+
     Failure: this VM was suspended or cut off while endpoints of another version
     joined. Other VMs have begun streams there, and their replies do not arrive
     either. Silence is therefore no evidence: that the service has had no other
@@ -48,15 +55,22 @@
         self._on_end = on_end
         self._key = stream_version_table.find_key(request.service,
                                                   request.stream_id)
+        others = (request.past_services |
+                  context.directory.list_versions().keys()) - {request.service}
+        self._other_keys = [
+            stream_version_table.find_key(each, request.stream_id)
+            for each in others
+        ]
         self._started_at = context.clock.monotonic()
         self._timer: forwarding_context.Timer | None = None
 
     def start(self) -> None:
         """Looks the stream up, and asks peers if this VM does not know it."""
         self._started_at = self._context.clock.monotonic()
-        if (self._request.stream_id and
-                self._context.streams.find(self._key) is None):
-            self._context.streams.ask_peers(self._key)
+        streams = self._context.streams
+        if self._request.stream_id and not self._is_known():
+            for each in (self._key, *self._other_keys[:_MAX_ASKED_SERVICES]):
+                streams.ask_peers(each)
         self._look_up()
 
     def cancel(self) -> None:
@@ -69,7 +83,7 @@
         context, has_id = self._context, bool(self._request.stream_id)
         self._timer = None
         version = context.streams.find(self._key) if has_id else None
-        if version is not None:
+        if version is not None or has_id and self._is_of_other_service():
             self._on_end(version)
             return
         waited = context.clock.monotonic() - self._started_at
@@ -82,6 +96,13 @@
         else:
             self._on_end(self._find_only_version())
 
+    def _is_known(self) -> bool:
+        return (self._context.streams.find(self._key) is not None or
+                self._is_of_other_service())
+
+    def _is_of_other_service(self) -> bool:
+        return any(map(self._context.streams.has, self._other_keys))
+
     def _request_read(self) -> None:
         if not self._is_list_current():
             self._context.registrations.request_read()
@@ -98,7 +119,8 @@
         peer may be cut off from the store, too.
         """
         context = self._context
-        if not self._is_list_current() or not context.loads.count_peers():
+        if (self._request.past_services or not self._is_list_current() or
+                not context.loads.count_peers()):
             return None
         service, period = self._request.service, self._request.time_limit
         return (context.directory.find_only_version(service, period) or
--- a/mustardwood/platform/journal_store.py
+++ b/mustardwood/platform/journal_store.py
@@ -72,6 +72,11 @@
         if self._journal is not None:
             self._journal.handle_restore()
 
+    def handle_route_move(self) -> None:
+        """Handles that a route of streams was moved to another service."""
+        if self._journal is not None:
+            self._journal.handle_route_move()
+
     def write_history(self, value: bytes,
                       on_end: collections.abc.Callable[[], None]) -> None:
         """See `dispatch.JournalStore`."""
--- a/mustardwood/platform/request_decoder.py
+++ b/mustardwood/platform/request_decoder.py
@@ -52,14 +52,18 @@
             return dispatch.Refusal(
                 http.HTTPStatus.UNAUTHORIZED,
                 "The API key is missing or unknown; send a valid one.")
-    return _build_request(http_request, table, route, organisation, key,
-                          arrived_at)
+    return _build_request(
+        http_request, table, route, organisation, key, arrived_at,
+        table.find_past_services(
+            host.partition(":")[0].lower(), path,
+            arrived_at - route.time_limit))
 
 
 def _build_request(http_request: http1.HttpRequest, table: dispatch.RouteTable,
                    route: dispatch.Route,
                    organisation: dispatch.Organisation | None, key: str,
-                   arrived_at: datetime.timedelta) -> dispatch.ServiceRequest:
+                   arrived_at: datetime.timedelta,
+                   past_services: frozenset[str]) -> dispatch.ServiceRequest:
     request_id = (http_request.find_header(headers.ATTEMPT_ID) or
                   b"").decode("latin-1")
     last_event_id = _parse_number(
@@ -67,10 +71,11 @@
     resumed_request_id = ("" if last_event_id is None else
                           _read_resumed_id(http_request))
     deadline = _read_deadline(http_request) or _DEFAULT_DEADLINE
+    service = route.choose_service(resumed_request_id or request_id)
     return dispatch.ServiceRequest(
         request_id=request_id,
         route=route.name,
-        service=route.choose_service(resumed_request_id or request_id),
+        service=service,
         organisation=organisation.name if organisation else "",
         api_key=key,
         tier=table.find_tier(route, organisation),
@@ -91,7 +96,8 @@
         route_tier=route.tier,
         organisation_tier=organisation.tier if organisation else None,
         resumed_request_id=resumed_request_id,
-        time_limit=route.time_limit)
+        time_limit=route.time_limit,
+        past_services=past_services - {service})
 
 
 def _read_api_key(http_request: http1.HttpRequest) -> str:
--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -623,6 +623,9 @@
 
     def _use_configuration(self, item: store_client.Item,
                            decoded: Configuration) -> None:
+        if (self.configuration is not None and decoded.table.record_previous(
+                self.configuration.table, self._clock.monotonic())):
+            self._stream_store.handle_route_move()
         self.configuration = decoded
         self.item = item
         self._journal.write("configuration",
--- a/mustardwood/platform/tests/test_decoders.py
+++ b/mustardwood/platform/tests/test_decoders.py
@@ -257,6 +257,17 @@
         assert resumed.service == first.service
 
 
+def test_request_names_the_past_services_of_its_route():
+    routes = documents.make_document()["routes"]
+    old = _decode(routes=routes).table
+    past = routes[0]["service"]
+    routes[0]["service"] = "engine-b"
+    table = _decode(routes=routes).table
+    table.record_previous(old, _START)
+    request = _decode_request("/stream/x", {}, table)
+    assert (request.service, request.past_services) == ("engine-b", {past})
+
+
 @pytest.mark.parametrize("value", [b"", b"x" * 201, b"x" * 100_000])
 def test_missing_or_oversized_id_of_a_resumed_stream_is_ignored(value):
     request = _decode_request("/stream/x", {
