Continue a stream only where the endpoint's version is certain

Cause: a stream went on by the version in the registration that the VM had, however old. Only resumptions by callers whose stream no VM knew had registrations read. Class: a copy of unknown age is taken for the present.

Fix: a stream goes on at an endpoint if the registrations were read after the stream broke, or if a connection to it is open since they were read last, which shows without a call that it has not restarted. Otherwise they are read, for up to a second; then the response is broken off, so that its caller can resume it at another VM. It holds for broken and silent streams and for resumptions.

The fixture of the tests lists the endpoints once, as a VM does before it is ready.

--- a/mustardwood/benchmarks/streams/engine_client.py
+++ b/mustardwood/benchmarks/streams/engine_client.py
@@ -95,6 +95,12 @@
                                        lambda: _reject(listener))
         return _Attempt(engine, run)
 
+    def is_connected_since(self, endpoint: dispatch.Endpoint,
+                           time: datetime.timedelta) -> bool:
+        """See `forwarding_context.EndpointClient`; engines do not restart."""
+        del endpoint, time
+        return True
+
 
 def _reject(listener: dispatch.AttemptListener) -> None:
     listener.receive_head(503, [], True, True)
--- a/mustardwood/dispatch/endpoint_directory.py
+++ b/mustardwood/dispatch/endpoint_directory.py
@@ -232,6 +232,14 @@
             self._complete_since = time
         self._listed_at = max(time, self._listed_at or time)
 
+    @property
+    def listed_at(self) -> datetime.timedelta | None:
+        """Monotonic time of the last request that listed all registrations.
+
+        It is None if endpoints may have come and left unseen since.
+        """
+        return self._listed_at
+
     def record_listing_gap(self) -> None:
         """Records that endpoints may have come and left unseen until now."""
         self._listed_at = None
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -298,6 +298,9 @@
             self._attempts.send(choice, now, time_left)
             self._hedge_watch.start()
             return
+        if len(excluded) == len(usable) and self._attempts.request_proof(
+                usable):
+            choice = placement_limit.PlacementLimit.REGISTRATIONS
         self._record.record_wait(choice)
         refused = self._wait.find_refusal(choice, usable, excluded, has_run,
                                           is_head_sent)
@@ -429,6 +432,7 @@
     def _retry_after_run(self, reason: str) -> None:
         if self._attempts.may_run_again() and self._attempts.take_retry():
             self._response.splitter.drop_rest()
+            self._version.record_break()
             self._send_next()
         else:
             self._give_up(reason, None)
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -173,6 +173,17 @@
                 held back until `Attempt.write` is called.
         """
 
+    def is_connected_since(self, endpoint: endpoint_module.Endpoint,
+                           time: datetime.timedelta) -> bool:
+        """Returns whether a connection to an endpoint is open since a time.
+
+        The endpoint has not restarted then.
+
+        Args:
+            endpoint: The endpoint.
+            time: Monotonic time.
+        """
+
 
 class Timer(typing.Protocol):
     """A scheduled call."""
--- a/mustardwood/dispatch/placement_limit.py
+++ b/mustardwood/dispatch/placement_limit.py
@@ -14,6 +14,8 @@
         RATE: The endpoint's rate limit is used up, or a more urgent request
             waits for it.
         RESERVED: The engine is reserved for interactive streams.
+        REGISTRATIONS: The stream goes on where the endpoint's software version
+            is certain, which needs registrations that are read now.
         NO_ENDPOINT: There is no endpoint that was not tried before.
     """
 
@@ -23,4 +25,5 @@
     PAUSED = "paused"
     RATE = "rate"
     RESERVED = "reserved"
+    REGISTRATIONS = "registrations"
     NO_ENDPOINT = "no endpoint"
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -154,11 +154,18 @@
     Attributes:
         sent: The attempts.
         is_connected: Whether new attempts have a connection.
+        unconnected: Names of endpoints without an older connection.
     """
 
     def __init__(self):
         self.sent = []
         self.is_connected = True
+        self.unconnected = set()
+
+    def is_connected_since(self, endpoint, time):
+        """Returns whether an older connection is open."""
+        del time
+        return endpoint.name not in self.unconnected
 
     def send(self, request, endpoint, time_left, resume_after, listener,
              before_write):
@@ -378,6 +385,7 @@
             process_exit=self.process_exit)
         for index in range(endpoints):
             self.directory.set_endpoint(make_endpoint(index, slots))
+        self.directory.record_listing(self.clock.monotonic())
 
     def list_usable(self):
         """Returns the endpoints that accept requests."""
--- a/mustardwood/dispatch/tests/test_software_versions.py
+++ b/mustardwood/dispatch/tests/test_software_versions.py
@@ -406,3 +406,78 @@
     harness.loads.set_peer_loads("peer", {})
     harness.scheduler.advance(ms(400))
     assert len(harness.client.sent) == count
+
+
+def _start_unlisted_stream(harness, **changes):
+    """Starts a stream; the store is silent, and no connection is older."""
+    harness.registrations.is_available = False
+    _, caller, first = _start_stream(harness, **changes)
+    harness.client.unconnected.update(
+        each.name for each in harness.list_usable())
+    harness.clock.advance(ms(100))
+    return caller, first
+
+
+def test_stream_does_not_go_on_where_a_restart_may_be_unseen():
+    """An endpoint may have another version since, under the same name."""
+    harness = _make_harness("v1", "v1")
+    harness.directory.record_listing(harness.clock.monotonic())
+    caller, first = _start_unlisted_stream(harness)
+    first.listener.receive_failure(True, "reset")
+    harness.scheduler.advance(ms(900))
+    assert len(harness.client.sent) == 1 and not caller.end
+    harness.scheduler.advance(ms(200))
+    assert len(harness.client.sent) == 1
+    assert caller.end == "broken"
+
+
+@pytest.mark.parametrize("version, count", [("v1", 2), ("v2", 1)])
+def test_broken_stream_goes_on_as_the_registrations_show(version, count):
+    harness = _make_harness("v1", "v1")
+    harness.directory.record_listing(harness.clock.monotonic())
+    _, first = _start_unlisted_stream(harness)
+    index = 1 - int(first.endpoint.name.rpartition("-")[2])
+    harness.registrations.on_read = lambda: _set_version(
+        harness, index, version, started=5)
+    harness.registrations.is_available = True
+    first.listener.receive_failure(True, "reset")
+    harness.scheduler.advance(ms(60))
+    assert len(harness.client.sent) == count
+
+
+def test_stream_goes_on_where_a_connection_shows_that_nothing_restarted():
+    """Without the store, and without a call that it bills."""
+    harness = _make_harness("v1", "v1")
+    harness.directory.record_listing(harness.clock.monotonic())
+    _, first = _start_unlisted_stream(harness)
+    harness.client.unconnected.clear()
+    first.listener.receive_failure(True, "reset")
+    assert len(harness.client.sent) == 2
+    assert not harness.registrations.reads
+
+
+def test_silent_stream_is_handed_over_when_the_registrations_are_read():
+    harness = _make_harness("v1", "v1")
+    harness.directory.record_listing(harness.clock.monotonic())
+    _, first = _start_unlisted_stream(harness)
+    harness.scheduler.advance(ms(1300))
+    assert len(harness.client.sent) == 1 and not first.has_ended_sending
+    harness.registrations.is_available = True
+    harness.scheduler.advance(ms(100))
+    assert len(harness.client.sent) == 2
+    assert harness.client.sent[1].is_written
+
+
+def test_resumption_by_a_caller_needs_a_certain_version_too():
+    harness = _make_harness("v1", "v1")
+    harness.directory.record_listing(harness.clock.monotonic())
+    harness.registrations.is_available = False
+    harness.streams.record_peer_streams(
+        {"v1": stream_version_table.find_key("engine", "first")})
+    harness.client.unconnected.update(
+        each.name for each in harness.list_usable())
+    harness.clock.advance(ms(100))
+    _, caller = _resume(harness, "first")
+    harness.scheduler.advance(ms(1100))
+    assert not harness.client.sent
+    assert caller.status == 503
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -147,6 +147,12 @@
             if each is not None
         ]
 
+    def request_proof(
+            self, usable: collections.abc.Collection[endpoint_module.Endpoint]
+    ) -> bool:
+        """See `stream_version.StreamVersion.request_proof`."""
+        return self._version.request_proof(usable, self._tried)
+
     def has_successor(self, attempt: attempt_record.AttemptRecord) -> bool:
         """Returns whether another attempt follows if a silent one ends."""
         return attempt is self._silent or (self._is_withdrawn(attempt) and
@@ -524,6 +530,7 @@
         if self.is_hedged:
             self._end_takeover()
         self._mark_stalled(attempt)
+        self._version.record_break()
         if (self._request.retry_policy.allows_rerun and
                 not self.send_successor()):
             self.start_stall_timer()
@@ -556,7 +563,8 @@
         usable = context.directory.list_usable(request.service)
         excluded = self._version.find_excluded(usable, self._tried)
         if len(excluded) == len(usable):
-            return None
+            return (placement_limit.PlacementLimit.REGISTRATIONS if
+                    self._version.request_proof(usable, self._tried) else None)
         choice = context.placement.choose(request, usable, excluded)
         if (isinstance(choice, placement_module.Choice) and
                 context.health.is_avoided(choice.endpoint.name)):
--- a/mustardwood/forwarding/room_wait.py
+++ b/mustardwood/forwarding/room_wait.py
@@ -70,6 +70,8 @@
             is_head_sent: Whether the caller got the head of a response.
         """
         context = self._context
+        if limit is placement_limit.PlacementLimit.REGISTRATIONS:
+            return None
         if len(excluded) == len(usable):
             return router_refusal.RouterRefusal("no endpoint left")
         if is_head_sent:
--- a/mustardwood/forwarding/stream_version.py
+++ b/mustardwood/forwarding/stream_version.py
@@ -1,6 +1,7 @@
 """Software version at which a stream goes on."""
 
 import collections.abc
+import datetime
 
 from mustardwood.dispatch import attempt_record
 from mustardwood.dispatch import endpoint as endpoint_module
@@ -10,12 +11,24 @@
 from mustardwood.dispatch import stream_version_table
 from mustardwood.dispatch import version_lookup
 
+_MAX_READ_TIME = datetime.timedelta(seconds=1)
+"""Time within which the store shows the registrations.
+
+A caller whose stream is broken off then may resume it at another VM.
+"""
+
 
 class StreamVersion:
     """Finds the endpoints that may begin or continue the stream of a request.
 
     A stream goes on only at endpoints of the software version that sent its
     first event: what two versions write does not fit together.
+
+    Failure: an endpoint restarts under its name with another version while this
+    VM can't see the store. A stream therefore goes on only where the version is
+    certain. Either the registrations were read after the stream broke, or a
+    connection to the endpoint is open since they were read last, so that it has
+    not restarted.
     """
 
     def __init__(self, request: service_request.ServiceRequest,
@@ -23,6 +36,7 @@
         self._request = request
         self._context = context
         self._software: str | None = None
+        self._uncertain_since = request.arrived_at
         self._lookup: version_lookup.VersionLookup | None = None
 
     @property
@@ -46,6 +60,28 @@
                                                     self._context, handle_end)
         self._lookup.start()
 
+    def record_break(self) -> None:
+        """Records that the stream has to go on at another endpoint."""
+        self._uncertain_since = self._context.clock.monotonic()
+
+    def request_proof(self, usable: collections.abc.Collection[
+        endpoint_module.Endpoint], tried: collections.abc.Set[str]) -> bool:
+        """Has the registrations read if a version has to be certain.
+
+        Args:
+            usable: Endpoints of the service that accept new requests.
+            tried: Names of the endpoints that the request was sent to.
+
+        Returns:
+            Whether an endpoint may be chosen once they are read.
+        """
+        waited = self._context.clock.monotonic() - self._uncertain_since
+        if (waited >= _MAX_READ_TIME or
+                not self._find_uncertain(usable) - tried):
+            return False
+        self._context.registrations.request_read()
+        return True
+
     def cancel_lookup(self) -> None:
         """Ends the lookup, if there is one, without a result."""
         if self._lookup is not None:
@@ -81,12 +117,29 @@
         unrecorded = self._find_unrecorded(usable)
         if self._software is None and not tried and not unrecorded:
             return set()
+        uncertain = self._find_uncertain(usable)
+        return {
+            each.name for each in usable if each.name in tried or
+            each.version in unrecorded or each.name in uncertain or
+            (self._software is not None and not self._has_version(each))
+        }
+
+    def _has_version(self, endpoint: endpoint_module.Endpoint) -> bool:
+        return bool(endpoint.version) and endpoint.version == self._software
+
+    def _find_uncertain(
+            self, usable: collections.abc.Iterable[endpoint_module.Endpoint]
+    ) -> set[str]:
+        """Returns the endpoints that may have another version by now."""
+        directory, client = self._context.directory, self._context.client
+        if (self._software is None or
+                directory.is_listed_since(self._uncertain_since)):
+            return set()
+        listed_at = directory.listed_at
         return {
-            each.name
-            for each in usable
-            if each.name in tried or each.version in unrecorded or
-            (self._software is not None and
-             (not each.version or each.version != self._software))
+            each.name for each in usable if self._has_version(each) and
+            (listed_at is None or
+             not client.is_connected_since(each, listed_at))
         }
 
     def _find_unrecorded(
--- a/mustardwood/http1/connection_pool.py
+++ b/mustardwood/http1/connection_pool.py
@@ -55,6 +55,8 @@
         self._clock = clock
         self._scheduler = scheduler
         self._idle: dict[_Address, _ConnectionList] = {}
+        self._open: dict[_Address,
+                         set[endpoint_connection.EndpointConnection]] = {}
         self._numbers = itertools.count(1)
         self.opened = 0
         self._close_expired()
@@ -100,6 +102,17 @@
         exchange.attach(_PendingConnection(connector), is_connected=False)
         return exchange
 
+    def is_connected_since(self, address: _Address,
+                           time: datetime.timedelta) -> bool:
+        """Returns whether a connection to an address is open since a time.
+
+        Args:
+            address: IP address and port.
+            time: Monotonic time.
+        """
+        return any(
+            each.is_open_since(time) for each in self._open.get(address, ()))
+
     def make_connection(
             self,
             address: _Address,
@@ -113,13 +126,15 @@
             is_relayed: Whether the connection leads through another VM.
         """
         path = self._path
-        return endpoint_connection.EndpointConnection(
+        connection = endpoint_connection.EndpointConnection(
             self._clock, self._scheduler,
             lambda idle: self._idle.setdefault(address, []).append(idle),
-            lambda lost: self._remove_idle(address, lost), first_exchange,
+            lambda lost: self._remove(address, lost), first_exchange,
             self._response_memory, next(self._numbers), is_relayed,
             _do_nothing if is_relayed else lambda: path.record_write(address),
             _do_nothing if is_relayed else lambda: path.record_data(address))
+        self._open.setdefault(address, set()).add(connection)
+        return connection
 
     def close_idle_connections(self, address: _Address) -> None:
         """Closes the idle connections to an address."""
@@ -146,12 +161,16 @@
                 return connection
         return None
 
-    def _remove_idle(
-            self, address: _Address,
-            connection: endpoint_connection.EndpointConnection) -> None:
+    def _remove(self, address: _Address,
+                connection: endpoint_connection.EndpointConnection) -> None:
+        """Removes a connection that is lost."""
         connections = self._idle.get(address, [])
         if connection in connections:
             connections.remove(connection)
+        opened = self._open.get(address, set())
+        opened.discard(connection)
+        if not opened:
+            self._open.pop(address, None)
 
     def _close_expired(self) -> None:
         now = self._clock.monotonic()
--- a/mustardwood/http1/endpoint_connection.py
+++ b/mustardwood/http1/endpoint_connection.py
@@ -112,6 +112,7 @@
         self._is_lost = False
         self._is_reset = False
         self._has_ended_sending = False
+        self._opened_at: datetime.timedelta | None = None
         self._bytes_after_close = 0
         self._on_closed: list[exchange_module.OnClosed] = []
         self._close_timer: dispatch.Timer | None = None
@@ -124,6 +125,11 @@
         """Whether another exchange may be started."""
         return not self._is_closed and self._exchange is None
 
+    def is_open_since(self, time: datetime.timedelta) -> bool:
+        """Returns whether the connection is open since a monotonic time."""
+        return (self._opened_at is not None and self._opened_at <= time and
+                not (self._is_lost or self._is_reset))
+
     def has_carried(self, request_id: bytes) -> bool:
         """Returns whether a request with an id was written before.
 
@@ -134,6 +140,7 @@
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
+        self._opened_at = self._clock.monotonic()
         socket_options.configure_socket(self.transport, self._send_timeout)
         self.transport.bufferSize = _READ_BYTES
         # The connection outlives the exchange, whose request has a body.
--- a/mustardwood/http1/tests/test_connection_pool.py
+++ b/mustardwood/http1/tests/test_connection_pool.py
@@ -351,3 +351,26 @@
     gc.collect()
     assert exchange() is None
     assert connection.is_usable
+
+
+def test_open_connection_shows_since_when_its_endpoint_has_not_restarted():
+    harness = _Harness()
+    harness.clock.advance(ms(100))
+    harness.send()
+    assert not harness.pool.is_connected_since(_ADDRESS, ms(1000))
+    connection, _ = harness.reactor.complete_connect()
+    assert harness.pool.is_connected_since(_ADDRESS, ms(100))
+    assert not harness.pool.is_connected_since(_ADDRESS, ms(99))
+    assert not harness.pool.is_connected_since(("192.0.2.2", 8000), ms(100))
+    connection.dataReceived(_RESPONSE)
+    assert harness.pool.is_connected_since(_ADDRESS, ms(100))
+    connection.connectionLost(failure.Failure(internet_error.ConnectionLost()))
+    assert not harness.pool.is_connected_since(_ADDRESS, ms(100))
+
+
+def test_connection_that_was_reset_shows_nothing_of_its_endpoint():
+    harness = _Harness()
+    exchange = harness.send()
+    harness.reactor.complete_connect()
+    exchange.abort()
+    assert not harness.pool.is_connected_since(_ADDRESS, ms(1000))
--- a/mustardwood/platform/endpoint_client.py
+++ b/mustardwood/platform/endpoint_client.py
@@ -64,6 +64,12 @@
                                before_write=before_write,
                                request_id=request.request_id.encode("latin-1"))
 
+    def is_connected_since(self, endpoint: dispatch.Endpoint,
+                           time: datetime.timedelta) -> bool:
+        """See `dispatch.forwarding_context.EndpointClient`."""
+        return self._pool.is_connected_since((endpoint.host, endpoint.port),
+                                             time)
+
 
 def _find_engine_priority(request: dispatch.ServiceRequest) -> int:
     """Returns the priority of a request on an engine.
