Bound the time of requests for tunnels

A VM that is cut from all endpoints waited without a limit for another VM that took its connection and did not respond, and so did its callers until their deadlines. At the other VM, connections without a whole request counted among its 256 tunnels for good.

Cause: only opening the connections had a time limit.

Evidence: test_next_vm_is_asked_if_one_does_not_respond and three cases of test_connection_without_a_whole_request_is_reset failed on the code before (with its constructor).

Fix: a VM has to respond within twice the time for opening a connection, or the next one is asked; a connection has to bring its whole request within two seconds. An open tunnel has no limit. The VMs that are avoided are forgotten when that ends.

--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -361,7 +361,7 @@
         pages = http1.PageServer(
             self._scheduler,
             {peer_synchronizer.CONFIGURATION_PATH: self._build_configuration})
-        return relay.TunnelServer(pages, self._endpoint_path,
+        return relay.TunnelServer(pages, self._scheduler, self._endpoint_path,
                                   self._directory.find_endpoint,
                                   self._peers.is_peer,
                                   self._endpoint_path.has_path)
--- a/mustardwood/relay/relayed_path.py
+++ b/mustardwood/relay/relayed_path.py
@@ -21,6 +21,11 @@
 """Number of VMs that are asked for a tunnel for one connection."""
 _AVOID_TIME = datetime.timedelta(seconds=1)
 """Time for which a VM that has no path itself is not asked again."""
+_MAX_RESPONSE_TIME = 2 * http1.CONNECT_TIMEOUT
+"""Time within which a VM responds to a request for a tunnel.
+
+It opens the connection to the endpoint in that time.
+"""
 _MAX_LISTING_AGE = datetime.timedelta(seconds=1)
 """Time after which the endpoints are listed again."""
 _PROBED_ENDPOINTS = 2
@@ -185,7 +190,16 @@
 
     def avoid_vm(self, vm: Address) -> None:
         """Records that a VM could not open a tunnel."""
-        self._avoided[vm] = self._clock.monotonic() + _AVOID_TIME
+        now = self._clock.monotonic()
+        self._avoided = {
+            each: until for each, until in self._avoided.items() if until > now
+        }
+        self._avoided[vm] = now + _AVOID_TIME
+
+    def start_response_timer(self, transport: typing.Any) -> dispatch.Timer:
+        """Has a connection reset unless the timer is cancelled in time."""
+        return self._scheduler.call_later(_MAX_RESPONSE_TIME,
+                                          transport.abortConnection)
 
     def _find_endpoint(self, address: Address) -> dispatch.Endpoint | None:
         now = self._clock.monotonic()
@@ -254,7 +268,7 @@
             return False
         self._tried.add(vm)
         self._connector = self._path.open_tunnel(
-            vm, _HandshakeFactory(self, vm, self._name))
+            vm, _HandshakeFactory(self._path, self, vm, self._name))
         return True
 
     def disconnect(self) -> None:
@@ -307,7 +321,9 @@
 
     noisy = False
 
-    def __init__(self, tunnel: _Tunnel, vm: Address, name: str) -> None:
+    def __init__(self, path: RelayedPath, tunnel: _Tunnel, vm: Address,
+                 name: str) -> None:
+        self._path = path
         self._tunnel = tunnel
         self._vm = vm
         self._name = name
@@ -316,7 +332,7 @@
             self, addr: typing.Any) -> protocol.Protocol:
         """See `protocol.ClientFactory`."""
         del addr
-        return _Handshake(self._tunnel, self._vm, self._name)
+        return _Handshake(self._path, self._tunnel, self._vm, self._name)
 
     def clientConnectionFailed(  # pylint: disable=invalid-name
             self, connector: interfaces.IConnector,
@@ -331,15 +347,19 @@
 
     transport: typing.Any
 
-    def __init__(self, tunnel: _Tunnel, vm: Address, name: str) -> None:
+    def __init__(self, path: RelayedPath, tunnel: _Tunnel, vm: Address,
+                 name: str) -> None:
+        self._path = path
         self._tunnel = tunnel
         self._vm = vm
         self._name = name
         self._head = b""
+        self._timer: dispatch.Timer | None = None
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         self.transport.setTcpNoDelay(True)
+        self._timer = self._path.start_response_timer(self.transport)
         self.transport.write(tunnel_server.METHOD + self._name.encode() +
                              b" HTTP/1.1\r\nHost: " + self._name.encode() +
                              b"\r\n" + tunnel_server.CHUNKED_FORMAT +
@@ -353,6 +373,7 @@
             if len(self._head) > tunnel_server.MAX_HEAD_BYTES:
                 self.transport.abortConnection()
             return
+        self._cancel_timer()
         if head.split(b" ", 2)[1:2] == [b"200"]:
             self._tunnel.open(self.transport,
                               tunnel_server.has_chunked_format(head), rest)
@@ -364,8 +385,14 @@
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
         del reason
+        self._cancel_timer()
         self._tunnel.handle_failure(self._vm)
 
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
 
 class _ObservedFactory(protocol.ClientFactory):
     """Reports to the path whether a direct connection was opened."""
--- a/mustardwood/relay/tests/test_tunnels.py
+++ b/mustardwood/relay/tests/test_tunnels.py
@@ -208,7 +208,7 @@
     harness = harness_module.Harness(endpoints=1)
     reactor = testing.MemoryReactor()
     path, _ = _make_path(harness, reactor, [])
-    server = tunnel_server.TunnelServer(_Pages(), path,
+    server = tunnel_server.TunnelServer(_Pages(), harness.scheduler, path,
                                         harness.directory.find_endpoint,
                                         lambda each: each == _VM,
                                         lambda endpoint: has_path)
@@ -229,7 +229,7 @@
 def test_other_requests_on_the_port_get_their_page():
     harness = harness_module.Harness(endpoints=1)
     path, _ = _make_path(harness, testing.MemoryReactor(), [])
-    server = tunnel_server.TunnelServer(_Pages(), path,
+    server = tunnel_server.TunnelServer(_Pages(), harness.scheduler, path,
                                         harness.directory.find_endpoint,
                                         lambda ip: True, path.has_path)
     transport = _Transport()
@@ -301,7 +301,7 @@
     harness = harness_module.Harness(endpoints=1)
     reactor = testing.MemoryReactor()
     path, _ = _make_path(harness, reactor, [])
-    server = tunnel_server.TunnelServer(_Pages(), path,
+    server = tunnel_server.TunnelServer(_Pages(), harness.scheduler, path,
                                         harness.directory.find_endpoint,
                                         lambda ip: True, path.has_path)
     inner = _Transport()
@@ -368,3 +368,61 @@
     for each in sides:
         each.reportLoss()
     assert server.open_tunnels == 0
+
+
+def test_next_vm_is_asked_if_one_does_not_respond():
+    """It stands still, or its network has lost the connection."""
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, _VMS)
+    _lose_path(harness, path, reactor)
+    factory = _Factory()
+    path.connect(_find_address(harness, 2), factory)
+    asked = [reactor.tcpClients[-1][:2]]
+    transport = _open_tunnel(reactor, b"")
+    harness.scheduler.advance(harness_module.ms(799))
+    assert not transport.disconnected
+    harness.scheduler.advance(harness_module.ms(1))
+    assert transport.disconnected
+    transport.protocol.connectionLost(failure.Failure(
+        error.ConnectionAborted()))
+    asked.append(
+        next(each[:2]
+             for each in reversed(reactor.tcpClients)
+             if each[:2] in _VMS))
+    assert sorted(asked) == _VMS
+
+
+def test_open_tunnel_has_no_time_limit():
+    harness = harness_module.Harness(endpoints=3)
+    reactor = testing.MemoryReactor()
+    path, _ = _make_path(harness, reactor, _VMS)
+    _lose_path(harness, path, reactor)
+    path.connect(_find_address(harness, 2), _Factory())
+    transport = _open_tunnel(reactor, _CHUNKED_RESPONSE)
+    harness.scheduler.advance(harness_module.ms(60_000))
+    assert not transport.disconnected
+
+
+@pytest.mark.parametrize("sent, is_reset", [(b"", True), (b"CONN", True),
+                                            (b"CONNECT endpoint-0 HTTP", True),
+                                            (_CHUNKED_REQUEST, False),
+                                            (b"GET / HT", False)])
+def test_connection_without_a_whole_request_is_reset(sent, is_reset):
+    """Otherwise each would count as a tunnel from then on."""
+    harness = harness_module.Harness(endpoints=1)
+    path, _ = _make_path(harness, testing.MemoryReactor(), [])
+    server = tunnel_server.TunnelServer(_Pages(), harness.scheduler, path,
+                                        harness.directory.find_endpoint,
+                                        lambda ip: True, path.has_path)
+    transport = _Transport()
+    transport.protocol = server.buildProtocol(
+        address_module.IPv4Address("TCP", _VM, 40_000))
+    transport.protocol.makeConnection(transport)
+    if sent:
+        transport.protocol.dataReceived(sent)
+    harness.scheduler.advance(harness_module.ms(2000))
+    assert transport.disconnected == is_reset
+    transport.protocol.connectionLost(failure.Failure(
+        error.ConnectionAborted()))
+    assert not server.open_tunnels
--- a/mustardwood/relay/tunnel_server.py
+++ b/mustardwood/relay/tunnel_server.py
@@ -1,6 +1,7 @@
 """Tunnels to endpoints for other VMs."""
 
 import collections.abc
+import datetime
 import http
 import socket
 import struct
@@ -37,6 +38,8 @@
        2022, section 7.1.
 """
 LAST_CHUNK = b"0\r\n\r\n"
+_MAX_REQUEST_TIME = datetime.timedelta(seconds=2)
+"""Time within which a connection has to bring a request for a tunnel."""
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _END_ON_CLOSE = struct.pack("ii", 0, 0)
 """Values of SO_LINGER: whether a close resets the connection."""
@@ -68,21 +71,23 @@
     noisy = False
 
     def __init__(
-            self, pages: protocol.ServerFactory, connector: Connector,
-            find_endpoint: FindEndpoint, is_vm: collections.abc.Callable[[str],
-                                                                         bool],
+            self, pages: protocol.ServerFactory, scheduler: dispatch.Scheduler,
+            connector: Connector, find_endpoint: FindEndpoint,
+            is_vm: collections.abc.Callable[[str], bool],
             has_path: collections.abc.Callable[[dispatch.Endpoint],
                                                bool]) -> None:
         """Creates the factory.
 
         Args:
             pages: Builds the protocol of connections for other requests.
+            scheduler: Schedules the timeouts of connections without a request.
             connector: Opens connections to endpoints.
             find_endpoint: Returns the endpoint of a name.
             is_vm: Returns whether an IP address is that of another VM.
             has_path: Returns whether this VM reaches an endpoint itself.
         """
         self._pages = pages
+        self._scheduler = scheduler
         self._connector = connector
         self._find_endpoint = find_endpoint
         self._is_vm = is_vm
@@ -112,6 +117,15 @@
         for each in list(self._tunnels):
             each.transport.abortConnection()
 
+    def start_request_timer(self, transport: typing.Any) -> dispatch.Timer:
+        """Has a connection reset unless the timer is cancelled in time.
+
+        Failure: a VM vanishes, or connects and sends nothing, and its
+        connections would count among the open tunnels from then on.
+        """
+        return self._scheduler.call_later(_MAX_REQUEST_TIME,
+                                          transport.abortConnection)
+
     def buildProtocol(  # pylint: disable=invalid-name
             self, addr: typing.Any) -> protocol.Protocol:
         """See `protocol.ServerFactory`."""
@@ -158,12 +172,30 @@
         self._server = server
         self._address = address
         self._data = b""
+        self._timer: dispatch.Timer | None = None
+
+    def connectionMade(self) -> None:  # pylint: disable=invalid-name
+        """See `protocol.Protocol`."""
+        self._timer = self._server.start_request_timer(self.transport)
+
+    def connectionLost(  # pylint: disable=invalid-name
+            self,
+            reason: failure.Failure = protocol.connectionDone) -> None:
+        """See `protocol.Protocol`."""
+        del reason
+        self._cancel_timer()
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         self._data += data
         if METHOD.startswith(self._data):
             return
+        self._cancel_timer()
         chosen: typing.Any = (_TunnelEnd(self._server, self._address.host)
                               if self._data.startswith(METHOD) else
                               self._server.build_page_protocol(self._address))
@@ -245,12 +277,14 @@
         self._is_open = False
         self._is_chunked = False
         self._has_ended = False
+        self._timer: dispatch.Timer | None = None
 
     def connectionMade(self) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
         socket_options.configure_socket(self.transport,
                                         socket_options.UNREACHABLE_TIMEOUT)
         self._server.add_tunnel(self)
+        self._timer = self._server.start_request_timer(self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # pylint: disable=invalid-name
         """See `protocol.Protocol`."""
@@ -266,6 +300,7 @@
             # The other VM sends nothing before the tunnel is open.
             self._refuse(http.HTTPStatus.BAD_REQUEST)
             return
+        self._cancel_timer()
         self._is_chunked = has_chunked_format(self._head)
         name = self._head[len(METHOD):].partition(b" ")[0].decode("latin-1")
         target = self._server.find_target(self._ip, name)
@@ -278,6 +313,7 @@
             self,
             reason: failure.Failure = protocol.connectionDone) -> None:
         """See `protocol.Protocol`."""
+        self._cancel_timer()
         self._server.remove_tunnel(self)
         if not self._is_open and self._connector is not None:
             self._connector.disconnect()
@@ -314,6 +350,11 @@
             self._set_linger(_END_ON_CLOSE)
         super().end_writing()
 
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _set_linger(self, value: bytes) -> None:
         self.transport.getHandle().setsockopt(socket.SOL_SOCKET,
                                               socket.SO_LINGER, value)
