Let the soak change a large configuration and mix builds

The soak missed what broke CONFIG and DENIED on the users' machines: its store answered without a rate, its configuration had three routes and did not change, and all its VMs ran one build.

A commit that is not in the history, or whose build does not start, ends the soak with its reason and code 2. A check (CONFIG): a route is served 3 s after its acknowledgement, and not denied.

Two planted faults are found: VMs that receive each version (history), and updates that another build can't decode (updates).

--- a/mustardwood/platform/tests/earlier_builds.py
+++ b/mustardwood/platform/tests/earlier_builds.py
@@ -3,6 +3,7 @@
 import io
 import pathlib
 import subprocess
+import sys
 import tarfile
 
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
@@ -23,7 +24,8 @@
         The folder.
 
     Raises:
-        BuildError: The commit is not in the history, or holds no build.
+        BuildError: The commit is not in the history, or holds no build that
+            runs with the installed packages.
     """
     archive = subprocess.run(
         ["git", "-C", str(_ROOT), "archive", commit, "mustardwood"],
@@ -34,4 +36,12 @@
                          f"{archive.stderr.decode(errors='replace').strip()}")
     with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as sources:
         sources.extractall(folder, filter="data")
+    imported = subprocess.run(
+        [sys.executable, "-c", "import mustardwood.platform.daemon"],
+        cwd=folder,
+        capture_output=True,
+        check=False)
+    if imported.returncode:
+        lines = imported.stderr.decode(errors="replace").strip().splitlines()
+        raise BuildError(f"the build of {commit} does not run: {lines[-1]}")
     return folder
--- a/mustardwood/platform/tests/process_fleet.py
+++ b/mustardwood/platform/tests/process_fleet.py
@@ -24,6 +24,7 @@
 """Time after a disturbance from which a VM is held to its time bounds."""
 LOSS_SLACK_SECONDS = 0.2
 """Time within which a connection may be closed under a request."""
+_PRODUCT = ("mustardwood.platform",)
 _BALANCER_SECONDS = 2.0
 """Time after which the load balancer sends no new connections to a VM."""
 _TIMEOUT_SECONDS = 30.0
@@ -197,7 +198,7 @@
                  name,
                  store,
                  further_settings="",
-                 command=("mustardwood.platform",),
+                 command=None,
                  source=None):
         """Writes the settings; `start` starts the process.
 
@@ -206,7 +207,8 @@
             name: Name of the VM.
             store: The fake store.
             further_settings: Further tables of the settings.
-            command: Module that runs the VM, and its arguments.
+            command: Module that runs the VM while it runs this build, and its
+                arguments; None for that of the product.
             source: Folder with the build that it runs; None for this one.
         """
         self.source = source
@@ -244,11 +246,13 @@
         environment = {
             **os.environ, settings.PATH_VARIABLE: str(self._settings)
         }
+        command = self._command
         if self.source is not None:
             environment["PYTHONPATH"] = str(self.source)
+            command = None
         with open(self._log, "ab") as log:
             self._process = subprocess.Popen(  # pylint: disable=consider-using-with
-                [sys.executable, "-m", *self._command],
+                [sys.executable, "-m", *(command or _PRODUCT)],
                 cwd=self.source,
                 env=environment,
                 stdout=log)
--- a/mustardwood/platform/tests/soak/__main__.py
+++ b/mustardwood/platform/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 
+from mustardwood.platform.tests import earlier_builds
 from mustardwood.platform.tests.soak import plants
 from mustardwood.platform.tests.soak import soak
 
@@ -45,6 +46,18 @@
     parser.add_argument("--relays",
                         action="store_true",
                         help="restart and kill the VMs that are not cut")
+    parser.add_argument("--changes",
+                        action="store_true",
+                        help="add routes, many in quick succession")
+    parser.add_argument("--megabits",
+                        type=float,
+                        default=0.0,
+                        help="rate of the link from the store to each VM, with "
+                        "a large configuration")
+    parser.add_argument("--build",
+                        default="",
+                        metavar="COMMIT",
+                        help="let VMs run this build, too, beside this one")
     parser.add_argument("--plant",
                         choices=sorted(plants.FAULTS),
                         default="",
@@ -82,6 +95,9 @@
                          cut_vms=options.cut,
                          unframed=options.unframed,
                          has_relay_restarts=options.relays,
+                         has_changes=options.changes,
+                         store_megabits=options.megabits,
+                         build=options.build,
                          plant=options.plant,
                          takeover_stop_seconds=options.stop,
                          takeover_delay_seconds=options.delay,
@@ -91,7 +107,11 @@
             if options.logs:
                 folder = options.logs / f"seed-{seed}"
                 folder.mkdir(parents=True, exist_ok=True)
-            verdict = asyncio.run(soak.play(plan, folder))
+            try:
+                verdict = asyncio.run(soak.play(plan, folder))
+            except earlier_builds.BuildError as error:
+                print(error, file=sys.stderr)
+                sys.exit(2)
         broken += bool(verdict.breaches)
         print(f"seed {seed}: {'BROKEN' if verdict.breaches else 'kept'}, "
               f"{verdict.requests} requests, {verdict.sent} run, "
--- a/mustardwood/platform/tests/soak/caller.py
+++ b/mustardwood/platform/tests/soak/caller.py
@@ -12,6 +12,8 @@
 _CONNECT_SECONDS = 1.0
 _LEAVING_PROBABILITY = 0.05
 _STREAM_PROBABILITY = 0.7
+_NEW_ROUTE_PROBABILITY = 0.5
+"""Probability that a request is for the newest route, if there is one."""
 _RETRY_SECONDS = 0.05
 _MIN_PATIENCE_SECONDS, _MAX_PATIENCE_SECONDS = 0.6, 2.5
 """Time without an event after which a caller resumes its stream elsewhere."""
@@ -38,6 +40,8 @@
         is_complete: Whether the response was received whole.
         has_left: Whether the caller closed the connection before the end.
         ended_at: Monotonic time at which the response or connection ended.
+        route_since: Monotonic time at which the store has acknowledged the
+            route, if it was added in the run; None for the other routes.
     """
 
     attempt_id: str
@@ -51,6 +55,7 @@
     is_complete: bool = False
     has_left: bool = False
     ended_at: float = 0.0
+    route_since: float | None = None
 
 
 class Caller:
@@ -66,7 +71,8 @@
                  random,
                  ports=None,
                  is_impatient=False,
-                 is_repeating=False):
+                 is_repeating=False,
+                 changes=None):
         """Creates a caller; `call_until` starts it.
 
         Args:
@@ -77,7 +83,11 @@
             is_impatient: Whether it resumes silent streams elsewhere.
             is_repeating: Whether it sends refused requests again at once, under
                 the same id.
+            changes: The changes of the configuration; see
+                `route_changes.RouteChanges`.
         """
+        self._changes = changes
+        self._choice = random_module.Random(f"{name} routes")
         self._ports = ports or {}
         # The other draws of a seed stay as they were.
         self._patience = random_module.Random(name) if is_impatient else None
@@ -93,6 +103,11 @@
     async def call_until(self, ends_at):
         """Sends requests until a monotonic time in seconds."""
         while time.monotonic() < ends_at:
+            if (self._changes is not None and self._changes.path and
+                    self._choice.random() < _NEW_ROUTE_PROBABILITY):
+                await self._call(self._changes.path,
+                                 route_since=self._changes.acknowledged_at)
+                continue
             is_stream = self._random.random() < _STREAM_PROBABILITY
             path = "/stream/" if is_stream else "/post/"
             outcome = await self._call(path)
@@ -102,25 +117,27 @@
                 outcome = await self._call(path, outcome)
         self._close()
 
-    async def _call(self, path, resumed=None):
+    async def _call(self, path, resumed=None, route_since=None):
         """Sends a request, and again if it is refused and the caller repeats.
 
         Args:
             path: Path of the request.
             resumed: Outcome of the request whose stream it resumes, if any.
+            route_since: See `Outcome`.
         """
         attempt_id = f"{self._name}-{len(self.outcomes) + 1}"
-        outcome = await self._send(attempt_id, path, resumed)
+        outcome = await self._send(attempt_id, path, resumed, route_since)
         for _ in range(_MAX_REPETITIONS if self._is_repeating else 0):
             if outcome.status not in _NOT_RUN_STATUSES:
                 break
-            outcome = await self._send(attempt_id, path, resumed)
+            outcome = await self._send(attempt_id, path, resumed, route_since)
         return outcome
 
-    async def _send(self, attempt_id, path, resumed):
+    async def _send(self, attempt_id, path, resumed, route_since):
         outcome = Outcome(attempt_id,
                           resumed.stream_id if resumed else attempt_id, path,
                           "", time.monotonic())
+        outcome.route_since = route_since
         self.outcomes.append(outcome)
         more, body = "", outcome.stream_id
         if resumed is not None:
--- a/mustardwood/platform/tests/soak/checks.py
+++ b/mustardwood/platform/tests/soak/checks.py
@@ -25,6 +25,15 @@
 """Share of the others' served requests that a cut VM has to serve."""
 _MAX_FAILED, _MAX_FAILED_SHARE = 10, 1 / 50
 """Requests that may fail at cut VMs anyway."""
+STORE = "store"
+"""Name of the store among the disturbances."""
+APPLY_SECONDS = 3.0
+"""Time in which a change of the configuration takes effect."""
+_DENIALS = (401, 403, 404)
+"""Statuses of requests that no configuration allows."""
+_MIN_NEW_ROUTE_REQUESTS = 20
+_MIN_NEW_ROUTE_SHARE = 1 / 4
+"""Share of the requests for new routes that a VM has to serve."""
 
 
 def find_repeated_runs(runs: _Runs) -> list[str]:
@@ -179,6 +188,37 @@
     return found
 
 
+def find_unapplied_changes(
+    outcomes: _Outcomes, disturbances: _Disturbances = ()) -> list[str]:
+    """Returns where routes that were added were not served in time.
+
+    Args:
+        outcomes: What callers have seen of all requests.
+        disturbances: See `_is_disturbed`; requests to disturbed VMs, or while
+            the store is disturbed, are left out.
+    """
+    found, statuses = [], collections.defaultdict(list)
+    for each in outcomes:
+        if (each.route_since is None or
+                each.sent_at < each.route_since + APPLY_SECONDS or
+                _is_disturbed(each.vm, each.sent_at, disturbances) or
+                _is_disturbed(STORE, each.sent_at, disturbances)):
+            continue
+        statuses[each.vm].append(each.status)
+        if each.status in _DENIALS:
+            found.append(
+                f"{each.vm} answered {each.attempt_id} for {each.path} "
+                f"{each.status}, {each.sent_at - each.route_since:.1f} s after "
+                "the change")
+    for vm, answers in statuses.items():
+        served = answers.count(200)
+        if (len(answers) >= _MIN_NEW_ROUTE_REQUESTS and
+                served < _MIN_NEW_ROUTE_SHARE * len(answers)):
+            found.append(f"{vm} served {served} of {len(answers)} requests "
+                         "for new routes")
+    return found
+
+
 def _is_disturbed(name: str,
                   at: float,
                   disturbances: _Disturbances,
--- a/mustardwood/platform/tests/soak/disruption.py
+++ b/mustardwood/platform/tests/soak/disruption.py
@@ -4,11 +4,17 @@
 import collections
 import time
 
+from mustardwood.platform.tests.soak import checks
+
 _POLL_SECONDS = 0.005
 _MAX_PAUSE_SECONDS = 1.0
 _MAX_FAULT_PAUSE_SECONDS = 3.0
 _MIN_STOP_SECONDS, _MAX_STOP_SECONDS = 0.05, 2.0
 _MAX_LINK_DELAY_SECONDS = 0.1
+_CHANGES_IN_SERIES = 24
+_CHANGE_INTERVAL_SECONDS = 0.05
+_MIN_CHANGE_PAUSE_SECONDS, _MAX_CHANGE_PAUSE_SECONDS = 6.0, 1.0
+"""Pauses between changes, of which the first is never shorter."""
 _MIN_CUT_SECONDS, _MAX_CUT_SECONDS = 4.0, 6.0
 """Duration of a cut, of which the first seconds are not judged."""
 
@@ -23,7 +29,8 @@
             and the monotonic times at which that began and ended.
     """
 
-    def __init__(self, plan, vms, endpoints, links, paths, store, source):
+    def __init__(self, plan, vms, endpoints, links, paths, store, source,
+                 changes, build):
         """Creates the disruption of a run.
 
         Args:
@@ -34,7 +41,12 @@
             paths: Paths of the VMs to be cut to the endpoints.
             store: The store.
             source: Source of random numbers.
+            changes: Adds routes to the configuration.
+            build: Folder with another build that VMs may run after a restart;
+                None for none.
         """
+        self._changes = changes
+        self._build = build
         self._plan = plan
         self._vms = vms
         self._endpoints = endpoints
@@ -72,6 +84,9 @@
             ]
         if self._paths:
             series.append(self._repeat(_MAX_PAUSE_SECONDS, self._cut_vms))
+        if self._plan.has_changes:
+            series.append(
+                self._repeat(_MAX_CHANGE_PAUSE_SECONDS, self._add_routes))
         if self._plan.takeover_stop_seconds:
             series.append(self._stop_during_takeovers())
         return series
@@ -101,12 +116,21 @@
     async def _restart(self, vm, kind):
         # One VM is left at any time.
         async with self._last_restart:
+            if self._build is not None:
+                vm.source = self._random.choice((None, self._build))
             if kind == "kill":
                 vm.kill()
                 await asyncio.to_thread(vm.start)
             else:
                 await asyncio.to_thread(vm.restart)
 
+    async def _add_routes(self):
+        for _ in range(self._random.choice((1, _CHANGES_IN_SERIES))):
+            await asyncio.to_thread(self._changes.add)
+            await asyncio.sleep(_CHANGE_INTERVAL_SECONDS)
+        # The newest route has to be served before the next changes.
+        await asyncio.sleep(_MIN_CHANGE_PAUSE_SECONDS)
+
     async def _cut_vms(self):
         how = self._random.choice(("refused", "reset", "silent"))
         names = frozenset(each.name for each in self._vms[:self._plan.cut_vms])
@@ -160,6 +184,7 @@
         self._record(name, began_at)
 
     async def _disturb_store(self):
+        began_at = time.monotonic()
         kind = self._random.choice(("away", "cut", "silence", "restore"))
         if kind == "cut":
             self._store.cut_watches()
@@ -180,9 +205,11 @@
                 await asyncio.sleep(self._draw_stop())
             finally:
                 self._store.is_unavailable = False
+        self._record(checks.STORE, began_at)
 
     def _write_again(self, registrations):
-        """Lets the endpoints register again after the store lost writes."""
+        """Lets endpoints and the operator write again what the store lost."""
+        self._changes.write_again()
         for endpoint in self._endpoints:
             if registrations.get(endpoint.name) is not None:
                 endpoint.register()
--- a/mustardwood/platform/tests/soak/plants.py
+++ b/mustardwood/platform/tests/soak/plants.py
@@ -8,7 +8,11 @@
 import datetime
 import runpy
 import sys
+import types
 
+import msgspec
+
+from mustardwood import decoding
 from mustardwood import http1
 from mustardwood import relay
 from mustardwood.dispatch import forwarding
@@ -17,10 +21,15 @@
 from mustardwood.forwarding import attempt_listener
 from mustardwood.forwarding import attempts
 from mustardwood.http1 import endpoint_connection
+from mustardwood.peers import peer_protocol
+from mustardwood.peers import peer_update
+from mustardwood.platform import store_watcher
 from mustardwood.relay import relayed_connection
 
 _LATE_CLOSE = datetime.timedelta(seconds=1)
 _SENDS_PER_ERROR = 10
+_MARK = b"\xc1"
+"""A byte that no encoded message begins with."""
 
 
 def _believe_unstated_refusals():
@@ -126,6 +135,33 @@
     relayed_connection.RelayedConnection.connectionLost = lose
 
 
+def _read_whole_history():
+    """Receives each version of the configuration, however many there are."""
+    store_watcher.StoreWatcher.max_history_bytes = 10**9
+
+
+def _change_updates():
+    """Changes the updates, so that VMs of other builds can't decode them."""
+    encode = msgspec.msgpack.encode
+
+    def encode_update(value):
+        encoded = encode(value)
+        is_update = isinstance(value, peer_update.PeerUpdate)
+        return _MARK + encoded if is_update else encoded
+
+    def decode_update(data, kind):
+        if issubclass(kind, peer_update.PeerUpdate):
+            if not data.startswith(_MARK):
+                raise decoding.DecodingError("an update of another build")
+            data = data[len(_MARK):]
+        return decoding.decode_msgpack(data, kind)
+
+    peer_protocol.msgspec = types.SimpleNamespace(
+        Raw=msgspec.Raw, msgpack=types.SimpleNamespace(encode=encode_update))
+    peer_protocol.decoding = types.SimpleNamespace(
+        DecodingError=decoding.DecodingError, decode_msgpack=decode_update)
+
+
 FAULTS: dict[str, collections.abc.Callable[[], None]] = {
     "unstated": _believe_unstated_refusals,
     "unsent": _count_runs_as_unsent,
@@ -135,6 +171,8 @@
     "repetition": _refuse_repetitions,
     "own-path": _use_own_path_only,
     "tunnel-end": _believe_ends_of_tunnels,
+    "history": _read_whole_history,
+    "updates": _change_updates,
 }
 """Faults by name."""
 
--- a/mustardwood/platform/tests/soak/soak.py
+++ b/mustardwood/platform/tests/soak/soak.py
@@ -12,8 +12,10 @@
 from mustardwood.platform import store_watcher
 from mustardwood.platform.tests import cut_path
 from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import earlier_builds
 from mustardwood.platform.tests import fake_servers
 from mustardwood.platform.tests import process_fleet
+from mustardwood.platform.tests import rated_link
 from mustardwood.platform.tests.soak import caller as caller_module
 from mustardwood.platform.tests.soak import checks
 from mustardwood.platform.tests.soak import disruption as disruption_module
@@ -21,6 +23,7 @@
 from mustardwood.platform.tests.soak import endpoint_process
 from mustardwood.platform.tests.soak import links
 from mustardwood.platform.tests.soak import plants
+from mustardwood.platform.tests.soak import route_changes
 
 _DRAIN_SECONDS = 3.0
 """Time after which VMs have aborted the requests of callers that have left."""
@@ -59,7 +62,14 @@
             length or chunks.
         has_relay_restarts: Whether the VMs that are not cut are restarted and
             killed, one at a time.
-        plant: Name of the fault that is planted into the VMs; see `plants`.
+        has_changes: Whether routes are added to the configuration, many in
+            quick succession.
+        store_megabits: Rate in Mbit/s of the link from the store to each VM,
+            with which the configuration is large; 0 for no limit.
+        build: Commit of another build, which every second VM runs at first and
+            VMs may run after a restart; empty for none.
+        plant: Name of the fault that is planted into the VMs of this build; see
+            `plants`.
     """
 
     seed: int
@@ -79,6 +89,9 @@
     cut_vms: int = 0
     unframed: float = 0.0
     has_relay_restarts: bool = False
+    has_changes: bool = False
+    store_megabits: float = 0.0
+    build: str = ""
     plant: str = ""
 
 
@@ -111,16 +124,19 @@
         self._servers = []
         self._links = {}
         self._paths = []
-        self.store = _make_store()
-        self._cut_store = _make_store() if plan.cut_vms else self.store
-        command = ("mustardwood.platform",)
-        if plan.plant:
-            command = (plants.__name__, plan.plant)
+        self.store = fake_servers.FakeStore()
+        self._cut_store = (fake_servers.FakeStore()
+                           if plan.cut_vms else self.store)
+        self.changes = route_changes.RouteChanges({self.store, self._cut_store},
+                                                  _make_document(),
+                                                  bool(plan.store_megabits))
+        command = (plants.__name__, plan.plant) if plan.plant else None
+        self._build = (earlier_builds.extract_build(
+            plan.build, folder / "build") if plan.build else None)
         self.vms = [
-            process_fleet.Vm(
-                folder, f"vm-{number}",
-                self._cut_store if number < plan.cut_vms else self.store, "",
-                command) for number in range(plan.vms)
+            process_fleet.Vm(folder, f"vm-{number}", self._find_store(number),
+                             "", command, self._build if number % 2 else None)
+            for number in range(plan.vms)
         ]
         services = ["engine"] * plan.engines + ["api"] * _API_ENDPOINTS
         if plan.has_link_faults:
@@ -159,14 +175,22 @@
             caller_module.Caller(f"caller-{number}", self.vms,
                                  random.Random(self._random.random()), ports,
                                  self._plan.has_impatient_callers,
-                                 self._plan.has_repeating_callers)
+                                 self._plan.has_repeating_callers, self.changes)
             for number in range(self._plan.callers)
         ]
         self.disruption = disruption_module.Disruption(
-            self._plan, self.vms, self.endpoints, self._links, self._paths,
-            self.store, random.Random(self._random.random()))
+            self._plan, self.vms, self.endpoints,
+            self._links, self._paths, self.store,
+            random.Random(self._random.random()), self.changes, self._build)
         await asyncio.gather(*(asyncio.to_thread(vm.start) for vm in self.vms))
 
+    def _find_store(self, number):
+        """Returns the store of a VM, or the link that leads to it."""
+        store = (self._cut_store if number < self._plan.cut_vms else self.store)
+        if not self._plan.store_megabits:
+            return store
+        return rated_link.RatedLink(store.address, self._plan.store_megabits)
+
     def _open_paths(self):
         """Registers the endpoints with the VMs to be cut, behind paths."""
         for each in self.endpoints:
@@ -206,14 +230,12 @@
         return link
 
 
-def _make_store():
-    """Returns a store with a configuration."""
-    store = fake_servers.FakeStore()
+def _make_document():
+    """Returns a configuration."""
     document = documents.make_document()
     document["routes"][1].pop("backends")
     document["routes"][1]["service"] = "api"
-    store.put("op/config", document)
-    return store
+    return document
 
 
 async def play(plan: Plan, folder: pathlib.Path) -> Verdict:
@@ -222,6 +244,9 @@
     Args:
         plan: Size and disruptions.
         folder: Folder for settings and logs of the VMs.
+
+    Raises:
+        earlier_builds.BuildError: The plan's build can't be used.
     """
     fleet = _Fleet(plan, folder)
     tasks = []
@@ -287,6 +312,10 @@
         f"RECOVER: {each}"
         for each in checks.find_unserved_cuts(outcomes, cuts)
     ]
+    breaches += [
+        f"CONFIG: {each}"
+        for each in checks.find_unapplied_changes(outcomes, disturbances)
+    ]
     counts = collections.Counter(run.attempt_id for run in runs)
     return Verdict(tuple(breaches), len(outcomes), len(counts), len(runs),
                    sum(count > 1 for count in counts.values()))
--- a/mustardwood/platform/tests/soak/test_checks.py
+++ b/mustardwood/platform/tests/soak/test_checks.py
@@ -120,3 +120,32 @@
     run = _make_run("a", 0.0, 1.0)
     run.was_killed = True
     assert not checks.find_cut_off_streams([run], [outcome])
+
+
+@pytest.mark.parametrize("sent_at, status, found",
+                         [(2.9, 404, 0), (3.1, 404, 1), (3.1, 401, 1),
+                          (3.1, 503, 0), (3.1, 200, 0)])
+def test_denial_of_a_route_that_was_added_in_time_is_found(
+        sent_at, status, found):
+    outcome = _make_outcome("a", sent_at=sent_at, status=status)
+    outcome.route_since = 0.0
+    assert len(checks.find_unapplied_changes([outcome])) == found
+
+
+@pytest.mark.parametrize("served, found", [(4, 1), (5, 0)])
+def test_vm_that_hardly_serves_new_routes_is_found(served, found):
+    outcomes = []
+    for number in range(20):
+        outcomes.append(
+            _make_outcome(f"a-{number}",
+                          sent_at=4.0,
+                          status=200 if number < served else 503))
+        outcomes[-1].route_since = 0.0
+    assert len(checks.find_unapplied_changes(outcomes)) == found
+
+
+@pytest.mark.parametrize("name", ["vm-1", checks.STORE])
+def test_denial_beside_a_disturbance_is_excused(name):
+    outcome = _make_outcome("a", sent_at=4.0, status=404)
+    outcome.route_since = 0.0
+    assert not checks.find_unapplied_changes([outcome], [(name, 0.0, 1.5)])
--- a/mustardwood/platform/tests/soak/test_plants.py
+++ b/mustardwood/platform/tests/soak/test_plants.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from mustardwood.platform.tests import earlier_builds
 from mustardwood.platform.tests.soak import soak
 
 pytestmark = pytest.mark.processes
@@ -49,6 +50,30 @@
                      seconds=12.0)
 
 
+def test_vm_that_receives_each_version_over_a_slow_link_is_found(tmp_path):
+    assert _is_found(tmp_path,
+                     "CONFIG",
+                     plant="history",
+                     has_changes=True,
+                     store_megabits=10.0,
+                     misbehavior=0.0,
+                     seconds=12.0)
+
+
+def test_updates_that_another_build_can_not_decode_are_found(tmp_path):
+    try:
+        is_found = _is_found(tmp_path,
+                             "RECOVER",
+                             plant="updates",
+                             build="aad01d3",
+                             vms=2,
+                             cut_vms=1,
+                             seconds=10.0)
+    except earlier_builds.BuildError as error:
+        pytest.skip(str(error))
+    assert is_found
+
+
 def _is_found(folder, rule, **options):
     """Returns whether one of the runs finds that a rule is broken."""
     for seed in _SEEDS:
--- a/mustardwood/platform/tests/soak/test_soak.py
+++ b/mustardwood/platform/tests/soak/test_soak.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from mustardwood.platform.tests import earlier_builds
 from mustardwood.platform.tests.soak import soak
 
+_EARLIER_BUILD = "aad01d3"
+
 pytestmark = pytest.mark.processes
 
 
@@ -84,6 +87,31 @@
     assert not verdict.breaches
 
 
+def test_changes_of_a_large_configuration_over_slow_links_break_no_rule(
+        tmp_path):
+    verdict = _play(tmp_path,
+                    seed=101,
+                    seconds=14.0,
+                    has_changes=True,
+                    store_megabits=10.0)
+    assert verdict.sent > 100
+    assert not verdict.breaches
+
+
+def test_vms_of_two_builds_break_no_rule(tmp_path):
+    try:
+        verdict = _play(tmp_path,
+                        seed=111,
+                        seconds=14.0,
+                        build=_EARLIER_BUILD,
+                        has_signals=True,
+                        has_changes=True)
+    except earlier_builds.BuildError as error:
+        pytest.skip(str(error))
+    assert verdict.sent > 100
+    assert not verdict.breaches
+
+
 def test_signals_in_series_break_no_rule(tmp_path):
     verdict = _play(tmp_path, seed=3, seconds=15.0, has_signals=True)
     assert verdict.runs > 100
