--- a/mustardwood/dispatch/route_table.py
+++ b/mustardwood/dispatch/route_table.py
@@ -28,6 +28,9 @@
     Attributes:
         version: Version of the configuration.
         tier_count: Number of tiers; the last one is the least urgent.
+        past_services: For each host and path prefix whose requests recent
+            versions led to other services: these, with the monotonic time until
+            which they did.
 
     Examples:
         >>> table = RouteTable(7, (), ())
@@ -49,7 +52,7 @@
         self.version = version
         self._routes = {(each.host, each.path_prefix): each for each in routes}
         self._services = _add_stream_targets(services, self._routes.values())
-        self._past_services: dict[_RouteKey, dict[str, datetime.timedelta]] = {}
+        self.past_services: dict[_RouteKey, dict[str, datetime.timedelta]] = {}
         organisations = tuple(organisations)
         self._by_key = {
             key: each for each in organisations for key in each.api_keys
@@ -65,6 +68,10 @@
                 return found
         return None
 
+    def list_route_keys(self) -> collections.abc.Set[_RouteKey]:
+        """Returns the host and path prefix of each route."""
+        return self._routes.keys()
+
     def record_previous(self, previous: "RouteTable",
                         now: datetime.timedelta) -> bool:
         """Records to which services the previous version led.
@@ -78,21 +85,21 @@
         """
         has_moved_streams = False
         oldest = now - _PAST_SERVICE_MEMORY
-        for key, services in previous._past_services.items():
+        for key, services in previous.past_services.items():
             recent = {
                 name: until
                 for name, until in services.items()
                 if until >= oldest
             }
             if recent:
-                self._past_services[key] = recent
-        for key in self._routes.keys() | previous._routes.keys():
+                self.past_services[key] = recent
+        for key in self.list_route_keys() | previous.list_route_keys():
             host, path_prefix = key
             present = self.find_route(host, path_prefix)
             past = previous.find_route(host, path_prefix)
             if past is not None and (present is None or
                                      present.targets != past.targets):
-                known = self._past_services.setdefault(key, {})
+                known = self.past_services.setdefault(key, {})
                 known.update((each.service, now) for each in past.targets)
                 has_moved_streams = (has_moved_streams or past.retry_policy
                                      is retry_policy.RetryPolicy.RESUMABLE)
@@ -109,7 +116,7 @@
         """
         return frozenset(
             name for key in _list_keys(host, path)
-            for name, until in self._past_services.get(key, {}).items()
+            for name, until in self.past_services.get(key, {}).items()
             if until >= since)
 
     def find_organisation(self,
