Give the updates between VMs a number of their format

The field for usage is now always written, as an encoded None where nothing is counted, since the number follows it: two bytes.

--- a/mustardwood/peers/peer_protocol.py
+++ b/mustardwood/peers/peer_protocol.py
@@ -215,10 +215,10 @@
             updates.append(
                 (name,
                  msgspec.msgpack.encode(
-                     peer_update.PeerUpdate(*fields) if counted is
-                     None else peer_update.PeerUpdateWithUsage(
+                     peer_update.PeerUpdateWithUsage(
                          *fields,
-                         usage=msgspec.Raw(msgspec.msgpack.encode(counted))))))
+                         usage=msgspec.Raw(msgspec.msgpack.encode(counted)),
+                         format=peer_update.UPDATE_FORMAT))))
         return updates
 
     def _build_report(self) -> peer_update.Report:
@@ -253,7 +253,7 @@
 
     def receive_update(
         self, data: bytes, configuration: peer_update.ConfigurationPosition
-    ) -> peer_update.PeerUpdate | None:
+    ) -> peer_update.PeerUpdateWithUsage | None:
         """Processes a received update.
 
         Args:
--- a/mustardwood/peers/peer_update.py
+++ b/mustardwood/peers/peer_update.py
@@ -27,6 +27,14 @@
 _Correction = typing.Annotated[int, msgspec.Meta(ge=1, le=10**6)]
 """A factor on a demand, in thousandths."""
 
+UPDATE_FORMAT = 1
+"""Number of the format of updates, which grows with each field that is added.
+
+VMs of two builds run side by side during an upgrade. Fields are only added, at
+the end, with a default value, and keep their meaning. An older reader ignores
+the fields that it does not know.
+"""
+
 _NO_PROFILES = b"\x90"
 """An encoded empty list."""
 
@@ -160,13 +168,15 @@
 
 
 class PeerUpdateWithUsage(PeerUpdate, frozen=True, array_like=True):
-    """An update with an optional last field, which older VMs ignore.
+    """An update with fields that were added later, which older VMs ignore.
 
     Attributes:
         usage: An encoded `usage.UsageReport`, the sender's clock and counts of
             requests. Empty or an encoded None if the sender does not count
             requests, or has sent them to the receiver recently. It is decoded
             separately, so that a malformed one costs nothing else.
+        format: The `UPDATE_FORMAT` of the sender; 0 if its build names none.
     """
 
     usage: msgspec.Raw = msgspec.Raw()
+    format: _Counter = 0
--- a/mustardwood/platform/peer_synchronizer.py
+++ b/mustardwood/platform/peer_synchronizer.py
@@ -92,6 +92,7 @@
         self._addresses: dict[str, tuple[str, int]] = {}
         self._removed_at: dict[str, datetime.timedelta] = {}
         self._received_at: dict[str, datetime.timedelta] = {}
+        self._formats: dict[str, int] = {}
         self._configurations: dict[str, peers.ConfigurationPosition] = {}
         self._is_fetching = False
         self._newer_since = datetime.timedelta()
@@ -210,17 +211,28 @@
             if max(since, self._received_at.get(name, since)) < oldest:
                 del self._removed_at[name]
                 self._received_at.pop(name, None)
+                self._formats.pop(name, None)
                 self._configurations.pop(name, None)
                 self._addresses.pop(name, None)
                 self._protocol.forget_peer(name)
                 self._journal.write("peer_gone", peer=name)
 
+    def _record_format(self, name: str, number: int) -> None:
+        """Logs which peers write another format than this build."""
+        if self._formats.get(name, peers.UPDATE_FORMAT) != number:
+            self._journal.write("peer_format",
+                                peer=name,
+                                format=number,
+                                own_format=peers.UPDATE_FORMAT)
+        self._formats[name] = number
+
     def _receive(self, data: bytes) -> None:
         received = self._protocol.receive_update(
             data, self._watcher.configuration_position)
         if received is None:
             return
         self._received_at[received.sender] = self._clock.monotonic()
+        self._record_format(received.sender, received.format)
         self._configurations[received.sender] = received.configuration
         if received.questions and received.sender in self._addresses:
             for name, reply in self._protocol.build_answers(
--- a/mustardwood/platform/tests/test_peer_synchronizer.py
+++ b/mustardwood/platform/tests/test_peer_synchronizer.py
@@ -195,6 +195,26 @@
     assert vm.journal.lines[-1][0] == "peer_rejected"
 
 
+def test_format_of_a_peer_of_another_build_is_logged_once():
+    local, remote = _Vm("vm-1"), _Vm("vm-2")
+    _join(local)
+    _join(remote, "vm-1", b"192.0.2.1:8229")
+    remote.synchronizer.start()
+    fields = msgspec.msgpack.decode(remote.sent[-1][0])
+    local.receive(msgspec.msgpack.encode(fields))
+    assert not [each for each, _ in local.journal.lines if "format" in each]
+    for sequence in (11, 12):
+        # A build before the number was added.
+        local.receive(
+            msgspec.msgpack.encode([fields[0], sequence, *fields[2:9]]))
+    assert [each for each in local.journal.lines if each[0] == "peer_format"
+           ] == [("peer_format", {
+               "peer": "vm-2",
+               "format": 0,
+               "own_format": peers.UPDATE_FORMAT
+           })]
+
+
 def test_unregistered_peer_is_kept_while_its_updates_arrive():
     clock = timing.ManualClock()
     local, remote = _Vm("vm-1", clock=clock), _Vm("vm-2")
