--- a/mustardwood/dispatch/attempt_record.py
+++ b/mustardwood/dispatch/attempt_record.py
@@ -47,8 +47,8 @@
         was_cut_off: Whether the router has closed its connection, or the
             sending direction.
         was_reset: Whether the router has reset its connection.
-        withdrawn_at: Monotonic time at which its request was withdrawn; None if
-            it was not. See `forwarding.withdrawal`.
+        ended_sending_at: Monotonic time at which the sending direction of its
+            connection was closed, with which a takeover begins; None before.
         counts_as_crash: Whether its endpoint may have crashed under the
             request.
         has_sent_events: Whether the caller got events of its stream.
@@ -79,7 +79,7 @@
         self.has_survived = False
         self.was_cut_off = False
         self.was_reset = False
-        self.withdrawn_at: datetime.timedelta | None = None
+        self.ended_sending_at: datetime.timedelta | None = None
         self.counts_as_crash = False
         self.has_sent_events = False
         self.event_count = 0
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -236,7 +236,7 @@
             if not (has_successor or self._attempts.return_to_silent()):
                 self._retry_unsent(reason)
             return
-        if attempt.withdrawn_at is None:
+        if attempt.ended_sending_at is None:
             self._context.health.record_failure(attempt.endpoint)
         if not (has_successor or self._attempts.return_to_silent()):
             self._retry_after_run(reason)
--- a/mustardwood/dispatch/tests/test_forwarding_sequences.py
+++ b/mustardwood/dispatch/tests/test_forwarding_sequences.py
@@ -39,7 +39,7 @@
 
     @property
     def has_dropped(self):
-        """Whether it has ended its work on a request that was withdrawn."""
+        """Whether it has ended its work on a request that is taken over."""
         return self.attempt.has_ended_sending and not self.attempt.closes_late
 
     def act(self, rng):
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -18,7 +18,7 @@
 from mustardwood.forwarding import response_handler
 from mustardwood.forwarding import room_wait
 from mustardwood.forwarding import stream_version
-from mustardwood.forwarding import withdrawal as withdrawal_module
+from mustardwood.forwarding import takeover as takeover_module
 
 _MAX_SENDS = 4
 """Maximum number of sends of one request, including those that did not run."""
@@ -35,12 +35,12 @@
     """Sends a request to endpoints and keeps its open attempts.
 
     An endpoint that is only silent may go on. Its attempt therefore stays open
-    until there is a connection to another endpoint that has room. The request
-    is withdrawn then, and written to the other endpoint when the first one has
-    closed its side of the connection, too, or has done nothing in time. If it
-    goes on before that, its response is used. So no two endpoints run the
-    request, even if the process stands still in between or an endpoint notices
-    the close late.
+    until there is a connection to another endpoint that has room. Then the
+    takeover begins, and the request is written to the other endpoint when the
+    first one has closed its side of the connection, or has done nothing in
+    time. If it goes on before that, its response is used. So no two endpoints
+    run the request, even if the process stands still in between or an endpoint
+    notices the close late.
 
     If the other endpoint turns away a request whose response has begun, and
     none is left, the request returns to an endpoint that was only silent and
@@ -87,7 +87,7 @@
         self._hedged: attempt_record.AttemptRecord | None = None
         self._hedge_sent_at = datetime.timedelta()
         self._overlap = datetime.timedelta()
-        self._withdrawal: withdrawal_module.Withdrawal | None = None
+        self._takeover: takeover_module.Takeover | None = None
         self._tried: set[str] = set()
         self._is_paused = False
         self._stall_timer: forwarding_context.Timer | None = None
@@ -140,10 +140,9 @@
 
     def list_open(self) -> list[attempt_record.AttemptRecord]:
         """Returns the attempts whose responses are still expected."""
-        withdrawn = None if self._withdrawal is None else (
-            self._withdrawal.attempt)
+        replaced = None if self._takeover is None else self._takeover.attempt
         return [
-            each for each in (withdrawn, self._silent, self._current)
+            each for each in (replaced, self._silent, self._current)
             if each is not None
         ]
 
@@ -155,12 +154,12 @@
 
     def has_successor(self, attempt: attempt_record.AttemptRecord) -> bool:
         """Returns whether another attempt follows if a silent one ends."""
-        return attempt is self._silent or (self._is_withdrawn(attempt) and
+        return attempt is self._silent or (self._is_being_replaced(attempt) and
                                            self._current is not None)
 
-    def _is_withdrawn(self, attempt: attempt_record.AttemptRecord) -> bool:
-        return (self._withdrawal is not None and
-                self._withdrawal.attempt is attempt)
+    def _is_being_replaced(self, attempt: attempt_record.AttemptRecord) -> bool:
+        return (self._takeover is not None and
+                self._takeover.attempt is attempt)
 
     def find_excluded(
         self, usable: collections.abc.Collection[endpoint_module.Endpoint]
@@ -174,9 +173,8 @@
         if len(excluded) < len(usable) or not self._response.is_head_sent:
             return excluded
         dropped = {
-            each.endpoint
-            for each in self._sent
-            if each.withdrawn_at is not None and each.closed_after is not None
+            each.endpoint for each in self._sent if
+            each.ended_sending_at is not None and each.closed_after is not None
         }
         return self._version.find_excluded(usable, self._tried - dropped)
 
@@ -240,7 +238,7 @@
             if attempt.handle is not None and not self._check_allowed(attempt):
                 return True
             before_write()
-            if self._closing or self._withdrawal is not None:
+            if self._closing or self._takeover is not None:
                 self._held = attempt
                 self.cancel_stall_timer()
                 return True
@@ -280,8 +278,8 @@
         if attempt.run is not attempt_record.RunState.WRITTEN:
             attempt.handle.abort()
             return
-        closed_at = (self._context.clock.monotonic()
-                     if attempt.withdrawn_at is None else attempt.withdrawn_at)
+        closed_at = (self._context.clock.monotonic() if attempt.ended_sending_at
+                     is None else attempt.ended_sending_at)
         self._closing.add(attempt)
         attempt.handle.close(
             functools.partial(self._handle_close, attempt, closed_at))
@@ -298,7 +296,7 @@
     def _write_held(self) -> None:
         """Writes the request that is held back, if no endpoint may run it."""
         held = self._held
-        if held is None or self._closing or self._withdrawal is not None:
+        if held is None or self._closing or self._takeover is not None:
             return
         self._held = None
         try:
@@ -339,7 +337,7 @@
         now = context.clock.monotonic()
         context.health.record_unreachable(silent.endpoint)
         self._silent = silent
-        self.send(choice, now, request.expires_at - now, self._end_takeover)
+        self.send(choice, now, request.expires_at - now, self._begin_takeover)
         return True
 
     def send_hedge(self, choice: placement_module.Choice) -> None:
@@ -381,8 +379,8 @@
             return
         successor = self._current
         self._cancel_takeover_timer()
-        if self._is_withdrawn(attempt):
-            self._end_withdrawal()
+        if self._is_being_replaced(attempt):
+            self._finish_takeover()
             self._held = None
         self._silent, self._current, self._hedged = None, attempt, None
         if successor is not None:
@@ -393,14 +391,14 @@
     def return_to_silent(self) -> bool:
         """Continues with the silent attempt if its successor has failed.
 
-        If its request is withdrawn, it ends soon unless its endpoint goes on.
+        During a takeover it ends soon unless its endpoint goes on.
 
         Returns:
             Whether there is a silent attempt.
         """
         silent, is_hedged = self._silent, self.is_hedged
         if silent is None:
-            return self._withdrawal is not None
+            return self._takeover is not None
         self._cancel_takeover_timer()
         self._current, self._silent, self._hedged = silent, None, None
         if is_hedged:
@@ -471,9 +469,9 @@
             self._silent = None
             self._cancel_takeover_timer()
             splitter.drop_rest()
-        elif self._is_withdrawn(attempt):
+        elif self._is_being_replaced(attempt):
             reason = "silent"
-            self._end_withdrawal()
+            self._finish_takeover()
             splitter.drop_rest()
             # Whether its connection is closed is not known before the return.
             self._context.scheduler.call_later(datetime.timedelta(),
@@ -528,7 +526,7 @@
         if attempt is None:
             return
         if self.is_hedged:
-            self._end_takeover()
+            self._begin_takeover()
         self._mark_stalled(attempt)
         self._version.record_break()
         if (self._request.retry_policy.allows_rerun and
@@ -582,10 +580,10 @@
         self._takeover_timer = self._context.scheduler.call_later(
             datetime.timedelta()
             if is_connected else _CONNECTION_CHECK_INTERVAL,
-            self._end_takeover if is_connected else self._check_takeover)
+            self._begin_takeover if is_connected else self._check_takeover)
 
-    def _end_takeover(self) -> None:
-        """Aborts a silent attempt that is hedged; withdraws any other one."""
+    def _begin_takeover(self) -> None:
+        """Aborts a silent attempt that is hedged; takes any other one over."""
         silent = self._silent
         if silent is None:
             return
@@ -595,14 +593,14 @@
             self.abort(silent, "silent")
             return
         self._silent = None
-        self._withdrawal = withdrawal_module.Withdrawal(
-            silent, self._context, self._handle_withdrawal_timeout)
-        self._withdrawal.start()
+        self._takeover = takeover_module.Takeover(silent, self._context,
+                                                  self._handle_takeover_timeout)
+        self._takeover.start()
 
-    def _handle_withdrawal_timeout(self) -> None:
-        if self._withdrawal is None:
+    def _handle_takeover_timeout(self) -> None:
+        if self._takeover is None:
             return
-        attempt = self._withdrawal.attempt
+        attempt = self._takeover.attempt
         if self._current is not None:
             self.abort(attempt, "silent")
             return
@@ -611,10 +609,10 @@
             attempt.handle.abort()
         self._handler.receive_failure(attempt, True, "silent")
 
-    def _end_withdrawal(self) -> None:
-        if self._withdrawal is not None:
-            self._withdrawal.cancel()
-            self._withdrawal = None
+    def _finish_takeover(self) -> None:
+        if self._takeover is not None:
+            self._takeover.cancel()
+            self._takeover = None
 
     def _cancel_takeover_timer(self) -> None:
         if self._takeover_timer is not None:
--- a/mustardwood/forwarding/withdrawal.py
+++ b/mustardwood/forwarding/takeover.py
@@ -1,4 +1,4 @@
-"""Withdrawal of a request from a silent endpoint."""
+"""Takeover of a request from a silent endpoint."""
 
 import collections.abc
 import datetime
@@ -7,14 +7,14 @@
 from mustardwood.dispatch import forwarding_context
 
 _MAX_TIME = datetime.timedelta(milliseconds=400)
-"""Time within which an endpoint drops a request that is withdrawn."""
+"""Time within which an endpoint drops a request whose sender has closed."""
 
 
-class Withdrawal:
-    """Waits for what a silent endpoint does after its request is withdrawn.
+class Takeover:
+    """Waits for what a silent endpoint does before another one is used.
 
-    The sending direction of the connection is closed, by which most endpoints
-    drop a request. Its receiving direction is read on, so that one of three
+    The sending direction of its connection is closed, by which most endpoints
+    drop a request. The receiving direction is read on, so that one of three
     things follows:
 
     * the endpoint closes the connection, too, and no longer works on the
@@ -31,7 +31,7 @@
     def __init__(self, attempt: attempt_record.AttemptRecord,
                  context: forwarding_context.ForwardingContext,
                  on_timeout: collections.abc.Callable[[], None]) -> None:
-        """Creates a withdrawal; `start` begins it.
+        """Creates a takeover; `start` begins it.
 
         Args:
             attempt: The attempt, whose request was written.
@@ -47,7 +47,7 @@
         """Closes the sending direction of the attempt's connection."""
         attempt = self.attempt
         attempt.was_cut_off = True
-        attempt.withdrawn_at = self._context.clock.monotonic()
+        attempt.ended_sending_at = self._context.clock.monotonic()
         self._timer = self._context.scheduler.call_later(
             _MAX_TIME, self._confirm_timeout)
         if attempt.handle is not None:
--- a/mustardwood/forwarding/tests/test_takeover.py
+++ b/mustardwood/forwarding/tests/test_takeover.py
@@ -149,7 +149,7 @@
     assert caller.end == "complete"
 
 
-def test_endpoint_that_goes_on_after_the_withdrawal_keeps_its_stream():
+def test_endpoint_that_goes_on_during_the_takeover_keeps_its_stream():
     """Two endpoints would work on the stream of one that drops nothing."""
     harness = harness_module.Harness()
     first, second, caller = _take_over_late(harness)
@@ -179,7 +179,7 @@
 
 
 def test_data_that_waits_while_the_vm_stands_still_keeps_the_stream():
-    """The timer of the withdrawal runs before the data is read."""
+    """The timer of the takeover runs before the data is read."""
     harness = harness_module.Harness()
     first, second, _ = _take_over_late(harness)
     harness.clock.advance(ms(1000))
@@ -227,7 +227,7 @@
     assert caller.end == "broken"
 
 
-def test_refusal_of_a_withdrawn_request_lets_it_be_written_elsewhere():
+def test_refusal_during_the_takeover_lets_the_request_be_written_elsewhere():
     harness = harness_module.Harness()
     harness.start(harness_module.make_stream_request(harness))
     first = harness.client.sent[0]
@@ -239,7 +239,7 @@
     assert second.is_written and not second.is_aborted
 
 
-def test_withdrawn_plain_response_is_used():
+def test_plain_response_during_the_takeover_is_used():
     harness = harness_module.Harness()
     _, caller = harness.start()
     first = harness.client.sent[0]
