--- a/mustardwood/platform/tests/test_process_fleet.py
+++ b/mustardwood/platform/tests/test_process_fleet.py
@@ -12,6 +12,8 @@
 from mustardwood.platform.tests import process_fleet
 from mustardwood.platform.tests import process_workload
 
+_APPLY_SECONDS = 2.0
+"""Time in which a change of the configuration takes effect."""
 _LONG_BODIES = 60
 """Number of long bodies that are sent at the same time."""
 
@@ -313,6 +315,23 @@
                                          fleet.vm.find_events("configuration")))
 
 
+@pytest.mark.processes
+def test_vm_that_may_be_behind_denies_no_request_for_a_new_route(fleet):
+    """Callers got 404 for routes that had been acknowledged long before."""
+    caller = process_fleet.Caller(fleet.vm, "caller")
+    assert caller.call("/new/0").status == 404
+    fleet.store.is_unavailable = True
+    route = {**fleet.document["routes"][2], "name": "new"}
+    fleet.document["routes"].append({**route, "path_prefix": "/new/"})
+    fleet.store.put("op/config", {**fleet.document, "version": 8})
+    time.sleep(_APPLY_SECONDS)
+    outcome = process_fleet.Caller(fleet.vm, "behind").call("/new/0")
+    assert outcome.status == 503 and outcome.retry_after > 0
+    fleet.store.is_unavailable = False
+    process_fleet.wait_until(lambda: process_fleet.Caller(fleet.vm, "served").
+                             call("/new/0").status == 200)
+
+
 def _make_endpoint(arrivals):
     endpoint = fake_servers.FakeEndpoint()
     endpoint.arrivals.update(arrivals)
