--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -142,4 +142,5 @@
                               "zone",
                               parameters.slots,
                               version=engine.version))
+    directory.record_listing(scheduler.monotonic())
     return directory
