Run the tests in three processes

make test took 35 to 44 minutes, of which most was waiting in tests with real processes, so the whole suite was rarely run on a final commit.

Files are dealt to the processes in their order, as before (tests of the global reactor leave it in a state in which others can't run, so another order fails).

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SOURCES := mustardwood spec
+# Processes that run the tests; each runs whole files, in their order.
+TEST_PROCESSES ?= 3
 
 .PHONY: demo test format lint types check-model measure measure-path measure-streams measure-capacity clean soak
 
@@ -26,7 +28,8 @@
 
 test: $(VENV)/.ready
 	$(MAKE) --jobs=3 --output-sync lint types check-model
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses $(TEST_PROCESSES) \
+	  --dist loadfile --no-loadscope-reorder
 
 format: $(VENV)/.ready
 	$(BIN)/yapf --parallel --recursive --in-place $(SOURCES)
