Keep refusals of brittle endpoints within what they bear

The users' page says that endpoints may be brittle (Server-Brittle: N): they let fewer requests wait, and one that has to turn more than N away in a second falls over (LIMIT).

While an endpoint states it, it gets no more requests than it has slots, by the loads that are known; others wait at the router. A refusal leads to a pause of the VM of V/N seconds for V VMs, up to six times that at random, so that all VMs together are refused N times a second at most.

--- a/mustardwood/benchmarks/streams/modelled_vm.py
+++ b/mustardwood/benchmarks/streams/modelled_vm.py
@@ -76,6 +76,8 @@
             part_crashes=dispatch.PromptPartCrashes(scheduler, rng),
             rate_limits=rate_limits,
             pauses=self._pauses,
+            brittleness=dispatch.EndpointBrittleness(scheduler, self._pauses,
+                                                     lambda: vms, rng),
             admission=dispatch.TierAdmission(scheduler, loads, rate_limits,
                                              settings, self._table,
                                              health.list_avoided,
--- a/mustardwood/dispatch/__init__.py
+++ b/mustardwood/dispatch/__init__.py
@@ -8,6 +8,7 @@
 from mustardwood.dispatch.crash_record import CrashBlock
 from mustardwood.dispatch.crash_record import CrashRecord
 from mustardwood.dispatch.endpoint import Endpoint
+from mustardwood.dispatch.endpoint_brittleness import EndpointBrittleness
 from mustardwood.dispatch.endpoint_directory import EndpointDirectory
 from mustardwood.dispatch.endpoint_health import EndpointHealth
 from mustardwood.dispatch.endpoint_load import EndpointLoad
@@ -85,6 +86,7 @@
     "CrashRecord",
     "TierDemand",
     "Endpoint",
+    "EndpointBrittleness",
     "EndpointDirectory",
     "EndpointHealth",
     "EndpointLoad",
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -159,6 +159,8 @@
         context.pauses.record_response(endpoint, statements.pause)
         context.rate_limits.record_response(endpoint, statements.rate,
                                             attempt.is_verified)
+        context.brittleness.record_response(endpoint, statements.max_refusals,
+                                            attempt.was_not_run)
 
     def receive_data(self, attempt: attempt_record.AttemptRecord,
                      data: bytes) -> None:
--- a/mustardwood/dispatch/forwarding_context.py
+++ b/mustardwood/dispatch/forwarding_context.py
@@ -10,6 +10,7 @@
 from mustardwood import timing
 from mustardwood.dispatch import crash_record
 from mustardwood.dispatch import endpoint as endpoint_module
+from mustardwood.dispatch import endpoint_brittleness
 from mustardwood.dispatch import endpoint_directory
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_notices
@@ -378,6 +379,7 @@
     part_crashes: prompt_part_crashes.PromptPartCrashes
     rate_limits: endpoint_rate_limits.EndpointRateLimits
     pauses: endpoint_pauses.EndpointPauses
+    brittleness: endpoint_brittleness.EndpointBrittleness
     admission: tier_admission.TierAdmission
     placement: placement_module.Placement
     retry_budgets: service_retry_budgets.ServiceRetryBudgets
--- a/mustardwood/dispatch/placement.py
+++ b/mustardwood/dispatch/placement.py
@@ -11,6 +11,7 @@
 from mustardwood import timing
 from mustardwood.dispatch import decode_pace
 from mustardwood.dispatch import endpoint as endpoint_module
+from mustardwood.dispatch import endpoint_brittleness
 from mustardwood.dispatch import endpoint_health
 from mustardwood.dispatch import endpoint_load
 from mustardwood.dispatch import endpoint_pauses
@@ -93,8 +94,10 @@
         find_service: collections.abc.Callable[
             [str], service_parameters.ServiceParameters],
         rng: random.Random,
-        table: profiles.ProfileTable = profiles.FixedProfiles()
+        table: profiles.ProfileTable = profiles.FixedProfiles(),
+        brittleness: endpoint_brittleness.EndpointBrittleness | None = None
     ) -> None:
+        self._brittleness = brittleness
         self._table = table
         self._zone = zone
         self._clock = clock
@@ -139,7 +142,9 @@
         allowed = self._rate_limits.list_allowed(unpaused, request.tier)
         if not allowed:
             return placement_limit.PlacementLimit.RATE
-        allowed = self._pauses.list_not_full(allowed)
+        allowed = self._list_with_room(self._pauses.list_not_full(allowed))
+        if not allowed:
+            return placement_limit.PlacementLimit.SLOTS
         avoided = self._health.list_avoided()
         reachable = ([each for each in allowed if each.name not in avoided]
                      if avoided else allowed)
@@ -148,6 +153,18 @@
             return self._choose_plain_endpoint(candidates)
         return self._choose_engine(request, usable, candidates)
 
+    def _list_with_room(self, endpoints: _Endpoints) -> _Endpoints:
+        """Returns the endpoints but brittle ones that are full."""
+        brittleness = self._brittleness
+        if brittleness is None or brittleness.is_empty:
+            return endpoints
+        loads = self._loads.list_total_loads()
+        return [
+            each for each in endpoints
+            if brittleness.has_room(each,
+                                    loads.get(each.name, _IDLE).requests)
+        ]
+
     def estimate_prefill_time(self, choice: Choice) -> datetime.timedelta:
         """Returns how long the prompt and those before it take to prefill."""
         tokens = choice.known_load.prefill_tokens + choice.load.prefill_tokens
--- a/mustardwood/dispatch/tests/harness.py
+++ b/mustardwood/dispatch/tests/harness.py
@@ -140,12 +140,14 @@
               not_run=False,
               rate=dispatch.RateStatement(),
               leaving=False,
-              pause=None):
+              pause=None,
+              max_refusals=None):
         """Delivers the head of a response."""
         self.listener.receive_head(
             status, [(b"X-From", b"endpoint")], verified, not_run,
             dispatch.EndpointStatements(rate, leaving,
-                                        dispatch.PauseStatement(pause)))
+                                        dispatch.PauseStatement(pause),
+                                        max_refusals))
 
 
 class FakeClient:
@@ -344,6 +346,10 @@
                                                 self.profiles)
         self.pauses = dispatch.EndpointPauses(self.clock, random.Random(5),
                                               self.notices)
+        self.vm_count = 1
+        self.brittleness = dispatch.EndpointBrittleness(self.clock, self.pauses,
+                                                        lambda: self.vm_count,
+                                                        random.Random(6))
         self.settings = dispatch.PlacementSettings()
         self.parameters = dispatch.ServiceParameters("engine", memory_tokens, 6)
         self.placement = dispatch.Placement("zone-a", self.clock, self.loads,
@@ -351,7 +357,8 @@
                                             self.rate_limits, self.pauses,
                                             self.settings,
                                             lambda name: self.parameters,
-                                            random.Random(3), self.profiles)
+                                            random.Random(3), self.profiles,
+                                            self.brittleness)
         self.process_exit = dispatch.ProcessExit()
         self.registrations = FakeRegistrationReader(self.directory, self.clock)
         self.context = dispatch.ForwardingContext(
@@ -368,6 +375,7 @@
             part_crashes=self.part_crashes,
             rate_limits=self.rate_limits,
             pauses=self.pauses,
+            brittleness=self.brittleness,
             admission=self.admission,
             placement=self.placement,
             retry_budgets=dispatch.ServiceRetryBudgets(random.Random(1), 0.2,
