Wait after a failed read of registrations

A stream that has to go on somewhere asks for a read each 15 ms until its second is over, and each failed read was followed by another one after 50 ms. While the store is away, such calls are refused and billed. A failed read is now followed by the next after the longest backoff (500 ms), as a failed watch is.

test_failed_read_of_changes_is_not_repeated_at_once fails on the code before.

--- a/mustardwood/platform/store_watcher.py
+++ b/mustardwood/platform/store_watcher.py
@@ -448,6 +448,7 @@
         The listeners wait for the watch, so that they get changes in order.
         """
         requested_at = self._clock.monotonic()
+        interval = _CHANGES_READ_INTERVAL
         try:
             items, _ = await self._client.watch("", self._position,
                                                 _RECOVERY_WATCH_WAIT,
@@ -458,10 +459,10 @@
         except (errors.KeyValueError, msgspec.MsgspecError) as error:
             # The watch determines whether the store is unavailable.
             self._journal.write("changes_read_failed", error=str(error))
+            interval = _MAX_BACKOFF
         finally:
             self._is_reading_changes = False
-            self._next_changes_read_at = (self._clock.monotonic() +
-                                          _CHANGES_READ_INTERVAL)
+            self._next_changes_read_at = self._clock.monotonic() + interval
 
     def _log_read_error(self, reason: failure.Failure) -> None:
         """Logs an unexpected error; the next request reads again."""
--- a/mustardwood/platform/tests/test_store_watcher.py
+++ b/mustardwood/platform/tests/test_store_watcher.py
@@ -447,6 +447,22 @@
     assert harness.watcher.is_connected
 
 
+def test_failed_read_of_changes_is_not_repeated_at_once():
+    """Streams that wait for it ask all the time, and refused calls are billed.
+    """
+    harness = _Harness()
+    harness.watcher.request_read()
+    harness.client.fail(_unavailable())
+    watches = len(harness.client.watches)
+    for _ in range(49):
+        harness.scheduler.advance(ms(10))
+        harness.watcher.request_read()
+    assert len(harness.client.watches) == watches
+    harness.scheduler.advance(ms(10))
+    harness.watcher.request_read()
+    assert len(harness.client.watches) == watches + 1
+
+
 def test_version_may_have_come_and_left_where_the_history_was_lost():
     """A listing does not show what has changed since the one before it."""
     harness = _Harness()
