Leave a silent endpoint only if the request can return to it

Cause: each silent stream cost two retries, one for the endpoint that refused it and one for the return, and all tried the same full endpoint one after the other, so that the VM's part of the retry budget was used up between the two.

Fix: an endpoint that has turned a request away counts as full for a second, and a silent endpoint is not left for it; the queue waits for room, and the silent endpoint may go on meanwhile. A takeover also needs a second retry in the budget.

--- a/mustardwood/dispatch/endpoint_health.py
+++ b/mustardwood/dispatch/endpoint_health.py
@@ -15,6 +15,8 @@
 
 The time doubles with each further failure in a row.
 """
+_REFUSAL_MEMORY = datetime.timedelta(seconds=1)
+"""Time for which an endpoint that has turned a request away counts as full."""
 _MAX_AVOID_TIME = datetime.timedelta(seconds=3)
 """Maximum time for which an endpoint is avoided."""
 
@@ -40,6 +42,7 @@
     def __init__(self, clock: timing.Clock) -> None:
         self._clock = clock
         self._records: dict[str, _Record] = {}
+        self._refused_at: dict[str, datetime.timedelta] = {}
 
     def record_success(self, endpoint: str) -> None:
         """Records a complete response."""
@@ -64,9 +67,20 @@
                      avoid_time,
                      connect_failures=connect_failures)
 
+    def record_refusal(self, endpoint: str) -> None:
+        """Records that an endpoint has turned a request away."""
+        self._refused_at[endpoint] = self._clock.monotonic()
+
+    def has_refused(self, endpoint: str) -> bool:
+        """Returns whether an endpoint has just turned a request away."""
+        refused_at = self._refused_at.get(endpoint)
+        return (refused_at is not None and
+                self._clock.monotonic() - refused_at < _REFUSAL_MEMORY)
+
     def forget_endpoint(self, endpoint: str) -> None:
         """Removes the history of an endpoint that has restarted."""
         self._records.pop(endpoint, None)
+        self._refused_at.pop(endpoint, None)
 
     def is_avoided(self, endpoint: str) -> bool:
         """Returns whether an endpoint is avoided after a failed connection."""
--- a/mustardwood/dispatch/forwarding.py
+++ b/mustardwood/dispatch/forwarding.py
@@ -397,6 +397,7 @@
             attempt.run = attempt_record.RunState.NOT_RUN
         self._attempts.end(attempt, f"status {attempt.status}")
         if attempt.was_not_run:
+            self._context.health.record_refusal(attempt.endpoint)
             if attempt.status == http.HTTPStatus.MISDIRECTED_REQUEST:
                 self._context.notices.record(
                     attempt.incarnation, endpoint_notices.NoticeKind.REPLACED)
--- a/mustardwood/dispatch/service_retry_budgets.py
+++ b/mustardwood/dispatch/service_retry_budgets.py
@@ -50,17 +50,18 @@
         """Adds the retries that a request to a service allows to its budget."""
         self._find_budget(service).add_request()
 
-    def take_retry(self, service: str, urgency: float) -> bool:
+    def take_retry(self, service: str, urgency: float, spare: int = 0) -> bool:
         """Takes a retry of a service; returns False if its budget is used up.
 
         Args:
             service: Name of the service.
             urgency: Urgency of the request, from 0 for the least urgent tier to
                 1 for the most urgent one.
+            spare: Number of further retries that must be left.
         """
         budget = self._find_budget(service)
         budget.set_capacity(self._find_capacity())
-        return budget.take_retry((1 - urgency) * _RESERVED_RETRIES)
+        return budget.take_retry((1 - urgency) * _RESERVED_RETRIES + spare)
 
     def take_hedge(self, service: str) -> bool:
         """Takes a retry for a hedged request; returns False if none is left.
--- a/mustardwood/forwarding/attempts.py
+++ b/mustardwood/forwarding/attempts.py
@@ -187,10 +187,15 @@
                 self._response.can_continue and
                 runs < self._request.max_runs and self.may_send)
 
-    def take_retry(self) -> bool:
-        """Takes a retry from the budget; returns False if it is used up."""
+    def take_retry(self, spare: int = 0) -> bool:
+        """Takes a retry from the budget; returns False if it is used up.
+
+        Args:
+            spare: Number of further retries that must be left.
+        """
         return self._context.retry_budgets.take_retry(self._request.service,
-                                                      self._request.urgency)
+                                                      self._request.urgency,
+                                                      spare)
 
     def send(
         self,
@@ -332,7 +337,8 @@
             self._wait.enter_queue(self._version.software or "", True)
             return False
         self._wait.leave_queue()
-        if choice is None or not self.take_retry():
+        # One more has to be left for a return to this endpoint.
+        if choice is None or not self.take_retry(spare=1):
             return False
         now = context.clock.monotonic()
         context.health.record_unreachable(silent.endpoint)
@@ -550,8 +556,8 @@
     ) -> placement_module.Choice | placement_limit.PlacementLimit | None:
         """Returns where to continue a silent attempt; None if nowhere.
 
-        An endpoint that is avoided after a failed connection is worse than a
-        silent one.
+        An endpoint that is avoided after a failed connection, or has just
+        turned a request away, is worse than a silent one.
         """
         context, request = self._context, self._request
         if (not self.may_run_again() or
@@ -563,7 +569,12 @@
         if len(excluded) == len(usable):
             return (placement_limit.PlacementLimit.REGISTRATIONS if
                     self._version.request_proof(usable, self._tried) else None)
-        choice = context.placement.choose(request, usable, excluded)
+        full = {
+            each.name
+            for each in usable
+            if context.health.has_refused(each.name)
+        }
+        choice = context.placement.choose(request, usable, excluded | full)
         if (isinstance(choice, placement_module.Choice) and
                 context.health.is_avoided(choice.endpoint.name)):
             return placement_limit.PlacementLimit.NO_ENDPOINT
--- a/mustardwood/forwarding/tests/test_takeover.py
+++ b/mustardwood/forwarding/tests/test_takeover.py
@@ -249,3 +249,58 @@
     first.respond(body=b"whole")
     assert second.is_aborted and not second.is_written
     assert (caller.end, caller.body) == ("complete", b"whole")
+
+
+def test_silent_endpoint_is_not_left_for_one_that_has_just_refused():
+    """Each of many silent streams was cut, and refused again."""
+    harness = harness_module.Harness(endpoints=2)
+    first, caller = _start_silent_stream(harness)
+    harness.scheduler.advance(ms(1000))
+    harness.health.record_refusal(
+        next(each.name
+             for each in harness.list_usable()
+             if each.name != first.endpoint.name))
+    harness.scheduler.advance(ms(300))
+    assert len(harness.client.sent) == 1 and not first.has_ended_sending
+    first.listener.receive_data(b"id: 2\ndata: b\n\n")
+    first.listener.receive_end()
+    assert caller.end == "complete"
+
+
+def test_silent_stream_goes_on_at_a_third_endpoint_if_one_has_refused():
+    harness = harness_module.Harness(endpoints=3)
+    first, _ = _start_silent_stream(harness)
+    harness.scheduler.advance(ms(1000))
+    other, third = [
+        each.name
+        for each in harness.list_usable()
+        if each.name != first.endpoint.name
+    ]
+    harness.health.record_refusal(other)
+    harness.scheduler.advance(ms(300))
+    assert harness.client.sent[1].endpoint.name == third
+
+
+def test_silent_stream_is_taken_over_when_the_refusal_is_long_ago():
+    harness = harness_module.Harness(endpoints=2)
+    first, _ = _start_silent_stream(harness)
+    harness.scheduler.advance(ms(1000))
+    harness.health.record_refusal(
+        next(each.name
+             for each in harness.list_usable()
+             if each.name != first.endpoint.name))
+    harness.scheduler.advance(ms(1100))
+    assert len(harness.client.sent) == 2
+
+
+def test_silent_endpoint_is_not_left_without_a_retry_for_the_return():
+    """The stream was lost if the other endpoint refused it."""
+    harness = harness_module.Harness(endpoints=2)
+    first, caller = _start_silent_stream(harness)
+    while harness.context.retry_budgets.take_retry("engine", 0.5, spare=1):
+        pass
+    harness.scheduler.advance(_STALL_TIMEOUT)
+    assert len(harness.client.sent) == 1 and not first.has_ended_sending
+    first.listener.receive_data(b"id: 2\ndata: b\n\n")
+    first.listener.receive_end()
+    assert caller.end == "complete"
