--- a/mustardwood/platform/tests/test_relayed_responses_processes.py
+++ b/mustardwood/platform/tests/test_relayed_responses_processes.py
@@ -24,6 +24,8 @@
 _EVENT_MS = 100
 _WHOLE = b"".join(
     fake_servers.make_event(each) for each in range(1, _EVENTS + 1))
+_CUTS = 4
+_STREAMS_PER_CUT = 90
 _MANY_TUNNELS = 300
 """Number of tunnels; a VM bears 256 at the same time."""
 
@@ -103,10 +105,20 @@
         """Starts the VMs and cuts the first one."""
         self.entry.start()
         self.relay.start()
+        self.cut()
+
+    def cut(self):
+        """Cuts the first VM and waits until it knows that."""
         for each in self._paths:
             each.cut("reset")
         time.sleep(2.0)
 
+    def mend(self):
+        """Ends the cut and waits until the first VM uses its own path."""
+        for each in self._paths:
+            each.mend()
+        time.sleep(1.0)
+
     def close(self):
         """Ends the VMs."""
         self.entry.kill()
@@ -175,3 +187,25 @@
     finally:
         fleet.close()
     assert sum(is_complete for _, is_complete in responses) == _MANY_TUNNELS
+
+
+def test_vm_that_is_cut_again_and_again_is_served_as_often(tmp_path):
+    # Each stream ends its tunnel, and after 256 of them no more were opened.
+    fleet = _Fleet(tmp_path)
+    served = []
+    try:
+        fleet.start()
+        for number in range(_CUTS):
+            if number:
+                fleet.cut()
+            responses = []
+            for stream in range(_STREAMS_PER_CUT):
+                _read_stream(fleet.entry, f"{number}-{stream}", responses, 1, 0)
+            served.append(
+                sum(is_complete and body == fake_servers.make_event(1)
+                    for body, is_complete in responses))
+            fleet.mend()
+    finally:
+        fleet.close()
+    print(served)
+    assert min(served) >= 0.98 * _STREAMS_PER_CUT
