--- a/mustardwood/platform/tests/test_duty_processes.py
+++ b/mustardwood/platform/tests/test_duty_processes.py
@@ -8,6 +8,7 @@
 
 from mustardwood.platform import duty_leadership
 from mustardwood.platform.tests import documents
+from mustardwood.platform.tests import earlier_builds
 from mustardwood.platform.tests import fake_servers
 from mustardwood.platform.tests import process_fleet
 
@@ -121,3 +122,32 @@
     time.sleep(2.0)
     assert fleet.find_holder() is successor
     assert not any(vm.find_events("error") for vm in fleet.vms.values())
+
+
+@pytest.mark.parametrize("commit", ["aad01d3", "97eff80"])
+def test_duties_are_handed_over_to_another_build_and_back(tmp_path, commit):
+    """VMs are replaced one after the other; the key is read by both builds."""
+    source = None
+    try:
+        source = earlier_builds.extract_build(commit, tmp_path / commit)
+    except earlier_builds.BuildError as error:
+        pytest.skip(str(error))
+    fleet = _Fleet(tmp_path)
+    try:
+        for vm in fleet.vms.values():
+            vm.source = source
+            vm.start()
+        holder = fleet.wait_for_successor(None)
+        for build in (None, None, source):
+            token = fleet.find_token(holder)
+            holder.stop()
+            successor = fleet.wait_for_successor(holder)
+            assert holder.wait() == 0
+            assert fleet.find_token(successor) > token
+            holder.source = build
+            holder.start()
+            holder = successor
+        assert not any(vm.find_events("error") for vm in fleet.vms.values())
+    finally:
+        for vm in fleet.vms.values():
+            vm.kill()
