--- a/mustardwood/platform/tests/fake_servers.py
+++ b/mustardwood/platform/tests/fake_servers.py
@@ -298,9 +298,12 @@
         is_unframed: Whether its streams end with their connection, and have
             neither a length nor chunks.
         status: Status of its responses to requests that it has run.
+        idle_seconds: Time after which it closes a connection without a request;
+            None for never.
     """
 
     def __init__(self):
+        self.idle_seconds = None
         self.received_headers = []
         self.arrivals = {}
         self.padding = b""
@@ -314,6 +317,11 @@
         class Handler(_Handler):
             """Responds to requests."""
 
+            def setup(self):
+                """Sets the time after which an idle connection is closed."""
+                self.timeout = endpoint.idle_seconds
+                super().setup()
+
             def do_GET(self):  # pylint: disable=invalid-name
                 """Responds after the milliseconds at the path's end."""
                 self.read_body()
--- a/mustardwood/platform/tests/test_relayed_responses_processes.py
+++ b/mustardwood/platform/tests/test_relayed_responses_processes.py
@@ -25,7 +25,7 @@
 _WHOLE = b"".join(
     fake_servers.make_event(each) for each in range(1, _EVENTS + 1))
 _CUTS = 4
-_STREAMS_PER_CUT = 90
+_BATCHES, _BATCH_SIZE = 9, 10
 _MANY_TUNNELS = 300
 """Number of tunnels; a VM bears 256 at the same time."""
 
@@ -74,6 +74,19 @@
     responses.append((body, is_complete))
 
 
+def _read_batch(vm, name, responses):
+    """Reads streams of one event at the same time."""
+    threads = [
+        threading.Thread(target=_read_stream,
+                         args=(vm, f"{name}-{number}", responses, 1, 0))
+        for number in range(_BATCH_SIZE)
+    ]
+    for each in threads:
+        each.start()
+    for each in threads:
+        each.join()
+
+
 class _Fleet:
     """An entry VM, cut from the endpoints, and one that relays for it.
 
@@ -82,10 +95,15 @@
         relay: The other one.
     """
 
-    def __init__(self, folder, entry_build=None, relay_build=None):
+    def __init__(self,
+                 folder,
+                 entry_build=None,
+                 relay_build=None,
+                 idle_seconds=None):
         endpoints = [fake_servers.FakeEndpoint() for _ in range(3)]
         for each in endpoints:
-            each.is_unframed = True
+            each.is_unframed = idle_seconds is None
+            each.idle_seconds = idle_seconds
         self._paths = [cut_path.CutPath(each.address) for each in endpoints]
         stores = [_make_store(self._paths), _make_store(endpoints)]
         self.entry = process_fleet.Vm(folder,
@@ -189,9 +207,12 @@
     assert sum(is_complete for _, is_complete in responses) == _MANY_TUNNELS
 
 
-def test_vm_that_is_cut_again_and_again_is_served_as_often(tmp_path):
-    # Each stream ends its tunnel, and after 256 of them no more were opened.
-    fleet = _Fleet(tmp_path)
+@pytest.mark.parametrize("idle_seconds", [None, 0.2])
+def test_vm_that_is_cut_again_and_again_is_served_as_often(
+        tmp_path, idle_seconds):
+    # Endpoints end each tunnel, with a stream or when it is idle, and after 256
+    # of them no more were opened.
+    fleet = _Fleet(tmp_path, idle_seconds=idle_seconds)
     served = []
     try:
         fleet.start()
@@ -199,8 +220,9 @@
             if number:
                 fleet.cut()
             responses = []
-            for stream in range(_STREAMS_PER_CUT):
-                _read_stream(fleet.entry, f"{number}-{stream}", responses, 1, 0)
+            for batch in range(_BATCHES):
+                _read_batch(fleet.entry, f"{number}-{batch}", responses)
+                time.sleep(0.0 if idle_seconds is None else 2 * idle_seconds)
             served.append(
                 sum(is_complete and body == fake_servers.make_event(1)
                     for body, is_complete in responses))
@@ -208,4 +230,4 @@
     finally:
         fleet.close()
     print(served)
-    assert min(served) >= 0.98 * _STREAMS_PER_CUT
+    assert min(served) >= 0.98 * _BATCHES * _BATCH_SIZE
