--- a/mustardwood/platform/daemon.py
+++ b/mustardwood/platform/daemon.py
@@ -107,12 +107,6 @@
             self._clock, self._rng, self._notices,
             lambda endpoint, problem: self._journal.write(
                 "pause_rejected", endpoint=endpoint, error=problem))
-        self._brittleness = dispatch.EndpointBrittleness(
-            self._clock, self._pauses, lambda: self._peers.peer_count + 1,
-            self._rng, lambda endpoint, max_refusals: self._journal.write(
-                "brittle_endpoint",
-                endpoint=endpoint,
-                max_refusals=max_refusals))
         self._streams = dispatch.StreamVersionTable(self._clock)
         self._process_exit = dispatch.ProcessExit()
         self._response_memory = dispatch.ResponseMemory(
@@ -266,6 +260,7 @@
 
     def _make_context(self,
                       pool: http1.ConnectionPool) -> dispatch.ForwardingContext:
+        brittleness = self._make_brittleness()
         return dispatch.ForwardingContext(
             clock=self._clock,
             scheduler=self._scheduler,
@@ -280,13 +275,14 @@
             part_crashes=self._part_crashes,
             rate_limits=self._rate_limits,
             pauses=self._pauses,
-            brittleness=self._brittleness,
+            brittleness=brittleness,
             admission=self._admission,
-            placement=dispatch.Placement(
-                self._settings.zone, self._clock, self._loads, self._health,
-                self._prefix_caches, self._rate_limits, self._pauses,
-                self._placement_settings, self._find_service, self._rng,
-                self._profile_table, self._brittleness),
+            placement=dispatch.Placement(self._settings.zone, self._clock,
+                                         self._loads, self._health,
+                                         self._prefix_caches, self._rate_limits,
+                                         self._pauses, self._placement_settings,
+                                         self._find_service, self._rng,
+                                         self._profile_table, brittleness),
             retry_budgets=self._retry_budgets,
             retry_after=dispatch.RetryAfterPolicy(self._rng),
             queue=dispatch.PlacementQueue(self._clock, self._scheduler),
@@ -301,6 +297,14 @@
             hedging=self._hedging,
             response_memory=self._response_memory)
 
+    def _make_brittleness(self) -> dispatch.EndpointBrittleness:
+        return dispatch.EndpointBrittleness(
+            self._clock, self._pauses, lambda: self._peers.peer_count + 1,
+            self._rng, lambda endpoint, max_refusals: self._journal.write(
+                "brittle_endpoint",
+                endpoint=endpoint,
+                max_refusals=max_refusals))
+
     def _make_observer(self) -> dispatch.ResponseObserver:
         if not self._learns_engines:
             return dispatch.NoResponseObserver()
