--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -713,11 +713,12 @@
             await vm.wait_until_ready()
         self.record.write("all VMs are ready")
 
-    async def add_replica(self, name, service, version="1", **options):
-        """Starts a replica at an address of its own."""
+    async def add_replica(self, name, service, version="1", kind=Replica,
+                          **options):
+        """Starts a replica of a kind at an address of its own."""
         ip = f"{self._network}.{101 + len(self.replicas)}"
-        replica = Replica(self.record, self.store, name, service, version, ip,
-                          **options)
+        replica = kind(self.record, self.store, name, service, version, ip,
+                       **options)
         await replica.start()
         self.replicas.append(replica)
         return replica
