--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 exec python3 - <<'END'
 import pathlib
 
-for path in ["fleet_3.py", "stream_client_3.py",
+for path in ["11/stand_ins.py", "11/stream_client.py",
              *(f"{number}/case.py" for number in range(11, 16))]:
     if pathlib.Path(path).exists():
         compile(pathlib.Path(path).read_text(encoding="utf-8"), path, "exec")
